--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test format proto lock clean
+
+demo: $(STAMP)
+	$(BIN)/python -m tools.demo
+
+test: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/python -m tools.run_tests
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+proto: $(STAMP)
+	$(BIN)/pip install --quiet ".[proto]"
+	PATH="$(abspath $(BIN)):$$PATH" python -m grpc_tools.protoc -I. \
+		--python_out=. --pyi_out=. --grpclib_python_out=. sprucewinch/peer.proto
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/sprucewinch/_address.py
@@ -0,0 +1,45 @@
+"""Addresses written as an IP number and a port."""
+
+import ipaddress
+from typing import NamedTuple
+
+_MAX_PORT = 65535
+
+
+class Address(NamedTuple):
+    """An IP number and a TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Parse `IP:PORT`.
+
+    Args:
+        text: For example `127.0.0.1:7000` or `[::1]:7000`.
+
+    Returns:
+        The address.
+
+    Raises:
+        ValueError: When the host is no IP number, or the port is not in 1..65535.
+    """
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    ipaddress.ip_address(host)
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= _MAX_PORT):
+        raise ValueError(f"{port!r} is not a port")
+    return Address(host, int(port))
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is `IP:PORT`."""
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
--- /dev/null
+++ b/sprucewinch/_frames.py
@@ -0,0 +1,143 @@
+"""Conversion between requests and the frames that entry VMs send each other."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Optional
+
+from .body import Body, CallerLeftError
+from .outcome import Outcome, Reason, Refusal
+from .peer_pb2 import Accepted, End, Frame, Head, Header, Open, Refused
+from .request import Headers, Request
+
+CHUNK = 65_536
+"""Most bytes of body in one frame."""
+
+Receive = Callable[[], Awaitable[Optional[Frame]]]
+
+
+def open_frame(request: Request, *, now: float, from_region: str, home: bool) -> Frame:
+    """Return the frame that begins a handed-on request."""
+    body = request.body
+    return Frame(
+        open=Open(
+            request_id=request.request_id,
+            service=request.service,
+            client_region=request.client_region,
+            method=request.method,
+            target=request.target,
+            headers=[Header(name=name, value=value) for name, value in request.headers],
+            deadline_ms=max(0, int((request.deadline - now) * 1000)),
+            ticket=request.ticket or "",
+            body_complete=body.complete,
+            first_chunk=body.first,
+            from_region=from_region,
+            home=home,
+        )
+    )
+
+
+def request_of(opened: Open, body: Body, now: float) -> Request:
+    """Return the request that an opening frame describes."""
+    return Request(
+        request_id=opened.request_id,
+        service=opened.service,
+        client_region=opened.client_region,
+        method=opened.method,
+        target=opened.target,
+        headers=headers_of(opened.headers),
+        body=body,
+        deadline=now + opened.deadline_ms / 1000,
+        ticket=opened.ticket or None,
+    )
+
+
+def headers_of(headers: object) -> Headers:
+    """Return headers as pairs."""
+    return [(header.name, header.value) for header in headers]  # type: ignore[attr-defined]
+
+
+def accepted_frame(request_id: str) -> Frame:
+    """Return the frame that asks for the rest of a body."""
+    return Frame(accepted=Accepted(request_id=request_id))
+
+
+def head_frame(request_id: str, status: int, headers: Headers) -> Frame:
+    """Return the frame that begins an answer."""
+    listed = [Header(name=name, value=value) for name, value in headers]
+    return Frame(head=Head(request_id=request_id, status=status, headers=listed))
+
+
+def end_frame(request_id: str, length: int) -> Frame:
+    """Return the frame that ends a body of so many bytes."""
+    return Frame(end=End(request_id=request_id, length=length))
+
+
+def refused_frame(request_id: str, refusal: Refusal) -> Frame:
+    """Return the frame that refuses a request."""
+    return Frame(
+        refused=Refused(
+            request_id=request_id,
+            outcome=refusal.outcome.value,
+            reason=refusal.reason.value,
+            retry_after_ms=refusal.retry_after_ms,
+        )
+    )
+
+
+def refusal_of(refused: Refused) -> Refusal:
+    """Return the refusal that a frame carries; an unknown reason counts as a failed peer."""
+    try:
+        reason = Reason(refused.reason)
+    except ValueError:
+        reason = Reason.PEER_FAILED
+    outcome = Outcome.NOT_RUN if refused.outcome == Outcome.NOT_RUN.value else Outcome.UNKNOWN
+    return Refusal(outcome, reason, refused.retry_after_ms)
+
+
+def split(chunk: bytes) -> list[Frame]:
+    """Return frames for a piece of body."""
+    return [Frame(chunk=chunk[i : i + CHUNK]) for i in range(0, len(chunk), CHUNK)]
+
+
+class FrameBody(Body):
+    """A request body that arrives in frames.
+
+    Args:
+        opened: The opening frame.
+        receive: Returns the next frame; None when the stream has ended.
+        ask: Asks the sender for the rest of the body.
+    """
+
+    def __init__(self, opened: Open, receive: Receive, ask: Callable[[], Awaitable[None]]) -> None:
+        self.first = opened.first_chunk
+        self.complete = opened.body_complete
+        self._request_id = opened.request_id
+        self._receive = receive
+        self._ask = ask
+        self._asked = False
+        self._length = len(opened.first_chunk)
+
+    async def next_chunk(self) -> Optional[bytes]:
+        """Return the next piece; None at the end."""
+        if not self._asked:
+            self._asked = True
+            await self._ask()
+        frame = await self._receive()
+        kind = frame.WhichOneof("kind") if frame is not None else None
+        if frame is not None and kind == "chunk":
+            self._length += len(frame.chunk)
+            return frame.chunk
+        whole = kind == "end" and frame.end.request_id == self._request_id
+        if whole and frame.end.length == self._length:
+            return None
+        raise CallerLeftError("the sender of the body left")
+
+
+async def body_frames(body: Body, request_id: str) -> AsyncIterator[Frame]:
+    """Yield the frames of a body after its first chunk, and its end."""
+    length = len(body.first)
+    body.consumed = True
+    while (chunk := await body.next_chunk()) is not None:
+        length += len(chunk)
+        for frame in split(chunk):
+            yield frame
+    yield end_frame(request_id, length)
--- /dev/null
+++ b/sprucewinch/backend.py
@@ -0,0 +1,198 @@
+"""Requests to backend servers over HTTP."""
+
+import asyncio
+from typing import Any, NamedTuple, Optional, Union
+
+import aiohttp
+from multidict import CIMultiDict
+
+from .outcome import Reason, Refusal, not_run, unknown
+from .request import (
+    DEADLINE_HEADER,
+    LEAVING_HEADER,
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER,
+    Headers,
+    Request,
+    Responder,
+    end_to_end,
+)
+
+_CHUNK = 65_536
+_KEEPALIVE_S = 10.0
+_CONNECT_S = 1.0
+_PROBE_S = 1.0
+_NO_CONTENT = (204, 304)
+_BEYOND_BUFFER = 2**14
+
+
+class Attempt(NamedTuple):
+    """What one try at a backend server came to.
+
+    Args:
+        refusal: Why there is no answer; None when the answer is complete.
+        sent: True when a byte of the request may have reached the server.
+        leaving: True when the server said that it is leaving.
+        shed: True when the server said that it has no room.
+    """
+
+    refusal: Optional[Refusal] = None
+    sent: bool = False
+    leaving: bool = False
+    shed: bool = False
+
+
+class BrokenAnswerError(Exception):
+    """An answer broke off after its start was passed on; the caller's connection must be cut."""
+
+
+class Probe(NamedTuple):
+    """What a backend server says of itself when asked; it may lag or be wrong."""
+
+    leaving: bool
+    in_use: int
+
+
+class BackendClient:
+    """Sends requests to backend servers and passes their answers on.
+
+    A connection on which anything went wrong is closed and never used again.
+
+    Args:
+        connections: Most connections to one backend server.
+    """
+
+    def __init__(self, *, connections: int = 100) -> None:
+        connector = aiohttp.TCPConnector(
+            limit=0, limit_per_host=connections, keepalive_timeout=_KEEPALIVE_S
+        )
+        self.session = aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_S),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+            read_bufsize=_BEYOND_BUFFER,
+        )
+        # The library would send some methods again by itself when a kept connection breaks.
+        self.session._retry_connection = False
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def run(self, request: Request, server: str, responder: Responder, now: float) -> Attempt:
+        """Try a request at a backend server.
+
+        Args:
+            request: The request.
+            server: `IP:PORT`.
+            responder: Where a complete or beginning answer goes.
+            now: Monotonic time, in seconds.
+
+        Returns:
+            What came of it. Nothing was passed on unless `refusal` is None.
+
+        Raises:
+            BrokenAnswerError: When the answer broke off after its start was passed on.
+        """
+        left = request.deadline - now
+        if left <= 0:
+            return Attempt(not_run(Reason.DEADLINE_PASSED))
+        try:
+            async with asyncio.timeout(left) as limit:
+                return await self._exchange(request, server, responder, limit, left)
+        except TimeoutError:
+            return self._failed(responder, Reason.BACKEND_TIMEOUT)
+        except aiohttp.ClientConnectorError:
+            return Attempt(not_run(Reason.BACKEND_FAILED))
+        except aiohttp.ConnectionTimeoutError:
+            return Attempt(not_run(Reason.BACKEND_FAILED))
+        except (aiohttp.ClientError, OSError, ValueError):
+            return self._failed(responder, Reason.BACKEND_FAILED)
+
+    def _failed(self, responder: Responder, reason: Reason) -> Attempt:
+        if responder.started:
+            raise BrokenAnswerError(reason.value)
+        return Attempt(unknown(reason), sent=True)
+
+    async def _exchange(
+        self,
+        request: Request,
+        server: str,
+        responder: Responder,
+        limit: asyncio.Timeout,
+        left: float,
+    ) -> Attempt:
+        async with self.session.request(
+            request.method,
+            f"http://{server}{request.target}",
+            headers=_headers(request, left),
+            data=_data(request),
+            allow_redirects=False,
+        ) as response:
+            refused = _own_refusal(response)
+            if refused is not None:
+                await response.read()
+                return refused
+            if not _answers(response, request):
+                response.close()
+                return Attempt(unknown(Reason.BACKEND_FAILED), sent=True)
+            limit.reschedule(None)
+            await _pass_on(response, responder)
+            return Attempt(sent=True, leaving=LEAVING_HEADER in response.headers)
+
+    async def probe(self, server: str) -> Union[Probe, None]:
+        """Ask a backend server how it is; None when it does not say."""
+        timeout = aiohttp.ClientTimeout(total=_PROBE_S)
+        try:
+            async with self.session.get(f"http://{server}/load", timeout=timeout) as response:
+                report: Any = await response.json()
+            return Probe(bool(report["leaving"]), int(report["in_use"]))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
+            return None
+
+
+def _headers(request: Request, left: float) -> CIMultiDict[str]:
+    headers = CIMultiDict(end_to_end(request.headers))
+    headers[REQUEST_ID_HEADER] = request.request_id
+    headers[DEADLINE_HEADER] = str(int(left * 1000))
+    return headers
+
+
+def _data(request: Request) -> Any:
+    body = request.body
+    if not body.complete:
+        return body.chunks()
+    return body.first or None
+
+
+def _own_refusal(response: aiohttp.ClientResponse) -> Optional[Attempt]:
+    """Return the attempt when the server itself says that it did not run the request."""
+    word = response.headers.get(NOT_RUN_HEADER)
+    if word is None:
+        return None
+    if word == "leaving":
+        return Attempt(not_run(Reason.NO_BACKEND_SERVER), sent=True, leaving=True)
+    return Attempt(not_run(Reason.NO_ROOM), sent=True, shed=True)
+
+
+def _answers(response: aiohttp.ClientResponse, request: Request) -> bool:
+    """Tell whether an answer is to this request, and says where it ends."""
+    named = response.headers.get(REQUEST_ID_HEADER, request.request_id)
+    return named == request.request_id and _framed(response)
+
+
+def _framed(response: aiohttp.ClientResponse) -> bool:
+    if response.method == "HEAD" or response.status in _NO_CONTENT:
+        return True
+    chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    return chunked or "Content-Length" in response.headers
+
+
+async def _pass_on(response: aiohttp.ClientResponse, responder: Responder) -> None:
+    headers: Headers = end_to_end(list(response.headers.items()))
+    await responder.start(response.status, headers)
+    async for chunk in response.content.iter_chunked(_CHUNK):
+        await responder.write(chunk)
+    await responder.finish()
--- /dev/null
+++ b/sprucewinch/body.py
@@ -0,0 +1,65 @@
+"""Request bodies: streamed with back-pressure, and kept only while they are small."""
+
+import abc
+from collections.abc import AsyncIterator
+from typing import Optional
+
+
+class CallerLeftError(Exception):
+    """The caller closed its connection before its request was complete."""
+
+
+class Body(abc.ABC):
+    """A request body that arrives in pieces.
+
+    The start of the body, up to a limit, is kept in memory. While that is the whole body it may be
+    sent more than once.
+    """
+
+    first: bytes
+    """Start of the body, as far as it was kept."""
+
+    complete: bool
+    """True when `first` is the whole body."""
+
+    consumed = False
+    """True when more than `first` was taken, so that the body cannot be sent again."""
+
+    @abc.abstractmethod
+    async def next_chunk(self) -> Optional[bytes]:
+        """Return the next piece after `first`; None at the end.
+
+        Raises:
+            CallerLeftError: When the body was cut short.
+        """
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the whole body."""
+        if self.first:
+            yield self.first
+        if self.complete:
+            return
+        self.consumed = True
+        while (chunk := await self.next_chunk()) is not None:
+            yield chunk
+
+    @property
+    def replayable(self) -> bool:
+        """True while the body can still be sent from its start."""
+        return not self.consumed
+
+
+class BytesBody(Body):
+    """A body that is wholly in memory.
+
+    Args:
+        data: The body.
+    """
+
+    def __init__(self, data: bytes) -> None:
+        self.first = data
+        self.complete = True
+
+    async def next_chunk(self) -> Optional[bytes]:
+        """Return None: there is nothing after `first`."""
+        return None
--- /dev/null
+++ b/sprucewinch/callers.py
@@ -0,0 +1,328 @@
+"""The callers' port: look-ups, tickets and requests."""
+
+import asyncio
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Any, Optional
+from urllib.parse import parse_qs
+
+import msgspec
+
+from ._http_server import refusal_body
+from .backend import BrokenAnswerError
+from .body import Body, CallerLeftError
+from .clock import Clock
+from .dispatch import Dispatcher
+from .lookup import block_of
+from .node import Node
+from .outcome import Outcome, Reason, Refusal, http_status, not_run, unknown
+from .request import (
+    BLOCK_HEADER,
+    DEADLINE_HEADER,
+    HALL_HEADER,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    TICKET_HEADER,
+    Headers,
+    Request,
+    Responder,
+)
+from .tickets import MAX_BATCH
+
+Receive = Callable[[], Awaitable[dict]]
+Send = Callable[[dict], Awaitable[None]]
+RawHeaders = list[tuple[bytes, bytes]]
+
+_LOOKUP = "/v1/lookup"
+_TICKETS = "/v1/tickets"
+_READY = "/v1/ready"
+_SERVICES = "/s/"
+_JSON = (b"content-type", b"application/json")
+_MAX_DEADLINE_MS = 24 * 3_600_000
+
+
+class CallerApp:
+    """The ASGI application of the callers' port.
+
+    Args:
+        node: This VM's view.
+        dispatcher: Runs requests.
+        clock: Source of time.
+    """
+
+    def __init__(self, node: Node, dispatcher: Dispatcher, clock: Clock) -> None:
+        self.node = node
+        self.dispatcher = dispatcher
+        self.clock = clock
+        self.limits = node.settings.limits
+
+    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        path: str = scope["path"]
+        if path == _LOOKUP:
+            await self._lookup(scope, send)
+        elif path.startswith(_SERVICES):
+            await self._request(scope, receive, send)
+        elif path == _TICKETS:
+            await self._tickets(scope, send)
+        elif path == _READY:
+            await self._ready(send)
+        else:
+            await _refuse(send, not_run(Reason.NO_SUCH_SERVICE))
+
+    async def _lookup(self, scope: dict[str, Any], send: Send) -> None:
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        service = query.get("service", [""])[0]
+        client = query.get("block", [""])[0] or _peer_address(scope)
+        self.node.metrics.counters["lookups"] += 1
+        answer = self.node.lookup(client, service)
+        if isinstance(answer, Refusal):
+            self.node.metrics.refused(service, answer.reason.value)
+            await _refuse(send, answer)
+            return
+        await _answer(send, 200, answer)
+
+    async def _tickets(self, scope: dict[str, Any], send: Send) -> None:
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        service = query.get("service", [""])[0]
+        count = query.get("count", ["1"])[0]
+        refusal = self._ticket_refusal(service, count)
+        if refusal is not None:
+            await _refuse(send, refusal)
+            return
+        assert self.node.tickets is not None
+        book = self.node.tickets
+        issued = book.issue(service, int(count), self.clock.monotonic())
+        if isinstance(issued, Refusal):
+            await _refuse(send, issued)
+            return
+        answer = {"tickets": issued, "lifetime_ms": int(book.lifetime_s * 1000)}
+        await _answer(send, 200, msgspec.json.encode(answer))
+
+    def _ticket_refusal(self, service: str, count: str) -> Optional[Refusal]:
+        if self.node.tickets is None or self.node.topology is None:
+            return not_run(Reason.NO_CONFIGURATION, 1000)
+        if service not in self.node.topology.services:
+            return not_run(Reason.NO_SUCH_SERVICE)
+        if not (count.isascii() and count.isdigit() and 1 <= int(count) <= MAX_BATCH):
+            return not_run(Reason.MALFORMED)
+        return None
+
+    async def _ready(self, send: Send) -> None:
+        if self.node.tickets is None:
+            await _refuse(send, not_run(Reason.NO_CONFIGURATION, 1000))
+            return
+        state = {"vm": self.node.own.vm, "revision": self.node.revision}
+        await _answer(send, 200, msgspec.json.encode(state))
+
+    async def _request(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        now = self.clock.monotonic()
+        headers = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in scope["headers"]]
+        responder = _AsgiResponder(send, self.node.settings.hall)
+        request = self._parse(scope, headers, _AsgiBody(receive), now)
+        if isinstance(request, Refusal):
+            await _refuse(send, request, close=True)
+            return
+        self.node.arrived(request.service, request.client_region)
+        refusal = self._gate(request, now)
+        if refusal is None:
+            refusal = await self._run(request, responder)
+        if refusal is not None:
+            self.node.metrics.refused(request.service, refusal.reason.value)
+            await _refuse(send, refusal, close=not request.body.complete)
+            return
+        label = self.node.label(request.service)
+        self.node.metrics.answered(label, self.clock.monotonic() - now)
+
+    def _parse(
+        self, scope: dict[str, Any], headers: Headers, body: Body, now: float
+    ) -> Request | Refusal:
+        named = {name.lower(): value for name, value in headers}
+        service, _, rest = scope["path"][len(_SERVICES) :].partition("/")
+        topology = self.node.topology
+        if topology is None:
+            return not_run(Reason.NO_CONFIGURATION, 1000)
+        known = topology.services.get(service)
+        if known is None:
+            return not_run(Reason.NO_SUCH_SERVICE)
+        deadline_ms = _deadline_ms(named.get(DEADLINE_HEADER), known.deadline_ms)
+        client = named.get(BLOCK_HEADER) or _peer_address(scope)
+        region = _client_region(self.node, client)
+        if deadline_ms is None or region is None:
+            return not_run(Reason.MALFORMED)
+        query = scope["query_string"].decode("latin-1")
+        raw = scope["raw_path"].decode("latin-1")
+        target = "/" + raw.split("/", 3)[3] if raw.count("/") > 2 else "/" + rest
+        return Request(
+            request_id=uuid.uuid4().hex,
+            service=service,
+            client_region=region,
+            method=scope["method"],
+            target=target + ("?" + query if query else ""),
+            headers=headers,
+            body=body,
+            deadline=now + deadline_ms / 1000,
+            ticket=named.get(TICKET_HEADER),
+        )
+
+    def _gate(self, request: Request, now: float) -> Optional[Refusal]:
+        """Refuse what this VM cannot take on, before anything is done."""
+        if self.node.requests_in_flight >= self.limits.requests:
+            return not_run(Reason.OVERLOADED_VM, 1000)
+        if request.client_region and not self.node.cross_link(request.client_region, now):
+            return not_run(Reason.LINK_FULL, 1000)
+        return None
+
+    async def _run(self, request: Request, responder: "_AsgiResponder") -> Optional[Refusal]:
+        body = request.body
+        assert isinstance(body, _AsgiBody)
+        self.node.requests_in_flight += 1
+        try:
+            async with asyncio.timeout(request.deadline - self.clock.monotonic()):
+                await body.keep_start(self.limits.memory_body_bytes)
+            return await self._run_while_caller_stays(request, body, responder)
+        except TimeoutError:
+            return not_run(Reason.DEADLINE_PASSED)
+        except BrokenAnswerError:
+            self.node.metrics.counters["broken"] += 1
+            raise
+        except CallerLeftError:
+            return unknown(Reason.CALLER_LEFT) if body.consumed else not_run(Reason.CALLER_LEFT)
+        finally:
+            self.node.requests_in_flight -= 1
+
+    async def _run_while_caller_stays(
+        self, request: Request, body: "_AsgiBody", responder: "_AsgiResponder"
+    ) -> Optional[Refusal]:
+        work = asyncio.ensure_future(self.dispatcher.enter(request, responder))
+        left = asyncio.ensure_future(body.caller_left())
+        try:
+            await asyncio.wait({work, left}, return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                raise CallerLeftError
+            return work.result()
+        finally:
+            for task in (work, left):
+                task.cancel()
+            await asyncio.gather(work, left, return_exceptions=True)
+
+
+def _peer_address(scope: dict[str, Any]) -> str:
+    client = scope.get("client")
+    return client[0] if client else ""
+
+
+def _client_region(node: Node, client: str) -> Optional[str]:
+    """Return the region of a caller; empty when no block holds it, None when malformed."""
+    assert node.topology is not None
+    try:
+        return node.topology.blocks.region_of(block_of(client)) or ""
+    except ValueError:
+        return None
+
+
+def _deadline_ms(text: Optional[str], default: int) -> Optional[int]:
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdigit()) or not 0 < int(text) <= _MAX_DEADLINE_MS:
+        return None
+    return int(text)
+
+
+async def _answer(send: Send, status: int, body: bytes, headers: Optional[RawHeaders] = None):
+    length = (b"content-length", b"%d" % len(body))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [_JSON, length, *(headers or [])],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+async def _refuse(send: Send, refusal: Refusal, *, close: bool = False) -> None:
+    """Send a refusal as the final answer.
+
+    Args:
+        send: ASGI send.
+        refusal: The refusal.
+        close: Close the connection afterwards, as the rest of a body would have to be read.
+    """
+    headers = [
+        (OUTCOME_HEADER.encode(), refusal.outcome.value.encode()),
+        (REASON_HEADER.encode(), refusal.reason.value.encode()),
+    ]
+    if refusal.retry_after_ms:
+        seconds = -(-refusal.retry_after_ms // 1000)
+        headers.append((b"retry-after", b"%d" % seconds))
+    if close:
+        headers.append((b"connection", b"close"))
+    body = refusal_body(refusal.outcome, refusal.reason, refusal.retry_after_ms)
+    await _answer(send, http_status(refusal), body, headers)
+
+
+class _AsgiBody(Body):
+    """A caller's request body."""
+
+    def __init__(self, receive: Receive) -> None:
+        self.first = b""
+        self.complete = False
+        self._receive = receive
+        self._ended = asyncio.Event()
+
+    async def keep_start(self, limit: int) -> None:
+        """Read the body's start, up to a limit; less when it ends before."""
+        start = bytearray()
+        while len(start) < limit:
+            chunk = await self._read()
+            if chunk is None:
+                self.complete = True
+                break
+            start += chunk
+        self.first = bytes(start)
+
+    async def next_chunk(self) -> Optional[bytes]:
+        """Return the next piece; None at the end."""
+        return await self._read()
+
+    async def caller_left(self) -> None:
+        """Return when the caller has closed its connection after its whole body."""
+        await self._ended.wait()
+        message = await self._receive()
+        while message["type"] != "http.disconnect":
+            message = await self._receive()
+
+    async def _read(self) -> Optional[bytes]:
+        if self._ended.is_set():
+            return None
+        message = await self._receive()
+        if message["type"] == "http.disconnect":
+            raise CallerLeftError("the caller closed its connection")
+        if not message.get("more_body", False):
+            self._ended.set()
+        body = message.get("body", b"")
+        if not body and self._ended.is_set():
+            return None
+        return body
+
+
+class _AsgiResponder(Responder):
+    """Sends an answer to the caller."""
+
+    def __init__(self, send: Send, hall: str) -> None:
+        self.send = send
+        self.hall = hall
+
+    async def start(self, status: int, headers: Headers) -> None:
+        self.started = True
+        raw = [(name.lower().encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+        raw.append((OUTCOME_HEADER.encode(), Outcome.ANSWERED.value.encode()))
+        raw.append((HALL_HEADER.encode(), self.hall.encode()))
+        await self.send({"type": "http.response.start", "status": status, "headers": raw})
+
+    async def write(self, chunk: bytes) -> None:
+        await self.send({"type": "http.response.body", "body": chunk, "more_body": True})
+
+    async def finish(self) -> None:
+        await self.send({"type": "http.response.body", "body": b""})
--- /dev/null
+++ b/sprucewinch/config.py
@@ -0,0 +1,266 @@
+"""The operators' configuration: regions, data halls, services, backend servers, caps and links."""
+
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+from ._config_check import check_configuration
+from ._decode import decode, read_toml
+from .errors import ConfigurationError
+
+
+class Struct(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """Base of all parts of a configuration: immutable, with slots."""
+
+
+class Region(Struct, frozen=True):
+    """A region and the client blocks that count as its own.
+
+    Args:
+        name: Name of the region.
+        clients: Client blocks in CIDR notation; they do not overlap.
+    """
+
+    name: str
+    clients: tuple[str, ...] = ()
+
+
+class DataHall(Struct, frozen=True):
+    """A data hall of a region."""
+
+    name: str
+    region: str
+
+
+class Service(Struct, frozen=True):
+    """A service that callers use.
+
+    Args:
+        name: Name of the service; also the first part of its request path.
+        repeatable: True when a request may safely run more than once.
+        deadline_ms: Time a request has when its caller names none, in milliseconds.
+        max_wait_ms: Longest wait for a free slot before the request is refused.
+        policy: Name of the steering policy.
+        shift_cap: Cap of this service alone, in place of the cap in `[shift]`.
+    """
+
+    name: str
+    repeatable: bool
+    deadline_ms: int = 2000
+    max_wait_ms: int = 50
+    policy: str = "nearest"
+    shift_cap: float | None = None
+
+
+class Pool(Struct, frozen=True):
+    """The backend servers of one service in one data hall.
+
+    Args:
+        hall: Data hall.
+        service: Service.
+        servers: Addresses, `IP:PORT`.
+        slots: Requests one backend server runs at once.
+        connections: Connections one backend server accepts.
+    """
+
+    hall: str
+    service: str
+    servers: tuple[str, ...]
+    slots: int = 4
+    connections: int = 120
+
+
+class Link(Struct, frozen=True):
+    """A path between two regions, with its hard limit.
+
+    Args:
+        a: One region.
+        b: The other region.
+        one_way_ms: Time one way, in milliseconds.
+        requests_per_s: Most requests a second that cross it from one side's callers.
+    """
+
+    a: str
+    b: str
+    one_way_ms: float
+    requests_per_s: float
+
+
+class Lookup(Struct, frozen=True):
+    """What callers are told about keeping look-up answers.
+
+    Args:
+        ttl_ms: How long an answer may be kept, in milliseconds.
+    """
+
+    ttl_ms: int = 2000
+
+
+class Shift(Struct, frozen=True):
+    """The cap on moving callers between regions.
+
+    Args:
+        cap: Largest share of a client region's callers of one service that may change region
+            within any window.
+        window_s: Length of the window, in seconds.
+    """
+
+    cap: float = 0.1
+    window_s: float = 10.0
+
+
+class Guard(Struct, frozen=True):
+    """Limits that no policy can override.
+
+    Args:
+        ceiling: Largest part of a region's slots that steering plans to use.
+        stale_s: Age beyond which a region's measures are too old for it to gain callers.
+        warm_step: Largest share of its slots' worth of callers a region may gain in one window.
+    """
+
+    ceiling: float = 0.8
+    stale_s: float = 5.0
+    warm_step: float = 0.25
+
+
+class Configuration(Struct, frozen=True):
+    """A whole configuration, as operators write it.
+
+    Args:
+        name: Name of the deployment.
+        region: All regions.
+        hall: All data halls.
+        service: All services.
+        pool: Backend servers by hall and service.
+        link: Paths between regions.
+        lookup: Look-up answers.
+        shift: The shift cap.
+        guard: Limits on steering.
+    """
+
+    name: str
+    region: tuple[Region, ...]
+    hall: tuple[DataHall, ...]
+    service: tuple[Service, ...]
+    pool: tuple[Pool, ...]
+    link: tuple[Link, ...] = ()
+    lookup: Lookup = Lookup()
+    shift: Shift = Shift()
+    guard: Guard = Guard()
+
+
+class Policy(Struct, frozen=True):
+    """A policy program kept with the configuration."""
+
+    name: str
+    source: str
+
+
+class AuditRecord(Struct, frozen=True):
+    """One accepted change.
+
+    Args:
+        revision: Configuration revision that the change made.
+        operation: Identifier of the change, unique.
+        at: Wall-clock time of the writer, seconds since the epoch.
+        operator: Who made it.
+        action: What kind of change.
+        detail: What it was about, on one line.
+    """
+
+    revision: int
+    operation: str
+    at: float
+    operator: str
+    action: str
+    detail: str
+
+
+class Document(Struct, frozen=True):
+    """What the platform keeps: the configuration with its revision and audit trail.
+
+    Args:
+        revision: Grows by one with every accepted change.
+        configuration: The configuration.
+        policies: Loaded policy programs.
+        drained: Names of draining backend servers, data halls and regions, by kind and name.
+        audit: Newest changes, oldest first; bounded.
+    """
+
+    revision: int
+    configuration: Configuration
+    policies: tuple[Policy, ...] = ()
+    drained: tuple[str, ...] = ()
+    audit: tuple[AuditRecord, ...] = ()
+
+
+DrainKind = Literal["server", "hall", "region"]
+
+
+def drain_key(kind: DrainKind, name: str) -> str:
+    """Return how a draining thing is written in a `Document`."""
+    return f"{kind}:{name}"
+
+
+def load_configuration(path: Path) -> Configuration:
+    """Read and check a configuration file.
+
+    Args:
+        path: A TOML file.
+
+    Returns:
+        The configuration.
+
+    Raises:
+        ConfigurationError: One line naming file, key, what was found and what to write.
+    """
+    tables = read_toml(path, ConfigurationError)
+    configuration = decode(tables, Configuration, str(path), ConfigurationError)
+    check_configuration(configuration, str(path))
+    return configuration
+
+
+def parse_configuration(tables: dict, source: str) -> Configuration:
+    """Check tables that came from elsewhere than a file.
+
+    Args:
+        tables: The configuration as plain tables.
+        source: Where they came from, for messages.
+
+    Returns:
+        The configuration.
+
+    Raises:
+        ConfigurationError: As for `load_configuration`.
+    """
+    configuration = decode(tables, Configuration, source, ConfigurationError)
+    check_configuration(configuration, source)
+    return configuration
+
+
+def encode_document(document: Document) -> bytes:
+    """Encode a document for the platform and for peers."""
+    return msgspec.json.encode(document)
+
+
+def decode_document(value: bytes) -> Document:
+    """Decode and check a document.
+
+    Args:
+        value: Bytes from the platform or a peer.
+
+    Returns:
+        The document.
+
+    Raises:
+        ConfigurationError: When the bytes are no whole, consistent document.
+    """
+    try:
+        document = msgspec.json.decode(value, type=Document)
+    except msgspec.MsgspecError as error:
+        raise ConfigurationError(
+            f"stored configuration: {error}", "apply a valid configuration again"
+        ) from None
+    check_configuration(document.configuration, "stored configuration")
+    return document
--- /dev/null
+++ b/sprucewinch/documents.py
@@ -0,0 +1,90 @@
+"""Versioned documents that entry VMs hand on to each other; only a higher revision counts."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, Optional
+
+import msgspec
+
+WATCH_PREFIX = "steer/"
+"""Start of the keys that every entry VM holds."""
+
+CONFIGURATION_KEY = "steer/configuration"
+PLAN_PREFIX = "steer/plan/"
+AUDIT_PREFIX = "audit/"
+"""Start of the keys under which older parts of the audit trail are kept."""
+
+
+class Revisioned(NamedTuple):
+    """A document's bytes with its revision."""
+
+    key: str
+    revision: int
+    value: bytes
+
+
+class _Envelope(msgspec.Struct):
+    revision: int
+
+
+def revisioned(key: str, value: bytes) -> Optional[Revisioned]:
+    """Return a stored value with the revision that it names; None when it names none."""
+    try:
+        return Revisioned(key, msgspec.json.decode(value, type=_Envelope).revision, value)
+    except msgspec.MsgspecError:
+        return None
+
+
+Accept = Callable[[Revisioned], bool]
+"""Checks and applies a document; returns False when it cannot be used."""
+
+
+class DocumentShelf:
+    """The newest documents that this entry VM knows.
+
+    Args:
+        accept: Called before a document replaces an older one.
+    """
+
+    def __init__(self, accept: Accept) -> None:
+        self.accept = accept
+        self.documents: dict[str, Revisioned] = {}
+        self.rejected = 0
+
+    def offer(self, document: Revisioned) -> bool:
+        """Take over a document when it is newer and usable.
+
+        Returns:
+            True when it was taken over.
+        """
+        if document.revision <= self.revision(document.key):
+            return False
+        if not self.accept(document):
+            self.rejected += 1
+            return False
+        self.documents[document.key] = document
+        return True
+
+    def revision(self, key: str) -> int:
+        """Return the revision held; 0 when there is none."""
+        held = self.documents.get(key)
+        return held.revision if held else 0
+
+    def get(self, key: str) -> Optional[Revisioned]:
+        """Return a document."""
+        return self.documents.get(key)
+
+    def revisions(self) -> dict[str, int]:
+        """Return the revision of every document."""
+        return {key: document.revision for key, document in self.documents.items()}
+
+    def newer_than(self, revisions: dict[str, int]) -> list[Revisioned]:
+        """Return the documents that are newer than somebody else's."""
+        return [d for d in self.documents.values() if d.revision > revisions.get(d.key, 0)]
+
+    def older_than(self, revisions: dict[str, int]) -> list[str]:
+        """Return the keys of which somebody else has a newer document."""
+        return [key for key, revision in revisions.items() if revision > self.revision(key)]
+
+    def select(self, keys: Iterable[str]) -> list[Revisioned]:
+        """Return the documents held under some keys."""
+        return [self.documents[key] for key in keys if key in self.documents]
--- /dev/null
+++ b/sprucewinch/errors.py
@@ -0,0 +1,73 @@
+"""Typed errors for the edges of the system; each message names its remedy."""
+
+
+class SprucewinchError(Exception):
+    """Base of all errors shown to operators.
+
+    Args:
+        problem: What is wrong, on one line.
+        remedy: What to do about it, on one line.
+    """
+
+    exit_code = 1
+
+    def __init__(self, problem: str, remedy: str) -> None:
+        self.problem = problem
+        self.remedy = remedy
+        super().__init__(f"{problem}; {remedy}")
+
+
+class SettingsError(SprucewinchError):
+    """The daemon's settings file cannot be used."""
+
+    exit_code = 2
+
+
+class ConfigurationError(SprucewinchError):
+    """A configuration is malformed or contradicts itself."""
+
+    exit_code = 2
+
+
+class PolicyError(SprucewinchError):
+    """A policy program is refused, or failed while it ran."""
+
+    exit_code = 2
+
+
+class ConflictError(SprucewinchError):
+    """Another operator changed the configuration first."""
+
+    exit_code = 3
+
+
+class StaleStoreError(SprucewinchError):
+    """The platform shows an older configuration than the one in force."""
+
+    exit_code = 3
+
+
+class PlatformError(SprucewinchError):
+    """The platform's service did not answer, or refused the call.
+
+    Args:
+        problem: What is wrong.
+        remedy: What to do.
+        retry_after_s: Seconds after which the platform may be asked again, when it said so.
+    """
+
+    exit_code = 4
+
+    def __init__(self, problem: str, remedy: str, retry_after_s: float = 0.0) -> None:
+        super().__init__(problem, remedy)
+        self.retry_after_s = retry_after_s
+
+
+class WriteUnknownError(PlatformError):
+    """A write was sent and its answer was lost; it may have taken effect."""
+
+
+class DaemonError(SprucewinchError):
+    """The command line could not reach a daemon, or the daemon refused the call."""
+
+    exit_code = 4
--- /dev/null
+++ b/sprucewinch/guard.py
@@ -0,0 +1,203 @@
+"""The guard: turns the shares a policy wants into shares that are granted.
+
+A pipeline of small filters over weights by region. No policy can override it. A missing or old
+measure never lets a region gain callers.
+"""
+
+import math
+from collections.abc import Mapping
+from typing import NamedTuple, Optional
+
+from .measures import RegionMeasures, Snapshot
+from .placement import Shares, make_shares
+
+Weights = dict[str, float]
+
+_EPSILON = 1e-9
+
+
+class GuardLimits(NamedTuple):
+    """Limits of the guard, from the configuration.
+
+    Args:
+        ceiling: Largest part of a region's slots that steering plans to use.
+        stale_s: Age beyond which measures are too old for a region to gain, in seconds.
+        warm_step: Largest part of a region's slots' worth of callers it may gain in one window.
+        planners: How many client regions plan on their own; each may fill its part of headroom.
+    """
+
+    ceiling: float = 0.8
+    stale_s: float = 5.0
+    warm_step: float = 0.25
+    planners: int = 1
+
+
+class Granted(NamedTuple):
+    """What the guard grants, and why it differs from what was wanted.
+
+    Args:
+        shares: Granted shares, before the shift cap.
+        notes: One word for each limit that took effect, with its region.
+    """
+
+    shares: Shares
+    notes: tuple[str, ...]
+
+
+def grant(wanted: Mapping[str, float], current: Shares, snapshot: Snapshot, limits: GuardLimits):
+    """Turn wanted weights into granted shares.
+
+    Args:
+        wanted: Weights by region from a policy; finite, 0 or more, not all 0.
+        current: Shares in force.
+        snapshot: Measures.
+        limits: Limits.
+
+    Returns:
+        A `Granted`.
+    """
+    notes: list[str] = []
+    held = current.as_dict()
+    weights = _normalised(wanted, snapshot)
+    weights = _without_drained(weights, held, snapshot, notes)
+    bounds = {
+        region: _bound(region, held.get(region, 0.0), snapshot, limits, notes)
+        for region in snapshot.order
+    }
+    weights = _fit(weights, held, bounds)
+    return Granted(make_shares(snapshot.order, weights), tuple(notes))
+
+
+def valid_weights(wanted: object, order: tuple[str, ...]) -> Optional[str]:
+    """Check what a policy returned.
+
+    Args:
+        wanted: The value.
+        order: Known regions.
+
+    Returns:
+        None when it is usable; else what is wrong with it.
+    """
+    if not isinstance(wanted, dict):
+        return "the result is no dictionary of region to weight"
+    for region, weight in wanted.items():
+        if region not in order:
+            return f"{region!r} is no region"
+        if isinstance(weight, bool) or not isinstance(weight, int | float):
+            return f"the weight of {region!r} is no number"
+        if not math.isfinite(weight) or weight < 0:
+            return f"the weight of {region!r} is not a finite number of 0 or more"
+    if sum(wanted.values()) <= _EPSILON:
+        return "all weights are 0"
+    if not math.isfinite(sum(wanted.values())):
+        return "the weights are too large to add"
+    return None
+
+
+def _normalised(wanted: Mapping[str, float], snapshot: Snapshot) -> Weights:
+    total = sum(wanted.values())
+    return {region: wanted.get(region, 0.0) / total for region in snapshot.order}
+
+
+def _usable(measures: RegionMeasures) -> bool:
+    return measures.capacity > 0 and not measures.drained
+
+
+def _without_drained(
+    weights: Weights, held: Weights, snapshot: Snapshot, notes: list[str]
+) -> Weights:
+    kept = {}
+    for region, weight in weights.items():
+        usable = _usable(snapshot.regions[region])
+        if not usable and (weight > 0 or held.get(region, 0) > 0):
+            notes.append(f"drained:{region}")
+        kept[region] = weight if usable else 0.0
+    if sum(kept.values()) > _EPSILON:
+        return kept
+    fallback = {r: m.capacity if _usable(m) else 0.0 for r, m in snapshot.regions.items()}
+    total = sum(fallback.values())
+    if total <= _EPSILON:
+        return dict(held)
+    return {region: capacity / total for region, capacity in fallback.items()}
+
+
+def _bound(
+    region: str, held: float, snapshot: Snapshot, limits: GuardLimits, notes: list[str]
+) -> float:
+    """Return the largest share a region may have now; never forces a gain."""
+    measures = snapshot.regions[region]
+    if not _usable(measures):
+        return 0.0
+    if measures.age_s is None or measures.age_s > limits.stale_s:
+        notes.append(f"stale:{region}")
+        return held
+    if snapshot.demand_per_s <= 0:
+        return 1.0
+    gain = min(
+        _headroom_gain(measures, limits),
+        limits.warm_step * measures.capacity / _slot_seconds(measures),
+    )
+    bound = held + gain / snapshot.demand_per_s
+    if _over_ceiling(measures, limits):
+        notes.append(f"ceiling:{region}")
+        bound = held * limits.ceiling * measures.capacity / max(measures.in_use, _EPSILON)
+    link = snapshot.link_per_s.get(region, math.inf)
+    if link / snapshot.demand_per_s < bound:
+        notes.append(f"link:{region}")
+        bound = link / snapshot.demand_per_s
+    return min(bound, 1.0)
+
+
+def _over_ceiling(measures: RegionMeasures, limits: GuardLimits) -> bool:
+    return measures.in_use > limits.ceiling * measures.capacity
+
+
+def _headroom_gain(measures: RegionMeasures, limits: GuardLimits) -> float:
+    """Requests a second that this client region's planner may add to a region."""
+    free = max(0.0, limits.ceiling * measures.capacity - measures.in_use)
+    return free / _slot_seconds(measures) / limits.planners
+
+
+_DEFAULT_LATENCY_MS = 50.0
+
+
+def _slot_seconds(measures: RegionMeasures) -> float:
+    """Seconds that one request holds a slot, measured where possible."""
+    if measures.in_use > 0 and measures.arrivals_per_s > 0:
+        return max(measures.in_use / measures.arrivals_per_s, 1e-4)
+    return max(measures.latency_ms or _DEFAULT_LATENCY_MS, 0.1) / 1000.0
+
+
+def _fit(weights: Weights, held: Weights, bounds: Weights) -> Weights:
+    """Cut each weight to its bound and hand the excess to regions with room.
+
+    What fits nowhere stays where it is held now: the regions' own admission refuses what they
+    cannot run, and moving it elsewhere would only move the overload.
+    """
+    fitted = {region: min(weight, bounds[region]) for region, weight in weights.items()}
+    excess = 1.0 - sum(fitted.values())
+    for basis in (held, bounds):
+        if excess <= _EPSILON:
+            break
+        room = {r: max(0.0, min(basis.get(r, 0.0), bounds[r]) - fitted[r]) for r in fitted}
+        total = sum(room.values())
+        if total <= 0:
+            continue
+        part = min(1.0, excess / total)
+        for region in fitted:
+            fitted[region] += room[region] * part
+        excess -= total * part
+    if excess > _EPSILON:
+        _leave_excess(fitted, held, bounds, excess)
+    return fitted
+
+
+def _leave_excess(fitted: Weights, held: Weights, bounds: Weights, excess: float) -> None:
+    basis = {r: held.get(r, 0.0) if bounds[r] > 0 else 0.0 for r in fitted}
+    if sum(basis.values()) <= _EPSILON:
+        basis = {r: bounds[r] for r in fitted}
+    if sum(basis.values()) <= _EPSILON:
+        basis = dict(held)
+    total = sum(basis.values()) or 1.0
+    for region in fitted:
+        fitted[region] += excess * basis.get(region, 0.0) / total
--- /dev/null
+++ b/sprucewinch/hall.py
@@ -0,0 +1,70 @@
+"""Dispatch in this data hall: admission for each service, over this VM's part of the slots."""
+
+import random
+from collections.abc import Sequence
+from typing import Optional
+
+from .admission import Admission
+from .config import drain_key
+from .slots import SlotShare
+from .topology import Topology
+
+
+class HallDispatch:
+    """The admissions of one entry VM.
+
+    Args:
+        hall: This VM's data hall.
+        slots: This VM's part of the hall's slots.
+        rng: Source of randomness.
+    """
+
+    def __init__(self, hall: str, slots: SlotShare, rng: random.Random) -> None:
+        self.hall = hall
+        self.slots = slots
+        self.rng = rng
+        self.admissions: dict[str, Admission] = {}
+
+    def apply(self, topology: Topology) -> None:
+        """Follow a configuration: its servers in this hall, and which of them are draining."""
+        pools = {pool.service: pool for pool in topology.pools_of(self.hall)}
+        drained = topology.drained_servers(self.hall)
+        for service in list(self.admissions):
+            if service not in pools:
+                self.admissions[service].set_servers(service, ())
+        for service, pool in pools.items():
+            admission = self.admissions.get(service)
+            if admission is None:
+                admission = self.admissions[service] = Admission(self.slots.usable, self.rng)
+            admission.set_servers(service, pool.servers)
+            admission.drained = drained
+
+    def find(self, service: str) -> Optional[Admission]:
+        """Return the admission of a service; None when this hall does not run it."""
+        return self.admissions.get(service)
+
+    def mark_leaving(self, servers: Sequence[str], until: float) -> None:
+        """Note backend servers that said to another VM that they are leaving."""
+        for admission in self.admissions.values():
+            for server in servers:
+                admission.leaving(server, until)
+
+    def leaving_servers(self, now: float) -> list[str]:
+        """Return the backend servers that this VM believes to be leaving."""
+        return [s for a in self.admissions.values() for s in a.leaving_servers(now)]
+
+    def held(self, topology: Topology, now: float) -> dict[str, int]:
+        """Return requests of this VM that still run on draining things, by drain key."""
+        held: dict[str, int] = {}
+        for admission in self.admissions.values():
+            for server in admission.servers.values():
+                if server.address in admission.drained or server.leaving_until > now:
+                    held[drain_key("server", server.address)] = server.in_use
+        if topology.hall_drained(self.hall):
+            held[drain_key("hall", self.hall)] = sum(held.values())
+        return held
+
+    def serve_waiting(self, now: float) -> None:
+        """Give slots that became usable to requests that wait for one."""
+        for admission in self.admissions.values():
+            admission.serve_waiting(now)
--- /dev/null
+++ b/sprucewinch/log.py
@@ -0,0 +1,62 @@
+"""Structured logs: one line for each change of state, as key=value text or JSON."""
+
+import json
+import logging as std_logging
+import shlex
+from typing import Literal
+
+from absl import flags, logging
+
+LogFormat = Literal["text", "json"]
+
+
+class _JsonFormatter(std_logging.Formatter):
+    """Formats a line of key=value words as one JSON object."""
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        message = record.getMessage()
+        row: dict[str, str] = {
+            "time": self.formatTime(record),
+            "level": record.levelname.lower(),
+            **parse_line(message),
+        }
+        return json.dumps(row)
+
+
+class _TextFormatter(std_logging.Formatter):
+    """Formats a line as key=value text."""
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        level = record.levelname.lower()
+        return f"time={self.formatTime(record)!r} level={level} {record.getMessage()}"
+
+
+def parse_line(message: str) -> dict[str, str]:
+    """Return the key=value words of a line; a line without any is the value of `message`."""
+    try:
+        words = shlex.split(message)
+    except ValueError:
+        return {"message": message}
+    pairs = [word.split("=", 1) for word in words if "=" in word]
+    return {key: value for key, value in pairs} if pairs else {"message": message}
+
+
+def configure(log_format: LogFormat) -> None:
+    """Send all logs to standard error in one format."""
+    flags.FLAGS(["sprucewinchd"])  # the handler complains until flags are parsed
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.setFormatter(_JsonFormatter() if log_format == "json" else _TextFormatter())
+    logging.set_verbosity(logging.INFO)
+    for name in ("uvicorn", "uvicorn.error", "hpack", "asyncio"):
+        std_logging.getLogger(name).setLevel(std_logging.CRITICAL)
+
+
+def state(line: str) -> None:
+    """Log a change of state, written as key=value words."""
+    logging.info("%s", line)
+
+
+def trouble(line: str) -> None:
+    """Log trouble that an operator should look into, written as key=value words."""
+    logging.warning("%s", line)
--- /dev/null
+++ b/sprucewinch/lookup.py
@@ -0,0 +1,160 @@
+"""Look-up: which entry VMs a caller should use, answered from tables built once a round."""
+
+from collections.abc import Sequence
+from typing import NamedTuple, Optional, Union
+
+import msgspec
+
+from .outcome import Reason, Refusal, not_run
+from .peer_pb2 import Member
+from .placement import block_point
+from .steering import Steering
+from .topology import Topology
+
+MAX_ENTRY_VMS = 4
+"""Most entry VMs named in one answer."""
+
+_RETRY_MS = 1000
+_V4_SUFFIX = ".0"
+
+
+class EntryVm(msgspec.Struct, frozen=True):
+    """An entry VM as callers are told of it."""
+
+    vm: str
+    hall: str
+    region: str
+    address: str
+
+
+class LookupAnswer(msgspec.Struct, frozen=True):
+    """The answer to a look-up.
+
+    Args:
+        service: Service asked for.
+        region: Region that the client block is steered to.
+        entry_vms: Entry VMs, the first to be used first.
+        ttl_ms: How long the answer may be kept, in milliseconds.
+        revision: Configuration revision in force.
+    """
+
+    service: str
+    region: str
+    entry_vms: tuple[EntryVm, ...]
+    ttl_ms: int
+    revision: int
+
+
+class Place(NamedTuple):
+    """Where a client block stands for a service.
+
+    Args:
+        client_region: Region of the callers.
+        point: The block's point in `[0, 1)`.
+        region: Region it is steered to.
+    """
+
+    client_region: str
+    point: float
+    region: str
+
+
+def block_of(address: str) -> str:
+    """Return the block that callers of an address share: a /24, or the text itself for IPv6."""
+    host = address.partition("/")[0]
+    head, dot, _ = host.rpartition(".")
+    return head + _V4_SUFFIX if dot else host
+
+
+class LookupTable:
+    """Answers look-ups without asking anyone.
+
+    Args:
+        topology: The configuration in force.
+        steering: Shares in force here.
+        members: Entry VMs that callers may be sent to.
+    """
+
+    def __init__(self, topology: Topology, steering: Steering, members: Sequence[Member]) -> None:
+        self.topology = topology
+        self.steering = steering
+        self._by_region = self._entry_vms(members)
+        self._answers: dict[tuple[str, str, str], list[bytes]] = {}
+
+    def answer(self, client: str, service: str) -> Union[bytes, Refusal]:
+        """Answer a look-up.
+
+        Args:
+            client: The caller's address or client block.
+            service: Service.
+
+        Returns:
+            The encoded answer, or a refusal.
+        """
+        place = self.place(client, service)
+        if isinstance(place, Refusal):
+            return place
+        self.steering.answered.add(place.client_region)
+        key = (place.client_region, service, place.region)
+        answers = self._answers.get(key)
+        if answers is None:
+            answers = self._answers[key] = self._encode(*key)
+        if not answers:
+            return not_run(Reason.NO_ENTRY_VM, _RETRY_MS)
+        return answers[int(place.point * 65_521) % len(answers)]
+
+    def place(self, client: str, service: str) -> Union[Place, Refusal]:
+        """Return where a client block is steered to."""
+        if service not in self.topology.services:
+            return not_run(Reason.NO_SUCH_SERVICE)
+        try:
+            client_region = self.topology.blocks.region_of(client)
+        except ValueError:
+            return not_run(Reason.MALFORMED)
+        if client_region is None:
+            return not_run(Reason.UNKNOWN_CLIENT)
+        point = block_point(block_of(client), service)
+        shares = self.steering.shares(client_region, service)
+        return Place(client_region, point, shares.region_at(point))
+
+    def _entry_vms(self, members: Sequence[Member]) -> dict[str, list[EntryVm]]:
+        found: dict[str, list[EntryVm]] = {region: [] for region in self.topology.order}
+        for member in sorted(members, key=lambda m: (m.hall, m.vm)):
+            if member.region in found and not self.topology.hall_drained(member.hall):
+                entry = EntryVm(member.vm, member.hall, member.region, member.caller_address)
+                found[member.region].append(entry)
+        return found
+
+    def _encode(self, client_region: str, service: str, region: str) -> list[bytes]:
+        """Return one encoded answer for each entry VM that may come first."""
+        others = [r for r in self.topology.by_distance(client_region) if r != region]
+        first = self._by_region[region]
+        rest = [entry for other in others for entry in self._by_region[other]]
+        if not first and rest:
+            first = self._by_region[rest[0].region]
+            rest = [entry for entry in rest if entry not in first]
+        return [
+            self._encode_one(service, region, _spread(first, start) + rest)
+            for start in range(len(first))
+        ]
+
+    def _encode_one(self, service: str, region: str, entry_vms: list[EntryVm]) -> bytes:
+        answer = LookupAnswer(
+            service,
+            region,
+            tuple(entry_vms[:MAX_ENTRY_VMS]),
+            self.topology.configuration.lookup.ttl_ms,
+            self.topology.document.revision,
+        )
+        return msgspec.json.encode(answer)
+
+
+def _spread(entry_vms: list[EntryVm], start: int) -> list[EntryVm]:
+    """Rotate a list, so that its entry at `start` comes first."""
+    return entry_vms[start:] + entry_vms[:start]
+
+
+def first_entry_vm(answer: bytes) -> Optional[EntryVm]:
+    """Return the entry VM that an encoded answer names first."""
+    decoded = msgspec.json.decode(answer, type=LookupAnswer)
+    return decoded.entry_vms[0] if decoded.entry_vms else None
--- /dev/null
+++ b/sprucewinch/peer_client.py
@@ -0,0 +1,176 @@
+"""Calls to other entry VMs: exchange of what is known, and requests handed on."""
+
+import asyncio
+from typing import Optional
+
+from grpclib.client import Channel, Stream
+from grpclib.config import Configuration as ChannelConfiguration
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from ._address import parse_address
+from ._frames import body_frames, headers_of, open_frame, refusal_of
+from .backend import Attempt, BrokenAnswerError
+from .body import CallerLeftError
+from .clock import Clock
+from .dispatch import PeerLink
+from .outcome import Reason, not_run, unknown
+from .peer_grpc import PeerStub
+from .peer_pb2 import ExchangeReply, ExchangeRequest, Frame, Member
+from .request import Request, Responder
+
+WINDOW = 1 << 20
+"""Bytes that may be on their way on one connection between two entry VMs."""
+
+_EXCHANGE_S = 2.0
+_FAILURES = (GRPCError, StreamTerminatedError, OSError, asyncio.TimeoutError)
+
+
+class PeerClient(PeerLink):
+    """Channels to other entry VMs, kept by address.
+
+    Args:
+        region: This VM's region.
+        clock: Source of time.
+    """
+
+    def __init__(self, region: str, clock: Clock) -> None:
+        self.region = region
+        self.clock = clock
+        self.channels: dict[str, Channel] = {}
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel in self.channels.values():
+            channel.close()
+        self.channels.clear()
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the channels to addresses that are no longer in use."""
+        for address in self.channels.keys() - addresses:
+            self.channels.pop(address).close()
+
+    async def exchange(self, address: str, message: ExchangeRequest) -> Optional[ExchangeReply]:
+        """Exchange what is known with one entry VM; None when it does not answer."""
+        self.bytes_sent += message.ByteSize()
+        try:
+            reply = await PeerStub(self._channel(address)).Exchange(message, timeout=_EXCHANGE_S)
+        except _FAILURES:
+            self.drop(address)
+            return None
+        self.bytes_received += reply.ByteSize()
+        return reply
+
+    async def hand_on(
+        self, member: Member, request: Request, responder: Responder, *, home: bool
+    ) -> Attempt:
+        """Hand a request on to another entry VM; see `PeerLink.hand_on`."""
+        left = request.deadline - self.clock.monotonic()
+        if left <= 0:
+            return Attempt(not_run(Reason.DEADLINE_PASSED))
+        exchange = _HandOn(request, responder)
+        frame = open_frame(request, now=self.clock.monotonic(), from_region=self.region, home=home)
+        try:
+            async with asyncio.timeout(left) as limit:
+                async with PeerStub(self._channel(member.peer_address)).Handle.open() as stream:
+                    await exchange.run(stream, frame, limit)
+        except TimeoutError:
+            return exchange.failed(Reason.BACKEND_TIMEOUT)
+        except CallerLeftError:
+            return exchange.failed(Reason.CALLER_LEFT)
+        except _FAILURES:
+            return exchange.failed(Reason.PEER_FAILED)
+        return exchange.attempt or exchange.failed(Reason.PEER_FAILED)
+
+    def drop(self, address: str) -> None:
+        """Close the channel to an address, so that the next call connects afresh."""
+        channel = self.channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def _channel(self, address: str) -> Channel:
+        channel = self.channels.get(address)
+        if channel is None:
+            host, port = parse_address(address)
+            window = ChannelConfiguration(
+                http2_connection_window_size=WINDOW, http2_stream_window_size=WINDOW
+            )
+            channel = self.channels[address] = Channel(host, port, config=window)
+        return channel
+
+
+class _HandOn:
+    """The state of one handed-on request."""
+
+    def __init__(self, request: Request, responder: Responder) -> None:
+        self.request = request
+        self.responder = responder
+        self.sent = False
+        self.attempt: Optional[Attempt] = None
+
+    async def run(self, stream: Stream, opening: Frame, limit: asyncio.Timeout) -> None:
+        await stream.send_request()
+        self.sent = True
+        await stream.send_message(opening, end=self.request.body.complete)
+        frame = await stream.recv_message()
+        if frame is not None and frame.WhichOneof("kind") == "accepted":
+            frame = await self._send_body(stream)
+        if frame is None or not self._ours(frame):
+            return
+        kind = frame.WhichOneof("kind")
+        if kind == "refused":
+            refusal = refusal_of(frame.refused)
+            self.attempt = Attempt(refusal, sent=True)
+        elif kind == "head":
+            limit.reschedule(None)
+            await self._pass_on(stream, frame)
+
+    async def _send_body(self, stream: Stream) -> Optional[Frame]:
+        """Send the rest of the body, while the answer may already begin."""
+        answer = asyncio.ensure_future(stream.recv_message())
+        sending = asyncio.ensure_future(self._send_frames(stream))
+        try:
+            done, _ = await asyncio.wait({answer, sending}, return_when=asyncio.FIRST_COMPLETED)
+            if sending in done:
+                await sending
+            return await answer
+        finally:
+            for task in (answer, sending):
+                task.cancel()
+            await asyncio.gather(answer, sending, return_exceptions=True)
+
+    async def _send_frames(self, stream: Stream) -> None:
+        async for frame in body_frames(self.request.body, self.request.request_id):
+            await stream.send_message(frame)
+        await stream.end()
+
+    def _ours(self, frame: Frame) -> bool:
+        kind = frame.WhichOneof("kind")
+        if kind not in ("head", "refused", "end"):
+            return False
+        return getattr(frame, kind).request_id == self.request.request_id
+
+    async def _pass_on(self, stream: Stream, head: Frame) -> None:
+        await self.responder.start(head.head.status, headers_of(head.head.headers))
+        length = 0
+        while (frame := await stream.recv_message()) is not None:
+            if frame.WhichOneof("kind") == "chunk":
+                length += len(frame.chunk)
+                await self.responder.write(frame.chunk)
+                continue
+            if frame.WhichOneof("kind") == "end" and self._ours(frame):
+                if frame.end.length != length:
+                    return
+                await self.responder.finish()
+                self.attempt = Attempt(sent=True)
+            return
+
+    def failed(self, reason: Reason) -> Attempt:
+        if self.attempt is not None:
+            return self.attempt
+        if self.responder.started:
+            raise BrokenAnswerError(reason.value)
+        if not self.sent:
+            return Attempt(not_run(Reason.NO_ROOM))
+        return Attempt(unknown(reason), sent=True)
--- /dev/null
+++ b/sprucewinch/peer_server.py
@@ -0,0 +1,132 @@
+"""Answers to other entry VMs."""
+
+from collections.abc import Callable
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Stream
+
+from ._frames import (
+    FrameBody,
+    accepted_frame,
+    end_frame,
+    head_frame,
+    refused_frame,
+    request_of,
+    split,
+)
+from .backend import BrokenAnswerError
+from .clock import Clock
+from .dispatch import Dispatcher
+from .exchange import Exchange
+from .outcome import Reason, Refusal, not_run, unknown
+from .peer_grpc import PeerBase
+from .peer_pb2 import ExchangeReply, ExchangeRequest, Frame, Open
+from .request import Headers, Request, Responder
+from .tickets import parse_ticket
+
+
+class PeerServer(PeerBase):
+    """Serves exchanges and handed-on requests.
+
+    Args:
+        exchange: Answers exchanges.
+        dispatcher: Runs requests.
+        clock: Source of time.
+        max_requests: Most handed-on requests at once.
+        changed: Called when an exchange brought a newer document.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        *,
+        max_requests: int = 1000,
+        changed: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.exchange = exchange
+        self.dispatcher = dispatcher
+        self.clock = clock
+        self.max_requests = max_requests
+        self.changed = changed
+
+    async def Exchange(  # noqa: N802 - named by the protocol
+        self, stream: "Stream[ExchangeRequest, ExchangeReply]"
+    ) -> None:
+        """Answer an exchange."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        before = self.exchange.node.shelf.revisions()
+        reply = self.exchange.answer(message, self.clock.monotonic())
+        if self.exchange.node.shelf.revisions() != before:
+            self.changed()
+        await stream.send_message(reply)
+
+    async def Handle(self, stream: "Stream[Frame, Frame]") -> None:  # noqa: N802
+        """Run a handed-on request and send its answer back."""
+        frame = await stream.recv_message()
+        if frame is None or frame.WhichOneof("kind") != "open":
+            raise GRPCError(Status.INVALID_ARGUMENT, "begin with an opening frame")
+        opened = frame.open
+        responder = _FrameResponder(stream, opened.request_id)
+        node = self.dispatcher.node
+        node.requests_in_flight += 1
+        try:
+            refusal = await self._run(stream, opened, responder)
+        except BrokenAnswerError as error:
+            raise GRPCError(Status.DATA_LOSS, str(error)) from None
+        finally:
+            node.requests_in_flight -= 1
+        if refusal is not None:
+            await stream.send_message(refused_frame(opened.request_id, refusal))
+
+    async def _run(
+        self, stream: "Stream[Frame, Frame]", opened: Open, responder: Responder
+    ) -> Refusal | None:
+        node = self.dispatcher.node
+        now = self.clock.monotonic()
+
+        async def ask() -> None:
+            await stream.send_message(accepted_frame(opened.request_id))
+
+        request = request_of(opened, FrameBody(opened, stream.recv_message, ask), now)
+        if opened.home:
+            return await self._run_home(request, responder)
+        if node.requests_in_flight > self.max_requests:
+            return not_run(Reason.OVERLOADED_VM, 1000)
+        if not node.cross_link(opened.from_region, now):
+            return not_run(Reason.LINK_FULL, 1000)
+        attempt = await self.dispatcher.run_here(request, responder)
+        return attempt.refusal
+
+    async def _run_home(self, request: Request, responder: Responder) -> Refusal | None:
+        """Run an operation whose ticket names this process; no other home is looked for."""
+        book = self.dispatcher.node.tickets
+        ticket = parse_ticket(request.ticket or "")
+        if book is None or ticket is None or not book.is_home(ticket):
+            return unknown(Reason.TICKET_HOME_LOST)
+        return await self.dispatcher.enter(request, responder)
+
+
+class _FrameResponder(Responder):
+    """Sends an answer as frames."""
+
+    def __init__(self, stream: "Stream[Frame, Frame]", request_id: str) -> None:
+        self.stream = stream
+        self.request_id = request_id
+        self.length = 0
+
+    async def start(self, status: int, headers: Headers) -> None:
+        self.started = True
+        await self.stream.send_message(head_frame(self.request_id, status, headers))
+
+    async def write(self, chunk: bytes) -> None:
+        self.length += len(chunk)
+        for frame in split(chunk):
+            await self.stream.send_message(frame)
+
+    async def finish(self) -> None:
+        await self.stream.send_message(end_frame(self.request_id, self.length))
--- /dev/null
+++ b/sprucewinch/platform_http.py
@@ -0,0 +1,113 @@
+"""The platform's service over HTTP, as the stand-in in `standins/platform.py` offers it."""
+
+import base64
+from typing import Any, Optional, Union
+
+import aiohttp
+import msgspec
+
+from .errors import PlatformError, WriteUnknownError
+from .platform import Entry, Mismatch, Platform, VmListing, Written
+
+_TIMEOUT_S = 3.0
+_REMEDY = "check that the platform's service runs and try again"
+_MISMATCH = 409
+_TOO_MANY = 429
+_OK = 200
+_NOT_FOUND = 404
+
+
+class HttpPlatform(Platform):
+    """A client of the platform's service.
+
+    Args:
+        address: `IP:PORT`.
+        timeout_s: Longest wait for an answer, in seconds.
+    """
+
+    def __init__(self, address: str, *, timeout_s: float = _TIMEOUT_S) -> None:
+        self.base = f"http://{address}"
+        self.timeout_s = timeout_s
+        self.calls = 0
+        self._session: Optional[aiohttp.ClientSession] = None
+
+    async def get(self, key: str) -> Optional[Entry]:
+        """Return the entry of a key."""
+        status, body = await self._call("GET", f"/v1/values/{key}")
+        if status == _NOT_FOUND:
+            return None
+        return _entry(self._expect(status, body))
+
+    async def put(self, key: str, value: bytes, expected: int) -> Union[Written, Mismatch]:
+        """Write a value if the key holds the expected version."""
+        params = {"expected": str(expected)}
+        status, body = await self._call("PUT", f"/v1/values/{key}", params, value, writes=True)
+        if status == _MISMATCH:
+            return Mismatch(body["version"])
+        return Written(self._expect(status, body)["version"])
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> list[Entry]:
+        """Wait for entries under a prefix that are newer than a version."""
+        params = {"prefix": prefix, "after": str(after), "wait_s": str(wait_s)}
+        status, body = await self._call("GET", "/v1/watch", params, wait_s=wait_s)
+        return [_entry(row) for row in self._expect(status, body)["entries"]]
+
+    async def lease(self, name: str, holder: str, ttl_s: float) -> bool:
+        """Take or renew a lease."""
+        params = {"holder": holder, "ttl_s": str(ttl_s)}
+        status, body = await self._call("POST", f"/v1/leases/{name}", params)
+        return bool(self._expect(status, body)["held"])
+
+    async def release(self, name: str, holder: str) -> None:
+        """Give a lease up."""
+        status, body = await self._call("DELETE", f"/v1/leases/{name}", {"holder": holder})
+        self._expect(status, body)
+
+    async def members(self) -> list[VmListing]:
+        """Return the list of live and leaving VMs."""
+        status, body = await self._call("GET", "/v1/vms")
+        return [VmListing(**row) for row in self._expect(status, body)["vms"]]
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        params: Optional[dict[str, str]] = None,
+        data: Optional[bytes] = None,
+        *,
+        wait_s: float = 0.0,
+        writes: bool = False,
+    ) -> tuple[int, Any]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        self.calls += 1
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s + wait_s)
+        url = self.base + path
+        try:
+            async with self._session.request(
+                method, url, params=params, data=data, timeout=timeout
+            ) as response:
+                return response.status, msgspec.json.decode(await response.read())
+        except aiohttp.ClientConnectorError:
+            raise PlatformError("the platform cannot be reached", _REMEDY) from None
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
+            problem = f"no usable answer from the platform: {type(error).__name__}"
+            if writes:
+                raise WriteUnknownError(problem, "read the value back") from None
+            raise PlatformError(problem, _REMEDY) from None
+
+    def _expect(self, status: int, body: Any) -> Any:
+        if status == _OK:
+            return body
+        retry_after_s = float(body.get("retry_after_s", 0)) if isinstance(body, dict) else 0.0
+        problem = "the platform's rate limit is reached" if status == _TOO_MANY else "refused"
+        raise PlatformError(f"{problem} (status {status})", _REMEDY, retry_after_s)
+
+
+def _entry(row: Any) -> Entry:
+    return Entry(row["key"], row["version"], base64.b64decode(row["value"]))
--- /dev/null
+++ b/sprucewinch/report.py
@@ -0,0 +1,183 @@
+"""What operators are shown: status, explanations, and policies side by side."""
+
+from typing import Any
+
+from .config import Configuration
+from .errors import ConfigurationError
+from .guard import grant
+from .lookup import first_entry_vm
+from .node import Node
+from .outcome import Refusal
+from .peer_pb2 import Member, State
+from .placement import Shares
+from .planner import guard_limits
+from .policy import PolicyFault
+from .topology import Topology
+from .view import snapshot
+
+
+def status(node: Node, now: float) -> dict[str, Any]:
+    """Return every entry VM known to a node, who lags, and what is draining.
+
+    Args:
+        node: This VM's view.
+        now: Monotonic time, in seconds.
+    """
+    records = node.membership.records.values()
+    members = [node.own, *(record.member for record in records)]
+    newest = max(member.config_revision for member in members)
+    rows = [_vm_row(node, member, newest, now) for member in sorted(members, key=lambda m: m.vm)]
+    held: dict[str, dict[str, int]] = {}
+    for member in members:
+        for thing, requests in member.held.items():
+            held.setdefault(thing, {})[member.vm] = requests
+    drained = list(node.topology.document.drained) if node.topology else []
+    things = sorted({*drained, *held})
+    return {
+        "asked": node.own.vm,
+        "newest_revision": newest,
+        "vms": rows,
+        "drains": [_drain_row(node, thing, held.get(thing, {})) for thing in things],
+    }
+
+
+def _vm_row(node: Node, member: Member, newest: int, now: float) -> dict[str, Any]:
+    age = node.membership.age_s(member.vm, now)
+    return {
+        "vm": member.vm,
+        "hall": member.hall,
+        "region": member.region,
+        "state": State.Name(member.state).lower(),
+        "revision": member.config_revision,
+        "lags": member.config_revision < newest,
+        "in_flight": member.in_flight,
+        "heard_s": round(age or 0.0, 1),
+        "operators_address": member.operators_address,
+    }
+
+
+def _drain_row(node: Node, thing: str, held: dict[str, int]) -> dict[str, Any]:
+    busy = {vm: requests for vm, requests in sorted(held.items()) if requests}
+    row: dict[str, Any] = {"thing": thing, "in_flight": sum(busy.values()), "held_up_by": busy}
+    kind, _, name = thing.partition(":")
+    if kind == "region" and node.topology is not None:
+        row["shares_left"] = _largest_shares(node, name)
+    return row
+
+
+def _largest_shares(node: Node, region: str) -> dict[str, float]:
+    left: dict[str, float] = {}
+    for key, limiter in node.steering.limiters.items():
+        share = limiter.current.share(region)
+        left[key.service] = round(max(left.get(key.service, 0.0), share), 4)
+    return left
+
+
+def explain(node: Node, block: str, service: str, now: float) -> dict[str, Any]:
+    """Return why callers of a block are sent where they are sent.
+
+    Args:
+        node: This VM's view.
+        block: Client block or address.
+        service: Service.
+        now: Monotonic time, in seconds.
+    """
+    if node.lookups is None or node.topology is None:
+        raise ConfigurationError(
+            "no configuration is in force here", "apply one, or ask another VM"
+        )
+    place = node.lookups.place(block, service)
+    if isinstance(place, Refusal):
+        return {"block": block, "service": service, "refused": place.reason.value}
+    shares = node.steering.shares(place.client_region, service)
+    plan = node.steering.plans.get(place.client_region)
+    answer = node.lookup(block, service)
+    first = first_entry_vm(answer) if isinstance(answer, bytes) else None
+    measured = snapshot(node.topology, node.membership, service, place.client_region, now)
+    return {
+        "block": block,
+        "service": service,
+        "client_region": place.client_region,
+        "point": round(place.point, 6),
+        "region": place.region,
+        "entry_vm": first.vm if first else None,
+        "policy": node.topology.services[service].policy,
+        "revision": node.revision,
+        "plan_revision": plan.revision if plan else 0,
+        "planner": plan.planner if plan else None,
+        "limits": list(plan.notes.get(service, ())) if plan else [],
+        "fault": plan.faults.get(service) if plan else None,
+        "regions": [
+            {
+                "region": region,
+                "share": round(shares.share(region), 4),
+                "headroom": round(measures.headroom, 3),
+                "latency_ms": measures.latency_ms,
+                "distance_ms": measured.distance_ms[region],
+                "age_s": measures.age_s,
+                "drained": measures.drained,
+            }
+            for region, measures in measured.regions.items()
+        ],
+    }
+
+
+def compare_policies(node: Node, service: str, names: list[str], now: float) -> dict[str, Any]:
+    """Return what policies would want, and be granted, on the present measures.
+
+    Args:
+        node: This VM's view.
+        service: Service.
+        names: Policies; all when empty.
+        now: Monotonic time, in seconds.
+    """
+    topology = node.topology
+    if topology is None or service not in topology.services:
+        known = ", ".join(topology.services) if topology else "none"
+        raise ConfigurationError(f"no service {service!r}", f"write one of: {known}")
+    unknown = [name for name in names if name not in node.policies]
+    if unknown:
+        raise ConfigurationError(
+            f"no policy {unknown[0]!r}", f"write one of: {', '.join(sorted(node.policies))}"
+        )
+    rows = [
+        _comparison(node, topology, service, name, region, now)
+        for name in names or sorted(node.policies)
+        for region in topology.order
+    ]
+    return {"service": service, "rows": rows}
+
+
+def _comparison(
+    node: Node, topology: Topology, service: str, name: str, client_region: str, now: float
+) -> dict[str, Any]:
+    measured = snapshot(topology, node.membership, service, client_region, now)
+    current: Shares = node.steering.shares(client_region, service)
+    wanted = node.policies[name].weights(measured)
+    row: dict[str, Any] = {"policy": name, "client_region": client_region}
+    if isinstance(wanted, PolicyFault):
+        return {**row, "fault": wanted.problem}
+    granted = grant(wanted, current, measured, guard_limits(topology))
+    total = sum(wanted.values())
+    return {
+        **row,
+        "now": _rounded(current.as_dict()),
+        "wanted": _rounded({r: wanted.get(r, 0) / total for r in topology.order}),
+        "granted": _rounded(granted.shares.as_dict()),
+        "limits": list(granted.notes),
+    }
+
+
+def _rounded(weights: dict[str, float]) -> dict[str, float]:
+    return {region: round(weight, 4) for region, weight in weights.items()}
+
+
+def sizes(configuration: Configuration) -> dict[str, int]:
+    """Return how much there is of everything in a configuration."""
+    return {
+        "regions": len(configuration.region),
+        "halls": len(configuration.hall),
+        "services": len(configuration.service),
+        "servers": sum(len(pool.servers) for pool in configuration.pool),
+        "links": len(configuration.link),
+    }
--- /dev/null
+++ b/sprucewinch/shift.py
@@ -0,0 +1,109 @@
+"""The shift cap: how fast callers of one service may be moved between regions.
+
+Every entry VM moves its own shares through a `ShiftLimiter`. The cap is a part of the callers, so
+when each VM stays under it, the fleet does too, whatever each VM knows or when it learnt it.
+"""
+
+from collections import deque
+from typing import NamedTuple, Optional
+
+from .placement import Shares, make_shares, shift_bound, step_towards
+
+_STEPS_PER_WINDOW = 20
+
+
+class ShiftCap(NamedTuple):
+    """The shift cap of one service.
+
+    Args:
+        cap: Largest part of callers moved within any window, in `(0, 1]`.
+        window_s: Window, in seconds.
+        ttl_s: How long callers keep look-up answers, in seconds.
+    """
+
+    cap: float
+    window_s: float
+    ttl_s: float
+
+
+class _Move(NamedTuple):
+    at: float
+    part: float
+
+
+class ShiftLimiter:
+    """Moves shares towards a target under a cap on the part of callers moved in any window.
+
+    Moves back and forth both count. A caller that cached an answer just before a step comes over
+    up to `ttl_s` later, so the limiter keeps to the cap over `window_s + ttl_s`: arrivals within
+    any window then belong to steps within one longer window.
+
+    Args:
+        start: Shares at the start.
+        limit: The cap.
+        spent_at: When given, the whole cap counts as spent at that time. A process that does not
+            know what was moved before it started passes its start.
+    """
+
+    __slots__ = ("_moves", "current", "limit")
+
+    def __init__(self, start: Shares, limit: ShiftCap, *, spent_at: Optional[float] = None) -> None:
+        self.current = start
+        self.limit = limit
+        self._moves: deque[_Move] = deque()
+        if spent_at is not None:
+            self._moves.append(_Move(spent_at, limit.cap))
+
+    def set_limit(self, limit: ShiftCap) -> None:
+        """Take over a changed cap at once; what was already moved still counts.
+
+        While moves are remembered, a window only grows, so that none is forgotten early.
+        """
+        if self._moves:
+            window_s = max(limit.window_s, self.limit.window_s)
+            limit = ShiftCap(limit.cap, window_s, max(limit.ttl_s, self.limit.ttl_s))
+        self.limit = limit
+
+    def allowance(self, now: float) -> float:
+        """Return the part of callers that may still move now.
+
+        Args:
+            now: Monotonic time, in seconds.
+        """
+        horizon = now - (self.limit.window_s + self.limit.ttl_s)
+        while self._moves and self._moves[0].at < horizon:
+            self._moves.popleft()
+        return max(0.0, self.limit.cap - sum(move.part for move in self._moves))
+
+    def propose(self, target: Shares, now: float) -> Shares:
+        """Return the next shares on the way to a target, as far as the cap allows.
+
+        Steps are small and spread over the window, so that a region that gains callers warms up.
+
+        Args:
+            target: Where to go; regions as in `current`.
+            now: Monotonic time, in seconds.
+        """
+        allowance = min(self.allowance(now), self.limit.cap / _STEPS_PER_WINDOW)
+        if allowance <= 0 or target == self.current:
+            return self.current
+        return step_towards(self.current, target, allowance)
+
+    def commit(self, shares: Shares, now: float) -> None:
+        """Make shares current and count what they moved as moved now."""
+        part = shift_bound(self.current, shares)
+        if part > 0:
+            self._moves.append(_Move(now, part))
+        self.current = shares
+
+    def move(self, target: Shares, now: float) -> Shares:
+        """Propose a step, commit it, and return the shares from now on."""
+        self.commit(self.propose(target, now), now)
+        return self.current
+
+    def reorder(self, order: tuple[str, ...]) -> None:
+        """Take over a changed list of regions; weights of removed regions go to the others."""
+        held = {region: self.current.share(region) for region in order}
+        if sum(held.values()) <= 0:
+            held = dict.fromkeys(order, 1.0)
+        self.current = make_shares(order, held)
--- /dev/null
+++ b/sprucewinch/topology.py
@@ -0,0 +1,89 @@
+"""Questions about a configuration's places, answered from tables built once per revision."""
+
+import math
+from collections.abc import Mapping
+
+from .config import Configuration, Document, Pool, Service, drain_key
+from .placement import BlockTable, Shares, make_shares
+from .shift import ShiftCap
+
+_FAR_MS = 1000.0
+_HOME_MS = 1.0
+
+
+class Topology:
+    """A document with look-up tables over it.
+
+    Args:
+        document: The configuration in force.
+    """
+
+    def __init__(self, document: Document) -> None:
+        self.document = document
+        self.configuration: Configuration = document.configuration
+        self.order: tuple[str, ...] = tuple(r.name for r in self.configuration.region)
+        self.services: Mapping[str, Service] = {s.name: s for s in self.configuration.service}
+        self.region_of_hall: Mapping[str, str] = {h.name: h.region for h in self.configuration.hall}
+        self.blocks = BlockTable(
+            (block, region.name) for region in self.configuration.region for block in region.clients
+        )
+        self.drained = frozenset(document.drained)
+        self._links = {
+            frozenset((link.a, link.b)): (link.one_way_ms, link.requests_per_s)
+            for link in self.configuration.link
+        }
+
+    def distance_ms(self, client_region: str, region: str) -> float:
+        """Return the time one way between two regions, in milliseconds; far when unlinked."""
+        if client_region == region:
+            return _HOME_MS
+        return self._links.get(frozenset((client_region, region)), (_FAR_MS, 0.0))[0]
+
+    def link_per_s(self, client_region: str, region: str) -> float:
+        """Return the most requests a second between two regions; 0 when they are not linked."""
+        if client_region == region:
+            return math.inf
+        return self._links.get(frozenset((client_region, region)), (_FAR_MS, 0.0))[1]
+
+    def by_distance(self, client_region: str) -> list[str]:
+        """Return all regions, the nearest to a client region first."""
+        return sorted(self.order, key=lambda region: self.distance_ms(client_region, region))
+
+    def pools_of(self, hall: str) -> tuple[Pool, ...]:
+        """Return the pools of a data hall."""
+        return tuple(pool for pool in self.configuration.pool if pool.hall == hall)
+
+    def hall_drained(self, hall: str) -> bool:
+        """Tell whether operators are draining a data hall."""
+        return drain_key("hall", hall) in self.drained
+
+    def region_drained(self, region: str) -> bool:
+        """Tell whether operators are draining a region, or every data hall of it."""
+        halls = [hall for hall, where in self.region_of_hall.items() if where == region]
+        if halls and all(map(self.hall_drained, halls)):
+            return True
+        return drain_key("region", region) in self.drained
+
+    def drained_servers(self, hall: str) -> frozenset[str]:
+        """Return the backend servers of a hall that get no new work by an operator's word."""
+        servers = [server for pool in self.pools_of(hall) for server in pool.servers]
+        if self.hall_drained(hall):
+            return frozenset(servers)
+        return frozenset(s for s in servers if drain_key("server", s) in self.drained)
+
+    def shift_limit(self, service: str) -> ShiftCap:
+        """Return the shift cap of a service."""
+        own = self.services[service].shift_cap
+        shift = self.configuration.shift
+        cap = shift.cap if own is None else own
+        return ShiftCap(cap, shift.window_s, self.configuration.lookup.ttl_ms / 1000)
+
+    def shares_of(self, weights: Mapping[str, float], default: str) -> Shares:
+        """Return shares over this configuration's regions.
+
+        Args:
+            weights: Weights by region; unknown regions are left out.
+            default: Region that gets everything when no weight is left.
+        """
+        known = {r: w for r, w in weights.items() if r in self.order and w > 0}
+        return make_shares(self.order, known or {default: 1.0})
--- /dev/null
+++ b/sprucewinch/view.py
@@ -0,0 +1,98 @@
+"""Snapshots for planning, put together from what all members say."""
+
+from collections.abc import Iterable
+from typing import Optional
+
+from .measures import RegionMeasures, Snapshot
+from .membership import Membership
+from .peer_pb2 import LEAVING, SERVING, Member, ServiceLoad
+from .topology import Topology
+
+KEEP_S = 60.0
+"""Members not heard of for longer are left out of snapshots, in seconds."""
+
+
+class _Sum:
+    """Adds up what the members of one region say of one service."""
+
+    __slots__ = ("age_s", "arrivals", "capacity", "demand", "in_use", "latency", "weight")
+
+    def __init__(self) -> None:
+        self.capacity = 0.0
+        self.in_use = 0.0
+        self.arrivals = 0.0
+        self.demand = 0.0
+        self.latency = 0.0
+        self.weight = 0.0
+        self.age_s: Optional[float] = None
+
+    def add(self, load: Optional[ServiceLoad], client_region: str, age_s: float) -> None:
+        self.age_s = age_s if self.age_s is None else max(self.age_s, age_s)
+        if load is None:
+            return
+        self.capacity += load.capacity
+        self.in_use += load.in_use
+        self.arrivals += sum(load.demand.values())
+        self.demand += load.demand.get(client_region, 0.0)
+        if load.latency_ms >= 0:
+            weight = load.in_use + 1.0
+            self.latency += weight * load.latency_ms
+            self.weight += weight
+
+    def measures(self, drained: bool) -> RegionMeasures:
+        return RegionMeasures(
+            capacity=self.capacity,
+            in_use=self.in_use,
+            latency_ms=self.latency / self.weight if self.weight else None,
+            arrivals_per_s=self.arrivals,
+            age_s=self.age_s,
+            drained=drained,
+        )
+
+
+def snapshot(
+    topology: Topology, membership: Membership, service: str, client_region: str, now: float
+) -> Snapshot:
+    """Put together the measures of one service for the callers of one region.
+
+    Args:
+        topology: The configuration in force.
+        membership: What all members say of themselves.
+        service: Service.
+        client_region: Region of the callers.
+        now: Monotonic time, in seconds.
+    """
+    sums = {region: _Sum() for region in topology.order}
+    for member, age_s in _recent(membership, now):
+        if member.region in sums:
+            sums[member.region].add(_load_of(member, service), client_region, age_s)
+    drained = {region: topology.region_drained(region) for region in topology.order}
+    demand = {region: total.demand for region, total in sums.items()}
+    return Snapshot(
+        service=service,
+        client_region=client_region,
+        regions={region: total.measures(drained[region]) for region, total in sums.items()},
+        distance_ms={r: topology.distance_ms(client_region, r) for r in topology.order},
+        link_per_s={r: topology.link_per_s(client_region, r) for r in topology.order},
+        demand_per_s=sum(demand.values()),
+        demand_by_region=demand,
+    )
+
+
+def _recent(membership: Membership, now: float) -> Iterable[tuple[Member, float]]:
+    """Yield live members; of regions without any, the last that was heard, with its age."""
+    live = [m for m in membership.live(now) if m.state in (SERVING, LEAVING)]
+    lit = {member.region for member in live}
+    for member in live:
+        yield member, membership.age_s(member.vm, now) or 0.0
+    for record in membership.records.values():
+        age_s = now - record.heard_at
+        if record.member.region not in lit and age_s <= KEEP_S:
+            yield record.member, age_s
+
+
+def _load_of(member: Member, service: str) -> Optional[ServiceLoad]:
+    for load in member.loads:
+        if load.service == service:
+            return load
+    return None
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,185 @@
+"""Stand-in for backend servers: slots, connections, cold start, leaving, and a record of runs."""
+
+import asyncio
+import hashlib
+import random
+import time
+from collections import Counter
+from typing import Any
+
+import fire
+from aiohttp import web
+
+_PROBE_S = 0.001
+
+
+class BackendStandIn:
+    """One backend server.
+
+    Args:
+        name: Its name.
+        slots: Requests it runs at once.
+        connections: Connections it accepts.
+        work_ms: Mean time of one request.
+        cold_s: Time after its start in which it is slower.
+        seed: Seed of its times.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        slots: int = 4,
+        connections: int = 130,
+        work_ms: float = 10.0,
+        cold_s: float = 2.0,
+        seed: int = 0,
+    ) -> None:
+        self.name = name
+        self.slots = slots
+        self.connections = connections
+        self.work_ms = work_ms
+        self.cold_s = cold_s
+        self.rng = random.Random(f"{seed}{name}")
+        self.started = time.monotonic()
+        self.in_use = 0
+        self.most_in_use = 0
+        self.leaving = False
+        self.lie: Any = None
+        self.runs: Counter[str] = Counter()
+        self.counters: Counter[str] = Counter()
+
+    def app(self) -> web.Application:
+        """Return the web application."""
+        app = web.Application(client_max_size=0)
+        app.add_routes(
+            [
+                web.get("/load", self.load),
+                web.get("/stand-in/runs", self.show_runs),
+                web.post("/stand-in/leaving", self.set_leaving),
+                web.post("/stand-in/lie", self.set_lie),
+                web.route("*", "/{path:.*}", self.run),
+            ]
+        )
+        return app
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Report load; may lie."""
+        await asyncio.sleep(_PROBE_S)
+        in_use = self.in_use if self.lie is None else self.lie
+        return web.json_response({"leaving": self.leaving, "in_use": in_use})
+
+    async def run(self, request: web.Request) -> web.StreamResponse:
+        """Run one request: read its body, work, and answer with a digest of what arrived."""
+        refused = self._refusal()
+        if refused:
+            self.counters[refused] += 1
+            headers = {"sprucewinch-not-run": refused}
+            return web.Response(status=503, headers=headers, text=refused)
+        self.in_use += 1
+        self.most_in_use = max(self.most_in_use, self.in_use)
+        try:
+            return await self._work(request)
+        finally:
+            self.in_use -= 1
+
+    def _refusal(self) -> str:
+        if self.leaving:
+            return "leaving"
+        return "shed" if self.in_use >= self.slots else ""
+
+    async def _work(self, request: web.Request) -> web.StreamResponse:
+        operation = request.headers.get("operation", "")
+        self.runs[operation] += 1
+        self.counters["runs"] += 1
+        digest, length = hashlib.sha256(), 0
+        async for chunk in request.content.iter_chunked(65_536):
+            digest.update(chunk)
+            length += len(chunk)
+        cold = time.monotonic() - self.started < self.cold_s
+        mean = self.work_ms * (2 if cold else 1)
+        work_ms = float(request.query.get("work_ms", self.rng.uniform(0.5, 1.5) * mean))
+        await asyncio.sleep(work_ms / 1000)
+        return await self._answer(request, operation, digest.hexdigest(), length)
+
+    async def _answer(
+        self, request: web.Request, operation: str, digest: str, length: int
+    ) -> web.StreamResponse:
+        body = f"{operation} {request.path} {length} {digest}\n".encode()
+        headers = {"operation": operation}
+        if name := request.headers.get("sprucewinch-request-id"):
+            headers["sprucewinch-request-id"] = name
+        if self.leaving:
+            headers["sprucewinch-leaving"] = "1"
+        size = int(request.query.get("answer_bytes", 0))
+        if size <= 0:
+            return web.Response(body=body, headers=headers)
+        response = web.StreamResponse(headers=headers)
+        response.content_length = len(body) + size
+        await response.prepare(request)
+        await response.write(body)
+        cut_at = int(request.query.get("cut_at", -1))
+        pause_s = float(request.query.get("pause_s", 0))
+        for start in range(0, size, 65_536):
+            if 0 <= cut_at <= start:
+                request.transport.abort()  # type: ignore[union-attr]
+                return response
+            await response.write(bytes(min(65_536, size - start)))
+            await asyncio.sleep(pause_s)
+        return response
+
+    async def show_runs(self, request: web.Request) -> web.Response:
+        """Return how often each operation ran, and counters."""
+        counts = {
+            "runs": dict(self.runs),
+            "counters": dict(self.counters),
+            "most_in_use": self.most_in_use,
+            "in_use": self.in_use,
+        }
+        return web.json_response(counts)
+
+    async def set_leaving(self, request: web.Request) -> web.Response:
+        """Begin or end leaving."""
+        self.leaving = bool((await request.json())["leaving"])
+        return web.json_response({})
+
+    async def set_lie(self, request: web.Request) -> web.Response:
+        """Set the load that is reported; null for the truth."""
+        self.lie = (await request.json())["in_use"]
+        return web.json_response({})
+
+
+async def start(standins: list[BackendStandIn]) -> list[web.AppRunner]:
+    """Start backend servers, each on the address that is its name."""
+    runners = []
+    for standin in standins:
+        host, _, port = standin.name.rpartition(":")
+        runner = web.AppRunner(standin.app(), access_log=None, handler_cancellation=True)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port)).start()
+        runners.append(runner)
+    return runners
+
+
+def serve(addresses: str, work_ms: float = 10.0, slots: int = 4, seed: int = 0) -> None:
+    """Run backend servers on loopback, several in one process.
+
+    Args:
+        addresses: Addresses, separated by semicolons.
+        work_ms: Mean time of one request.
+        slots: Slots of each.
+        seed: Seed of the times.
+    """
+    names = [part for part in addresses.split(";") if part]
+
+    async def run() -> None:
+        await start(
+            [BackendStandIn(name, slots=slots, work_ms=work_ms, seed=seed) for name in names]
+        )
+        await asyncio.Event().wait()
+
+    asyncio.run(run())
+
+
+if __name__ == "__main__":
+    fire.Fire(serve)
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,81 @@
+"""Stand-in for a link: a byte relay that can cut, delay and freeze what goes through it."""
+
+import asyncio
+import contextlib
+
+
+class Relay:
+    """Relays connections from one loopback port to another.
+
+    Args:
+        port: Port that is listened on.
+        target: Port that is connected to.
+    """
+
+    def __init__(self, port: int, target: int) -> None:
+        self.port = port
+        self.target = target
+        self.delay_s = 0.0
+        self.frozen = False
+        self.is_cut = False
+        self.passed = 0
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._thawed = asyncio.Event()
+        self._thawed.set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.cut()
+
+    def cut(self) -> None:
+        """Close all connections and refuse new ones until `mend`."""
+        self.is_cut = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def mend(self) -> None:
+        """Accept connections again."""
+        self.is_cut = False
+
+    def freeze(self) -> None:
+        """Hold back all bytes until `thaw`; connections stay open."""
+        self._thawed.clear()
+
+    def thaw(self) -> None:
+        """Let bytes through again."""
+        self._thawed.set()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.is_cut:
+            writer.transport.abort()
+            return
+        try:
+            to_reader, to_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, to_writer}
+        try:
+            await asyncio.gather(self._pump(reader, to_writer), self._pump(to_reader, writer))
+        finally:
+            for each in (writer, to_writer):
+                self._writers.discard(each)
+                each.close()
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65_536):
+                await asyncio.sleep(self.delay_s)
+                await self._thawed.wait()
+                self.passed += len(data)
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,109 @@
+import unittest
+
+from sprucewinch.errors import PolicyError
+from sprucewinch.policy import (
+    PolicyFault,
+    ProgramPolicy,
+    check_program,
+    shipped_policies,
+    trial_snapshots,
+)
+
+REGIONS = ("east", "west", "north")
+
+
+def body(*lines: str) -> str:
+    return "\n".join(["def shares(snapshot):", *(f"    {line}" for line in lines)])
+
+
+class ShippedPolicies(unittest.TestCase):
+    def test_all_pass_their_trial(self) -> None:
+        self.assertEqual(set(shipped_policies()), {"nearest", "fixed", "headroom", "latency"})
+        for name, source in shipped_policies().items():
+            with self.subTest(name):
+                check_program(name, source, REGIONS)
+
+    def test_same_snapshot_gives_same_weights(self) -> None:
+        policy = ProgramPolicy("headroom", shipped_policies()["headroom"])
+        snapshot = trial_snapshots(REGIONS)[0]
+        self.assertEqual(policy.weights(snapshot), policy.weights(snapshot))
+
+
+class BadPrograms(unittest.TestCase):
+    refused_at_load = {
+        "syntax": "def shares(snapshot) return 1",
+        "while": body("while True:", "    pass"),
+        "import": "import os\n" + body("return {}"),
+        "private attribute": body("return snapshot.__class__"),
+        "power": body("return {'east': 9 ** 9}"),
+        "lambda": body("return (lambda: 1)()"),
+        "set of nested tuples": body("return {(1, 2)}"),
+        "too long": body("return {}") + " " * 20_000,
+        "deep nesting": body("return " + "-" * 8000 + "1"),
+        "internal name": body("return _call_(1)"),
+        "format": body("return f'{snapshot}'"),
+    }
+
+    faults_when_run = {
+        "endless loop": body("for a in range(9999):", "    for b in range(9999):", "        pass"),
+        "endless recursion": body("return shares(snapshot)"),
+        "text bomb": body("x = 'aa'", "for i in range(60):", "    x = x + x", "return {x: 1}"),
+        "text bomb in place": body("x = 'aa'", "x *= 9999999999", "return {x: 1}"),
+        "number bomb": body("x = 9", "for i in range(60):", "    x = x * x", "return {'east': x}"),
+        "list bomb": body("x = [1] * 999999999", "return {'east': len(x)}"),
+        "range bomb": body("return {'east': len(sorted(range(999999999)))}"),
+        "copy bomb": body(
+            "big = [i for i in range(3000)]",
+            "kept = []",
+            "for i in range(3000):",
+            "    kept.append(sorted(big))",
+            "return {'east': 1}",
+        ),
+        "hash bomb": body(
+            "x = (1, 2)",
+            "for i in range(60):",
+            "    x = (x, x)",
+            "return {'east': {}.get(x, 1)}",
+        ),
+        "key bomb": body(
+            "x = (1, 2)", "for i in range(60):", "    x = (x, x)", "d = {}", "d[x] = 1", "return d"
+        ),
+        "compare bomb": body(
+            "x = []",
+            "y = []",
+            "for i in range(60):",
+            "    x = [x, x]",
+            "    y = [y, y]",
+            "return {'east': 1 if x == y else 2}",
+        ),
+        "sort bomb": body(
+            "x = (1, 2)",
+            "y = (1, 2)",
+            "for i in range(60):",
+            "    x = (x, x)",
+            "    y = (y, y)",
+            "return {'east': len(sorted([x, y]))}",
+        ),
+        "unknown region": body("return {'nowhere': 1}"),
+        "negative": body("return {'east': -1}"),
+        "all zero": body("return {'east': 0}"),
+        "no number": body("return {'east': 'all'}"),
+        "no dictionary": body("return 1"),
+        "not a number": body("x = 9000000000000000.0", "return {'east': x * x / x - x * x}"),
+    }
+
+    def test_refused_at_load(self) -> None:
+        for name, source in self.refused_at_load.items():
+            with self.subTest(name), self.assertRaises(PolicyError) as caught:
+                check_program(name, source, REGIONS)
+            self.assertNotIn("\n", str(caught.exception))
+
+    def test_counted_fault_when_run(self) -> None:
+        for name, source in self.faults_when_run.items():
+            with self.subTest(name):
+                result = ProgramPolicy(name, source).weights(trial_snapshots(REGIONS)[0])
+                self.assertIsInstance(result, PolicyFault)
+
+    def test_missing_entry_point_is_a_fault(self) -> None:
+        with self.assertRaises(PolicyError):
+            check_program("empty", "x = 1", REGIONS)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for developers: a local fleet, seeded load and measurements."""
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,213 @@
+"""A local fleet: stand-ins and daemons as separate processes on loopback."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import aiohttp
+import tomli_w
+
+from sprucewinch.config import Configuration
+
+TOKEN = "demo-token-for-loopback-only"
+_READY_S = 30.0
+_END_S = 15.0
+
+
+class Vm(NamedTuple):
+    """An entry VM of the fleet."""
+
+    name: str
+    hall: str
+    region: str
+    caller: str
+    peer: str
+    operators: str
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free on loopback now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Fleet:
+    """Starts and ends the processes; a context manager that leaves none behind.
+
+    Args:
+        configuration: What the daemons will be told to run.
+        vms_per_hall: Entry VMs in each data hall.
+        work_ms: Mean time of a request at a backend server, by service.
+        seed: Seed of the stand-ins.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        *,
+        vms_per_hall: int = 1,
+        work_ms: dict[str, float] | None = None,
+        seed: int = 1,
+    ) -> None:
+        self.configuration = configuration
+        self.work_ms = work_ms or {}
+        self.seed = seed
+        self.folder = Path(tempfile.mkdtemp(prefix="sprucewinch-"))
+        self.processes: dict[str, subprocess.Popen] = {}
+        ports = iter(free_ports(1 + 3 * vms_per_hall * len(configuration.hall)))
+        self.platform = f"127.0.0.1:{next(ports)}"
+        self.vms: dict[str, Vm] = {}
+        for hall in configuration.hall:
+            for number in range(1, vms_per_hall + 1):
+                addresses = [f"127.0.0.1:{next(ports)}" for _ in range(3)]
+                vm = Vm(f"{hall.name}-vm{number}", hall.name, hall.region, *addresses)
+                self.vms[vm.name] = vm
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.kill_all()
+
+    def start_standins(self) -> None:
+        """Start the platform and all backend servers, one process for each hall and service."""
+        rows = ";".join(f"{v.name},{v.hall},{v.region},{v.peer}" for v in self.vms.values())
+        port = self.platform.rpartition(":")[2]
+        self._spawn("platform", "standins.platform", f"--port={port}", f"--vms={rows}")
+        for pool in self.configuration.pool:
+            if pool.servers:
+                self._spawn(
+                    f"backend-{pool.hall}-{pool.service}",
+                    "standins.backend",
+                    f"--addresses={';'.join(pool.servers)}",
+                    f"--work_ms={self.work_ms.get(pool.service, 10.0)}",
+                    f"--slots={pool.slots}",
+                    f"--seed={self.seed}",
+                )
+
+    def start_daemons(self, names: Iterable[str] | None = None) -> None:
+        """Start daemons; all by default."""
+        for name in names if names is not None else self.vms:
+            self.start_daemon(name)
+
+    def start_daemon(self, name: str, **changes: Any) -> None:
+        """Start one daemon, with changed settings if wanted."""
+        vm = self.vms[name]
+        settings: dict[str, Any] = {
+            "vm": vm.name,
+            "hall": vm.hall,
+            "region": vm.region,
+            "caller_address": vm.caller,
+            "peer_address": vm.peer,
+            "operators_address": vm.operators,
+            "operators_token": TOKEN,
+            "platform_address": self.platform,
+            "peers": [v.peer for v in self.vms.values() if v.name != name],
+            **changes,
+        }
+        path = self.folder / f"{name}.toml"
+        path.write_bytes(tomli_w.dumps(settings).encode())
+        self._spawn(name, "sprucewinch.daemon", f"--settings={path}")
+
+    def _spawn(self, name: str, module: str, *arguments: str) -> None:
+        log = (self.folder / f"{name}.log").open("ab")
+        environment = {**os.environ, "PYTHONPATH": os.getcwd()}
+        command = [sys.executable, "-m", module, *arguments]
+        self.processes[name] = subprocess.Popen(
+            command, stdout=log, stderr=log, stdin=subprocess.DEVNULL, env=environment
+        )
+        log.close()
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to one process."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill one process at once."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop_daemons(self) -> dict[str, int]:
+        """Stop all daemons as planned; returns their exit statuses."""
+        running = {n: p for n, p in self.processes.items() if n in self.vms}
+        for process in running.values():
+            process.send_signal(signal.SIGTERM)
+        statuses = {}
+        for name, process in running.items():
+            try:
+                statuses[name] = process.wait(_END_S)
+            except subprocess.TimeoutExpired:
+                statuses[name] = -1
+        return statuses
+
+    def kill_all(self) -> None:
+        """End every process that is left."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def log_of(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self.folder / f"{name}.log").read_text(errors="replace")
+
+
+async def wait_until(
+    check: Callable[[], Any], what: str, *, longest_s: float = _READY_S, every_s: float = 0.05
+) -> Any:
+    """Wait until an awaitable check returns something true.
+
+    Args:
+        check: Returns an awaitable.
+        what: What is waited for, for the message.
+        longest_s: Longest wait, in seconds.
+        every_s: Time between checks, in seconds.
+
+    Raises:
+        TimeoutError: When it did not become true in time.
+    """
+    import asyncio
+
+    until = time.monotonic() + longest_s
+    while True:
+        try:
+            if result := await check():
+                return result
+        except (aiohttp.ClientError, OSError):
+            pass
+        if time.monotonic() > until:
+            raise TimeoutError(f"waited {longest_s} s for {what}")
+        await asyncio.sleep(every_s)
+
+
+class Operator:
+    """Calls to the operators' port of one daemon."""
+
+    def __init__(self, session: aiohttp.ClientSession, vm: Vm, name: str = "demo") -> None:
+        self.session = session
+        self.vm = vm
+        self.headers = {"authorization": f"Bearer {TOKEN}", "sprucewinch-operator": name}
+
+    async def call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        """Make a call; returns status and answer."""
+        url = f"http://{self.vm.operators}{path}"
+        async with self.session.request(method, url, json=body, headers=self.headers) as response:
+            return response.status, await response.json()
+
+    async def get(self, path: str) -> Any:
+        """Read something; returns the answer."""
+        return (await self.call("GET", path))[1]
