--- /dev/null
+++ b/sprucewinch/cli.py
@@ -0,0 +1,226 @@
+"""The command line `sprucewinch` for operators."""
+
+import sys
+from pathlib import Path
+from typing import Any, Optional
+from urllib.parse import quote, urlencode
+
+import fire
+
+from ._base_revision import read_base
+from ._tables import Printer
+from .client import OperatorClient
+from .config import load_configuration
+from .errors import ConfigurationError, ConflictError, PolicyError, SprucewinchError
+from .policy import check_program
+from .report import sizes
+
+
+class _Group:
+    """Commands that share the connection and the way of printing."""
+
+    def __init__(self, root: "Sprucewinch") -> None:
+        self._root = root
+
+    @property
+    def _client(self) -> OperatorClient:
+        return self._root._client()
+
+    @property
+    def _print(self) -> Printer:
+        return self._root._printer
+
+
+class ConfigCommands(_Group):
+    """Validate, show, apply and restore the configuration."""
+
+    def validate(self, path: str) -> None:
+        """Check a configuration file without applying it."""
+        configuration = load_configuration(Path(path))
+        self._print.record({"valid": True, "name": configuration.name, **sizes(configuration)})
+
+    def show(self) -> None:
+        """Print the configuration in force as TOML, with the revision to edit it from."""
+        self._print.configuration(self._client.get("/v1/configuration"))
+
+    def apply(self, path: str, base: Optional[int] = None) -> None:
+        """Apply a configuration file.
+
+        Args:
+            path: A TOML file; one made by `config show` names the revision it was made from.
+            base: Revision that the file was edited from, when the file names none.
+        """
+        file = Path(path)
+        load_configuration(file)
+        seen = read_base(file) if base is None else base
+        tables = _tables(file)
+        body = {"configuration": tables, "base": seen, "source": path}
+        self._print.record(self._client.call("POST", "/v1/configuration", body))
+
+    def restore(self) -> None:
+        """Write the configuration in force over an older one that the platform shows."""
+        self._print.record(self._client.call("POST", "/v1/restore"))
+
+
+class PolicyCommands(_Group):
+    """Load, replace, retire, list, use and compare policies."""
+
+    def check(self, path: str) -> None:
+        """Check a policy program without loading it."""
+        check_program(Path(path).stem, _text(path), ("region-1", "region-2", "region-3"))
+        self._print.record({"valid": True, "policy": Path(path).stem})
+
+    def load(self, name: str, path: str) -> None:
+        """Load a policy program, or replace the one of this name."""
+        self._print.record(
+            self._client.call("PUT", f"/v1/policies/{quote(name)}", {"source": _text(path)})
+        )
+
+    def replace(self, name: str, path: str) -> None:
+        """Replace a loaded policy program; an error when there is none of this name."""
+        rows = self._client.get("/v1/policies")["policies"]
+        if name not in {row["policy"] for row in rows if row["origin"] == "loaded"}:
+            raise ConflictError(
+                f"no loaded policy {name!r}", "load it with: sprucewinch policy load"
+            )
+        self.load(name, path)
+
+    def retire(self, name: str) -> None:
+        """Take a policy program out."""
+        self._print.record(self._client.call("DELETE", f"/v1/policies/{quote(name)}"))
+
+    def list(self) -> None:
+        """List all policies and the services that use them."""
+        self._print.rows(self._client.get("/v1/policies")["policies"], "policies")
+
+    def use(self, service: str, policy: str) -> None:
+        """Give a service another policy."""
+        path = f"/v1/services/{quote(service)}/policy"
+        self._print.record(self._client.call("PUT", path, {"policy": policy}))
+
+    def compare(self, service: str, *policies: str) -> None:
+        """Show what policies would want and be granted on the present measures."""
+        query = urlencode({"service": service, "policies": ",".join(policies)})
+        self._print.rows(self._client.get(f"/v1/compare?{query}")["rows"], "compared")
+
+
+class Sprucewinch:
+    """Operate a fleet of entry VMs.
+
+    Exit status: 0 done; 1 fault; 2 the input is wrong; 3 another change came first; 4 the daemon
+    or the platform does not answer; 5 a change may or may not have been made.
+
+    Args:
+        vm: `IP:PORT` of any entry VM's operators' port; `SPRUCEWINCH_VM` by default.
+        token: The operators' token; `SPRUCEWINCH_TOKEN` by default.
+        operator: Name for the audit trail; the user's by default.
+        json: Print JSON instead of tables.
+    """
+
+    def __init__(
+        self,
+        vm: Optional[str] = None,
+        token: Optional[str] = None,
+        operator: Optional[str] = None,
+        json: bool = False,
+    ) -> None:
+        import os
+
+        self._vm = vm or os.environ.get("SPRUCEWINCH_VM", "")
+        self._token = token or os.environ.get("SPRUCEWINCH_TOKEN", "")
+        self._operator = operator
+        self._printer = Printer(as_json=json)
+        self.config = ConfigCommands(self)
+        self.policy = PolicyCommands(self)
+
+    def _client(self) -> OperatorClient:
+        return OperatorClient(self._vm, self._token, operator=self._operator)
+
+    def status(self) -> None:
+        """Show every entry VM, who lags, and what holds up drains."""
+        answer = self._client().get("/v1/status")
+        self._printer.sections(answer, {"vms": "entry VMs", "drains": "drains"})
+
+    def drain(self, kind: str, name: str) -> None:
+        """Drain a backend server, data hall or region.
+
+        Args:
+            kind: `server`, `hall` or `region`.
+            name: Its address or name.
+        """
+        self._printer.record(self._client().call("PUT", f"/v1/drains/{kind}/{quote(name)}"))
+
+    def undrain(self, kind: str, name: str) -> None:
+        """End a drain."""
+        self._printer.record(self._client().call("DELETE", f"/v1/drains/{kind}/{quote(name)}"))
+
+    def measures(self, all_vms: bool = True) -> None:
+        """Show latency, headroom, drain time and refusals by service, hall and policy."""
+        from .metrics import merge_reports
+
+        client = self._client()
+        reports = [client.get("/v1/metrics")]
+        if all_vms:
+            reports += self._reports_of_others(client)
+        merged = merge_reports(reports)
+        titles = {name: name.replace("_", " ") for name in merged if name != "counters"}
+        self._printer.sections(merged, titles)
+
+    def _reports_of_others(self, client: OperatorClient) -> list[dict[str, Any]]:
+        reports = []
+        status = client.get("/v1/status")
+        for row in status["vms"]:
+            if row["vm"] == status["asked"] or row["state"] == "gone":
+                continue
+            other = OperatorClient(row["operators_address"], client.token)
+            try:
+                reports.append(other.get("/v1/metrics"))
+            except SprucewinchError as error:
+                print(f"{row['vm']}: {error.problem}; left out", file=sys.stderr)
+        return reports
+
+    def audit(self, operation: Optional[str] = None, all: bool = False) -> None:
+        """Show the audit trail.
+
+        Args:
+            operation: Show only this operation.
+            all: Include archived records.
+        """
+        records = self._client().get(f"/v1/audit{'?all=1' if all else ''}")["audit"]
+        if operation is not None:
+            records = [record for record in records if record["operation"] == str(operation)]
+        self._printer.rows(records, "audit trail")
+
+    def explain(self, block: str, service: str) -> None:
+        """Explain where a client block is sent for a service, and why."""
+        query = urlencode({"block": block, "service": service})
+        answer = self._client().get(f"/v1/explain?{query}")
+        self._printer.sections(answer, {"regions": "regions"})
+
+
+def _text(path: str) -> str:
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise PolicyError(f"{path}: {error.strerror}", "give the path of a program") from None
+    except UnicodeDecodeError:
+        raise PolicyError(f"{path}: not UTF-8 text", "save the program as UTF-8") from None
+
+
+def _tables(path: Path) -> dict[str, Any]:
+    from ._decode import read_toml
+
+    return read_toml(path, ConfigurationError)
+
+
+def main() -> None:
+    """Entry point of `sprucewinch`."""
+    try:
+        fire.Fire(Sprucewinch, name="sprucewinch")
+    except SprucewinchError as error:
+        print(f"sprucewinch: {error}", file=sys.stderr)
+        sys.exit(error.exit_code)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sprucewinch/client.py
@@ -0,0 +1,116 @@
+"""Calls to daemons' operators' ports, for the command line."""
+
+import asyncio
+import getpass
+from typing import Any, Optional
+
+import aiohttp
+import msgspec
+
+from ._address import is_address
+from .errors import (
+    ConfigurationError,
+    ConflictError,
+    DaemonError,
+    PlatformError,
+    PolicyError,
+    SprucewinchError,
+    StaleStoreError,
+    WriteUnknownError,
+)
+
+_TIMEOUT_S = 15.0
+_ERRORS: dict[str, type[SprucewinchError]] = {
+    kind.__name__: kind
+    for kind in (
+        ConfigurationError,
+        ConflictError,
+        PlatformError,
+        PolicyError,
+        StaleStoreError,
+        WriteUnknownError,
+    )
+}
+
+
+class OperatorClient:
+    """Calls one entry VM's operators' port.
+
+    Args:
+        address: `IP:PORT`.
+        token: The VM's `operators_token`.
+        operator: Name for the audit trail; the user's by default.
+
+    Raises:
+        DaemonError: When the address is no `IP:PORT`, or the token is missing.
+    """
+
+    def __init__(self, address: str, token: str, *, operator: Optional[str] = None) -> None:
+        if not is_address(address):
+            raise DaemonError(
+                f"{address!r} is no address",
+                "set --vm or SPRUCEWINCH_VM to IP:PORT of an operators' port",
+            )
+        if not token:
+            raise DaemonError("no token", "set SPRUCEWINCH_TOKEN to the VM's operators_token")
+        self.address = address
+        self.token = token
+        self.operator = operator or getpass.getuser()
+
+    def call(self, method: str, path: str, body: Any = None) -> Any:
+        """Make a call.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: JSON value.
+
+        Returns:
+            The answer's JSON value.
+
+        Raises:
+            SprucewinchError: Of the kind that the daemon named.
+        """
+        return asyncio.run(self._call(method, path, body))
+
+    def get(self, path: str) -> Any:
+        """Read something."""
+        return self.call("GET", path)
+
+    async def _call(self, method: str, path: str, body: Any) -> Any:
+        headers = {
+            "authorization": f"Bearer {self.token}",
+            "sprucewinch-operator": self.operator,
+        }
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        url = f"http://{self.address}{path}"
+        data = None if body is None else msgspec.json.encode(body)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
+                session.request(method, url, data=data) as response,
+            ):
+                status, answer = response.status, msgspec.json.decode(await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise self._lost(method, error) from None
+        except msgspec.MsgspecError:
+            raise DaemonError(
+                f"{self.address} did not answer as an operators' port does",
+                "check that --vm names the operators_address",
+            ) from None
+        if status == 200:
+            return answer
+        kind = _ERRORS.get(answer.get("error", ""), DaemonError)
+        raise kind(str(answer.get("problem")), str(answer.get("remedy")))
+
+    def _lost(self, method: str, error: Exception) -> SprucewinchError:
+        refused = isinstance(error, aiohttp.ClientConnectorError)
+        if method == "GET" or refused:
+            return DaemonError(
+                f"{self.address} does not answer ({type(error).__name__})",
+                "check that the daemon runs, or name another VM with --vm",
+            )
+        return WriteUnknownError(
+            f"{self.address} went away during the call; the change may have been made",
+            "look with: sprucewinch audit",
+        )
--- a/sprucewinch/errors.py
+++ b/sprucewinch/errors.py
@@ -66,6 +66,8 @@
 class WriteUnknownError(PlatformError):
     """A write was sent and its answer was lost; it may have taken effect."""
 
+    exit_code = 5
+
 
 class DaemonError(SprucewinchError):
     """The command line could not reach a daemon, or the daemon refused the call."""
--- a/sprucewinch/guard.py
+++ b/sprucewinch/guard.py
@@ -44,7 +44,9 @@
     notes: tuple[str, ...]
 
 
-def grant(wanted: Mapping[str, float], current: Shares, snapshot: Snapshot, limits: GuardLimits):
+def grant(
+    wanted: Mapping[str, float], current: Shares, snapshot: Snapshot, limits: GuardLimits
+) -> Granted:
     """Turn wanted weights into granted shares.
 
     Args:
@@ -56,16 +58,14 @@
     Returns:
         A `Granted`.
     """
-    notes: list[str] = []
     held = current.as_dict()
-    weights = _normalised(wanted, snapshot)
-    weights = _without_drained(weights, held, snapshot, notes)
+    weights, drained = _without_drained(_normalised(wanted, snapshot), held, snapshot)
     bounds = {
-        region: _bound(region, held.get(region, 0.0), snapshot, limits, notes)
-        for region in snapshot.order
+        region: _bound(region, held.get(region, 0.0), snapshot, limits) for region in snapshot.order
     }
-    weights = _fit(weights, held, bounds)
-    return Granted(make_shares(snapshot.order, weights), tuple(notes))
+    cut = [f"{b.why}:{r}" for r, b in bounds.items() if weights[r] > b.share + _EPSILON]
+    fitted = _fit(weights, held, {region: bound.share for region, bound in bounds.items()})
+    return Granted(make_shares(snapshot.order, fitted), (*drained, *cut))
 
 
 def valid_weights(wanted: object, order: tuple[str, ...]) -> Optional[str]:
@@ -104,48 +104,55 @@
 
 
 def _without_drained(
-    weights: Weights, held: Weights, snapshot: Snapshot, notes: list[str]
-) -> Weights:
-    kept = {}
-    for region, weight in weights.items():
-        usable = _usable(snapshot.regions[region])
-        if not usable and (weight > 0 or held.get(region, 0) > 0):
-            notes.append(f"drained:{region}")
-        kept[region] = weight if usable else 0.0
+    weights: Weights, held: Weights, snapshot: Snapshot
+) -> tuple[Weights, tuple[str, ...]]:
+    """Take the weight of unusable regions away; returns also the regions that lost some."""
+    usable = {region: _usable(measures) for region, measures in snapshot.regions.items()}
+    lost = tuple(
+        f"drained:{region}"
+        for region, weight in weights.items()
+        if not usable[region] and (weight > 0 or held.get(region, 0.0) > 0)
+    )
+    kept = {region: weight if usable[region] else 0.0 for region, weight in weights.items()}
     if sum(kept.values()) > _EPSILON:
-        return kept
-    fallback = {r: m.capacity if _usable(m) else 0.0 for r, m in snapshot.regions.items()}
+        return kept, lost
+    fallback = {r: m.capacity if usable[r] else 0.0 for r, m in snapshot.regions.items()}
     total = sum(fallback.values())
     if total <= _EPSILON:
-        return dict(held)
-    return {region: capacity / total for region, capacity in fallback.items()}
+        return dict(held), lost
+    return {region: capacity / total for region, capacity in fallback.items()}, lost
+
+
+class _Bound(NamedTuple):
+    """The largest share a region may have now, and the limit that says so."""
+
+    share: float
+    why: str
 
 
-def _bound(
-    region: str, held: float, snapshot: Snapshot, limits: GuardLimits, notes: list[str]
-) -> float:
-    """Return the largest share a region may have now; never forces a gain."""
+def _bound(region: str, held: float, snapshot: Snapshot, limits: GuardLimits) -> _Bound:
     measures = snapshot.regions[region]
     if not _usable(measures):
-        return 0.0
+        return _Bound(0.0, "drained")
     if measures.age_s is None or measures.age_s > limits.stale_s:
-        notes.append(f"stale:{region}")
-        return held
+        return _Bound(held, "stale")
     if snapshot.demand_per_s <= 0:
-        return 1.0
-    gain = min(
-        _headroom_gain(measures, limits),
-        limits.warm_step * measures.capacity / _slot_seconds(measures),
-    )
-    bound = held + gain / snapshot.demand_per_s
+        return _Bound(1.0, "room")
+    link = _Bound(snapshot.link_per_s.get(region, math.inf) / snapshot.demand_per_s, "link")
+    return min(_room(region, held, snapshot, limits), link)
+
+
+def _room(region: str, held: float, snapshot: Snapshot, limits: GuardLimits) -> _Bound:
+    """Return the bound from slots: shrink above the ceiling, else gain a part of what is free."""
+    measures = snapshot.regions[region]
     if _over_ceiling(measures, limits):
-        notes.append(f"ceiling:{region}")
-        bound = held * limits.ceiling * measures.capacity / max(measures.in_use, _EPSILON)
-    link = snapshot.link_per_s.get(region, math.inf)
-    if link / snapshot.demand_per_s < bound:
-        notes.append(f"link:{region}")
-        bound = link / snapshot.demand_per_s
-    return min(bound, 1.0)
+        part = limits.ceiling * measures.capacity / measures.in_use
+        return _Bound(min(held, snapshot.share_high.get(region, held) * part), "ceiling")
+    warm = limits.warm_step * measures.capacity / _slot_seconds(measures)
+    free = _headroom_gain(measures, limits)
+    gain = min(free, warm) / snapshot.demand_per_s
+    share = max(held, snapshot.share_low.get(region, held) + gain)
+    return _Bound(min(share, 1.0), "headroom" if free < warm else "warm-up")
 
 
 def _over_ceiling(measures: RegionMeasures, limits: GuardLimits) -> bool:
--- a/sprucewinch/measures.py
+++ b/sprucewinch/measures.py
@@ -45,6 +45,8 @@
         link_per_s: Most requests a second from the client region to each other region.
         demand_per_s: Requests a second of these callers.
         demand_by_region: Where these callers' requests arrived, requests a second.
+        share_low: Smallest share that the measures of a region may still reflect.
+        share_high: Largest share that the measures of a region may still reflect.
     """
 
     service: str
@@ -54,6 +56,8 @@
     link_per_s: Mapping[str, float] = field(default_factory=dict)
     demand_per_s: float = 0.0
     demand_by_region: Mapping[str, float] = field(default_factory=dict)
+    share_low: Mapping[str, float] = field(default_factory=dict)
+    share_high: Mapping[str, float] = field(default_factory=dict)
 
     @property
     def order(self) -> tuple[str, ...]:
--- a/sprucewinch/planner.py
+++ b/sprucewinch/planner.py
@@ -1,8 +1,10 @@
 """Planning: policy and guard turn measures into the plan of one client region."""
 
+import dataclasses
 from collections.abc import Mapping
 from typing import Optional
 
+from ._share_history import ShareHistory
 from .guard import GuardLimits, grant
 from .measures import Snapshot
 from .placement import Shares, make_shares, shift_bound
@@ -14,6 +16,9 @@
 _DEAD_BAND = 0.005
 """Changes of shares smaller than this are not worth a write and a relay to every VM."""
 
+_MEASURE_LAG_S = 6.0
+"""How long measures take to be smoothed and to reach the planner, in seconds."""
+
 
 class Planner:
     """Makes the plans of one client region while this entry VM holds its lease.
@@ -32,6 +37,7 @@
         self.me = me
         self.base: Optional[Plan] = None
         self.limiters: dict[str, ShiftLimiter] = {}
+        self.histories: dict[str, ShareHistory] = {}
         self.faults: dict[str, int] = {}
 
     def adopt(self, plan: Optional[Plan], topology: Topology, now: float) -> None:
@@ -44,6 +50,7 @@
         """
         self.base = plan
         self.limiters = {}
+        self.histories = {}
         for service in topology.services:
             self._limiter(service, topology, now)
 
@@ -75,7 +82,8 @@
                 faults[service] = wanted.problem
                 self.faults[service] = self.faults.get(service, 0) + 1
                 wanted = limiter.current.as_dict()
-            granted = grant(wanted, limiter.current, snapshot, guard_limits(topology))
+            measured = self._with_history(service, topology, snapshot, limiter.current, now)
+            granted = grant(wanted, limiter.current, measured, guard_limits(topology))
             notes[service] = granted.notes
             target = granted.shares
             if shift_bound(limiter.current, target) < _DEAD_BAND:
@@ -94,8 +102,12 @@
         self.base = plan
         for service, weights in plan.shares.items():
             limiter = self.limiters.get(service)
-            if limiter is not None and limiter.current.regions == topology.order:
-                limiter.commit(make_shares(topology.order, weights), now)
+            if limiter is None or limiter.current.regions != topology.order:
+                continue
+            shares = make_shares(topology.order, weights)
+            if shares != limiter.current:
+                self._history(service, topology).replaced(limiter.current, now)
+                limiter.commit(shares, now)
 
     def _wanted(
         self,
@@ -110,6 +122,23 @@
             return PolicyFault(f"no policy {topology.services[service].policy!r} is loaded")
         return policy.weights(snapshot)
 
+    def _history(self, service: str, topology: Topology) -> ShareHistory:
+        limit = topology.shift_limit(service)
+        settle_s = limit.window_s + limit.ttl_s + _MEASURE_LAG_S
+        return self.histories.setdefault(service, ShareHistory(settle_s))
+
+    def _with_history(
+        self, service: str, topology: Topology, snapshot: Snapshot, current: Shares, now: float
+    ) -> Snapshot:
+        """Add which shares the measures may reflect, so that no headroom is used twice."""
+        history = self._history(service, topology)
+        regions = snapshot.order
+        return dataclasses.replace(
+            snapshot,
+            share_low={region: history.low(region, current, now) for region in regions},
+            share_high={region: history.high(region, current, now) for region in regions},
+        )
+
     def _limiter(self, service: str, topology: Topology, now: float) -> ShiftLimiter:
         limit = topology.shift_limit(service)
         limiter = self.limiters.get(service)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -161,21 +161,28 @@
     return runners
 
 
-def serve(addresses: str, work_ms: float = 10.0, slots: int = 4, seed: int = 0) -> None:
+def parse_pools(text: str, seed: int) -> list[BackendStandIn]:
+    """Return backend servers from `work_ms,slots,address,address...`, joined by `|`."""
+    standins = []
+    for pool in filter(None, text.split("|")):
+        work_ms, slots, *addresses = pool.split(",")
+        standins += [
+            BackendStandIn(a, slots=int(slots), work_ms=float(work_ms), seed=seed)
+            for a in addresses
+        ]
+    return standins
+
+
+def serve(pools: str, seed: int = 0) -> None:
     """Run backend servers on loopback, several in one process.
 
     Args:
-        addresses: Addresses, separated by semicolons.
-        work_ms: Mean time of one request.
-        slots: Slots of each.
+        pools: Servers, as `parse_pools` takes them.
         seed: Seed of the times.
     """
-    names = [part for part in addresses.split(";") if part]
 
     async def run() -> None:
-        await start(
-            [BackendStandIn(name, slots=slots, work_ms=work_ms, seed=seed) for name in names]
-        )
+        await start(parse_pools(pools, seed))
         await asyncio.Event().wait()
 
     asyncio.run(run())
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,120 @@
+"""Small fakes at the interfaces of the core."""
+
+import random
+from collections.abc import Callable
+from typing import Optional, Union
+
+from sprucewinch.config import Configuration, Document, encode_document, load_configuration
+from sprucewinch.documents import CONFIGURATION_KEY, Revisioned
+from sprucewinch.errors import PlatformError, WriteUnknownError
+from sprucewinch.node import Node
+from sprucewinch.platform import Entry, Mismatch, Platform, VmListing, Written
+from sprucewinch.settings import Settings
+
+EXAMPLE = "examples/freight.toml"
+
+
+def example() -> Configuration:
+    """Return the freight deployment."""
+    from pathlib import Path
+
+    return load_configuration(Path(EXAMPLE))
+
+
+def settings(vm: str = "a", hall: str = "van-1", region: str = "lower-mainland") -> Settings:
+    """Return a daemon's settings."""
+    return Settings(
+        vm=vm,
+        hall=hall,
+        region=region,
+        caller_address="127.0.0.1:7001",
+        peer_address="127.0.0.1:7002",
+        operators_address="127.0.0.1:7003",
+        operators_token="0123456789abcdef",
+        platform_address="127.0.0.1:7004",
+    )
+
+
+def node(now: float = 0.0, incarnation: int = 1, **place: str) -> Node:
+    """Return the core of a daemon."""
+    return Node(
+        settings(**place),
+        incarnation=incarnation,
+        ticket_key=b"k" * 32,
+        rng=random.Random(1),
+        now=now,
+    )
+
+
+def configure(target: Node, document: Optional[Document] = None) -> None:
+    """Put a document in force at a node."""
+    held = document or Document(1, example())
+    value = encode_document(held)
+    assert target.shelf.offer(Revisioned(CONFIGURATION_KEY, held.revision, value))
+
+
+def run(target: Node, begin: float, end: float, step: float = 0.5) -> None:
+    """Let a node tick from one time to another."""
+    now = begin
+    while now <= end:
+        target.tick(now)
+        now += step
+
+
+class FakePlatform(Platform):
+    """The platform's service in memory; `fault` is asked before and after every call."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.values: dict[str, Entry] = {}
+        self.down = False
+        self.lose_next_answer = False
+        self.before_put: Optional[Callable[[], None]] = None
+
+    def write(self, key: str, value: bytes) -> Entry:
+        """Write a value as somebody else would."""
+        self.version += 1
+        self.values[key] = Entry(key, self.version, value)
+        return self.values[key]
+
+    def _check(self) -> None:
+        if self.down:
+            raise PlatformError("down", "wait")
+
+    async def get(self, key: str) -> Optional[Entry]:
+        self._check()
+        return self.values.get(key)
+
+    async def put(self, key: str, value: bytes, expected: int) -> Union[Written, Mismatch]:
+        self._check()
+        if self.before_put is not None:
+            hook, self.before_put = self.before_put, None
+            hook()
+        held = self.values.get(key)
+        version = held.version if held else 0
+        if version != expected:
+            return Mismatch(version)
+        entry = self.write(key, value)
+        if self.lose_next_answer:
+            self.lose_next_answer = False
+            raise WriteUnknownError("lost", "read back")
+        return Written(entry.version)
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> list[Entry]:
+        self._check()
+        found = (e for e in self.values.values() if e.key.startswith(prefix))
+        return [e for e in found if e.version > after]
+
+    async def lease(self, name: str, holder: str, ttl_s: float) -> bool:
+        self._check()
+        return True
+
+    async def release(self, name: str, holder: str) -> None:
+        self._check()
+
+    async def members(self) -> list[VmListing]:
+        self._check()
+        return []
+
+    async def close(self) -> None:
+        return None
--- /dev/null
+++ b/tests/test_shift.py
@@ -0,0 +1,174 @@
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from sprucewinch.placement import Shares, make_shares, shift_bound, step_towards
+from sprucewinch.shift import ShiftCap, ShiftLimiter
+
+ORDER = ("east", "west", "north")
+WEIGHTS = st.fixed_dictionaries(
+    dict.fromkeys(ORDER, st.floats(0, 1, allow_nan=False, width=32))
+).filter(lambda weights: sum(weights.values()) > 0.01)
+BLOCKS = [i / 199 for i in range(199)]
+SETTINGS = settings(max_examples=50, stateful_step_count=30, deadline=None)
+LIMIT = ShiftCap(cap=0.2, window_s=10.0, ttl_s=2.0)
+
+
+def placed(shares: Shares) -> list[str]:
+    return [shares.region_at(point) for point in BLOCKS]
+
+
+def moved_part(old: list[str], new: list[str]) -> float:
+    return sum(a != b for a, b in zip(old, new, strict=True)) / len(BLOCKS)
+
+
+class ShiftBound(unittest.TestCase):
+    @given(WEIGHTS, WEIGHTS)
+    def test_no_more_blocks_move_than_the_bound(self, old: dict, new: dict) -> None:
+        a, b = make_shares(ORDER, old), make_shares(ORDER, new)
+        part = moved_part(placed(a), placed(b))
+        self.assertLessEqual(part, shift_bound(a, b) + 3 / len(BLOCKS))
+
+
+class FleetShift(RuleBasedStateMachine):
+    """Several VMs with their own views; the oracle counts where callers are sent.
+
+    Callers are spread evenly over the VMs. In any window at most the cap of all callers may be
+    sent to another region than before.
+    """
+
+    limiter_class = ShiftLimiter
+    vms = 3
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        start = make_shares(ORDER, {"east": 1.0})
+        self.targets = [start] * self.vms
+        self.limiters = [self.limiter_class(start, LIMIT) for _ in range(self.vms)]
+        self.sent = [placed(start)] * self.vms
+        self.moves: list[tuple[float, float]] = []
+
+    def move(self, *indexes: int) -> None:
+        for index in indexes or range(self.vms):
+            limiter = self.limiters[index]
+            before = limiter.current
+            if limiter.move(self.targets[index], self.now) == before:
+                continue
+            new = placed(limiter.current)
+            self.moves.append((self.now, moved_part(self.sent[index], new) / self.vms))
+            self.sent[index] = new
+            self.check_window()
+
+    def check_window(self) -> None:
+        recent = [part for at, part in self.moves if at >= self.now - LIMIT.window_s]
+        slack = 3 * len(recent) / len(BLOCKS)
+        assert sum(recent) <= LIMIT.cap + slack, recent
+
+    @rule(weights=WEIGHTS)
+    def all_learn_a_plan(self, weights: dict) -> None:
+        self.targets = [make_shares(ORDER, weights)] * self.vms
+        self.move()
+
+    @rule(weights=WEIGHTS, index=st.integers(0, 2))
+    def one_learns_a_plan(self, weights: dict, index: int) -> None:
+        self.targets[index] = make_shares(ORDER, weights)
+        self.move()
+
+    @rule(seconds=st.floats(0.05, 4))
+    def time_passes(self, seconds: float) -> None:
+        self.now += seconds
+        self.move()
+
+    @precondition(lambda self: len({limiter.current for limiter in self.limiters}) == 1)
+    @rule(index=st.integers(0, 2))
+    def a_vm_is_replaced(self, index: int) -> None:
+        """The new process starts from the plan that all follow, with the cap counted as spent."""
+        current = self.limiters[index].current
+        self.limiters[index] = self.limiter_class(current, LIMIT, spent_at=self.now)
+
+    @rule(seconds=st.integers(1, 30))
+    def one_sleeps_and_wakes(self, seconds: int) -> None:
+        for _ in range(seconds):
+            self.now += 1.0
+            self.move(1, 2)
+        self.move()
+
+
+FleetShift.TestCase.settings = SETTINGS
+
+
+class UncappedLimiter(ShiftLimiter):
+    """A wrong version: follows its plan at once."""
+
+    def allowance(self, now: float) -> float:
+        return 100.0
+
+    def propose(self, target: Shares, now: float) -> Shares:
+        return target
+
+
+class ForgetfulLimiter(ShiftLimiter):
+    """A wrong version: counts only the last second."""
+
+    def allowance(self, now: float) -> float:
+        return self.limit.cap if not self._moves or self._moves[-1].at < now - 1 else 0.0
+
+    def propose(self, target: Shares, now: float) -> Shares:
+        return step_towards(self.current, target, self.allowance(now))
+
+
+TestFleetShift = FleetShift.TestCase
+
+
+class WrongVersionsAreFound(unittest.TestCase):
+    def play(self, limiter_class: type[ShiftLimiter]) -> None:
+        machine = type("Fleet", (FleetShift,), {"limiter_class": limiter_class})()
+        machine.all_learn_a_plan({"west": 1.0})
+        for _ in range(8):
+            machine.time_passes(2.0)
+
+    def test_proof_fails_without_the_cap(self) -> None:
+        for wrong in (UncappedLimiter, ForgetfulLimiter):
+            with self.subTest(wrong.__name__), self.assertRaises(AssertionError):
+                self.play(wrong)
+
+    def test_same_steps_hold_with_the_real_limiter(self) -> None:
+        self.play(ShiftLimiter)
+
+
+class ShiftLimiterCases(unittest.TestCase):
+    def test_full_shift_takes_the_time_that_the_cap_asks_for(self) -> None:
+        east, west = make_shares(ORDER, {"east": 1}), make_shares(ORDER, {"west": 1})
+        limiter, now = ShiftLimiter(east, LIMIT), 0.0
+        while limiter.current != west:
+            now += 0.1
+            limiter.move(west, now)
+        self.assertGreaterEqual(now, (1 / LIMIT.cap - 1) * LIMIT.window_s)
+        self.assertLess(now, (1 / LIMIT.cap + 1) * (LIMIT.window_s + LIMIT.ttl_s))
+
+    def test_lowered_cap_counts_what_was_moved(self) -> None:
+        east, west = make_shares(ORDER, {"east": 1}), make_shares(ORDER, {"west": 1})
+        limiter = ShiftLimiter(east, LIMIT)
+        for tenth in range(30):
+            limiter.move(west, tenth / 10)
+        limiter.set_limit(LIMIT._replace(cap=0.05))
+        self.assertEqual(limiter.allowance(3.0), 0.0)
+        self.assertEqual(limiter.move(west, 3.1).share("west"), limiter.current.share("west"))
+
+    def test_new_process_spends_nothing_at_first(self) -> None:
+        east, west = make_shares(ORDER, {"east": 1}), make_shares(ORDER, {"west": 1})
+        limiter = ShiftLimiter(east, LIMIT, spent_at=0.0)
+        self.assertEqual(limiter.move(west, 11.0), east)
+        self.assertNotEqual(limiter.move(west, 12.1), east)
+
+    def test_flipping_policy_spends_the_cap_both_ways(self) -> None:
+        east, west = make_shares(ORDER, {"east": 1}), make_shares(ORDER, {"west": 1})
+        limiter, total, before = ShiftLimiter(east, LIMIT), 0.0, east
+        for step in range(100):
+            current = limiter.move(west if step % 2 else east, step / 10)
+            total += shift_bound(before, current)
+            before = current
+        self.assertLessEqual(total, LIMIT.cap + 1e-9)
--- /dev/null
+++ b/tests/test_tickets.py
@@ -0,0 +1,202 @@
+import unittest
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from sprucewinch.outcome import Outcome, Reason, Refusal
+from sprucewinch.tickets import Answer, Claim, TicketBook, parse_ticket
+
+KEY = b"k" * 32
+SETTINGS = settings(max_examples=100, stateful_step_count=40, deadline=None)
+
+
+def book(vm: str = "a", incarnation: int = 1, **options: float) -> TicketBook:
+    return TicketBook(vm, incarnation, KEY, lifetime_s=10, retention_s=20, **options)
+
+
+class OneRun(RuleBasedStateMachine):
+    """Two VMs, replaced at will; operations arrive at either, at any time, again and again.
+
+    The oracle is the backend server, which counts runs by operation, and remembers what callers
+    were told. A VM runs an operation after it has claimed it, possibly much later.
+    """
+
+    book_class = TicketBook
+    remembers_incarnation = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.incarnations = Counter({"a": 1, "b": 1})
+        self.books = {vm: self.make(vm) for vm in "ab"}
+        self.tickets: list[str] = []
+        self.pending: list[tuple[TicketBook, Claim, str]] = []
+        self.runs: Counter[str] = Counter()
+        self.told_not_run: set[str] = set()
+
+    def make(self, vm: str) -> TicketBook:
+        number = self.incarnations[vm] if self.remembers_incarnation else 1
+        return self.book_class(vm, number, KEY, lifetime_s=10, retention_s=20, answer_bytes=64)
+
+    @rule(vm=st.sampled_from("ab"))
+    def issue(self, vm: str) -> None:
+        issued = self.books[vm].issue("booking", 2, self.now)
+        assert not isinstance(issued, Refusal)
+        self.tickets += issued
+
+    @precondition(lambda self: self.tickets)
+    @rule(index=st.integers(0, 2))
+    def arrive(self, index: int) -> None:
+        """Reach the home, straight or handed on by the other VM."""
+        text = self.tickets[-1 - index % len(self.tickets)]
+        ticket = parse_ticket(text)
+        assert ticket is not None
+        home = self.books[ticket.vm]
+        if not home.is_home(ticket):
+            return  # answered unknown: the home is gone
+        result = home.claim(ticket, "booking", "same", self.now)
+        if isinstance(result, Claim):
+            self.pending.append((home, result, text))
+        elif isinstance(result, Refusal) and result.outcome is Outcome.NOT_RUN:
+            self.told_not_run.add(text)
+
+    @precondition(lambda self: self.pending)
+    @rule(index=st.integers(0, 2), fate=st.sampled_from(["runs", "lost", "refused"]))
+    def settle(self, index: int, fate: str) -> None:
+        home, claim, text = self.pending.pop(index % len(self.pending))
+        if fate == "refused":
+            home.settle(claim, Outcome.NOT_RUN)
+            self.told_not_run.add(text)
+            return
+        self.runs[text] += 1
+        if fate == "lost":
+            home.settle(claim, Outcome.UNKNOWN)
+        else:
+            home.settle(claim, Outcome.ANSWERED, Answer(200, (), text.encode()))
+
+    @rule(vm=st.sampled_from("ab"))
+    def replace(self, vm: str) -> None:
+        """The old process may still run what it had claimed: it was only frozen."""
+        self.incarnations[vm] += 1
+        self.books[vm] = self.make(vm)
+
+    @rule(seconds=st.floats(0.1, 40))
+    def time_passes(self, seconds: float) -> None:
+        self.now += seconds
+
+    @invariant()
+    def at_most_one_run(self) -> None:
+        assert all(count == 1 for count in self.runs.values()), self.runs
+
+    @invariant()
+    def not_run_is_true(self) -> None:
+        assert not self.told_not_run & self.runs.keys()
+
+
+OneRun.TestCase.settings = SETTINGS
+TestOneRun = OneRun.TestCase
+
+
+class ForgetfulBook(TicketBook):
+    """A wrong version: forgets what it refused, so that a repeat may run."""
+
+    def settle(self, claim: Claim, outcome: Outcome, answer: Answer | None = None) -> None:
+        if outcome is Outcome.NOT_RUN:
+            self.claims.pop(claim.number, None)
+        else:
+            super().settle(claim, outcome, answer)
+
+
+class WrongVersionsAreFound(unittest.TestCase):
+    def machine(self, **changes: object) -> OneRun:
+        machine = type("Wrong", (OneRun,), changes)()
+        machine.issue("a")
+        machine.arrive(0)
+        return machine
+
+    def test_without_memory_of_refusals(self) -> None:
+        machine = self.machine(book_class=ForgetfulBook)
+        machine.settle(0, "refused")
+        machine.arrive(0)
+        machine.settle(0, "runs")
+        with self.assertRaises(AssertionError):
+            machine.not_run_is_true()
+
+    def test_without_incarnations(self) -> None:
+        machine = self.machine(remembers_incarnation=False)
+        machine.replace("a")
+        machine.issue("a")
+        machine.arrive(0)
+        machine.settle(0, "runs")
+        machine.settle(0, "runs")
+        with self.assertRaises(AssertionError):
+            machine.at_most_one_run()
+
+    def test_same_steps_hold_with_the_real_book(self) -> None:
+        machine = self.machine()
+        machine.settle(0, "refused")
+        machine.arrive(0)
+        self.assertEqual(machine.pending, [])
+        machine.replace("a")
+        machine.arrive(0)
+        self.assertEqual(machine.pending, [])
+
+
+class TicketBookCases(unittest.TestCase):
+    def claim(self, tickets: TicketBook, text: str, now: float = 0.0, what: str = "same"):
+        return tickets.claim(parse_ticket(text), "booking", what, now)
+
+    def test_repeat_gets_the_same_answer(self) -> None:
+        tickets = book()
+        [text] = tickets.issue("booking", 1, 0.0)
+        answer = Answer(200, (("a", "b"),), b"done")
+        tickets.settle(self.claim(tickets, text), Outcome.ANSWERED, answer)
+        self.assertEqual(self.claim(tickets, text), answer)
+
+    def test_repeat_while_running_is_unknown(self) -> None:
+        tickets = book()
+        [text] = tickets.issue("booking", 1, 0.0)
+        self.claim(tickets, text)
+        self.assertEqual(self.claim(tickets, text).reason, Reason.ALREADY_RUNNING)
+
+    def test_another_request_under_the_same_ticket_gets_no_answer(self) -> None:
+        tickets = book()
+        [text] = tickets.issue("booking", 1, 0.0)
+        tickets.settle(self.claim(tickets, text), Outcome.ANSWERED, Answer(200, (), b"mine"))
+        refusal = self.claim(tickets, text, what="other")
+        self.assertEqual(refusal, Refusal(Outcome.UNKNOWN, Reason.TICKET_REUSED))
+
+    def test_forged_and_misdirected_tickets(self) -> None:
+        tickets = book()
+        [text] = tickets.issue("booking", 1, 0.0)
+        for forged in (text[:-1] + "x", text.replace(":0:", ":1:"), text.replace("booking", "x")):
+            with self.subTest(forged):
+                self.assertEqual(self.claim(tickets, forged).reason, Reason.TICKET_INVALID)
+        for junk in ("", "a", "a:b:c:d", "a:1:zz:booking:00", "a:1:0:booking:00:1"):
+            self.assertIsNone(parse_ticket(junk))
+
+    def test_expired_ticket_never_runs(self) -> None:
+        tickets = book()
+        [text] = tickets.issue("booking", 1, 0.0)
+        first = self.claim(tickets, text, 11.0)
+        self.assertEqual(first, Refusal(Outcome.NOT_RUN, Reason.TICKET_EXPIRED))
+        later = self.claim(tickets, text, 31.0)
+        self.assertEqual(later, Refusal(Outcome.UNKNOWN, Reason.TICKET_EXPIRED))
+
+    def test_full_table_refuses_to_issue(self) -> None:
+        tickets = book(max_open=3)
+        self.assertEqual(len(tickets.issue("booking", 3, 0.0)), 3)
+        refusal = tickets.issue("booking", 1, 1.0)
+        self.assertEqual(refusal.reason, Reason.TICKET_TABLE_FULL)
+        self.assertEqual(refusal.retry_after_ms, 29_000)
+        self.assertEqual(len(tickets.issue("booking", 1, 30.0)), 1)
+
+    def test_kept_answers_are_bounded(self) -> None:
+        tickets = book(answer_bytes=10)
+        texts = tickets.issue("booking", 3, 0.0)
+        for text in texts:
+            tickets.settle(self.claim(tickets, text), Outcome.ANSWERED, Answer(200, (), b"12345"))
+        self.assertEqual(self.claim(tickets, texts[0]).reason, Reason.ALREADY_RAN)
+        self.assertIsInstance(self.claim(tickets, texts[2]), Answer)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -82,20 +82,20 @@
         self.kill_all()
 
     def start_standins(self) -> None:
-        """Start the platform and all backend servers, one process for each hall and service."""
+        """Start the platform and all backend servers, one process for each data hall."""
         rows = ";".join(f"{v.name},{v.hall},{v.region},{v.peer}" for v in self.vms.values())
         port = self.platform.rpartition(":")[2]
         self._spawn("platform", "standins.platform", f"--port={port}", f"--vms={rows}")
-        for pool in self.configuration.pool:
-            if pool.servers:
-                self._spawn(
-                    f"backend-{pool.hall}-{pool.service}",
-                    "standins.backend",
-                    f"--addresses={';'.join(pool.servers)}",
-                    f"--work_ms={self.work_ms.get(pool.service, 10.0)}",
-                    f"--slots={pool.slots}",
-                    f"--seed={self.seed}",
-                )
+        for hall in self.configuration.hall:
+            pools = [pool for pool in self.configuration.pool if pool.hall == hall.name]
+            text = "|".join(
+                f"{self.work_ms.get(pool.service, 10.0)},{pool.slots},{','.join(pool.servers)}"
+                for pool in pools
+                if pool.servers
+            )
+            self._spawn(
+                f"backend-{hall.name}", "standins.backend", f"--pools={text}", f"--seed={self.seed}"
+            )
 
     def start_daemons(self, names: Iterable[str] | None = None) -> None:
         """Start daemons; all by default."""
