Prove the request path and the configuration with real processes

Cause found by the process tests: the HTTP client library sends PUT and other idempotent methods again by itself when a kept connection breaks. Towards a backend server a booking sent by PUT ran twice; towards the platform an accepted change was reported as refused ('not draining'). Ruled out: a race in the stand-in (the record showed two runs on two connections). Conclusion: no component below may resend.

--- a/sprucewinch/backend.py
+++ b/sprucewinch/backend.py
@@ -6,6 +6,7 @@
 import aiohttp
 from multidict import CIMultiDict
 
+from ._http_client import make_session
 from .outcome import Reason, Refusal, not_run, unknown
 from .request import (
     DEADLINE_HEADER,
@@ -66,7 +67,7 @@
         connector = aiohttp.TCPConnector(
             limit=0, limit_per_host=connections, keepalive_timeout=_KEEPALIVE_S
         )
-        self.session = aiohttp.ClientSession(
+        self.session = make_session(
             connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
@@ -74,8 +75,6 @@
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
             read_bufsize=_BEYOND_BUFFER,
         )
-        # The library would send some methods again by itself when a kept connection breaks.
-        self.session._retry_connection = False
 
     async def close(self) -> None:
         """Close all connections."""
--- a/sprucewinch/changes.py
+++ b/sprucewinch/changes.py
@@ -266,7 +266,7 @@
         for _ in range(_TRIES):
             entry = await self._read(operation, sent)
             held = _held(entry)
-            if sent and _made(held, operation):
+            if _made(held, operation):
                 return Accepted(held, operation)
             self._check_base(change, held, base, in_force)
             document = self._next(change, held, operator, operation)
--- a/sprucewinch/platform_http.py
+++ b/sprucewinch/platform_http.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from ._http_client import make_session
 from .errors import PlatformError, WriteUnknownError
 from .platform import Entry, Mismatch, Platform, VmListing, Written
 
@@ -84,7 +85,7 @@
         writes: bool = False,
     ) -> tuple[int, Any]:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = make_session()
         self.calls += 1
         timeout = aiohttp.ClientTimeout(total=self.timeout_s + wait_s)
         url = self.base + path
--- a/sprucewinch/report.py
+++ b/sprucewinch/report.py
@@ -50,6 +50,7 @@
         "state": State.Name(member.state).lower(),
         "revision": member.config_revision,
         "lags": member.config_revision < newest,
+        "slots": int(sum(load.capacity for load in member.loads)),
         "in_flight": member.in_flight,
         "heard_s": round(age or 0.0, 1),
         "operators_address": member.operators_address,
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -100,6 +100,8 @@
         mean = self.work_ms * (2 if cold else 1)
         work_ms = float(request.query.get("work_ms", self.rng.uniform(0.5, 1.5) * mean))
         await asyncio.sleep(work_ms / 1000)
+        if "drop" in request.query:
+            request.transport.abort()  # type: ignore[union-attr]
         return await self._answer(request, operation, digest.hexdigest(), length)
 
     async def _answer(
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,155 @@
+"""A small fleet of real processes for failure tests: one region pair, seconds to start."""
+
+import unittest
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from sprucewinch.config import Configuration, parse_configuration
+from tools.fleet import Fleet, Operator, Vm, free_ports, wait_until
+
+CALLER = "10.1.0.7"
+
+
+def small_deployment(halls: int = 2, servers: int = 1, **service: Any) -> Configuration:
+    """Return two regions of one hall each (or more), with free ports for the backend servers."""
+    ports = iter(free_ports(halls * servers * 2))
+    names = [f"hall-{number}" for number in range(1, halls + 1)]
+    regions = [f"region-{number}" for number in range(1, halls + 1)]
+    tables = {
+        "name": "small",
+        "lookup": {"ttl_ms": 300},
+        "region": [
+            {"name": region, "clients": [f"10.{number}.0.0/16"]}
+            for number, region in enumerate(regions, 1)
+        ],
+        "hall": [
+            {"name": hall, "region": region} for hall, region in zip(names, regions, strict=True)
+        ],
+        "service": [
+            {"name": "rates", "repeatable": True, "deadline_ms": 3000, **service},
+            {"name": "booking", "repeatable": False, "deadline_ms": 3000, **service},
+        ],
+        "pool": [
+            {
+                "hall": hall,
+                "service": name,
+                "servers": [f"127.0.0.1:{next(ports)}" for _ in range(servers)],
+            }
+            for hall in names
+            for name in ("rates", "booking")
+        ],
+        "link": [
+            {"a": a, "b": b, "one_way_ms": 5.0, "requests_per_s": 500.0}
+            for i, a in enumerate(regions)
+            for b in regions[i + 1 :]
+        ],
+    }
+    return parse_configuration(tables, "small")
+
+
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    """A test with its own fleet, configured and ready."""
+
+    halls = 2
+    vms_per_hall = 1
+    servers = 1
+
+    async def asyncSetUp(self) -> None:
+        self.configuration = small_deployment(self.halls, self.servers)
+        self.fleet = Fleet(self.configuration, vms_per_hall=self.vms_per_hall)
+        self.addCleanup(self.fleet.kill_all)
+        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=20))
+        self.addAsyncCleanup(self.session.close)
+        self.fleet.start_standins()
+        self.start_daemons()
+        await self.apply_first()
+        await self.until_ready(*self.fleet.vms.values())
+
+    def start_daemons(self) -> None:
+        """Start all daemons; a test that needs other settings overrides this."""
+        self.fleet.start_daemons()
+
+    async def apply_first(self) -> None:
+        """Apply the configuration at the first VM."""
+        operator = self.operator(self.vm(0))
+        await wait_until(lambda: operator.get("/v1/status"), "the operators' port")
+        tables = msgspec.to_builtins(self.configuration)
+        body = {"configuration": tables, "base": 0}
+
+        async def applied() -> bool:
+            status, _ = await operator.call("POST", "/v1/configuration", body)
+            return status == 200
+
+        await wait_until(applied, "the platform")
+
+    def vm(self, index: int) -> Vm:
+        """Return one of the VMs."""
+        return list(self.fleet.vms.values())[index]
+
+    def operator(self, vm: Vm, name: str = "test") -> Operator:
+        """Return an operator at a VM."""
+        return Operator(self.session, vm, name)
+
+    async def until_ready(self, *vms: Vm) -> None:
+        """Wait until VMs know of each other that all serve and hold slots."""
+        for vm in vms:
+            await wait_until(lambda vm=vm: self._ready(vm), f"{vm.name} to be ready")
+
+    async def _ready(self, vm: Vm) -> bool:
+        rows = (await self.operator(vm).get("/v1/status"))["vms"]
+        ready = [row for row in rows if row["state"] == "serving" and row["slots"]]
+        return len(ready) == len(self.fleet.vms)
+
+    async def send(
+        self, vm: Vm, service: str, query: str = "", *, method: str = "GET", **headers: str
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a request; returns status, headers and body."""
+        named = {"sprucewinch-client-block": CALLER}
+        named.update({name.replace("_", "-"): value for name, value in headers.items()})
+        url = f"http://{vm.caller}/s/{service}/work{query}"
+        async with self.session.request(method, url, headers=named) as response:
+            return response.status, dict(response.headers), await response.read()
+
+    async def ticket(self, vm: Vm) -> str:
+        """Return a ticket for a booking, at home at a VM."""
+        url = f"http://{vm.caller}/v1/tickets?service=booking"
+        async with self.session.post(url) as response:
+            return (await response.json())["tickets"][0]
+
+    async def book(self, vm: Vm, operation: str, ticket: str, query: str = "") -> tuple[int, dict]:
+        """Send a booking; returns status and headers."""
+        status, headers, _ = await self.send(
+            vm, "booking", query, method="POST", operation=operation, sprucewinch_ticket=ticket
+        )
+        return status, headers
+
+    async def runs(self, operation: str) -> int:
+        """Return how often an operation ran, at all backend servers together."""
+        total = 0
+        for pool in self.configuration.pool:
+            for server in pool.servers:
+                async with self.session.get(f"http://{server}/stand-in/runs") as response:
+                    total += (await response.json())["runs"].get(operation, 0)
+        return total
+
+    async def server_post(self, server: str, path: str, body: Any) -> None:
+        """Tell a stand-in something."""
+        async with self.session.post(f"http://{server}{path}", json=body) as response:
+            response.raise_for_status()
+
+    async def platform_faults(self, **faults: Any) -> None:
+        """Set the platform's faults."""
+        await self.server_post(self.fleet.platform, "/stand-in/faults", faults)
+
+    def pool(self, hall: str, service: str) -> str:
+        """Return the first backend server of a hall's service."""
+        for pool in self.configuration.pool:
+            if (pool.hall, pool.service) == (hall, service):
+                return pool.servers[0]
+        raise KeyError(hall, service)
+
+    async def revision(self, vm: Vm) -> int:
+        """Return the revision in force at a VM."""
+        return (await self.operator(vm).get("/v1/configuration"))["revision"]
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -110,6 +110,18 @@
         await self.drain()
         self.assertEqual(self.held().drained, ("hall:van-1",))
 
+    async def test_write_that_was_sent_twice_underway_is_settled_as_made(self) -> None:
+        """A client below may send a write again by itself; the second is then a mismatch."""
+        await self.first()
+        original = self.platform.put
+
+        async def put_twice(key: str, value: bytes, expected: int):
+            await original(key, value, expected)
+            return await original(key, value, expected)
+
+        self.platform.put = put_twice
+        self.assertEqual((await self.drain()).drained, ("hall:van-1",))
+
     async def test_lost_answer_while_the_platform_stays_down_is_unknown(self) -> None:
         await self.first()
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,5 +1,6 @@
 """Runs all tests, lists the known red ones, and ends with the line `N passed, N failed`."""
 
+import logging
 import sys
 import unittest
 from pathlib import Path
@@ -21,6 +22,7 @@
     """Run the tests; returns the exit status."""
     settings.register_profile("ci", derandomize=True, deadline=None, database=None)
     settings.load_profile("ci")
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
     red = known_red()
     suite = unittest.defaultTestLoader.discover("tests", top_level_dir=".")
     result = unittest.TextTestRunner(verbosity=1).run(suite)
