--- a/sprucewinch/cli.py
+++ b/sprucewinch/cli.py
@@ -6,6 +6,7 @@
 from urllib.parse import quote, urlencode
 
 import fire
+from fire.decorators import SetParseFn, SetParseFns
 
 from ._base_revision import read_base
 from ._tables import Printer
@@ -34,6 +35,7 @@
 class ConfigCommands(_Group):
     """Validate, show, apply and restore the configuration."""
 
+    @SetParseFn(str)
     def validate(self, path: str) -> None:
         """Check a configuration file without applying it."""
         configuration = load_configuration(Path(path))
@@ -43,6 +45,7 @@
         """Print the configuration in force as TOML, with the revision to edit it from."""
         self._print.configuration(self._client.get("/v1/configuration"))
 
+    @SetParseFns(path=str)
     def apply(self, path: str, base: Optional[int] = None) -> None:
         """Apply a configuration file.
 
@@ -65,17 +68,20 @@
 class PolicyCommands(_Group):
     """Load, replace, retire, list, use and compare policies."""
 
+    @SetParseFn(str)
     def check(self, path: str) -> None:
         """Check a policy program without loading it."""
         check_program(Path(path).stem, _text(path), ("region-1", "region-2", "region-3"))
         self._print.record({"valid": True, "policy": Path(path).stem})
 
+    @SetParseFn(str)
     def load(self, name: str, path: str) -> None:
         """Load a policy program, or replace the one of this name."""
         self._print.record(
             self._client.call("PUT", f"/v1/policies/{quote(name)}", {"source": _text(path)})
         )
 
+    @SetParseFn(str)
     def replace(self, name: str, path: str) -> None:
         """Replace a loaded policy program; an error when there is none of this name."""
         rows = self._client.get("/v1/policies")["policies"]
@@ -85,6 +91,7 @@
             )
         self.load(name, path)
 
+    @SetParseFn(str)
     def retire(self, name: str) -> None:
         """Take a policy program out."""
         self._print.record(self._client.call("DELETE", f"/v1/policies/{quote(name)}"))
@@ -93,17 +100,20 @@
         """List all policies and the services that use them."""
         self._print.rows(self._client.get("/v1/policies")["policies"], "policies")
 
+    @SetParseFn(str)
     def use(self, service: str, policy: str) -> None:
         """Give a service another policy."""
         path = f"/v1/services/{quote(service)}/policy"
         self._print.record(self._client.call("PUT", path, {"policy": policy}))
 
+    @SetParseFn(str)
     def compare(self, service: str, *policies: str) -> None:
         """Show what policies would want and be granted on the present measures."""
         query = urlencode({"service": service, "policies": ",".join(policies)})
         self._print.rows(self._client.get(f"/v1/compare?{query}")["rows"], "compared")
 
 
+@SetParseFns(vm=str, token=str, operator=str)
 class Sprucewinch:
     """Operate a fleet of entry VMs.
 
@@ -141,6 +151,7 @@
         answer = self._client().get("/v1/status")
         self._printer.sections(answer, {"vms": "entry VMs", "drains": "drains"})
 
+    @SetParseFn(str)
     def drain(self, kind: str, name: str) -> None:
         """Drain a backend server, data hall or region.
 
@@ -150,6 +161,7 @@
         """
         self._printer.record(self._client().call("PUT", f"/v1/drains/{kind}/{quote(name)}"))
 
+    @SetParseFn(str)
     def undrain(self, kind: str, name: str) -> None:
         """End a drain."""
         self._printer.record(self._client().call("DELETE", f"/v1/drains/{kind}/{quote(name)}"))
@@ -179,6 +191,7 @@
                 print(f"{row['vm']}: {error.problem}; left out", file=sys.stderr)
         return reports
 
+    @SetParseFns(operation=str)
     def audit(self, operation: Optional[str] = None, all: bool = False) -> None:
         """Show the audit trail.
 
@@ -191,6 +204,7 @@
             records = [record for record in records if record["operation"] == str(operation)]
         self._printer.rows(records, "audit trail")
 
+    @SetParseFn(str)
     def explain(self, block: str, service: str) -> None:
         """Explain where a client block is sent for a service, and why."""
         query = urlencode({"block": block, "service": service})
