--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test format proto lock clean
+.PHONY: demo test bench fuzz format proto lock clean
 
 demo: $(STAMP)
 	$(BIN)/python -m tools.demo
@@ -13,6 +13,13 @@
 	$(BIN)/ruff check .
 	$(BIN)/python -m tools.run_tests
 
+bench: $(STAMP)
+	$(BIN)/python -m tools.bench_core
+	$(BIN)/python -m tools.bench_daemon
+
+fuzz: $(STAMP)
+	$(BIN)/python -m tools.fuzz
+
 format: $(STAMP)
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
--- a/sprucewinch/_loops.py
+++ b/sprucewinch/_loops.py
@@ -98,6 +98,10 @@
 
     async def _tick_loop(self) -> None:
         self.node.tick(self.clock.monotonic())
+        counters = self.node.metrics.counters
+        counters["peer_bytes_sent"] = self.peers.bytes_sent
+        counters["peer_bytes_received"] = self.peers.bytes_received
+        counters["platform_calls"] = self.platform.calls
         await asyncio.sleep(TICK_S)
 
     async def _exchange_loop(self) -> None:
--- a/sprucewinch/platform.py
+++ b/sprucewinch/platform.py
@@ -46,6 +46,9 @@
     Every method raises `PlatformError` when the service does not answer or refuses the call.
     """
 
+    calls = 0
+    """Calls made so far; the service counts and limits them."""
+
     @abc.abstractmethod
     async def get(self, key: str) -> Optional[Entry]:
         """Return the entry of a key; None when there is none."""
