--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,12 @@
 	PATH="$(abspath $(BIN)):$$PATH" python -m grpc_tools.protoc -I. \
 		--python_out=. --pyi_out=. --grpclib_python_out=. sprucewinch/peer.proto
 
+lock: $(STAMP)
+	$(BIN)/pip install --quiet pip-tools
+	$(BIN)/pip-compile --quiet --allow-unsafe --generate-hashes --extra dev --strip-extras \
+		--no-emit-index-url --no-emit-find-links --no-emit-trusted-host --no-emit-options \
+		-o requirements.lock pyproject.toml
+
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --require-hashes -r requirements.lock
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples that run as they stand."""
--- a/sprucewinch/_loops.py
+++ b/sprucewinch/_loops.py
@@ -19,7 +19,7 @@
 from .peer_client import PeerClient
 from .peer_pb2 import LEAVING, SERVING
 from .planner import Planner
-from .platform import Entry, Platform, Written
+from .platform import Entry, Platform, VmListing, Written
 from .retry import backoff_s
 from .steering import Plan
 from .view import View
@@ -32,6 +32,9 @@
 POLL_S = 30.0
 """How often a VM that does not watch reads the platform by itself, in seconds."""
 
+READ_ALL_S = 60.0
+"""How often everything is read again, in seconds."""
+
 LEASE_S = 6.0
 _LEASE_RENEW_S = 2.0
 _CHANGE_FANOUT = 4
@@ -71,6 +74,7 @@
         self.listed: tuple[str, ...] = ()
         self._changed = asyncio.Event()
         self._lease_at = float("-inf")
+        self._read_all_at = float("-inf")
         self._planner: Optional[Planner] = None
         self._tasks: list[asyncio.Task] = []
 
@@ -150,16 +154,31 @@
                 await asyncio.sleep(wait)
 
     async def _read_platform(self) -> None:
-        listing = await self.platform.members()
-        own = self.node.settings.peer_address
-        self.listed = tuple(r.peer_address for r in listing if r.peer_address != own)
+        self._take_listing(await self.platform.members())
         watching = self._watches()
-        entries = await self.platform.watch(WATCH_PREFIX, self.seen, WATCH_S if watching else 0.0)
+        entries = await self._entries(WATCH_S if watching else 0.0)
         self._platform_is(True)
         self._take(entries)
         if not watching:
             await asyncio.sleep(POLL_S * self.rng.uniform(0.5, 1.0))
 
+    async def _entries(self, wait_s: float) -> list[Entry]:
+        """Return newer entries; now and then all, since a restored platform may count anew."""
+        now = self.clock.monotonic()
+        if now - self._read_all_at >= READ_ALL_S:
+            entries = await self.platform.watch(WATCH_PREFIX, 0, 0.0)
+            self._read_all_at = now
+            self.seen = 0
+            return entries
+        return await self.platform.watch(WATCH_PREFIX, self.seen, wait_s)
+
+    def _take_listing(self, listing: list[VmListing]) -> None:
+        """Learn entry VMs to ask, and backend servers that the platform says are leaving."""
+        own = self.node.settings.peer_address
+        self.listed = tuple(r.address for r in listing if r.kind == "entry" and r.address != own)
+        leaving = [r.address for r in listing if r.kind == "backend" and r.leaving]
+        self.node.hall.mark_leaving(leaving, self.clock.monotonic() + 2 * POLL_S)
+
     def _watches(self) -> bool:
         """Tell whether this VM watches for its hall: the first by name that is live."""
         now = self.clock.monotonic()
--- a/sprucewinch/callers.py
+++ b/sprucewinch/callers.py
@@ -16,6 +16,7 @@
 from .dispatch import Dispatcher
 from .node import Node
 from .outcome import Outcome, Reason, Refusal, http_status, not_run, unknown
+from .peer_pb2 import SERVING
 from .request import (
     BLOCK_HEADER,
     DEADLINE_HEADER,
@@ -103,6 +104,8 @@
             return not_run(Reason.NO_CONFIGURATION, 1000)
         if service not in self.node.topology.services:
             return not_run(Reason.NO_SUCH_SERVICE)
+        if self.node.own.state != SERVING:
+            return not_run(Reason.LEAVING, 1000)
         if not (count.isascii() and count.isdigit() and 1 <= int(count) <= MAX_BATCH):
             return not_run(Reason.MALFORMED)
         return None
--- a/sprucewinch/platform.py
+++ b/sprucewinch/platform.py
@@ -31,12 +31,16 @@
 
 
 class VmListing(NamedTuple):
-    """One row of the platform's list of VMs, which lags."""
+    """One row of the platform's list of live and leaving VMs, which lags.
 
-    vm: str
-    hall: str
-    region: str
-    peer_address: str
+    Args:
+        kind: `entry` for an entry VM, `backend` for a backend server.
+        address: Its peer address, or a backend server's address.
+        leaving: True when it is about to go away.
+    """
+
+    kind: str
+    address: str
     leaving: bool
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -184,11 +184,10 @@
 
     Args:
         port: Port.
-        vms: Rows `vm,hall,region,peer_address`, separated by semicolons.
+        vms: Peer addresses of entry VMs, separated by semicolons.
     """
-    names = ("vm", "hall", "region", "peer_address")
-    rows = [dict(zip(names, row.split(","), strict=True)) for row in vms.split(";") if row]
-    listed = [{**row, "leaving": False} for row in rows]
+    addresses = [address for address in vms.split(";") if address]
+    listed = [{"kind": "entry", "address": a, "leaving": False} for a in addresses]
 
     async def make() -> web.Application:
         return PlatformStandIn(listed).app()
--- a/tests/test_process_requests.py
+++ b/tests/test_process_requests.py
@@ -1,9 +1,12 @@
 import asyncio
+import contextlib
+import io
 import signal
 import unittest
 
 import aiohttp
 
+from examples import caller
 from tests.processes import CALLER, FleetCase
 from tools.fleet import wait_until
 
@@ -16,6 +19,8 @@
             async with self.session.get(url) as response:
                 answer = await response.json()
             self.assertEqual(answer["entry_vms"][0]["vm"], first.name)
+        with self.subTest("the caller among the examples works as it stands"):
+            await self.example_caller(first)
         with self.subTest("a booking runs once, wherever it is sent again"):
             ticket = await self.ticket(first)
             for vm in (first, first, second):
@@ -55,9 +60,20 @@
             await self.peer_dies_half_way()
         with self.subTest("answers on kept connections belong to their callers"):
             await self.own_answers(first)
+        with self.subTest("headers beyond the limit get a clear refusal"):
+            status, headers, body = await self.send(first, "rates", x="y" * 20_000)
+            self.assertEqual(status, 431)
+            self.assertIn(b'"reason":"malformed"', body)
         with self.subTest("an unreachable server is certain not to have run"):
             await self.unreachable_server(first)
 
+    async def example_caller(self, vm) -> None:
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            await caller.main(vm.caller, "10.1.2.0/24")
+        self.assertIn("rate: ", output.getvalue())
+        self.assertIn("booked: ", output.getvalue())
+
     async def dropped(self, vm) -> None:
         for attempt in ("warm", "dropped"):
             ticket = await self.ticket(vm)
@@ -164,6 +180,26 @@
             self.assertEqual(status, 200)
         self.assertEqual(await refused(), after_grace)
 
+    async def test_leaving_server_known_only_from_the_platforms_list(self) -> None:
+        server = self.pool("hall-1", "rates")
+        row = {"kind": "backend", "address": server, "leaving": True}
+        await self.server_post(self.fleet.platform, "/stand-in/vms", [row])
+        self.fleet.kill(self.vm(0).name)
+        self.fleet.start_daemon(self.vm(0).name)
+
+        async def elsewhere() -> bool:
+            status, headers, _ = await self.send(self.vm(0), "rates")
+            return status == 200 and headers["sprucewinch-hall"] == "hall-1"
+
+        await wait_until(elsewhere, "the first VM")
+        with self.assertRaises(TimeoutError):
+            await wait_until(lambda: self.ran_on(server), "a run", longest_s=1.0)
+
+    async def ran_on(self, server: str) -> bool:
+        await self.send(self.vm(0), "rates", operation="listed")
+        async with self.session.get(f"http://{server}/stand-in/runs") as response:
+            return "listed" in (await response.json())["runs"]
+
     async def test_planned_stop_of_a_vm_cuts_nothing_off(self) -> None:
         vm = self.vm(0)
         url = f"http://{vm.caller}/s/rates/long?answer_bytes=655360&pause_s=0.4"
--- a/tools/bench_core.py
+++ b/tools/bench_core.py
@@ -21,6 +21,7 @@
 from sprucewinch.peer_pb2 import ExchangeReply, ExchangeRequest
 from sprucewinch.placement import BlockTable
 from sprucewinch.planner import Planner
+from sprucewinch.steering import Steering
 from sprucewinch.topology import Topology
 from sprucewinch.view import View
 from tools.synthetic import TARGET, TODAY, Size, client_blocks, configuration, member, node
@@ -241,9 +242,9 @@
         made = node(size, blocks=False)
 
         def shares(made: Any = made) -> Any:
-            made.steering.limiters.clear()
-            made.steering.tick(made.topology, 0.0)
-            return made.steering
+            steering = Steering()
+            steering.tick(made.topology, 0.0)
+            return steering
 
         points.append((regions * services, memory_of(shares)))
     return fit("bytes of shares in force", "client regions x services", points)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -83,7 +83,7 @@
 
     def start_standins(self) -> None:
         """Start the platform and all backend servers, one process for each data hall."""
-        rows = ";".join(f"{v.name},{v.hall},{v.region},{v.peer}" for v in self.vms.values())
+        rows = ";".join(vm.peer for vm in self.vms.values())
         port = self.platform.rpartition(":")[2]
         self._spawn("platform", "standins.platform", f"--port={port}", f"--vms={rows}")
         for hall in self.configuration.hall:
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -41,7 +41,7 @@
     )
     factory = _counting(machine, counts)
     try:
-        seed(number)(get_state_machine_test(factory, settings=options))(factory)
+        seed(number)(get_state_machine_test(factory, settings=options))()
     except Exception:
         traceback.print_exc()
         print(f"FAILED {machine.__name__} with --only={number}")
@@ -63,7 +63,7 @@
     while True:
         number = rng.getrandbits(32) if only is None else only
         failures += sum(not _run(machine, number, counts) for machine in MACHINES)
-        if only is not None or time.monotonic() > until:
+        if only is not None or failures or time.monotonic() > until:
             break
     for name, steps in sorted(counts.items()):
         print(f"{name}: {steps} generated steps")
