Bound every listener and every table of measures

Change: labels name the policy's program, unknown services share one label, tables are bounded; limits on both ports. tests.test_metrics covers it. Not mended: a large body whose first server answers that it is leaving is refused as not run and has to be sent again, as it cannot be replayed.

--- a/sprucewinch/_http_server.py
+++ b/sprucewinch/_http_server.py
@@ -29,7 +29,7 @@
 
 def _limited_protocol(limits: Limits) -> type[HttpToolsProtocol]:
     class LimitedProtocol(HttpToolsProtocol):
-        """Refuses connections and headers beyond the limits with a clear answer."""
+        """Refuses connections, requests and headers beyond the limits with a clear answer."""
 
         header_bytes = 0
 
@@ -51,8 +51,12 @@
             self._count(len(name) + len(value))
 
         def on_headers_complete(self) -> None:
-            if self.header_bytes <= limits.header_bytes:
-                super().on_headers_complete()
+            if self.header_bytes > limits.header_bytes:
+                return
+            if len(self.tasks) >= limits.requests:
+                self._refuse(b"503 Service Unavailable", Reason.OVERLOADED_VM)
+                return
+            super().on_headers_complete()
 
         def data_received(self, data: bytes) -> None:
             if self.transport.is_closing():
--- a/sprucewinch/callers.py
+++ b/sprucewinch/callers.py
@@ -77,7 +77,7 @@
         self.node.metrics.counters["lookups"] += 1
         answer = self.node.lookup(client, service)
         if isinstance(answer, Refusal):
-            self.node.metrics.refused(service, answer.reason.value)
+            self.node.metrics.refused(self.node.label(service), answer.reason.value)
             await _refuse(send, answer)
             return
         await _answer(send, 200, answer)
@@ -130,7 +130,7 @@
         if refusal is None:
             refusal = await self._run(request, responder)
         if refusal is not None:
-            self.node.metrics.refused(request.service, refusal.reason.value)
+            self.node.metrics.refused(self.node.label(request.service), refusal.reason.value)
             await _refuse(send, refusal, close=not request.body.complete)
             return
         label = self.node.label(request.service)
--- a/sprucewinch/daemon.py
+++ b/sprucewinch/daemon.py
@@ -10,12 +10,11 @@
 
 import fire
 import uvicorn
-from grpclib.config import Configuration as ServerConfiguration
-from grpclib.server import Server as PeerListener
 
 from . import log
 from ._http_server import bind, make_server
 from ._loops import Loops, configuration_document
+from ._peer_listener import PeerListener
 from .backend import BackendClient
 from .callers import CallerApp
 from .clock import Clock, SystemClock
@@ -24,7 +23,7 @@
 from .errors import SprucewinchError
 from .node import Node
 from .operators import OperatorsApp
-from .peer_client import WINDOW, PeerClient
+from .peer_client import PeerClient
 from .peer_server import PeerServer
 from .platform_http import HttpPlatform
 from .settings import Settings, load_settings
@@ -115,10 +114,7 @@
             max_requests=self.settings.limits.requests,
             changed=self.loops.changed,
         )
-        config = ServerConfiguration(
-            http2_connection_window_size=WINDOW, http2_stream_window_size=WINDOW
-        )
-        return PeerListener([peer], config=config)
+        return PeerListener(peer, connections=self.settings.limits.connections)
 
     def _take_signals(self) -> None:
         loop = asyncio.get_running_loop()
--- a/sprucewinch/metrics.py
+++ b/sprucewinch/metrics.py
@@ -10,6 +10,9 @@
 _HIGHEST_US = 3_600_000_000
 _DIGITS = 2
 _QUANTILES = (50.0, 99.0, 99.9)
+_MAX_REFUSALS = 5000
+_MAX_LABELS = 200
+"""Most labels with histograms; beyond it the oldest is dropped."""
 
 
 class Label(NamedTuple):
@@ -18,7 +21,7 @@
     Args:
         service: Service.
         hall: Data hall that ran the request.
-        policy: Policy in force, with the configuration revision.
+        policy: Policy in force, with a digest of its program.
     """
 
     service: str
@@ -54,7 +57,7 @@
 
     def __init__(self) -> None:
         self.counters: Counter[str] = Counter()
-        self.refusals: Counter[tuple[str, str]] = Counter()
+        self.refusals: Counter[tuple[Label, str]] = Counter()
         self.latency: dict[Label, HdrHistogram] = {}
         self.headroom: dict[Label, HdrHistogram] = {}
         self.drains: dict[str, float] = {}
@@ -64,9 +67,11 @@
         self.counters["answered"] += 1
         _of(self.latency, label).record_value(max(_LOWEST, int(seconds * 1e6)))
 
-    def refused(self, service: str, reason: str) -> None:
+    def refused(self, label: Label, reason: str) -> None:
         """Count a refusal."""
-        self.refusals[(service, reason)] += 1
+        self.refusals[(label, reason)] += 1
+        if len(self.refusals) > _MAX_REFUSALS:
+            del self.refusals[next(iter(self.refusals))]
 
     def room(self, label: Label, headroom: float) -> None:
         """Record the free part of the usable slots, in `[0, 1]`."""
@@ -81,8 +86,8 @@
         return {
             "counters": dict(self.counters),
             "refusals": [
-                {"service": service, "reason": reason, "count": count}
-                for (service, reason), count in sorted(self.refusals.items())
+                {**label._asdict(), "reason": reason, "count": count}
+                for (label, reason), count in sorted(self.refusals.items())
             ],
             "latency_ms": [
                 {**label._asdict(), **_quantiles(histogram, 1000.0)}
@@ -102,6 +107,8 @@
 def _of(histograms: dict[Label, HdrHistogram], label: Label) -> HdrHistogram:
     histogram = histograms.get(label)
     if histogram is None:
+        if len(histograms) >= _MAX_LABELS:
+            del histograms[next(iter(histograms))]
         histogram = histograms[label] = HdrHistogram(_LOWEST, _HIGHEST_US, _DIGITS)
     return histogram
 
@@ -121,16 +128,12 @@
         reports: Results of `Metrics.report`.
 
     Returns:
-        Counters and refusals added up; rows of latency, headroom and drains listed.
+        Counters added up; rows of refusals, latency, headroom and drains listed.
     """
     counters: Counter[str] = Counter()
-    refusals: Counter[tuple[str, str]] = Counter()
-    rows: dict[str, list] = {"latency_ms": [], "headroom": [], "drains": []}
+    rows: dict[str, list] = {"refusals": [], "latency_ms": [], "headroom": [], "drains": []}
     for report in reports:
         counters.update(report["counters"])
-        for row in report["refusals"]:
-            refusals[(row["service"], row["reason"])] += row["count"]
         for name, listed in rows.items():
             listed.extend(report[name])
-    merged = [{"service": s, "reason": r, "count": c} for (s, r), c in sorted(refusals.items())]
-    return {"counters": dict(counters), "refusals": merged, **rows}
+    return {"counters": dict(counters), **rows}
--- a/sprucewinch/node.py
+++ b/sprucewinch/node.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ._hash import hash32
 from .config import Document, decode_document
 from .documents import CONFIGURATION_KEY, PLAN_PREFIX, DocumentShelf, Revisioned
 from .errors import ConfigurationError, PolicyError
@@ -68,6 +69,7 @@
         self.metrics = Metrics()
         self.topology: Optional[Topology] = None
         self.policies: dict[str, Policy] = {}
+        self.policy_labels: dict[str, str] = {}
         self.tickets: Optional[TicketBook] = None
         self.lookups: Optional[LookupTable] = None
         self.arrivals: dict[tuple[str, str], RateMeter] = {}
@@ -201,12 +203,12 @@
             load.demand[client_region] = meter.per_s
         return list(loads.values())
 
-    def label(self, service: str, hall: str = "") -> Label:
-        """Return the label of measures of a service, run in a hall (this one by default)."""
-        policy = "none"
-        if self.topology is not None and service in self.topology.services:
-            policy = f"{self.topology.services[service].policy}@{self.revision}"
-        return Label(service, hall or self.settings.hall, policy)
+    def label(self, service: str) -> Label:
+        """Return the label of measures of a service here; one for all unknown services."""
+        policy = self.policy_labels.get(service)
+        if policy is None:
+            return Label("unknown", self.settings.hall, "none")
+        return Label(service, self.settings.hall, policy)
 
     def arrived(self, service: str, client_region: str) -> None:
         """Count a caller's request that arrived here."""
@@ -252,6 +254,10 @@
         policies = {name: ProgramPolicy(name, source) for name, source in sources.items()}
         topology = Topology(document)
         self.policies = policies
+        self.policy_labels = {
+            name: _policy_label(service.policy, sources)
+            for name, service in topology.services.items()
+        }
         self.topology = topology
         self.hall.apply(topology)
         self.log(f"event=in-force revision={revision}")
@@ -268,6 +274,11 @@
             self.membership.touch()
 
 
+def _policy_label(name: str, sources: dict[str, str]) -> str:
+    """Return a policy's name with a digest that changes only when its program does."""
+    return f"{name}@{hash32(sources.get(name, '')):08x}"
+
+
 def _own_entry(settings: Settings, incarnation: int) -> Member:
     return Member(
         vm=settings.vm,
