Say 'not run' only when the ticket's home has made sure; split grown modules

Cause, found on reading the callers' port as a newcomer: a repeat of a booking that had run could meet an overloaded VM, a new process without configuration, a malformed header, or a configuration without the service, and was refused as not run before anyone had looked at its ticket. Ruled out: leaving it to callers to remember what they sent (a late answer of the first request may still be under way). Change: such refusals are unknown, unless this process is the ticket's home and closes the unused ticket for ever; so are refusals by the listener itself. Mending: changes and their writing, the callers' port and its messages, and the daemon's loops, its reading of the platform and its planning are modules of their own; the demo runs either deployment; shift and policy end in a demo.

--- /dev/null
+++ b/sprucewinch/_asgi.py
@@ -0,0 +1,134 @@
+"""Requests and answers as ASGI messages."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Optional
+
+from ._http_server import refusal_body
+from .body import Body, CallerLeftError
+from .outcome import Outcome, Refusal, http_status
+from .request import HALL_HEADER, OUTCOME_HEADER, REASON_HEADER, Headers, Responder
+
+Receive = Callable[[], Awaitable[dict]]
+Send = Callable[[dict], Awaitable[None]]
+RawHeaders = list[tuple[bytes, bytes]]
+
+_JSON = (b"content-type", b"application/json")
+
+
+async def send_answer(
+    send: Send, status: int, body: bytes, headers: Optional[RawHeaders] = None
+) -> None:
+    """Send a whole JSON answer."""
+    length = (b"content-length", b"%d" % len(body))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [_JSON, length, *(headers or [])],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+async def send_refusal(send: Send, refusal: Refusal, *, close: bool = False) -> None:
+    """Send a refusal as the final answer.
+
+    Args:
+        send: ASGI send.
+        refusal: The refusal.
+        close: Close the connection afterwards, as the rest of a body would have to be read.
+    """
+    headers = [
+        (OUTCOME_HEADER.encode(), refusal.outcome.value.encode()),
+        (REASON_HEADER.encode(), refusal.reason.value.encode()),
+    ]
+    if refusal.retry_after_ms:
+        seconds = -(-refusal.retry_after_ms // 1000)
+        headers.append((b"retry-after", b"%d" % seconds))
+    if close:
+        headers.append((b"connection", b"close"))
+    body = refusal_body(refusal.outcome, refusal.reason, refusal.retry_after_ms)
+    await send_answer(send, http_status(refusal), body, headers)
+
+
+class AsgiBody(Body):
+    """A caller's request body."""
+
+    def __init__(self, receive: Receive) -> None:
+        self.first = b""
+        self.complete = False
+        self._receive = receive
+        self._ended = asyncio.Event()
+
+    async def keep_start(self, limit: int) -> None:
+        """Read the body's start, up to a limit; less when it ends before."""
+        start = bytearray()
+        while len(start) < limit:
+            chunk = await self._read()
+            if chunk is None:
+                self.complete = True
+                break
+            start += chunk
+        self.first = bytes(start)
+
+    async def next_chunk(self) -> Optional[bytes]:
+        """Return the next piece; None at the end."""
+        return await self._read()
+
+    async def caller_left(self) -> None:
+        """Return when the caller has closed its connection after its whole body."""
+        await self._ended.wait()
+        message = await self._receive()
+        while message["type"] != "http.disconnect":
+            message = await self._receive()
+
+    async def _read(self) -> Optional[bytes]:
+        if self._ended.is_set():
+            return None
+        message = await self._receive()
+        if message["type"] == "http.disconnect":
+            raise CallerLeftError("the caller closed its connection")
+        if not message.get("more_body", False):
+            self._ended.set()
+        body = message.get("body", b"")
+        if not body and self._ended.is_set():
+            return None
+        return body
+
+
+class AsgiResponder(Responder):
+    """Sends an answer to the caller."""
+
+    def __init__(self, send: Send, hall: str) -> None:
+        self.send = send
+        self.hall = hall
+        self._left: Optional[int] = None
+        self._last = b""
+
+    async def start(self, status: int, headers: Headers) -> None:
+        self.started = True
+        self._left = _content_length(headers)
+        raw = [(name.lower().encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+        raw.append((OUTCOME_HEADER.encode(), Outcome.ANSWERED.value.encode()))
+        raw.append((HALL_HEADER.encode(), self.hall.encode()))
+        await self.send({"type": "http.response.start", "status": status, "headers": raw})
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a piece at once, but for the last of a known length, which `finish` sends."""
+        if self._left is not None:
+            self._left -= len(chunk)
+            if self._left == 0:
+                self._last = chunk
+                return
+        await self.send({"type": "http.response.body", "body": chunk, "more_body": True})
+
+    async def finish(self) -> None:
+        await self.send({"type": "http.response.body", "body": self._last})
+
+
+def _content_length(headers: Headers) -> Optional[int]:
+    for name, value in headers:
+        if name.lower() == "content-length" and value.isdigit():
+            return int(value)
+    return None
--- a/sprucewinch/_http_server.py
+++ b/sprucewinch/_http_server.py
@@ -70,7 +70,8 @@
                 self._refuse(b"431 Request Header Fields Too Large", Reason.MALFORMED)
 
         def _refuse(self, status: bytes, reason: Reason) -> None:
-            body = refusal_body(Outcome.NOT_RUN, reason, 1000)
+            # Nothing is known of a ticket that the request may carry.
+            body = refusal_body(Outcome.UNKNOWN, reason, 1000)
             self.transport.write(
                 b"HTTP/1.1 %s\r\ncontent-type: application/json\r\nretry-after: 1\r\n"
                 b"connection: close\r\ncontent-length: %d\r\n\r\n%s" % (status, len(body), body)
--- a/sprucewinch/_loops.py
+++ b/sprucewinch/_loops.py
@@ -3,40 +3,23 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Optional
-
-import msgspec
 
 from . import log
+from ._plan_rounds import PlanRounds
+from ._platform_reader import PlatformReader
 from .admission import Admission
 from .backend import BackendClient
 from .clock import Clock
-from .documents import CONFIGURATION_KEY, PLAN_PREFIX, WATCH_PREFIX, Revisioned, revisioned
-from .errors import PlatformError, WriteUnknownError
+from .documents import CONFIGURATION_KEY, Revisioned
 from .exchange import Exchange, choose_partners
-from .membership import member_id
 from .node import LEAVING_S, Node
 from .peer_client import PeerClient
-from .peer_pb2 import LEAVING, SERVING
-from .planner import Planner
-from .platform import Entry, Platform, VmListing, Written
-from .retry import backoff_s
-from .steering import Plan
-from .view import View
+from .platform import Platform
 
 TICK_S = 0.5
 EXCHANGE_S = 1.0
 PLAN_S = 1.0
 PROBE_S = 1.0
-WATCH_S = 20.0
-POLL_S = 30.0
-"""How often a VM that does not watch reads the platform by itself, in seconds."""
-
-READ_ALL_S = 60.0
-"""How often everything is read again, in seconds."""
-
-LEASE_S = 6.0
-_LEASE_RENEW_S = 2.0
 _CHANGE_FANOUT = 4
 
 
@@ -68,14 +51,9 @@
         self.clock = clock
         self.rng = rng
         self.exchange = Exchange(node)
-        self.seen = 0
-        self.platform_up: Optional[bool] = None
-        self.versions: dict[str, int] = {}
-        self.listed: tuple[str, ...] = ()
         self._changed = asyncio.Event()
-        self._lease_at = float("-inf")
-        self._read_all_at = float("-inf")
-        self._planner: Optional[Planner] = None
+        self.reader = PlatformReader(node, platform, clock, rng, self.changed)
+        self.plans = PlanRounds(node, platform, self.reader, clock, rng, self.changed)
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -84,7 +62,7 @@
             self._tick_loop,
             self._exchange_loop,
             self._change_loop,
-            self._watch_loop,
+            self.reader.run,
             self._plan_loop,
             self._probe_loop,
         ]
@@ -109,17 +87,18 @@
         await asyncio.sleep(TICK_S)
 
     async def _exchange_loop(self) -> None:
-        await self.exchange_with(self._partners(2))
+        await self.exchange_with(self.partners(2))
         await asyncio.sleep(EXCHANGE_S * self.rng.uniform(0.8, 1.2))
 
     async def _change_loop(self) -> None:
         await self._changed.wait()
         self._changed.clear()
-        await self.exchange_with(self._partners(_CHANGE_FANOUT))
+        await self.exchange_with(self.partners(_CHANGE_FANOUT))
 
-    def _partners(self, others: int) -> list[str]:
+    def partners(self, others: int) -> list[str]:
+        """Return the peer addresses to exchange with now; listed ones when none are known."""
         partners = choose_partners(self.node, self.rng, self.clock.monotonic(), others=others)
-        unknown = [address for address in self.listed if address not in partners]
+        unknown = [address for address in self.reader.listed if address not in partners]
         return partners or self.rng.sample(unknown, min(2, len(unknown)))
 
     async def exchange_with(self, addresses: list[str]) -> None:
@@ -140,153 +119,10 @@
         if self.node.shelf.revisions() != before:
             self.changed()
 
-    async def _watch_loop(self) -> None:
-        """Read the platform: by a watch on one VM of each hall, now and then on the others."""
-        failures = 0
-        while True:
-            try:
-                await self._read_platform()
-                failures = 0
-            except PlatformError as error:
-                failures += 1
-                self._platform_is(False, str(error))
-                wait = max(error.retry_after_s, backoff_s(failures, self.rng))
-                await asyncio.sleep(wait)
-
-    async def _read_platform(self) -> None:
-        self._take_listing(await self.platform.members())
-        watching = self._watches()
-        entries = await self._entries(WATCH_S if watching else 0.0)
-        self._platform_is(True)
-        self._take(entries)
-        if not watching:
-            await asyncio.sleep(POLL_S * self.rng.uniform(0.5, 1.0))
-
-    async def _entries(self, wait_s: float) -> list[Entry]:
-        """Return newer entries; now and then all, since a restored platform may count anew."""
-        now = self.clock.monotonic()
-        if now - self._read_all_at >= READ_ALL_S:
-            entries = await self.platform.watch(WATCH_PREFIX, 0, 0.0)
-            self._read_all_at = now
-            self.seen = 0
-            return entries
-        return await self.platform.watch(WATCH_PREFIX, self.seen, wait_s)
-
-    def _take_listing(self, listing: list[VmListing]) -> None:
-        """Learn entry VMs to ask, and backend servers that the platform says are leaving."""
-        own = self.node.settings.peer_address
-        self.listed = tuple(r.address for r in listing if r.kind == "entry" and r.address != own)
-        leaving = [r.address for r in listing if r.kind == "backend" and r.leaving]
-        self.node.hall.mark_leaving(leaving, self.clock.monotonic() + 2 * POLL_S)
-
-    def _watches(self) -> bool:
-        """Tell whether this VM watches for its hall: the first by name that is live."""
-        now = self.clock.monotonic()
-        hall = [m.vm for m in self.node.membership.of_hall(now) if m.state in (SERVING, LEAVING)]
-        return self.node.own.vm <= min(hall, default=self.node.own.vm)
-
-    def _take(self, entries: list[Entry]) -> None:
-        for entry in entries:
-            self.seen = max(self.seen, entry.version)
-            self.versions[entry.key] = entry.version
-            document = revisioned(entry.key, entry.value)
-            if document is None:
-                log.trouble(f"event=unreadable key={entry.key}")
-                continue
-            if document.revision < self.node.shelf.revision(entry.key):
-                held = self.node.shelf.revision(entry.key)
-                log.trouble(
-                    f"event=platform-behind key={entry.key} shows={document.revision} "
-                    f"in_force={held}"
-                )
-            if self.node.shelf.offer(document):
-                self.changed()
-
-    def _platform_is(self, up: bool, problem: str = "") -> None:
-        if up != self.platform_up:
-            self.platform_up = up
-            word = "up" if up else "down"
-            log.state(f"event=platform state={word} problem={problem!r}")
-
     async def _plan_loop(self) -> None:
-        """Plan for this region's callers while this VM holds the lease."""
-        try:
-            await self._plan()
-        except PlatformError:
-            self._planner = None
-            self._lease_at = float("-inf")
+        await self.plans.step()
         await asyncio.sleep(PLAN_S * self.rng.uniform(0.8, 1.2))
 
-    async def _plan(self) -> None:
-        topology = self.node.topology
-        now = self.clock.monotonic()
-        if topology is None or self.node.own.state != SERVING or not self._may_plan(now):
-            return
-        if not await self._hold_lease(now):
-            self._planner = None
-            return
-        region = self.node.settings.region
-        key = PLAN_PREFIX + region
-        if self._planner is None:
-            await self._adopt(key, region)
-        assert self._planner is not None
-        now = self.clock.monotonic()
-        view = View(topology, self.node.membership, region, now)
-        snapshots = {service: view.snapshot(service) for service in topology.services}
-        plan = self._planner.propose(topology, self.node.policies, snapshots, now)
-        if plan is not None:
-            await self._write_plan(key, plan)
-
-    def _may_plan(self, now: float) -> bool:
-        """Few VMs ask for the lease: the first two of the region by name."""
-        topology = self.node.topology
-        region = self.node.settings.region
-        if topology is None or region not in topology.order:
-            return False
-        members = self.node.membership.serving(now)
-        names = sorted(m.vm for m in members if m.region == region)
-        return self.node.own.vm in names[:2]
-
-    async def _hold_lease(self, now: float) -> bool:
-        if now - self._lease_at < _LEASE_RENEW_S:
-            return self._planner is not None
-        self._lease_at = now
-        name = f"planner/{self.node.settings.region}"
-        return await self.platform.lease(name, member_id(self.node.own), LEASE_S)
-
-    async def _adopt(self, key: str, region: str) -> None:
-        entry = await self.platform.get(key)
-        held = None
-        if entry is not None:
-            held = msgspec.json.decode(entry.value, type=Plan)
-            self._take([entry])
-        newest = self.node.steering.plans.get(region)
-        if newest is not None and (held is None or newest.revision > held.revision):
-            held = newest
-        self.versions[key] = entry.version if entry else 0
-        self._planner = Planner(region, member_id(self.node.own))
-        assert self.node.topology is not None
-        self._planner.adopt(held, self.node.topology, self.clock.monotonic())
-        log.state(f"event=planner region={region} plan={held.revision if held else 0}")
-
-    async def _write_plan(self, key: str, plan: Plan) -> None:
-        assert self._planner is not None and self.node.topology is not None
-        value = msgspec.json.encode(plan)
-        try:
-            result = await self.platform.put(key, value, self.versions.get(key, 0))
-        except WriteUnknownError:
-            self._planner = None
-            return
-        if not isinstance(result, Written):
-            self._planner = None
-            return
-        self.versions[key] = result.version
-        self._planner.confirm(plan, self.node.topology, self.clock.monotonic())
-        for service, problem in plan.faults.items():
-            log.trouble(f"event=policy-fault service={service} problem={problem!r}")
-        if self.node.shelf.offer(Revisioned(key, plan.revision, value)):
-            self.changed()
-
     async def _probe_loop(self) -> None:
         """Ask the backend servers of this hall how they are."""
         admissions = self.node.hall.admissions.values()
--- /dev/null
+++ b/sprucewinch/_plan_rounds.py
@@ -0,0 +1,134 @@
+"""Planning for one region's callers, while this VM holds the lease."""
+
+import random
+from collections.abc import Callable
+from typing import Optional
+
+import msgspec
+
+from . import log
+from ._platform_reader import PlatformReader
+from .clock import Clock
+from .documents import PLAN_PREFIX, Revisioned
+from .errors import PlatformError, WriteUnknownError
+from .membership import member_id
+from .node import Node
+from .peer_pb2 import SERVING
+from .planner import Planner
+from .platform import Platform, Written
+from .steering import Plan
+from .view import View
+
+LEASE_S = 6.0
+_LEASE_RENEW_S = 2.0
+_CANDIDATES = 2
+"""How many VMs of a region ask for its lease."""
+
+
+class PlanRounds:
+    """Makes this region's plans and writes them to the platform.
+
+    Args:
+        node: This VM's view.
+        platform: The platform's service.
+        reader: Knows the versions that the platform holds.
+        clock: Source of time.
+        rng: Source of randomness.
+        changed: Called when a new plan was written.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        platform: Platform,
+        reader: PlatformReader,
+        clock: Clock,
+        rng: random.Random,
+        changed: Callable[[], None],
+    ) -> None:
+        self.node = node
+        self.platform = platform
+        self.reader = reader
+        self.clock = clock
+        self.rng = rng
+        self.changed = changed
+        self._lease_at = float("-inf")
+        self._planner: Optional[Planner] = None
+
+    async def step(self) -> None:
+        """Plan once, if this VM holds the lease; without the platform plans rest."""
+        try:
+            await self._plan()
+        except PlatformError:
+            self._planner = None
+            self._lease_at = float("-inf")
+
+    async def _plan(self) -> None:
+        topology = self.node.topology
+        now = self.clock.monotonic()
+        if topology is None or self.node.own.state != SERVING or not self._may_plan(now):
+            return
+        if not await self._hold_lease(now):
+            self._planner = None
+            return
+        region = self.node.settings.region
+        key = PLAN_PREFIX + region
+        if self._planner is None:
+            await self._adopt(key, region)
+        assert self._planner is not None
+        now = self.clock.monotonic()
+        view = View(topology, self.node.membership, region, now)
+        snapshots = {service: view.snapshot(service) for service in topology.services}
+        plan = self._planner.propose(topology, self.node.policies, snapshots, now)
+        if plan is not None:
+            await self._write_plan(key, plan)
+
+    def _may_plan(self, now: float) -> bool:
+        """Few VMs ask for the lease: the first of the region by name."""
+        topology = self.node.topology
+        region = self.node.settings.region
+        if topology is None or region not in topology.order:
+            return False
+        members = self.node.membership.serving(now)
+        names = sorted(m.vm for m in members if m.region == region)
+        return self.node.own.vm in names[:_CANDIDATES]
+
+    async def _hold_lease(self, now: float) -> bool:
+        if now - self._lease_at < _LEASE_RENEW_S:
+            return self._planner is not None
+        self._lease_at = now
+        name = f"planner/{self.node.settings.region}"
+        return await self.platform.lease(name, member_id(self.node.own), LEASE_S)
+
+    async def _adopt(self, key: str, region: str) -> None:
+        entry = await self.platform.get(key)
+        held = None
+        if entry is not None:
+            held = msgspec.json.decode(entry.value, type=Plan)
+            self.reader.take([entry])
+        newest = self.node.steering.plans.get(region)
+        if newest is not None and (held is None or newest.revision > held.revision):
+            held = newest
+        self.reader.versions[key] = entry.version if entry else 0
+        self._planner = Planner(region, member_id(self.node.own))
+        assert self.node.topology is not None
+        self._planner.adopt(held, self.node.topology, self.clock.monotonic())
+        log.state(f"event=planner region={region} plan={held.revision if held else 0}")
+
+    async def _write_plan(self, key: str, plan: Plan) -> None:
+        assert self._planner is not None and self.node.topology is not None
+        value = msgspec.json.encode(plan)
+        try:
+            result = await self.platform.put(key, value, self.reader.versions.get(key, 0))
+        except WriteUnknownError:
+            self._planner = None
+            return
+        if not isinstance(result, Written):
+            self._planner = None
+            return
+        self.reader.versions[key] = result.version
+        self._planner.confirm(plan, self.node.topology, self.clock.monotonic())
+        for service, problem in plan.faults.items():
+            log.trouble(f"event=policy-fault service={service} problem={problem!r}")
+        if self.node.shelf.offer(Revisioned(key, plan.revision, value)):
+            self.changed()
--- a/sprucewinch/callers.py
+++ b/sprucewinch/callers.py
@@ -3,42 +3,32 @@
 import asyncio
 import functools
 import uuid
-from collections.abc import Awaitable, Callable
 from typing import Any, Optional
 from urllib.parse import parse_qs
 
 import msgspec
 
-from ._http_server import refusal_body
+from ._asgi import AsgiBody, AsgiResponder, Receive, Send, send_answer, send_refusal
 from .backend import BrokenAnswerError
 from .body import Body, CallerLeftError
 from .clock import Clock
 from .dispatch import Dispatcher
 from .node import Node
-from .outcome import Outcome, Reason, Refusal, http_status, not_run, unknown
+from .outcome import Reason, Refusal, not_run, unknown
 from .peer_pb2 import SERVING
 from .request import (
     BLOCK_HEADER,
     DEADLINE_HEADER,
-    HALL_HEADER,
-    OUTCOME_HEADER,
-    REASON_HEADER,
     TICKET_HEADER,
     Headers,
     Request,
-    Responder,
 )
 from .tickets import MAX_BATCH
 
-Receive = Callable[[], Awaitable[dict]]
-Send = Callable[[dict], Awaitable[None]]
-RawHeaders = list[tuple[bytes, bytes]]
-
 _LOOKUP = "/v1/lookup"
 _TICKETS = "/v1/tickets"
 _READY = "/v1/ready"
 _SERVICES = "/s/"
-_JSON = (b"content-type", b"application/json")
 _MAX_DEADLINE_MS = 24 * 3_600_000
 
 
@@ -69,7 +59,7 @@
         elif path == _READY:
             await self._ready(send)
         else:
-            await _refuse(send, not_run(Reason.NO_SUCH_SERVICE))
+            await send_refusal(send, not_run(Reason.NO_SUCH_SERVICE))
 
     async def _lookup(self, scope: dict[str, Any], send: Send) -> None:
         service, block = _lookup_query(scope["query_string"])
@@ -78,9 +68,9 @@
         answer = self.node.lookup(client, service)
         if isinstance(answer, Refusal):
             self.node.metrics.refused(self.node.label(service), answer.reason.value)
-            await _refuse(send, answer)
+            await send_refusal(send, answer)
             return
-        await _answer(send, 200, answer)
+        await send_answer(send, 200, answer)
 
     async def _tickets(self, scope: dict[str, Any], send: Send) -> None:
         query = parse_qs(scope["query_string"].decode("latin-1"))
@@ -88,16 +78,16 @@
         count = query.get("count", ["1"])[0]
         refusal = self._ticket_refusal(service, count)
         if refusal is not None:
-            await _refuse(send, refusal)
+            await send_refusal(send, refusal)
             return
         assert self.node.tickets is not None
         book = self.node.tickets
         issued = book.issue(service, int(count), self.clock.monotonic())
         if isinstance(issued, Refusal):
-            await _refuse(send, issued)
+            await send_refusal(send, issued)
             return
         answer = {"tickets": issued, "lifetime_ms": int(book.lifetime_s * 1000)}
-        await _answer(send, 200, msgspec.json.encode(answer))
+        await send_answer(send, 200, msgspec.json.encode(answer))
 
     def _ticket_refusal(self, service: str, count: str) -> Optional[Refusal]:
         if self.node.tickets is None or self.node.topology is None:
@@ -112,26 +102,29 @@
 
     async def _ready(self, send: Send) -> None:
         if self.node.tickets is None:
-            await _refuse(send, not_run(Reason.NO_CONFIGURATION, 1000))
+            await send_refusal(send, not_run(Reason.NO_CONFIGURATION, 1000))
             return
         state = {"vm": self.node.own.vm, "revision": self.node.revision}
-        await _answer(send, 200, msgspec.json.encode(state))
+        await send_answer(send, 200, msgspec.json.encode(state))
 
     async def _request(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         now = self.clock.monotonic()
         headers = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in scope["headers"]]
-        responder = _AsgiResponder(send, self.node.settings.hall)
-        request = self._parse(scope, headers, _AsgiBody(receive), now)
+        responder = AsgiResponder(send, self.node.settings.hall)
+        request = self._parse(scope, headers, AsgiBody(receive), now)
         if isinstance(request, Refusal):
-            await _refuse(send, request, close=True)
+            ticket = dict(headers).get(TICKET_HEADER)
+            await send_refusal(send, self.dispatcher.certain(request, ticket), close=True)
             return
         self.node.arrived(request.service, request.client_region)
         refusal = self._gate(request, now)
         if refusal is None:
             refusal = await self._run(request, responder)
+        else:
+            refusal = self.dispatcher.certain(refusal, request.ticket)
         if refusal is not None:
             self.node.metrics.refused(self.node.label(request.service), refusal.reason.value)
-            await _refuse(send, refusal, close=not request.body.complete)
+            await send_refusal(send, refusal, close=not request.body.complete)
             return
         label = self.node.label(request.service)
         self.node.metrics.answered(label, self.clock.monotonic() - now)
@@ -175,26 +168,26 @@
             return not_run(Reason.LINK_FULL, 1000)
         return None
 
-    async def _run(self, request: Request, responder: "_AsgiResponder") -> Optional[Refusal]:
+    async def _run(self, request: Request, responder: AsgiResponder) -> Optional[Refusal]:
         body = request.body
-        assert isinstance(body, _AsgiBody)
+        assert isinstance(body, AsgiBody)
         self.node.requests_in_flight += 1
         try:
             async with asyncio.timeout(request.deadline - self.clock.monotonic()):
                 await body.keep_start(self.limits.memory_body_bytes)
             return await self._run_while_caller_stays(request, body, responder)
         except TimeoutError:
-            return not_run(Reason.DEADLINE_PASSED)
+            return self.dispatcher.certain(not_run(Reason.DEADLINE_PASSED), request.ticket)
         except BrokenAnswerError:
             self.node.metrics.counters["broken"] += 1
             raise
         except CallerLeftError:
-            return unknown(Reason.CALLER_LEFT) if body.consumed else not_run(Reason.CALLER_LEFT)
+            return unknown(Reason.CALLER_LEFT)
         finally:
             self.node.requests_in_flight -= 1
 
     async def _run_while_caller_stays(
-        self, request: Request, body: "_AsgiBody", responder: "_AsgiResponder"
+        self, request: Request, body: AsgiBody, responder: AsgiResponder
     ) -> Optional[Refusal]:
         """Run a request, and cancel it when its caller has left."""
         work = asyncio.current_task()
@@ -239,118 +232,3 @@
     if not (text.isascii() and text.isdigit()) or not 0 < int(text) <= _MAX_DEADLINE_MS:
         return None
     return int(text)
-
-
-async def _answer(send: Send, status: int, body: bytes, headers: Optional[RawHeaders] = None):
-    length = (b"content-length", b"%d" % len(body))
-    await send(
-        {
-            "type": "http.response.start",
-            "status": status,
-            "headers": [_JSON, length, *(headers or [])],
-        }
-    )
-    await send({"type": "http.response.body", "body": body})
-
-
-async def _refuse(send: Send, refusal: Refusal, *, close: bool = False) -> None:
-    """Send a refusal as the final answer.
-
-    Args:
-        send: ASGI send.
-        refusal: The refusal.
-        close: Close the connection afterwards, as the rest of a body would have to be read.
-    """
-    headers = [
-        (OUTCOME_HEADER.encode(), refusal.outcome.value.encode()),
-        (REASON_HEADER.encode(), refusal.reason.value.encode()),
-    ]
-    if refusal.retry_after_ms:
-        seconds = -(-refusal.retry_after_ms // 1000)
-        headers.append((b"retry-after", b"%d" % seconds))
-    if close:
-        headers.append((b"connection", b"close"))
-    body = refusal_body(refusal.outcome, refusal.reason, refusal.retry_after_ms)
-    await _answer(send, http_status(refusal), body, headers)
-
-
-class _AsgiBody(Body):
-    """A caller's request body."""
-
-    def __init__(self, receive: Receive) -> None:
-        self.first = b""
-        self.complete = False
-        self._receive = receive
-        self._ended = asyncio.Event()
-
-    async def keep_start(self, limit: int) -> None:
-        """Read the body's start, up to a limit; less when it ends before."""
-        start = bytearray()
-        while len(start) < limit:
-            chunk = await self._read()
-            if chunk is None:
-                self.complete = True
-                break
-            start += chunk
-        self.first = bytes(start)
-
-    async def next_chunk(self) -> Optional[bytes]:
-        """Return the next piece; None at the end."""
-        return await self._read()
-
-    async def caller_left(self) -> None:
-        """Return when the caller has closed its connection after its whole body."""
-        await self._ended.wait()
-        message = await self._receive()
-        while message["type"] != "http.disconnect":
-            message = await self._receive()
-
-    async def _read(self) -> Optional[bytes]:
-        if self._ended.is_set():
-            return None
-        message = await self._receive()
-        if message["type"] == "http.disconnect":
-            raise CallerLeftError("the caller closed its connection")
-        if not message.get("more_body", False):
-            self._ended.set()
-        body = message.get("body", b"")
-        if not body and self._ended.is_set():
-            return None
-        return body
-
-
-class _AsgiResponder(Responder):
-    """Sends an answer to the caller."""
-
-    def __init__(self, send: Send, hall: str) -> None:
-        self.send = send
-        self.hall = hall
-        self._left: Optional[int] = None
-        self._last = b""
-
-    async def start(self, status: int, headers: Headers) -> None:
-        self.started = True
-        self._left = _content_length(headers)
-        raw = [(name.lower().encode("latin-1"), value.encode("latin-1")) for name, value in headers]
-        raw.append((OUTCOME_HEADER.encode(), Outcome.ANSWERED.value.encode()))
-        raw.append((HALL_HEADER.encode(), self.hall.encode()))
-        await self.send({"type": "http.response.start", "status": status, "headers": raw})
-
-    async def write(self, chunk: bytes) -> None:
-        """Send a piece at once, but for the last of a known length, which `finish` sends."""
-        if self._left is not None:
-            self._left -= len(chunk)
-            if self._left == 0:
-                self._last = chunk
-                return
-        await self.send({"type": "http.response.body", "body": chunk, "more_body": True})
-
-    async def finish(self) -> None:
-        await self.send({"type": "http.response.body", "body": self._last})
-
-
-def _content_length(headers: Headers) -> Optional[int]:
-    for name, value in headers:
-        if name.lower() == "content-length" and value.isdigit():
-            return int(value)
-    return None
--- a/sprucewinch/daemon.py
+++ b/sprucewinch/daemon.py
@@ -29,6 +29,9 @@
 from .settings import Settings, load_settings
 
 _INCARNATION_RANDOM_BITS = 12
+_LAST_WORDS = 8
+"""How many VMs of other halls a stopping VM tells."""
+
 _START_POLL_S = 0.01
 _STOP_POLL_S = 0.1
 _SPREAD_S = 1.5
@@ -146,13 +149,13 @@
     async def _leave(self) -> None:
         """Leave look-ups, wait out cached answers, then finish every request in flight."""
         self.node.leave()
-        await self.loops.exchange_with(self.loops._partners(8))
+        await self.loops.exchange_with(self.loops.partners(_LAST_WORDS))
         ttl_s = 0.0
         if self.node.topology is not None:
             ttl_s = self.node.topology.configuration.lookup.ttl_ms / 1000
         await self._finish_requests(until=self.clock.monotonic() + ttl_s + _SPREAD_S)
         self.node.finish()
-        await self.loops.exchange_with(self.loops._partners(8))
+        await self.loops.exchange_with(self.loops.partners(_LAST_WORDS))
 
     async def _finish_requests(self, *, until: float) -> None:
         reported = self.clock.monotonic()
--- a/sprucewinch/dispatch.py
+++ b/sprucewinch/dispatch.py
@@ -72,14 +72,33 @@
         """
         topology = self.node.topology
         if topology is None or self.node.tickets is None:
-            return not_run(Reason.NO_CONFIGURATION, 1000)
+            return self.certain(not_run(Reason.NO_CONFIGURATION, 1000), request.ticket)
         service = topology.services.get(request.service)
         if service is None:
-            return not_run(Reason.NO_SUCH_SERVICE)
+            return self.certain(not_run(Reason.NO_SUCH_SERVICE), request.ticket)
         if service.repeatable:
             return (await self._anywhere(request, responder)).refusal
         return await self._at_most_once(request, responder)
 
+    def certain(self, refusal: Refusal, ticket: Optional[str]) -> Refusal:
+        """Return a refusal that is true also when the operation came before.
+
+        A refusal given before the ticket's home has looked at the ticket says nothing about an
+        earlier request under it. At the home an unused ticket is closed, so that it never runs.
+
+        Args:
+            refusal: The refusal of this request alone.
+            ticket: The text of its ticket, if it has one.
+        """
+        parsed = parse_ticket(ticket) if ticket is not None else None
+        if parsed is None or refusal.outcome is Outcome.UNKNOWN:
+            return refusal
+        book = self.node.tickets
+        at_home = book is not None and book.is_home(parsed)
+        if at_home and book.close(parsed, self.clock.monotonic()):
+            return refusal
+        return refusal._replace(outcome=Outcome.UNKNOWN)
+
     async def _at_most_once(self, request: Request, responder: Responder) -> Optional[Refusal]:
         if request.ticket is None:
             return not_run(Reason.TICKET_REQUIRED)
--- a/sprucewinch/operators.py
+++ b/sprucewinch/operators.py
@@ -14,7 +14,6 @@
 from .changes import (
     ApplyConfiguration,
     Change,
-    ChangeWriter,
     Drain,
     LoadPolicy,
     RetirePolicy,
@@ -36,6 +35,7 @@
 from .platform import Platform
 from .report import compare_policies, explain, status
 from .settings import Settings
+from .writer import ChangeWriter
 
 _MAX_BODY = 2_000_000
 _DRAIN_KINDS = ("server", "hall", "region")
--- a/sprucewinch/planner.py
+++ b/sprucewinch/planner.py
@@ -77,7 +77,7 @@
         faults: dict[str, str] = {}
         for service, snapshot in snapshots.items():
             limiter = self._limiter(service, topology, now)
-            wanted = self._wanted(service, topology, policies, snapshot, limiter.current)
+            wanted = self._wanted(service, topology, policies, snapshot)
             if isinstance(wanted, PolicyFault):
                 faults[service] = wanted.problem
                 self.faults[service] = self.faults.get(service, 0) + 1
@@ -115,7 +115,6 @@
         topology: Topology,
         policies: Mapping[str, Policy],
         snapshot: Snapshot,
-        current: Shares,
     ) -> dict[str, float] | PolicyFault:
         policy = policies.get(topology.services[service].policy)
         if policy is None:
--- a/sprucewinch/policy.py
+++ b/sprucewinch/policy.py
@@ -156,3 +156,16 @@
         for entry in sorted(folder.iterdir(), key=lambda entry: entry.name)
         if entry.name.endswith(_SUFFIX)
     }
+
+
+if __name__ == "__main__":
+    from rich.console import Console
+    from rich.table import Table
+
+    table = Table("policy", "snapshot", "weights", title="shipped policies on trial snapshots")
+    kinds = ("fresh", "unmeasured", "full")
+    for shipped, program in shipped_policies().items():
+        policy = ProgramPolicy(shipped, program)
+        for kind, trial in zip(kinds, trial_snapshots(("east", "west"))[::2], strict=True):
+            table.add_row(shipped, kind, str(policy.weights(trial)))
+    Console().print(table)
--- a/sprucewinch/shift.py
+++ b/sprucewinch/shift.py
@@ -107,3 +107,18 @@
         if sum(held.values()) <= 0:
             held = dict.fromkeys(order, 1.0)
         self.current = make_shares(order, held)
+
+
+if __name__ == "__main__":
+    from rich.console import Console
+    from rich.table import Table
+
+    east, west = (make_shares(("east", "west"), {region: 1.0}) for region in ("east", "west"))
+    limiter = ShiftLimiter(east, ShiftCap(cap=0.25, window_s=10.0, ttl_s=2.0))
+    table = Table("second", "east", "west", title="a whole region moved under a cap of 25% in 10 s")
+    for second in range(0, 60, 5):
+        for tenth in range(50):
+            limiter.move(west, second + tenth / 10)
+        shares = limiter.current
+        table.add_row(str(second + 5), f"{shares.share('east'):.2f}", f"{shares.share('west'):.2f}")
+    Console().print(table)
--- a/sprucewinch/tickets.py
+++ b/sprucewinch/tickets.py
@@ -159,8 +159,10 @@
             A claim, which must be settled; the answer of the run that took place before; or a
             refusal.
         """
-        if not self._genuine(ticket) or ticket.service != service:
+        if not self._genuine(ticket):
             return not_run(Reason.TICKET_INVALID)
+        if ticket.service != service:
+            return unknown(Reason.TICKET_REUSED)
         self._forget(now)
         if ticket.number < self._forgotten:
             return unknown(Reason.TICKET_EXPIRED)
@@ -172,6 +174,27 @@
         claim = self.claims[ticket.number] = Claim(ticket.number, fingerprint)
         return claim
 
+    def close(self, ticket: Ticket, now: float) -> bool:
+        """Make sure that a ticket is never run from now on, if it has not been run.
+
+        Args:
+            ticket: A ticket whose home is this process.
+            now: Monotonic time, in seconds.
+
+        Returns:
+            True when its operation has certainly not run and never will.
+        """
+        if not self._genuine(ticket):
+            return True
+        self._forget(now)
+        if ticket.number < self._forgotten:
+            return False
+        claim = self.claims.get(ticket.number)
+        if claim is None:
+            claim = self.claims[ticket.number] = Claim(ticket.number, "")
+            self.settle(claim, Outcome.NOT_RUN)
+        return claim.outcome is Outcome.NOT_RUN
+
     def settle(self, claim: Claim, outcome: Outcome, answer: Optional[Answer] = None) -> None:
         """Record what became of a claim; the first record stands.
 
@@ -199,12 +222,12 @@
         return known and hmac.compare_digest(mac.encode(), ticket.mac.encode())
 
     def _repeated(self, claim: Claim, fingerprint: str) -> Union[Answer, Refusal]:
+        if claim.outcome is Outcome.NOT_RUN:
+            return not_run(Reason.ALREADY_REFUSED)
         if claim.fingerprint != fingerprint:
             return unknown(Reason.TICKET_REUSED)
         if claim.outcome is None:
             return unknown(Reason.ALREADY_RUNNING, 1000)
-        if claim.outcome is Outcome.NOT_RUN:
-            return not_run(Reason.ALREADY_REFUSED)
         return claim.answer or unknown(Reason.ALREADY_RAN)
 
     def _expired(self, number: int, now: float) -> bool:
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,136 @@
+import json
+import unittest
+from typing import Any
+
+import msgspec
+
+from sprucewinch.backend import Attempt
+from sprucewinch.callers import CallerApp
+from sprucewinch.clock import ManualClock
+from sprucewinch.config import Document
+from sprucewinch.dispatch import Dispatcher, PeerLink
+from sprucewinch.node import Node
+from sprucewinch.outcome import Outcome, Reason, not_run
+from sprucewinch.tickets import parse_ticket
+from tests.fakes import configure, example, node, run
+
+
+class NoPeers(PeerLink):
+    """Other VMs that cannot be reached."""
+
+    async def hand_on(self, member, request, responder, *, home) -> Attempt:
+        return Attempt(not_run(Reason.NO_ROOM))
+
+
+class CallerCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock(100.0)
+        self.node = self.make()
+
+    def make(self, *, configured: bool = True, **options: Any) -> Node:
+        made = node(self.clock.now - 10, **options)
+        if configured:
+            configure(made)
+            run(made, self.clock.now - 9, self.clock.now)
+        return made
+
+    def app(self, target: Node) -> CallerApp:
+        return CallerApp(target, Dispatcher(target, None, NoPeers(), self.clock), self.clock)
+
+    async def book(self, target: Node, ticket: str | None, **headers: str) -> dict[str, Any]:
+        """Send a booking; returns the refusal that it gets."""
+        named = {"sprucewinch-client-block": "10.1.0.1"}
+        named.update({name.replace("_", "-"): value for name, value in headers.items()})
+        if ticket is not None:
+            named["sprucewinch-ticket"] = ticket
+        sent: list[dict] = []
+
+        async def receive() -> dict:
+            return {"type": "http.request", "body": b"", "more_body": False}
+
+        async def send(message: dict) -> None:
+            sent.append(message)
+
+        scope = {
+            "path": "/s/booking/book",
+            "raw_path": b"/s/booking/book",
+            "query_string": b"",
+            "method": "POST",
+            "headers": [(n.encode(), v.encode()) for n, v in named.items()],
+            "client": ("10.1.0.1", 1),
+        }
+        await self.app(target)(scope, receive, send)
+        return json.loads(sent[1]["body"])
+
+    def issue(self, target: Node) -> str:
+        return target.tickets.issue("booking", 1, self.clock.now)[0]
+
+    def settle(self, target: Node, ticket: str, outcome: Outcome) -> None:
+        claim = target.tickets.claim(parse_ticket(ticket), "booking", "x", self.clock.now)
+        target.tickets.settle(claim, outcome)
+
+
+class NotRunIsTrue(CallerCase):
+    """A refusal before the ticket's home has looked at the ticket says nothing about the run."""
+
+    def overload(self, target: Node) -> None:
+        target.requests_in_flight = target.settings.limits.requests
+
+    async def test_new_process_without_configuration(self) -> None:
+        ticket = self.issue(self.node)
+        self.settle(self.node, ticket, Outcome.ANSWERED)
+        fresh = self.make(configured=False, incarnation=2)
+        self.assertEqual((await self.book(fresh, ticket))["outcome"], "unknown")
+        self.assertEqual((await self.book(fresh, None))["outcome"], "not-run")
+
+    async def test_overloaded_vm_that_is_not_the_home(self) -> None:
+        ticket = self.issue(self.node)
+        self.settle(self.node, ticket, Outcome.ANSWERED)
+        other = self.make(vm="b", incarnation=7)
+        self.overload(other)
+        refused = await self.book(other, ticket)
+        self.assertEqual((refused["outcome"], refused["reason"]), ("unknown", "overloaded-vm"))
+        self.assertGreater(refused["retry_after_ms"], 0)
+
+    async def test_overloaded_home_after_a_run(self) -> None:
+        for outcome in (Outcome.ANSWERED, Outcome.UNKNOWN):
+            ticket = self.issue(self.node)
+            self.settle(self.node, ticket, outcome)
+            self.overload(self.node)
+            self.assertEqual((await self.book(self.node, ticket))["outcome"], "unknown")
+            self.node.requests_in_flight = 0
+
+    async def test_overloaded_home_refuses_an_unused_ticket_for_ever(self) -> None:
+        ticket = self.issue(self.node)
+        self.overload(self.node)
+        self.assertEqual((await self.book(self.node, ticket))["outcome"], "not-run")
+        self.node.requests_in_flight = 0
+        again = await self.book(self.node, ticket)
+        self.assertEqual((again["outcome"], again["reason"]), ("not-run", "already-refused"))
+
+    async def test_malformed_repeat(self) -> None:
+        ticket = self.issue(self.node)
+        self.settle(self.node, ticket, Outcome.ANSWERED)
+        refused = await self.book(self.node, ticket, sprucewinch_deadline_ms="soon")
+        self.assertEqual((refused["outcome"], refused["reason"]), ("unknown", "malformed"))
+
+    async def test_service_that_is_gone_by_now(self) -> None:
+        ticket = self.issue(self.node)
+        self.settle(self.node, ticket, Outcome.ANSWERED)
+        whole = example()
+        left = msgspec.structs.replace(
+            whole,
+            service=tuple(s for s in whole.service if s.name != "booking"),
+            pool=tuple(p for p in whole.pool if p.service != "booking"),
+        )
+        configure(self.node, Document(2, left))
+        self.assertEqual((await self.book(self.node, ticket))["outcome"], "unknown")
+
+    async def test_ticket_of_another_service(self) -> None:
+        [ticket] = self.node.tickets.issue("documents", 1, self.clock.now)
+        refused = await self.book(self.node, ticket)
+        self.assertEqual((refused["outcome"], refused["reason"]), ("unknown", "ticket-reused"))
+
+    async def test_no_ticket_and_no_ticket_of_ours(self) -> None:
+        self.assertEqual((await self.book(self.node, None))["reason"], "ticket-required")
+        self.assertEqual((await self.book(self.node, "junk"))["reason"], "ticket-invalid")
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -4,9 +4,7 @@
 import msgspec
 
 from sprucewinch.changes import (
-    MAX_RECORDS,
     ApplyConfiguration,
-    ChangeWriter,
     Drain,
     LoadPolicy,
     RetirePolicy,
@@ -23,6 +21,7 @@
     StaleStoreError,
     WriteUnknownError,
 )
+from sprucewinch.writer import MAX_RECORDS, ChangeWriter
 from tests.fakes import FakePlatform, example
 
 PROGRAM = "def shares(snapshot):\n    return {snapshot['client_region']: 1}"
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -62,6 +62,17 @@
         elif isinstance(result, Refusal) and result.outcome is Outcome.NOT_RUN:
             self.told_not_run.add(text)
 
+    @precondition(lambda self: self.tickets)
+    @rule(index=st.integers(0, 2))
+    def refused_at_the_door(self, index: int) -> None:
+        """An overloaded home refuses before it looks at the request."""
+        text = self.tickets[-1 - index % len(self.tickets)]
+        ticket = parse_ticket(text)
+        assert ticket is not None
+        home = self.books[ticket.vm]
+        if home.is_home(ticket) and home.close(ticket, self.now):
+            self.told_not_run.add(text)
+
     @precondition(lambda self: self.pending)
     @rule(index=st.integers(0, 2), fate=st.sampled_from(["runs", "lost", "refused"]))
     def settle(self, index: int, fate: str) -> None:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -12,33 +12,47 @@
 from rich.console import Console
 from rich.table import Table
 
-from sprucewinch.config import Configuration, load_configuration
+from sprucewinch.config import Configuration, Service, load_configuration
 from tools.fleet import Fleet, Operator, wait_until
 from tools.load import Flow, Load, Result, broken_promises, quantile, runs_at_servers
 
-_WORK_MS = {"rates": 12.0, "booking": 20.0, "documents": 40.0}
-_FLOWS = {
-    "rates": Flow("rates", 60, path="quote", query="?lane=7"),
-    "booking": Flow("booking", 15, "POST", "book", 400),
-    "documents": Flow("documents", 4, "POST", "upload", 300_000),
-}
+_LONG_DEADLINE_MS = 60_000
 _PHASE_S = 8.0
 _PHASES = ("nearest", "headroom", "drain")
 
 
+def flow_of(service: Service) -> Flow:
+    """Return ordinary load of a service: queries, operations that run once, or large files."""
+    if service.repeatable:
+        return Flow(service.name, 60, path="query", query="?lane=7")
+    if service.deadline_ms >= _LONG_DEADLINE_MS:
+        return Flow(service.name, 4, "POST", "file", 300_000)
+    return Flow(service.name, 15, "POST", "operation", 400)
+
+
+def work_ms_of(service: Service) -> float:
+    """Return the mean time of a request at a backend server, in milliseconds."""
+    if service.repeatable:
+        return 12.0
+    return 40.0 if service.deadline_ms >= _LONG_DEADLINE_MS else 20.0
+
+
 class Sampler:
     """Reads the measures of every region while load runs."""
 
-    def __init__(self, operator: Operator, services: list[str]) -> None:
+    def __init__(self, operator: Operator, configuration: Configuration) -> None:
         self.operator = operator
-        self.services = services
+        self.services = [service.name for service in configuration.service]
+        self.block = configuration.region[0].clients[0]
         self.rows: list[tuple[float, str, str, float]] = []
 
     async def run(self, started: float) -> None:
         """Sample until cancelled."""
         while True:
             for service in self.services:
-                explained = await self.operator.get(f"/v1/explain?block=10.1.0.0&service={service}")
+                explained = await self.operator.get(
+                    f"/v1/explain?block={self.block}&service={service}"
+                )
                 for row in explained.get("regions", []):
                     at = time.monotonic() - started
                     self.rows.append((at, service, row["region"], row["headroom"]))
@@ -61,30 +75,31 @@
     )
     if status != 200:
         raise RuntimeError(f"the configuration was refused: {answer}")
-    await wait_until(lambda: _all_ready(fleet, session), "all entry VMs to serve")
-    await wait_until(lambda: _all_measured(operator), "measures of all regions")
+    asked = f"block={configuration.region[0].clients[0]}&service={configuration.service[0].name}"
+    await wait_until(lambda: _all_ready(fleet, session, asked), "all entry VMs to serve")
+    await wait_until(lambda: _all_measured(operator, asked), "measures of all regions")
     return operator
 
 
-async def _all_measured(operator: Operator) -> bool:
-    explained = await operator.get("/v1/explain?block=10.1.0.0&service=rates")
+async def _all_measured(operator: Operator, asked: str) -> bool:
+    explained = await operator.get(f"/v1/explain?{asked}")
     return all(row["headroom"] > 0 for row in explained["regions"])
 
 
-async def _all_ready(fleet: Fleet, session: aiohttp.ClientSession) -> bool:
+async def _all_ready(fleet: Fleet, session: aiohttp.ClientSession, asked: str) -> bool:
     for vm in fleet.vms.values():
-        async with session.get(f"http://{vm.caller}/v1/lookup?block=10.1.0.0&service=rates") as r:
+        async with session.get(f"http://{vm.caller}/v1/lookup?{asked}") as r:
             if r.status != 200:
                 return False
     return True
 
 
-async def _operate(operator: Operator, server: str) -> dict[str, Any]:
+async def _operate(operator: Operator, service: str, server: str) -> dict[str, Any]:
     """Change the policy after one phase, and drain a backend server after two."""
     notes: dict[str, Any] = {}
     await asyncio.sleep(_PHASE_S)
     body = {"policy": "headroom"}
-    _, notes["policy"] = await operator.call("PUT", "/v1/services/rates/policy", body)
+    _, notes["policy"] = await operator.call("PUT", f"/v1/services/{service}/policy", body)
     await asyncio.sleep(_PHASE_S)
     began = time.monotonic()
     _, notes["drain"] = await operator.call("PUT", f"/v1/drains/server/{server}")
@@ -104,7 +119,7 @@
         table.add_column(column, justify="left" if column in ("phase", "service") else "right")
     for number, phase in enumerate(_PHASES):
         begin, end = number * _PHASE_S, (number + 1) * _PHASE_S
-        for service in _FLOWS:
+        for service in sampler.services:
             rows = [r for r in results if r.service == service and begin <= r.at < end]
             times = [r.latency_ms for r in rows if r.outcome == "answered"]
             table.add_row(
@@ -122,8 +137,9 @@
 
 async def _demo(configuration: Configuration, seed: int) -> int:
     console = Console(width=None if sys.stdout.isatty() else 100)
-    flows = [_FLOWS[service.name] for service in configuration.service]
-    with Fleet(configuration, work_ms=_WORK_MS, seed=seed) as fleet:
+    flows = [flow_of(service) for service in configuration.service]
+    work_ms = {service.name: work_ms_of(service) for service in configuration.service}
+    with Fleet(configuration, work_ms=work_ms, seed=seed) as fleet:
         async with aiohttp.ClientSession() as session:
             console.print(f"starting {len(fleet.vms)} entry VMs and their stand-ins")
             operator = await _start(fleet, session, configuration)
@@ -131,11 +147,13 @@
             for vm in fleet.vms.values():
                 entry.setdefault(vm.region, []).append(vm.caller)
             load = Load(configuration, entry, flows, seed=seed)
-            sampler = Sampler(operator, list(_FLOWS))
+            sampler = Sampler(operator, configuration)
             sampling = asyncio.create_task(sampler.run(time.monotonic()))
             server = configuration.pool[0].servers[0]
             console.print(f"load for {_PHASE_S * len(_PHASES):.0f} s; policy change, then a drain")
-            operating = asyncio.create_task(_operate(operator, server))
+            operating = asyncio.create_task(
+                _operate(operator, configuration.service[0].name, server)
+            )
             await load.run(_PHASE_S * len(_PHASES))
             notes = await operating
             sampling.cancel()
