Keep callers at home while half of its slots are free

Cause: the shipped headroom policy split callers by free slots and distance, so a third of them left a home that was nearly empty and paid the links both ways. Ruled out: the guard and the shift cap (they granted what was wanted). Not measured: this policy at a daily peak, where callers do leave.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,3 +1,4 @@
+import dataclasses
 import unittest
 
 from sprucewinch.errors import PolicyError
@@ -23,6 +24,16 @@
             with self.subTest(name):
                 check_program(name, source, REGIONS)
 
+    def test_headroom_policy_keeps_callers_at_home_while_there_is_room(self) -> None:
+        policy = ProgramPolicy("headroom", shipped_policies()["headroom"])
+        fresh, full = trial_snapshots(REGIONS)[0], trial_snapshots(REGIONS)[6]
+        self.assertEqual(policy.weights(fresh)["east"], 1.0)
+        self.assertEqual(policy.weights(full), {"east": 1.0})
+        home_full = dict(fresh.regions, east=full.regions["east"])
+        weights = policy.weights(dataclasses.replace(fresh, regions=home_full))
+        self.assertAlmostEqual(weights["east"], 0.5)
+        self.assertAlmostEqual(weights["west"], 0.25)
+
     def test_same_snapshot_gives_same_weights(self) -> None:
         policy = ProgramPolicy("headroom", shipped_policies()["headroom"])
         snapshot = trial_snapshots(REGIONS)[0]
