--- a/sprucewinch/_http_server.py
+++ b/sprucewinch/_http_server.py
@@ -126,6 +126,7 @@
         loop="none",
         http=_limited_protocol(limits),
         ws="none",
+        interface="asgi3",
         lifespan="off",
         log_config=None,
         access_log=False,
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -1,4 +1,4 @@
-"""Stand-in for backend servers: slots, connections, cold start, leaving, and a record of runs."""
+"""Stand-in for backend servers: slots, cold start, leaving, and a record of runs."""
 
 import asyncio
 import hashlib
@@ -19,7 +19,6 @@
     Args:
         name: Its name.
         slots: Requests it runs at once.
-        connections: Connections it accepts.
         work_ms: Mean time of one request.
         cold_s: Time after its start in which it is slower.
         seed: Seed of its times.
@@ -30,14 +29,12 @@
         name: str,
         *,
         slots: int = 4,
-        connections: int = 130,
         work_ms: float = 10.0,
         cold_s: float = 2.0,
         seed: int = 0,
     ) -> None:
         self.name = name
         self.slots = slots
-        self.connections = connections
         self.work_ms = work_ms
         self.cold_s = cold_s
         self.rng = random.Random(f"{seed}{name}")
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -25,17 +25,21 @@
     server that is leaving or draining, and no slot lost.
     """
 
+    make = staticmethod(admission)
+
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
-        self.admission = admission(max_waiting=4)
+        self.admission = self.make(max_waiting=4)
         self.running: list[Slot] = []
         self.waiting: list[dict[str, bool]] = []
+        self.left_until: dict[str, float] = {}
+        self.drained: frozenset[str] = frozenset()
 
     def begins(self, slot: Slot) -> None:
         server = slot.server
-        assert server.leaving_until <= self.now
-        assert server.address not in self.admission.drained
+        assert self.left_until.get(server.address, 0.0) <= self.now
+        assert server.address not in self.drained
         self.running.append(slot)
 
     @rule()
@@ -78,11 +82,14 @@
 
     @rule(server=st.sampled_from(SERVERS), seconds=st.floats(0, 5))
     def server_leaves(self, server: str, seconds: float) -> None:
-        self.admission.leaving(server, self.now + seconds)
+        until = self.now + seconds
+        self.left_until[server] = max(until, self.left_until.get(server, 0.0))
+        self.admission.leaving(server, until)
 
     @rule(server=st.sampled_from(SERVERS))
     def server_drains(self, server: str) -> None:
-        self.admission.drained ^= {server}
+        self.drained ^= {server}
+        self.admission.drained = self.drained
 
     @rule(seconds=st.floats(0.01, 5))
     def time_passes(self, seconds: float) -> None:
@@ -100,6 +107,32 @@
 TestRequests = Requests.TestCase
 
 
+class DeafAdmission(Admission):
+    """A wrong version: gives slots of servers that are leaving or draining."""
+
+    def _open(self, now: float) -> list:
+        return list(self.servers.values())
+
+
+class WrongVersionIsFound(unittest.TestCase):
+    def play(self, kind: type[Admission]) -> None:
+        def make(**options: int) -> Admission:
+            made = kind(lambda server, now: SLOTS, random.Random(1), **options)
+            made.set_servers("rates", SERVERS)
+            return made
+
+        machine = type("Wrong", (Requests,), {"make": staticmethod(make)})()
+        for server in SERVERS[:2]:
+            machine.server_leaves(server, 5.0)
+        machine.server_drains(SERVERS[2])
+        machine.arrive()
+
+    def test_proof_fails_with_a_wrong_version(self) -> None:
+        with self.assertRaises(AssertionError):
+            self.play(DeafAdmission)
+        self.play(Admission)
+
+
 class Cases(unittest.TestCase):
     def test_least_used_server_comes_first(self) -> None:
         made = admission()
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -1,8 +1,9 @@
 import asyncio
 import signal
 
+from standins.relay import Relay
 from tests.processes import FleetCase
-from tools.fleet import wait_until
+from tools.fleet import free_ports, wait_until
 
 
 class Faults(FleetCase):
@@ -97,3 +98,44 @@
             await wait_until(moved, "look-ups to leave the hall")
             status, headers, _ = await self.send(near, "rates")
             self.assertEqual((status, headers["sprucewinch-outcome"]), (200, "answered"))
+
+
+class PlatformBehindRelay(FleetCase):
+    """The way to the platform freezes and is cut, while callers go on."""
+
+    def start_daemons(self) -> None:
+        [port] = free_ports(1)
+        self.relay = Relay(port, int(self.fleet.platform.rpartition(":")[2]))
+        self.relaying = asyncio.get_running_loop().create_task(self.relay.start())
+        self.addAsyncCleanup(self.relay.stop)
+        for name in self.fleet.vms:
+            self.fleet.start_daemon(name, platform_address=f"127.0.0.1:{port}")
+
+    async def change(self, method: str) -> tuple[int, dict]:
+        server = self.pool("hall-2", "rates")
+        return await self.operator(self.vm(0)).call(method, f"/v1/drains/server/{server}")
+
+    async def served(self) -> None:
+        for vm in self.fleet.vms.values():
+            status, _, _ = await self.send(vm, "rates")
+            self.assertEqual(status, 200)
+
+    async def test_frozen_cut_and_back(self) -> None:
+        self.relay.freeze()
+        status, answer = await self.change("PUT")
+        self.assertIn(status, (502, 503), answer)
+        await self.served()
+        self.relay.thaw()
+        self.relay.cut()
+        status, answer = await self.change("PUT")
+        self.assertEqual((status, answer["error"]), (503, "PlatformError"))
+        await self.served()
+        self.assertEqual(await self.revision(self.vm(0)), 1)
+        self.relay.mend()
+        status, answer = await self.change("PUT")
+        self.assertEqual((status, answer.get("revision")), (200, 2), answer)
+
+        async def everywhere() -> bool:
+            return all([await self.revision(vm) == 2 for vm in self.fleet.vms.values()])
+
+        await wait_until(everywhere, "the change", longest_s=7.0)
