Leave a refused request alone once its connection closes

Cause: after a refusal for long headers the parser went on into a request that had never begun, and the server logged an invalid request behind the answer. Change: bodies and ends of messages on a closing connection are passed over.

--- a/sprucewinch/_http_server.py
+++ b/sprucewinch/_http_server.py
@@ -58,6 +58,14 @@
                 return
             super().on_headers_complete()
 
+        def on_body(self, body: bytes) -> None:
+            if not self.transport.is_closing():
+                super().on_body(body)
+
+        def on_message_complete(self) -> None:
+            if not self.transport.is_closing():
+                super().on_message_complete()
+
         def data_received(self, data: bytes) -> None:
             if self.transport.is_closing():
                 return
