--- a/sprucewinch/outcome.py
+++ b/sprucewinch/outcome.py
@@ -28,7 +28,6 @@
     LEAVING = "leaving"
     DEADLINE_PASSED = "deadline-passed"
     MALFORMED = "malformed"
-    TOO_MANY_REQUESTS = "too-many-requests"
     TICKET_REQUIRED = "ticket-required"
     TICKET_INVALID = "ticket-invalid"
     TICKET_EXPIRED = "ticket-expired"
@@ -80,7 +79,6 @@
     Reason.ALREADY_RUNNING: 409,
     Reason.ALREADY_RAN: 409,
     Reason.ALREADY_REFUSED: 409,
-    Reason.TOO_MANY_REQUESTS: 429,
     Reason.DEADLINE_PASSED: 504,
     Reason.BACKEND_TIMEOUT: 504,
     Reason.BACKEND_FAILED: 502,
