--- a/sprucewinch/_http_server.py
+++ b/sprucewinch/_http_server.py
@@ -16,6 +16,9 @@
 
 AsgiApp = Callable[[dict, Callable[[], Awaitable[dict]], Callable[[dict], Awaitable[None]]], Any]
 
+TARGET_KEY = "sprucewinch.target"
+"""Key of the scope that holds a request's target as it was sent."""
+
 _BACKLOG = 2048
 _KEEPALIVE_S = 30
 
@@ -56,6 +59,7 @@
             if len(self.tasks) >= limits.requests:
                 self._refuse(b"503 Service Unavailable", Reason.OVERLOADED_VM)
                 return
+            self.scope[TARGET_KEY] = self.url
             super().on_headers_complete()
 
         def on_body(self, body: bytes) -> None:
@@ -122,12 +126,15 @@
     return bound
 
 
-def make_server(app: AsgiApp, limits: Limits) -> uvicorn.Server:
+def make_server(
+    app: AsgiApp, limits: Limits, *, keepalive_s: float = _KEEPALIVE_S
+) -> uvicorn.Server:
     """Return a server for an ASGI application, to be given a bound socket.
 
     Args:
         app: The application.
         limits: Limits of the listener.
+        keepalive_s: How long a connection may rest between two requests, in seconds.
     """
     config = uvicorn.Config(
         app,
@@ -142,6 +149,6 @@
         date_header=False,
         proxy_headers=False,
         backlog=_BACKLOG,
-        timeout_keep_alive=_KEEPALIVE_S,
+        timeout_keep_alive=int(keepalive_s),
     )
     return _Server(config)
--- /dev/null
+++ b/sprucewinch/gateway/app.py
@@ -0,0 +1,179 @@
+"""The callers' side as an ASGI application."""
+
+import asyncio
+import math
+from collections.abc import Callable
+from typing import Any, Optional
+
+import msgspec
+
+from .._asgi import AsgiBody, Receive, Send
+from .._http_server import TARGET_KEY
+from ..body import CallerLeftError
+from ..request import end_to_end
+from .beliefs import Beliefs
+from .call import Call, Refused, Reply
+from .journal import Journal
+from .model import CallerLimits, Names
+from .pipeline import Pipeline
+
+_DEFAULT_WAIT_S = 10.0
+_MOST_WAIT_S = 300.0
+_MOST_BUFFERED_PART = 0.25
+"""Part of the process's memory that bodies of waiting requests may take."""
+
+_NOT_PASSED_ON = frozenset(("content-length", "accept-encoding"))
+_NOT_RETURNED = frozenset(("content-length", "keep-alive"))
+
+
+class GatewayApp:
+    """Reads requests, runs them, and writes their answers.
+
+    Args:
+        beliefs: What this machine believes.
+        pipeline: Runs requests.
+        names: Names of headers.
+        journal: Told of every request.
+        monotonic: Source of time.
+        memory_bytes: Memory of the process.
+    """
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        pipeline: Pipeline,
+        *,
+        names: Names,
+        journal: Journal,
+        monotonic: Callable[[], float],
+        memory_bytes: int,
+    ) -> None:
+        self.beliefs = beliefs
+        self.pipeline = pipeline
+        self.names = names
+        self.journal = journal
+        self.monotonic = monotonic
+        self.most_buffered = int(memory_bytes * _MOST_BUFFERED_PART)
+        self.buffered = 0
+        self.in_flight = 0
+        self.stopping = False
+
+    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        arrived_at = self.monotonic()
+        self.in_flight += 1
+        body = AsgiBody(receive)
+        call: Optional[Call] = None
+        try:
+            await self._read(scope, body)
+            call = self._call(scope, body, arrived_at)
+            reply = self._gate(call, body) or await self._run_while_caller_stays(call, body)
+            self.journal.replied(call, reply, self.monotonic() - arrived_at)
+            await self._write(reply, send, close=self.stopping or not body.complete)
+        except CallerLeftError:
+            if call is not None:
+                self.journal.left(call, self.monotonic() - arrived_at)
+        finally:
+            self.in_flight -= 1
+            self.buffered -= len(body.first)
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Limits in force."""
+        held = self.beliefs.configuration
+        return held.limits if held else CallerLimits()
+
+    async def _read(self, scope: dict[str, Any], body: AsgiBody) -> None:
+        room = max(0, min(self.limits.body_bytes, self.most_buffered - self.buffered))
+        await body.keep_start(room + 1)
+        self.buffered += len(body.first)
+
+    def _call(self, scope: dict[str, Any], body: AsgiBody, arrived_at: float) -> Call:
+        headers = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in scope["headers"]]
+        named = dict(reversed(headers))
+        target = scope.get(TARGET_KEY, scope["raw_path"]).decode("latin-1")
+        return Call(
+            id=named.get(self.names.request_id, ""),
+            method=scope["method"],
+            host=named.get("host", ""),
+            path=target.partition("?")[0],
+            target=target,
+            headers=self._passed_on(headers),
+            body=body.first,
+            arrived_at=arrived_at,
+            leaves_at=arrived_at + _wait_s(named.get(self.names.deadline_ms)),
+            key=_cookie(named.get("cookie", ""), self.names.affinity),
+        )
+
+    def _passed_on(self, headers: list[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
+        own = (self.names.deadline_ms, self.names.expected)
+        return tuple(
+            (name, value)
+            for name, value in end_to_end(headers)
+            if name not in _NOT_PASSED_ON and name not in own
+        )
+
+    def _gate(self, call: Call, body: AsgiBody) -> Optional[Reply]:
+        """Refuse what cannot be taken on, before anything is done."""
+        if not body.complete:
+            if len(call.body) > self.limits.body_bytes:
+                return Reply(None, Refused.TOO_LARGE, 413)
+            return Reply(None, Refused.NO_ROOM, 503, 1.0)
+        if not call.path.startswith("/"):
+            return Reply(None, Refused.MALFORMED, 400)
+        return None
+
+    async def _run_while_caller_stays(self, call: Call, body: AsgiBody) -> Reply:
+        """Run a request, and cancel it when its caller has left."""
+        work = asyncio.current_task()
+        assert work is not None
+        left = asyncio.create_task(body.caller_left())
+        left.add_done_callback(lambda task: None if task.cancelled() else work.cancel())
+        try:
+            return await self.pipeline.run(call)
+        except asyncio.CancelledError:
+            if left.done() and not left.cancelled():
+                work.uncancel()
+                raise CallerLeftError("the caller closed its connection") from None
+            raise
+        finally:
+            left.cancel()
+
+    async def _write(self, reply: Reply, send: Send, *, close: bool) -> None:
+        status, headers, body = self._encoded(reply)
+        raw = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+        raw.append((b"content-length", b"%d" % len(body)))
+        if close:
+            raw.append((b"connection", b"close"))
+        await send({"type": "http.response.start", "status": status, "headers": raw})
+        await send({"type": "http.response.body", "body": body})
+
+    def _encoded(self, reply: Reply) -> tuple[int, list[tuple[str, str]], bytes]:
+        if reply.answer is not None:
+            headers = [
+                h for h in end_to_end(list(reply.answer.headers)) if h[0] not in _NOT_RETURNED
+            ]
+            return reply.status, headers, reply.answer.body
+        assert reply.refused is not None
+        headers = [("content-type", "application/json")]
+        if reply.retry_after_s is not None:
+            headers.append(("retry-after", f"{reply.retry_after_s:g}"))
+        return reply.status, headers, msgspec.json.encode({"reason": reply.refused.value})
+
+
+def _wait_s(text: Optional[str]) -> float:
+    """Return how long a caller waits, in seconds; a default when it does not say."""
+    try:
+        seconds = float(text) / 1000 if text else _DEFAULT_WAIT_S
+    except ValueError:
+        return _DEFAULT_WAIT_S
+    return min(seconds, _MOST_WAIT_S) if math.isfinite(seconds) and seconds > 0 else _DEFAULT_WAIT_S
+
+
+def _cookie(header: str, name: str) -> str:
+    """Return the value of a cookie; empty when it is not there."""
+    for pair in header.split(";"):
+        key, _, value = pair.strip().partition("=")
+        if key.lower() == name.lower():
+            return value
+    return ""
--- /dev/null
+++ b/sprucewinch/gateway/beliefs.py
@@ -0,0 +1,142 @@
+"""What this machine believes: the replica's items, decoded, each with the time it was learnt."""
+
+import abc
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, Optional, Union
+
+from .model import Backend, Member, RouteConfiguration
+from .replica import Delta, Item, Replica
+
+
+class Evacuation(NamedTuple):
+    """The operators' order to send nothing to the backend servers of a data hall."""
+
+    zone: str
+
+
+Fact = Union[RouteConfiguration, Evacuation, Backend, Member]
+
+
+class MalformedItemError(Exception):
+    """An item of the store cannot be read; the message says what is wrong with it."""
+
+
+class Decoder(abc.ABC):
+    """Reads the store's items."""
+
+    @abc.abstractmethod
+    def decode(self, item: Item) -> Optional[Fact]:
+        """Return what an item says; None when it says nothing that matters here.
+
+        Raises:
+            MalformedItemError: When it cannot be read.
+        """
+
+
+class Change(NamedTuple):
+    """One fact that was learnt, changed or dropped.
+
+    Args:
+        key: Key of its item.
+        before: What was believed; None when it is new.
+        after: What is believed now; None when it is gone.
+        revision: Revision of the item, or of its removal.
+    """
+
+    key: str
+    before: Optional[Fact]
+    after: Optional[Fact]
+    revision: int
+
+
+Listener = Callable[[Change], None]
+
+
+class Beliefs:
+    """Decoded facts, never older than what was believed before.
+
+    Args:
+        decoder: Reads items.
+        trouble: Told of an item that cannot be read, with the cause.
+    """
+
+    def __init__(
+        self, decoder: Decoder, trouble: Callable[[str, str], None] = lambda key, cause: None
+    ) -> None:
+        self.replica = Replica()
+        self.decoder = decoder
+        self.trouble = trouble
+        self.facts: dict[str, Fact] = {}
+        self.configuration: Optional[RouteConfiguration] = None
+        self.backends: dict[str, Backend] = {}
+        self.members: dict[str, Member] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.generation = 0
+        self.confirmed_at = float("-inf")
+        self.revision = 0
+        self.listeners: list[Listener] = []
+
+    @property
+    def known(self) -> bool:
+        """Tell whether a configuration is known."""
+        return self.configuration is not None
+
+    def apply(self, delta: Delta, now: float) -> None:
+        """Take over what a store or a neighbour says.
+
+        Args:
+            delta: The changes.
+            now: Monotonic time, in seconds.
+        """
+        changed = self.replica.apply(delta)
+        self.confirmed_at = now
+        changes = [change for key in sorted(changed) for change in self._learn(key)]
+        if not changes:
+            return
+        self.generation += 1
+        self.evacuated = frozenset(e.zone for e in self._of(Evacuation))
+        for change in changes:
+            for listener in self.listeners:
+                listener(change)
+
+    def _of(self, kind: type) -> Iterable:
+        return [fact for fact in self.facts.values() if isinstance(fact, kind)]
+
+    def _learn(self, key: str) -> list[Change]:
+        item = self.replica.items.get(key)
+        before = self.facts.get(key)
+        revision = item.revision if item else self.replica.removed.get(key, self.replica.at)
+        self.revision = max(self.revision, revision)
+        if item is None:
+            return self._drop(key, before, revision)
+        try:
+            after = self.decoder.decode(item)
+        except MalformedItemError as error:
+            self.trouble(key, str(error))
+            return []
+        if after is None or after == before:
+            return []
+        return self._keep(key, before, after, revision)
+
+    def _drop(self, key: str, before: Optional[Fact], revision: int) -> list[Change]:
+        if before is None or isinstance(before, RouteConfiguration):
+            return []
+        del self.facts[key]
+        if isinstance(before, Backend):
+            self.backends.pop(before.id, None)
+        elif isinstance(before, Member):
+            self.members.pop(before.name, None)
+        return [Change(key, before, None, revision)]
+
+    def _keep(self, key: str, before: Optional[Fact], after: Fact, revision: int) -> list[Change]:
+        if isinstance(after, RouteConfiguration):
+            held = self.configuration
+            if held is not None and after.version <= held.version:
+                return []
+            self.configuration = after
+        elif isinstance(after, Backend):
+            self.backends[after.id] = after
+        elif isinstance(after, Member):
+            self.members[after.name] = after
+        self.facts[key] = after
+        return [Change(key, before, after, revision)]
--- /dev/null
+++ b/sprucewinch/gateway/budget.py
@@ -0,0 +1,48 @@
+"""The fleet's limit on repeats, kept by each machine from its own counts alone.
+
+A machine spends at most the ratio of its own requests and its part of the slack. The sum over all
+machines then stays under the fleet's limit, whatever they know of each other; only the number of
+machines enters, and it is taken too high rather than too low.
+"""
+
+from .model import Bounds
+from .windows import SlidingCount
+
+_SAFETY = 0.75
+"""Part of the limit that is used: counts of callers and of backend servers differ at the edges."""
+
+
+class RepeatBudget:
+    """Repeats of one service at this machine.
+
+    Args:
+        bounds: The fleet's figures.
+    """
+
+    __slots__ = ("bounds", "repeats", "requests")
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.bounds = bounds
+        self.requests = SlidingCount(bounds.retry_window_s * 0.9)
+        self.repeats = SlidingCount(bounds.retry_window_s * 1.1)
+
+    def arrived(self, now: float) -> None:
+        """Count a caller's request."""
+        self.requests.add(now)
+
+    def take(self, now: float, machines: int) -> bool:
+        """Take one repeat.
+
+        Args:
+            now: Monotonic time, in seconds.
+            machines: How many machines share the slack.
+
+        Returns:
+            False when none is left.
+        """
+        slack = self.bounds.retry_slack / max(1, machines)
+        allowed = _SAFETY * (self.bounds.retry_ratio * self.requests.count(now) + slack)
+        if self.repeats.count(now) + 1 > allowed:
+            return False
+        self.repeats.add(now)
+        return True
--- /dev/null
+++ b/sprucewinch/gateway/call.py
@@ -0,0 +1,124 @@
+"""A caller's request on its way, and what became of it."""
+
+import enum
+from dataclasses import dataclass, field
+from typing import NamedTuple, Optional
+
+from .connection import Answer
+from .model import Route
+from .servers import Server
+
+
+@dataclass(slots=True)
+class Call:
+    """One attempt of a caller, read whole.
+
+    Args:
+        id: Names the attempt.
+        method: HTTP method.
+        host: Value of the `Host` header.
+        path: Path without the query.
+        target: Path and query as they were sent.
+        headers: Headers that are passed on, names in lower case.
+        body: The whole body.
+        arrived_at: Monotonic time of arrival, in seconds.
+        leaves_at: Monotonic time until which the caller waits, in seconds.
+        key: Names the object that it is about; empty when it names none.
+        sends: What was sent so far.
+    """
+
+    id: str
+    method: str
+    host: str
+    path: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    arrived_at: float
+    leaves_at: float
+    key: str = ""
+    sends: list["Send"] = field(default_factory=list)
+
+    def tried(self) -> set[str]:
+        """Return the backend servers that were tried."""
+        return {send.server_id for send in self.sends}
+
+    def runs(self) -> int:
+        """Return on how many backend servers it may have run."""
+        return sum(send.verdict is not Verdict.NOT_RUN for send in self.sends)
+
+
+class Verdict(enum.Enum):
+    """What is certain about one send."""
+
+    ANSWERED = "answered"
+    """The backend server's own whole answer."""
+    NOT_RUN = "not-run"
+    """It did not run and never will."""
+    UNKNOWN = "unknown"
+    """It may have run."""
+
+
+class Send(NamedTuple):
+    """One send to a backend server.
+
+    Args:
+        server_id: Backend server.
+        verdict: What is certain about it.
+        arrived: True when a byte of it may have reached the server.
+        why: Cause, for the log.
+        answer: The whole answer, when there is one.
+        seconds: How long it took.
+    """
+
+    server_id: str
+    verdict: Verdict
+    arrived: bool
+    why: str
+    answer: Optional[Answer] = None
+    seconds: float = 0.0
+
+
+class Refused(enum.Enum):
+    """Why the system gives an answer of its own."""
+
+    NO_CONFIGURATION = "no-configuration"
+    NO_ROUTE = "no-route"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too-large"
+    NO_SERVER = "no-server"
+    NO_ROOM = "no-room"
+    TIMEOUT = "timeout"
+    FAILED = "failed"
+
+
+class Reply(NamedTuple):
+    """The final answer to a caller.
+
+    Args:
+        answer: A backend server's answer, passed on.
+        refused: Why there is none.
+        status: HTTP status.
+        retry_after_s: When to come back, in seconds; None when that was not said.
+        route: Route it took, if any.
+    """
+
+    answer: Optional[Answer]
+    refused: Optional[Refused]
+    status: int
+    retry_after_s: Optional[float] = None
+    route: Optional[Route] = None
+
+
+class Chosen(NamedTuple):
+    """Where a request is sent next.
+
+    Args:
+        server: Backend server.
+        service: Service.
+        second: True when it is not the object's first choice.
+    """
+
+    server: Server
+    service: str
+    second: bool
--- /dev/null
+++ b/sprucewinch/gateway/daemon.py
@@ -0,0 +1,299 @@
+"""One entry VM of the routed request path, put together."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import socket
+from collections.abc import Callable, Coroutine
+from typing import Any, Optional, Protocol
+
+import msgspec
+import uvicorn
+
+from .. import log
+from .._address import parse_address
+from .._http_server import AsgiApp, bind, make_server
+from ..clock import Clock, SystemClock
+from ..policy import ProgramPolicy, shipped_policies
+from ..settings import Limits
+from .app import GatewayApp
+from .beliefs import Beliefs, Decoder
+from .directory import Directory
+from .gossip import BEAT_S, Beat, Gossip
+from .journal import Journal
+from .listeners import PeerApp, TextApp
+from .model import GatewaySettings, Member, Names
+from .pipeline import Pipeline
+from .place import Placer
+from .pool import Pool
+from .send import Sender
+from .servers import ServerBook
+from .shares import RegionShares
+from .store import Store
+from .sync import NeighbourFollower, Registrar, StoreFollower
+
+DEFAULT_POLICY = "capacity"
+_TICK_S = 0.2
+_SWEEP_S = 1.0
+_CONNECTIONS_PART = 0.5
+_STOP_POLL_S = 0.05
+_STOP_MARGIN_S = 0.7
+_LINGER_S = 3.2
+"""How long a stopping machine goes on serving callers that still hold its address, in seconds."""
+
+
+class Wire(Protocol):
+    """What differs from platform to platform; an adapter provides it."""
+
+    names: Names
+    decoder: Decoder
+
+    def store(self, settings: GatewaySettings, monotonic: Callable[[], float]) -> Store:
+        """Return a client of the store."""
+        ...
+
+    def directory_app(self, directory: Directory, monotonic: Callable[[], float]) -> AsgiApp:
+        """Return the application that answers look-ups."""
+        ...
+
+    def ready_app(self, ready: Callable[[], bool]) -> AsgiApp:
+        """Return the application that answers readiness checks."""
+        ...
+
+
+class _Beats(asyncio.DatagramProtocol):
+    """Receives heartbeats."""
+
+    def __init__(self, gossip: Gossip, monotonic: Callable[[], float]) -> None:
+        self.gossip = gossip
+        self.monotonic = monotonic
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Learn from a heartbeat; what is none is dropped."""
+        with contextlib.suppress(msgspec.MsgspecError):
+            self.gossip.take(msgspec.msgpack.decode(data, type=Beat), self.monotonic())
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore a machine that is not there."""
+
+
+class Gateway:
+    """One entry VM.
+
+    Args:
+        settings: Its settings.
+        wire: The platform's translation.
+        clock: Source of time.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        wire: Wire,
+        *,
+        clock: Optional[Clock] = None,
+        rng: Optional[random.Random] = None,
+    ) -> None:
+        self.settings = settings
+        self.wire = wire
+        self.clock = clock or SystemClock()
+        self.rng = rng or random.Random()
+        self.stopping = asyncio.Event()
+        monotonic = self.clock.monotonic
+        incarnation = int(self.clock.wall() * 1000)
+        self.journal = Journal(log.line, monotonic=monotonic, wall=self.clock.wall)
+        self.beliefs = Beliefs(wire.decoder, self._unreadable)
+        self.gossip = Gossip(settings.name, incarnation, self.rng)
+        self.book = ServerBook(self.beliefs, settings.bounds, settings.name)
+        self.shares = RegionShares(
+            self.book,
+            ProgramPolicy(DEFAULT_POLICY, shipped_policies()[DEFAULT_POLICY]),
+            regions=settings.regions,
+            home=settings.region,
+            shift_cap=settings.bounds.shift_cap,
+        )
+        self.pool = Pool(wire.names.request_id, monotonic)
+        self.pipeline = Pipeline(
+            self.beliefs,
+            self.book,
+            Placer(self.book, self.shares, settings.regions),
+            Sender(self.book, self.pool, wire.names, monotonic),
+            bounds=settings.bounds,
+            monotonic=monotonic,
+        )
+        self.app = GatewayApp(
+            self.beliefs,
+            self.pipeline,
+            names=wire.names,
+            journal=self.journal,
+            monotonic=monotonic,
+            memory_bytes=settings.memory_bytes,
+        )
+        self.directory = Directory(self.beliefs, self.gossip, settings.bounds.lookup_ttl_s)
+        self.store = wire.store(settings, monotonic)
+        self.beliefs.listeners.append(self.journal.learned)
+        self.own = Member(
+            settings.name,
+            incarnation,
+            settings.zone,
+            settings.region,
+            settings.caller_address,
+            settings.peer_address,
+        )
+        self._servers: list[uvicorn.Server] = []
+        self._tasks: list[asyncio.Task] = []
+        self._udp: Optional[asyncio.DatagramTransport] = None
+
+    def ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.beliefs.known and not self.stopping.is_set()
+
+    async def run(self) -> None:
+        """Serve until told to stop, then stop without cutting a request off."""
+        self._take_signals()
+        await self._listen()
+        self._start_loops()
+        self.journal.state("start", name=self.settings.name, incarnation=self.own.incarnation)
+        await self.stopping.wait()
+        await self._leave()
+
+    def _unreadable(self, key: str, cause: str) -> None:
+        self.journal.counters["items_unreadable"] += 1
+        self.journal.state("unreadable", key=key, cause=cause)
+
+    def _take_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: self.journal.state("reload"))
+
+    async def _listen(self) -> None:
+        settings = self.settings
+        monotonic = self.clock.monotonic
+        apps: dict[str, AsgiApp] = {
+            settings.caller_address: self.app,
+            settings.ready_address: self.wire.ready_app(self.ready),
+            settings.peer_address: PeerApp(self.beliefs),
+            settings.metrics_address: TextApp(self._report),
+        }
+        if settings.directory_address:
+            apps[settings.directory_address] = self.wire.directory_app(self.directory, monotonic)
+        for address, app in apps.items():
+            if address:
+                await self._serve(address, app)
+        await self._listen_for_beats()
+
+    async def _serve(self, address: str, app: AsgiApp) -> None:
+        limits = Limits(
+            header_bytes=self.app.limits.header_bytes + 1024,
+            connections=int(self.settings.max_files * _CONNECTIONS_PART),
+            requests=int(self.settings.max_files * _CONNECTIONS_PART),
+        )
+        server = make_server(app, limits, keepalive_s=self.app.limits.idle_s + 5.0)
+        bound = bind("listen address", address)
+        self._servers.append(server)
+        self._tasks.append(asyncio.ensure_future(server.serve(sockets=[bound])))
+        while not server.started:
+            await asyncio.sleep(0.005)
+
+    async def _listen_for_beats(self) -> None:
+        host, port = parse_address(self.settings.peer_address)
+        loop = asyncio.get_running_loop()
+        self._udp, _ = await loop.create_datagram_endpoint(
+            lambda: _Beats(self.gossip, self.clock.monotonic),
+            local_addr=(host, port),
+            family=socket.AF_INET,
+        )
+
+    def _start_loops(self) -> None:
+        monotonic, rng = self.clock.monotonic, self.rng
+        self.follower = StoreFollower(
+            self.beliefs, self.store, self.journal, monotonic=monotonic, rng=rng
+        )
+        self.neighbours = NeighbourFollower(self.beliefs, self.gossip, monotonic=monotonic, rng=rng)
+        self.registrar = Registrar(
+            self.own, self.beliefs, self.gossip, self.store, monotonic=monotonic, rng=rng
+        )
+        for loop in (
+            self.follower.run,
+            self.neighbours.run,
+            self.registrar.run,
+            self._beat_loop,
+            self._tick_loop,
+        ):
+            self._tasks.append(asyncio.ensure_future(self._forever(loop)))
+
+    async def _forever(self, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run a loop again when it fails: a fault of one part must not end the process."""
+        while True:
+            try:
+                await loop()
+            except Exception as error:
+                self.journal.counters["loop_faults"] += 1
+                self.journal.state("fault", loop=loop.__qualname__, error=repr(error))
+                await asyncio.sleep(_TICK_S)
+
+    async def _beat_loop(self) -> None:
+        while True:
+            self._beat(self.gossip.partners(self.beliefs.members))
+            await asyncio.sleep(BEAT_S * self.rng.uniform(0.9, 1.1))
+
+    def _beat(self, names: list[str]) -> None:
+        self.gossip.open = self.ready()
+        beat = self.gossip.tick(self.clock.monotonic(), self.beliefs.revision)
+        data = msgspec.msgpack.encode(beat)
+        for name in names:
+            member = self.beliefs.members.get(name)
+            if member is not None and self._udp is not None:
+                self._udp.sendto(data, tuple(parse_address(member.peer_address)))
+
+    async def _tick_loop(self) -> None:
+        swept_at = self.clock.monotonic()
+        while True:
+            now = self.clock.monotonic()
+            self.book.now = now
+            self.book.settled = self.beliefs.known
+            self.shares.tick(now)
+            if now - swept_at > _SWEEP_S:
+                swept_at = now
+                self.pool.sweep()
+            await asyncio.sleep(_TICK_S)
+
+    async def _leave(self) -> None:
+        """Tell everybody, serve those who still come, and end before the process is killed."""
+        now = self.clock.monotonic()
+        self.app.stopping = True
+        self.journal.state("stopping", in_flight=self.app.in_flight)
+        self._beat(list(self.beliefs.members))
+        leave = asyncio.ensure_future(self._unregister())
+        end = now + self.settings.bounds.grace_s - _STOP_MARGIN_S
+        linger = min(end, now + _LINGER_S)
+        while self.clock.monotonic() < end:
+            if self.clock.monotonic() >= linger and self.app.in_flight == 0:
+                break
+            await asyncio.sleep(_STOP_POLL_S)
+        leave.cancel()
+        self.journal.state("stop", in_flight=self.app.in_flight)
+
+    async def _unregister(self) -> None:
+        with contextlib.suppress(Exception):
+            await self.registrar.leave()
+
+    def _report(self) -> str:
+        now = self.clock.monotonic()
+        gauges = {
+            "in_flight": self.app.in_flight,
+            "body_bytes": self.app.buffered,
+            "backend_connections_opened": self.pool.opened,
+            "store_calls": self.store.calls,
+            "store_revision": self.beliefs.replica.at,
+            "store_age_s": now - self.beliefs.confirmed_at,
+            "configuration_version": self.journal.configuration_version,
+            "members": len(self.beliefs.members),
+            "members_open": sum(self.gossip.takes_callers(m, now) for m in self.beliefs.members),
+            "backend_servers": len(self.beliefs.backends),
+            "neighbour_deltas": self.neighbours.taken,
+        }
+        return self.journal.report(gauges)
--- /dev/null
+++ b/sprucewinch/gateway/directory.py
@@ -0,0 +1,54 @@
+"""Look-up: which entry VMs a caller should use."""
+
+from typing import NamedTuple
+
+from .beliefs import Beliefs
+from .gossip import Gossip
+
+MOST_ADDRESSES = 64
+LOOKUP_TTL_S = 1.0
+"""How long callers may keep an answer, in seconds: short, so that they soon leave a machine that
+stops, and an answer costs little."""
+
+
+class Found(NamedTuple):
+    """The answer to a look-up.
+
+    Args:
+        addresses: `IP:PORT` of entry VMs; empty when none is known.
+        ttl_s: How long it may be kept, in seconds.
+    """
+
+    addresses: tuple[str, ...]
+    ttl_s: float
+
+
+class Directory:
+    """Answers look-ups from what is believed, without asking anybody.
+
+    Args:
+        beliefs: Registered machines.
+        gossip: Who of them is there.
+        ttl_s: Longest time that an answer may be kept, in seconds.
+    """
+
+    def __init__(self, beliefs: Beliefs, gossip: Gossip, ttl_s: float) -> None:
+        self.beliefs = beliefs
+        self.gossip = gossip
+        self.ttl_s = min(ttl_s, LOOKUP_TTL_S)
+
+    def find(self, region: str, now: float) -> Found:
+        """Return the entry VMs for callers of a region: its own, else all others.
+
+        Args:
+            region: The callers' region.
+            now: Monotonic time, in seconds.
+        """
+        members = [
+            member
+            for member in self.beliefs.members.values()
+            if self.gossip.takes_callers(member.name, now)
+        ]
+        near = [member for member in members if member.region == region]
+        chosen = sorted(member.caller_address for member in near or members)
+        return Found(tuple(chosen[:MOST_ADDRESSES]), self.ttl_s)
--- /dev/null
+++ b/sprucewinch/gateway/pipeline.py
@@ -0,0 +1,166 @@
+"""The order of the filters that a request passes: route, place, admit, send, judge, reply.
+
+Each filter is a module of its own. A request that comes back from a server without an answer
+passes all of them again, so that it meets the newest configuration and servers.
+"""
+
+from collections.abc import Callable
+from typing import Optional, Union
+
+from .admit import Admission
+from .beliefs import Beliefs, Change
+from .budget import RepeatBudget
+from .call import Call, Chosen, Refused, Reply, Send, Verdict
+from .model import Bounds, Route, RouteConfiguration
+from .place import Placer
+from .routes import RouteTable
+from .send import Sender
+from .servers import ServerBook
+from .split import Splits
+
+COME_BACK_S = 0.1
+"""When a caller that met no room is told to come back, in seconds."""
+
+START_COME_BACK_S = 0.3
+"""When a caller that met a machine without a configuration is told to come back, in seconds."""
+
+_MOST_UNREACHABLE = 3
+"""How many servers that cannot be reached one request tries."""
+
+_STATUS = {
+    Refused.NO_ROUTE: 404,
+    Refused.MALFORMED: 400,
+    Refused.TOO_LARGE: 413,
+    Refused.TIMEOUT: 504,
+    Refused.FAILED: 502,
+}
+_UNAVAILABLE = 503
+
+
+class Pipeline:
+    """Runs requests.
+
+    Args:
+        beliefs: What this machine believes.
+        book: Backend servers.
+        placer: Places objects.
+        sender: Sends requests.
+        bounds: The fleet's figures.
+        monotonic: Source of time.
+    """
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        book: ServerBook,
+        placer: Placer,
+        sender: Sender,
+        *,
+        bounds: Bounds,
+        monotonic: Callable[[], float],
+    ) -> None:
+        self.beliefs = beliefs
+        self.book = book
+        self.placer = placer
+        self.sender = sender
+        self.bounds = bounds
+        self.monotonic = monotonic
+        self.admission = Admission(book.cold_allowance)
+        self.splits = Splits()
+        self.budgets: dict[str, RepeatBudget] = {}
+        self.table: Optional[RouteTable] = None
+        beliefs.listeners.append(self._learn)
+
+    async def run(self, call: Call) -> Reply:
+        """Run a request and return its final answer."""
+        service = ""
+        while True:
+            now = self.monotonic()
+            self.book.now = now
+            route = self._route(call)
+            if isinstance(route, Refused):
+                return _reply(route)
+            if not service:
+                service = self._enter(route, call, now)
+            elif service not in {part.service for part in route.parts}:
+                service = self.splits.service(route, call.key)
+            until = _held_until(route, call)
+            if now >= until:
+                return self._end(call, route, Refused.TIMEOUT)
+            chosen = self._choose(call, route, service, now)
+            if isinstance(chosen, Refused):
+                return self._end(call, route, chosen)
+            fresh = bool(call.sends) or not route.repeatable
+            send = await self.sender.send(call, chosen, until, fresh=fresh)
+            call.sends.append(send)
+            if send.verdict is Verdict.ANSWERED and send.answer is not None:
+                return Reply(send.answer, None, send.answer.status, route=route)
+            refused = self._stop_reason(call, route, send, service)
+            if refused is not None:
+                return self._end(call, route, refused)
+
+    def _route(self, call: Call) -> Union[Route, Refused]:
+        if self.table is None:
+            return Refused.NO_CONFIGURATION
+        route = self.table.find(call.host, call.path)
+        return Refused.NO_ROUTE if route is None else route
+
+    def _enter(self, route: Route, call: Call, now: float) -> str:
+        service = self.splits.service(route, call.key or call.id)
+        self._budget(service).arrived(now)
+        return service
+
+    def _choose(self, call: Call, route: Route, service: str, now: float) -> Union[Chosen, Refused]:
+        key = call.key if route.affinity and call.key else call.id
+        placement = self.placer.place(service, key, route.regions, now)
+        return self.admission.choose(call, placement, service, now)
+
+    def _stop_reason(self, call: Call, route: Route, send: Send, service: str) -> Optional[Refused]:
+        """Return why a request is not sent again; None when it is."""
+        if send.verdict is Verdict.UNKNOWN:
+            if send.why == "timeout":
+                return Refused.TIMEOUT
+            if not route.repeatable or call.runs() >= route.attempts:
+                return Refused.FAILED
+        if not send.arrived:
+            unreached = sum(not earlier.arrived for earlier in call.sends)
+            return None if unreached < _MOST_UNREACHABLE else Refused.NO_SERVER
+        if len(call.sends) > route.attempts:
+            return Refused.NO_ROOM
+        if self._budget(service).take(self.monotonic(), self.book.machines()):
+            return None
+        return Refused.NO_ROOM if send.verdict is Verdict.NOT_RUN else Refused.FAILED
+
+    def _end(self, call: Call, route: Route, refused: Refused) -> Reply:
+        """Return the final answer of a request that no server answered; never a false promise."""
+        if call.runs():
+            timeout = refused is Refused.TIMEOUT
+            return _reply(Refused.TIMEOUT if timeout else Refused.FAILED, route=route)
+        if refused is Refused.TIMEOUT:
+            refused = Refused.NO_ROOM
+        return _reply(refused, route=route)
+
+    def _budget(self, service: str) -> RepeatBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = self.budgets[service] = RepeatBudget(self.bounds)
+        return budget
+
+    def _learn(self, change: Change) -> None:
+        if isinstance(change.after, RouteConfiguration):
+            self.table = RouteTable(change.after)
+
+
+def _held_until(route: Route, call: Call) -> float:
+    """Return until when a request is held, as monotonic time in seconds."""
+    if route.timeout_s is None:
+        return call.leaves_at
+    return min(call.leaves_at, call.arrived_at + route.timeout_s)
+
+
+def _reply(refused: Refused, *, route: Optional[Route] = None) -> Reply:
+    status = _STATUS.get(refused, _UNAVAILABLE)
+    come_back = None
+    if status == _UNAVAILABLE:
+        come_back = START_COME_BACK_S if refused is Refused.NO_CONFIGURATION else COME_BACK_S
+    return Reply(None, refused, status, come_back, route)
--- /dev/null
+++ b/sprucewinch/gateway/place.py
@@ -0,0 +1,79 @@
+"""Which backend servers may run a request, the best first."""
+
+import math
+from typing import NamedTuple
+
+import xxhash
+
+from ..placement import block_key
+from .servers import Server, ServerBook
+from .shares import RegionShares
+
+_HASH_SPACE = float(1 << 32)
+_MAX_KEPT = 20_000
+
+
+class Placement(NamedTuple):
+    """Backend servers for one object, in order of preference.
+
+    Args:
+        region: Region that the object lives in.
+        servers: Servers of that region, then of the others.
+        near: How many of them stand in that region.
+    """
+
+    region: str
+    servers: tuple[Server, ...]
+    near: int
+
+
+class Placer:
+    """Places objects by region shares, then by rendezvous hashing within a region.
+
+    Args:
+        book: Backend servers.
+        shares: Region shares in force.
+        regions: Region of each data hall.
+    """
+
+    def __init__(self, book: ServerBook, shares: RegionShares, regions: dict[str, str]) -> None:
+        self.book = book
+        self.shares = shares
+        self.regions = regions
+        self._kept: dict[tuple[str, str, str], Placement] = {}
+        self._generation = -1
+
+    def place(self, service: str, key: str, allowed: tuple[str, ...], now: float) -> Placement:
+        """Return the servers for an object.
+
+        Args:
+            service: Service.
+            key: Names the object.
+            allowed: Regions that may run it; empty for all.
+            now: Monotonic time, in seconds.
+        """
+        if self._generation != self.book.beliefs.generation or len(self._kept) > _MAX_KEPT:
+            self._generation = self.book.beliefs.generation
+            self._kept.clear()
+        block = block_key(key, service)
+        region = self.shares.shares(service, now).region_at(block)
+        at = (service, key, f"{region}|{'|'.join(allowed)}")
+        placement = self._kept.get(at)
+        if placement is None:
+            placement = self._kept[at] = self._rank(service, block, region, allowed)
+        return placement
+
+    def _rank(self, service: str, block: bytes, region: str, allowed: tuple[str, ...]) -> Placement:
+        def order(server: Server) -> tuple[bool, float]:
+            away = self.regions.get(server.backend.zone) != region
+            uniform = (xxhash.xxh32_intdigest(block, server.seed) + 1) / _HASH_SPACE
+            return away, -math.log(uniform) / max(1, server.backend.capacity)
+
+        servers = [
+            server
+            for server in self.book.usable(service)
+            if not allowed or self.regions.get(server.backend.zone) in allowed
+        ]
+        servers.sort(key=order)
+        near = sum(self.regions.get(s.backend.zone) == region for s in servers)
+        return Placement(region, tuple(servers), near)
--- /dev/null
+++ b/sprucewinch/gateway/pool.py
@@ -0,0 +1,89 @@
+"""Kept connections to backend servers."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from .connection import Connection, connect
+
+CONNECT_S = 0.35
+"""Longest wait for a new connection, in seconds."""
+
+_IDLE_S = 7.5
+"""Longest rest of a kept connection that says nothing of its own, in seconds."""
+
+_IDLE_PART = 0.75
+_MOST_IDLE = 24
+"""Most resting connections to one server."""
+
+
+class Pool:
+    """Connections by address; the one that rested least is used first.
+
+    Args:
+        id_header: Header that names the request in answers.
+        monotonic: Source of time.
+    """
+
+    def __init__(self, id_header: str, monotonic: Callable[[], float]) -> None:
+        self.id_header = id_header
+        self.monotonic = monotonic
+        self.opened = 0
+        self._idle: dict[str, deque[Connection]] = {}
+
+    async def take(self, address: str, *, fresh: bool = False) -> Connection:
+        """Return a connection that no request uses.
+
+        Args:
+            address: `IP:PORT`.
+            fresh: Open a new one in any case.
+
+        Raises:
+            ConnectFailedError: When none came up.
+        """
+        idle = self._idle.get(address)
+        while idle and not fresh:
+            connection = idle.pop()
+            if connection.alive and connection.idle_until > self.monotonic():
+                return connection
+            connection.close()
+        self.opened += 1
+        return await connect(address, CONNECT_S, id_header=self.id_header)
+
+    def give_back(self, address: str, connection: Connection, keep_s: float = _IDLE_S) -> None:
+        """Keep a connection whose answer was whole; close it when in doubt.
+
+        Args:
+            address: `IP:PORT`.
+            connection: The connection.
+            keep_s: How long the server keeps it open, in seconds.
+        """
+        if not connection.alive:
+            connection.close()
+            return
+        connection.idle_until = self.monotonic() + min(_IDLE_S, keep_s * _IDLE_PART)
+        idle = self._idle.setdefault(address, deque())
+        idle.append(connection)
+        if len(idle) > _MOST_IDLE:
+            idle.popleft().close()
+
+    def sweep(self) -> None:
+        """Close what has rested too long."""
+        now = self.monotonic()
+        for address in list(self._idle):
+            kept = deque(c for c in self._idle[address] if c.alive and c.idle_until > now)
+            for connection in self._idle[address]:
+                if connection not in kept:
+                    connection.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    async def close(self) -> None:
+        """Close all resting connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.close()
+        self._idle.clear()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/sprucewinch/gateway/replica.py
@@ -0,0 +1,122 @@
+"""A replica of the store's keys in memory: newest revision of each key, and what was removed.
+
+Items arrive from watches, listings and neighbours, in any order and more than once. A key never
+goes back to an older revision, and a removed key stays removed until a newer write.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+MAX_REMOVED = 4096
+"""Most removed keys that are remembered; older ones make a full copy necessary."""
+
+
+class Item(NamedTuple):
+    """A key's value at one revision.
+
+    Args:
+        key: Its key.
+        value: Its bytes.
+        revision: Revision of its last change.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class Removal(NamedTuple):
+    """A key that is gone.
+
+    Args:
+        key: Its key.
+        revision: Revision at which it was gone.
+    """
+
+    key: str
+    revision: int
+
+
+class Delta(NamedTuple):
+    """What has changed after some revision.
+
+    Args:
+        items: Newer items; all items when `whole`.
+        removals: Keys gone since.
+        at: Revision that this brings a replica to.
+        whole: True when keys that are not listed are gone.
+    """
+
+    items: tuple[Item, ...]
+    removals: tuple[Removal, ...]
+    at: int
+    whole: bool = False
+
+
+class Replica:
+    """The newest known state of some prefixes of the store."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, Item] = {}
+        self.removed: dict[str, int] = {}
+        self.at = 0
+        self.floor = 0
+
+    def apply(self, delta: Delta) -> set[str]:
+        """Take over what is newer.
+
+        Args:
+            delta: Changes from the store or from a neighbour.
+
+        Returns:
+            The keys whose value or presence changed.
+        """
+        changed = {item.key for item in delta.items if self._put(item)}
+        changed |= {r.key for r in delta.removals if self._remove(r.key, r.revision)}
+        if delta.whole:
+            changed |= self._remove_missing(delta)
+        self.at = max(self.at, delta.at)
+        return changed
+
+    def since(self, revision: int) -> Delta:
+        """Return what has changed after a revision; everything when that is not known."""
+        if revision < self.floor:
+            return Delta(tuple(self.items.values()), (), self.at, whole=True)
+        items = tuple(item for item in self.items.values() if item.revision > revision)
+        gone = tuple(Removal(k, r) for k, r in self.removed.items() if r > revision)
+        return Delta(items, gone, self.at)
+
+    def under(self, prefix: str) -> Iterable[Item]:
+        """Return the items whose keys begin with a prefix."""
+        return [item for key, item in self.items.items() if key.startswith(prefix)]
+
+    def _put(self, item: Item) -> bool:
+        held = self.items.get(item.key)
+        known = held.revision if held else self.removed.get(item.key, 0)
+        if item.revision <= known:
+            return False
+        self.removed.pop(item.key, None)
+        self.items[item.key] = item
+        return held is None or held.value != item.value
+
+    def _remove(self, key: str, revision: int) -> bool:
+        held = self.items.get(key)
+        if held is not None and held.revision > revision:
+            return False
+        if held is None and self.removed.get(key, 0) >= revision:
+            return False
+        self.items.pop(key, None)
+        self._remember(key, revision)
+        return held is not None
+
+    def _remember(self, key: str, revision: int) -> None:
+        self.removed.pop(key, None)
+        self.removed[key] = revision
+        if len(self.removed) > MAX_REMOVED:
+            oldest = next(iter(self.removed))
+            self.floor = max(self.floor, self.removed.pop(oldest))
+
+    def _remove_missing(self, delta: Delta) -> set[str]:
+        listed = {item.key for item in delta.items}
+        missing = [key for key in self.items if key not in listed]
+        return {key for key in missing if self._remove(key, delta.at)}
--- /dev/null
+++ b/sprucewinch/gateway/routes.py
@@ -0,0 +1,46 @@
+"""Which route a request takes: the host's longest prefix that begins its path."""
+
+from typing import Optional
+
+from .model import Route, RouteConfiguration
+
+
+class RouteTable:
+    """Routes by host and prefix.
+
+    Args:
+        configuration: The version in force.
+    """
+
+    __slots__ = ("_by_host", "version")
+
+    def __init__(self, configuration: RouteConfiguration) -> None:
+        self.version = configuration.version
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            self._by_host.setdefault(route.host, {})[route.prefix] = route
+
+    def find(self, host: str, path: str) -> Optional[Route]:
+        """Return the route of a request; None when there is none.
+
+        Args:
+            host: Value of the `Host` header.
+            path: Path without the query.
+        """
+        prefixes = self._by_host.get(_bare(host))
+        if prefixes is None:
+            return None
+        end = len(path)
+        while end > 0:
+            end = path.rfind("/", 0, end) + 1
+            route = prefixes.get(path[:end])
+            if route is not None or end == 0:
+                return route
+            end -= 1
+        return None
+
+
+def _bare(host: str) -> str:
+    """Return a host without its port, in lower case."""
+    name, colon, port = host.rpartition(":")
+    return (name if colon and port.isdigit() else host).lower()
--- /dev/null
+++ b/sprucewinch/gateway/servers.py
@@ -0,0 +1,197 @@
+"""What this machine knows of each backend server, and how much it may send there."""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from typing import Optional
+
+from .._hash import hash64
+from .beliefs import Beliefs, Change, Evacuation
+from .model import Backend, Bounds, RouteConfiguration
+
+COLD_MARGIN_S = 0.5
+"""How much longer than it says a backend server counts as cold, in seconds."""
+
+_COLD_WINDOW_S = 1.15
+"""Window of the cold limit at one machine: a second, and what differs between send and arrival."""
+
+_COLD_SAFETY = 0.8
+_LOAD_HALF_LIFE_S = 0.2
+_FIRST_PAUSE_S = 0.5
+_MOST_PAUSE_S = 4.0
+_LATENCY_WEIGHT = 0.2
+
+
+class Server:
+    """One incarnation of a backend server, as this machine sees it.
+
+    Args:
+        backend: The store's entry.
+    """
+
+    __slots__ = (
+        "_others",
+        "_others_at",
+        "backend",
+        "cold_sent",
+        "cold_until",
+        "failures",
+        "in_flight",
+        "latency_s",
+        "paused_until",
+        "seed",
+    )
+
+    def __init__(self, backend: Backend) -> None:
+        self.backend = backend
+        self.seed = hash64(backend.id) & 0xFFFFFFFF
+        self.in_flight = 0
+        self.cold_until = float("-inf")
+        self.cold_sent: deque[float] = deque()
+        self.paused_until = float("-inf")
+        self.failures = 0
+        self.latency_s: Optional[float] = None
+        self._others = 0.0
+        self._others_at = 0.0
+
+    def cold(self, now: float) -> bool:
+        """Tell whether it still counts as cold."""
+        return now < self.cold_until
+
+    def load(self, now: float) -> float:
+        """Return the requests that it probably holds now, those of other machines included."""
+        age = max(0.0, now - self._others_at)
+        return self.in_flight + self._others * 0.5 ** (age / _LOAD_HALF_LIFE_S)
+
+    def told_load(self, running: int, waiting: int, now: float) -> None:
+        """Take over what it says of its load."""
+        self._others = max(0.0, running + waiting - self.in_flight)
+        self._others_at = now
+
+    def succeeded(self, seconds: float) -> None:
+        """Note an answer of its own and the time it took."""
+        self.failures = 0
+        self.paused_until = float("-inf")
+        held = self.latency_s
+        self.latency_s = seconds if held is None else held + _LATENCY_WEIGHT * (seconds - held)
+
+    def failed(self, now: float) -> None:
+        """Note that it could not be reached or broke off; it rests, longer each time."""
+        self.failures += 1
+        pause = min(_MOST_PAUSE_S, _FIRST_PAUSE_S * 2 ** (self.failures - 1))
+        self.paused_until = now + pause
+
+    def pause(self, until: float) -> None:
+        """Leave it alone until some time."""
+        self.paused_until = max(self.paused_until, until)
+
+    def cold_allowed(self, now: float, allowance: int) -> bool:
+        """Tell whether one more request may be sent while it is cold."""
+        while self.cold_sent and self.cold_sent[0] <= now - _COLD_WINDOW_S:
+            self.cold_sent.popleft()
+        return len(self.cold_sent) < allowance
+
+
+class ServerBook:
+    """All backend servers, kept in step with what is believed.
+
+    Args:
+        beliefs: What this machine believes.
+        bounds: The fleet's figures.
+        name: Name of this machine.
+    """
+
+    def __init__(self, beliefs: Beliefs, bounds: Bounds, name: str) -> None:
+        self.beliefs = beliefs
+        self.bounds = bounds
+        self.name = name
+        self.now = 0.0
+        self.settled = False
+        self.servers: dict[str, Server] = {}
+        self.by_service: dict[str, tuple[Server, ...]] = {}
+        beliefs.listeners.append(self._learn)
+
+    def usable(self, service: str) -> tuple[Server, ...]:
+        """Return the servers of a service that may get new requests, paused ones included."""
+        return self.by_service.get(service, ())
+
+    def machines(self) -> int:
+        """Return how many machines may share the fleet's limits, rather too many than too few."""
+        return max(1, len(self.beliefs.members))
+
+    def cold_allowance(self, server: Server) -> int:
+        """Return how many requests this machine may send a cold server in a second."""
+        configuration = self.beliefs.configuration
+        rule = configuration.services.get(server.backend.service) if configuration else None
+        if rule is None or rule.cold_per_s <= 0:
+            return server.backend.capacity
+        bound = rule.cold_per_s * self.bounds.cold_over + self.bounds.cold_slack
+        fleet = math.floor(_COLD_SAFETY * bound)
+        machines = self.machines()
+        if machines <= fleet:
+            return fleet // machines
+        return int(self._rank(server.backend.id) < fleet)
+
+    def take(self, server: Server, now: float) -> None:
+        """Count a request that is about to be sent."""
+        server.in_flight += 1
+        server.cold_sent.append(now)
+        if len(server.cold_sent) > 64:
+            server.cold_sent.popleft()
+
+    def _rank(self, server_id: str) -> int:
+        """Return how many machines come before this one for a cold server."""
+        own = hash64(f"{server_id}|{self.name}")
+        others = (hash64(f"{server_id}|{name}") for name in self.beliefs.members)
+        return sum(draw < own for draw in others)
+
+    def _learn(self, change: Change) -> None:
+        if isinstance(change.after, RouteConfiguration):
+            return
+        if isinstance(change.before, Evacuation) and change.after is None:
+            self._chill(change.before.zone)
+        if isinstance(change.after, Backend):
+            self._update(change.after)
+        elif isinstance(change.before, Backend) and change.after is None:
+            self.servers.pop(change.before.id, None)
+        self._rebuild()
+
+    def _update(self, backend: Backend) -> None:
+        server = self.servers.get(backend.id)
+        new = server is None
+        if server is None:
+            server = self.servers[backend.id] = Server(backend)
+        server.backend = backend
+        left = backend.warm_in_s
+        if new and self.settled:
+            left = max(left, self._warmup_s(backend.service))
+        if left > 0:
+            server.cold_until = max(server.cold_until, self.now + left + COLD_MARGIN_S)
+
+    def _chill(self, zone: str) -> None:
+        """Count a data hall's servers as cold: it is taken back after an evacuation."""
+        for server in self.servers.values():
+            if server.backend.zone == zone:
+                left = self._warmup_s(server.backend.service)
+                server.cold_until = max(server.cold_until, self.now + left + COLD_MARGIN_S)
+
+    def _warmup_s(self, service: str) -> float:
+        configuration = self.beliefs.configuration
+        rule = configuration.services.get(service) if configuration else None
+        return rule.warmup_s if rule else 3.0
+
+    def _rebuild(self) -> None:
+        self.by_service = {}
+        for service, servers in _grouped(self.servers.values()).items():
+            self.by_service[service] = tuple(
+                server
+                for server in servers
+                if not server.backend.draining and server.backend.zone not in self.beliefs.evacuated
+            )
+
+
+def _grouped(servers: Iterable[Server]) -> dict[str, list[Server]]:
+    groups: dict[str, list[Server]] = {}
+    for server in servers:
+        groups.setdefault(server.backend.service, []).append(server)
+    return groups
--- /dev/null
+++ b/sprucewinch/gateway/shares.py
@@ -0,0 +1,103 @@
+"""Shares of regions in force at this machine: policy, guard, then the shift cap."""
+
+from typing import NamedTuple
+
+from ..guard import GuardLimits, grant
+from ..measures import RegionMeasures, Snapshot
+from ..placement import Shares, make_shares
+from ..policy import Policy, PolicyFault
+from ..shift import ShiftCap, ShiftLimiter
+from .servers import ServerBook
+
+SHIFT_WINDOW_S = 2.0
+_CAP_SAFETY = 0.8
+_HOME_MS = 1.0
+_AWAY_MS = 10.0
+
+
+class _Place(NamedTuple):
+    limiter: ShiftLimiter
+    policy: str
+
+
+class RegionShares:
+    """Shares of the callers of this machine's region, by service.
+
+    Args:
+        book: Backend servers.
+        policy: Wants shares.
+        regions: Region of each data hall.
+        home: Region of this machine's callers.
+        shift_cap: Most callers that may move within a window.
+    """
+
+    def __init__(
+        self,
+        book: ServerBook,
+        policy: Policy,
+        *,
+        regions: dict[str, str],
+        home: str,
+        shift_cap: float,
+    ) -> None:
+        self.book = book
+        self.policy = policy
+        self.regions = regions
+        self.home = home
+        self.order = tuple(dict.fromkeys(regions.values()))
+        self.cap = ShiftCap(shift_cap * _CAP_SAFETY, SHIFT_WINDOW_S, 0.0)
+        self.limiters: dict[str, ShiftLimiter] = {}
+        self.targets: dict[str, Shares] = {}
+        self.notes: dict[str, tuple[str, ...]] = {}
+        self._generation = -1
+
+    def shares(self, service: str, now: float) -> Shares:
+        """Return the shares in force of a service."""
+        limiter = self.limiters.get(service)
+        if limiter is None:
+            self._plan(service, now)
+            limiter = self.limiters[service]
+        return limiter.current
+
+    def tick(self, now: float) -> None:
+        """Follow what has changed, then move all shares towards their targets."""
+        if self._generation != self.book.beliefs.generation:
+            self._generation = self.book.beliefs.generation
+            for service in list(self.limiters):
+                self._plan(service, now)
+        for service, limiter in self.limiters.items():
+            limiter.move(self.targets[service], now)
+
+    def _plan(self, service: str, now: float) -> None:
+        snapshot = self._snapshot(service, now)
+        limiter = self.limiters.get(service)
+        current = limiter.current if limiter else self._by_capacity(snapshot)
+        wanted = self.policy.weights(snapshot)
+        if isinstance(wanted, PolicyFault):
+            self.notes[service] = (f"policy-fault:{wanted.problem}",)
+            self.targets.setdefault(service, current)
+        else:
+            granted = grant(wanted, current, snapshot, GuardLimits())
+            self.targets[service] = granted.shares
+            self.notes[service] = granted.notes
+        if limiter is None:
+            self.limiters[service] = ShiftLimiter(self.targets[service], self.cap)
+
+    def _by_capacity(self, snapshot: Snapshot) -> Shares:
+        weights = {region: m.capacity for region, m in snapshot.regions.items()}
+        if sum(weights.values()) <= 0:
+            weights = {self.home: 1.0}
+        return make_shares(self.order, weights)
+
+    def _snapshot(self, service: str, now: float) -> Snapshot:
+        capacity = dict.fromkeys(self.order, 0.0)
+        for server in self.book.usable(service):
+            region = self.regions.get(server.backend.zone)
+            if region is not None:
+                capacity[region] += server.backend.capacity
+        return Snapshot(
+            service=service,
+            client_region=self.home,
+            regions={r: RegionMeasures(slots, age_s=0.0) for r, slots in capacity.items()},
+            distance_ms={r: _HOME_MS if r == self.home else _AWAY_MS for r in self.order},
+        )
--- /dev/null
+++ b/sprucewinch/gateway/windows.py
@@ -0,0 +1,34 @@
+"""Counts over a sliding window of time."""
+
+from collections import deque
+
+
+class SlidingCount:
+    """Counts events within a window, in small buckets.
+
+    Args:
+        window_s: Length of the window, in seconds.
+        bucket_s: Length of a bucket, in seconds; an event counts for up to this much longer.
+    """
+
+    __slots__ = ("_buckets", "bucket_s", "total", "window_s")
+
+    def __init__(self, window_s: float, *, bucket_s: float = 0.25) -> None:
+        self.window_s = window_s
+        self.bucket_s = bucket_s
+        self.total = 0
+        self._buckets: deque[list[float]] = deque()
+
+    def add(self, now: float) -> None:
+        """Count one event."""
+        start = now - now % self.bucket_s
+        if not self._buckets or self._buckets[-1][0] != start:
+            self._buckets.append([start, 0])
+        self._buckets[-1][1] += 1
+        self.total += 1
+
+    def count(self, now: float) -> int:
+        """Return the events of the window that ends now."""
+        while self._buckets and self._buckets[0][0] + self.bucket_s <= now - self.window_s:
+            self.total -= int(self._buckets.popleft()[1])
+        return self.total
--- a/sprucewinch/log.py
+++ b/sprucewinch/log.py
@@ -2,6 +2,7 @@
 
 import json
 import logging as std_logging
+import os
 import shlex
 from typing import Literal
 
@@ -60,3 +61,35 @@
 def trouble(line: str) -> None:
     """Log trouble that an operator should look into, written as key=value words."""
     logging.warning("%s", line)
+
+
+class _LineHandler(std_logging.Handler):
+    """Writes whole lines to a descriptor; drops them rather than wait for a slow reader."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: std_logging.LogRecord) -> None:
+        try:
+            os.write(self.descriptor, record.getMessage().encode() + b"\n")
+        except OSError:
+            self.dropped += 1
+
+
+def configure_lines(descriptor: int = 1) -> None:
+    """Send lines that are already structured to a descriptor, without ever blocking on it."""
+    flags.FLAGS(["sprucewinch"])
+    logger = logging.get_absl_logger()
+    logger.handlers = [_LineHandler(descriptor)]
+    logger.propagate = False
+    logging.set_verbosity(logging.INFO)
+    for name in ("uvicorn", "uvicorn.error", "asyncio"):
+        std_logging.getLogger(name).setLevel(std_logging.CRITICAL)
+
+
+def line(text: str) -> None:
+    """Log a line that is already structured."""
+    logging.info("%s", text)
