Choose servers by expected time, pass over silent ones; policies, settings and limits at runtime

Ruled out: refusals by the machines themselves (no overload of a process: 0.08 cores at most). Change: an object's first server gets its request unless it is full, cold, silent, or would be late and a server with free slots is clearly sooner (near ones first, then two of other regions); a server that has answered nobody for 0.4 s rests; 0.15 s between two watches after a change; a caller gets its final answer 40 ms before it leaves. Also: policies are loaded and chosen in the store under keys of the product's own; settings that change with or without a signal are taken over; header and idle times of callers follow the configuration; `sprucewinch machine` shows what a machine believes.

--- a/sprucewinch/_http_server.py
+++ b/sprucewinch/_http_server.py
@@ -1,9 +1,10 @@
 """HTTP listeners with limits on headers, connections and requests."""
 
+import asyncio
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable, Iterator
-from typing import Any
+from typing import Any, Optional
 
 import msgspec
 import uvicorn
@@ -30,21 +31,66 @@
     )
 
 
-def _limited_protocol(limits: Limits) -> type[HttpToolsProtocol]:
+class ListenerLimits:
+    """Limits of one listener; they may be changed while it runs.
+
+    Args:
+        header_bytes: Most bytes of a request's headers.
+        connections: Most open connections.
+        requests: Most requests in flight.
+        header_s: Longest time for a request's headers to arrive, in seconds; None for any time.
+    """
+
+    __slots__ = ("connections", "header_bytes", "header_s", "requests")
+
+    def __init__(
+        self, header_bytes: int, connections: int, requests: int, header_s: Optional[float] = None
+    ) -> None:
+        self.header_bytes = header_bytes
+        self.connections = connections
+        self.requests = requests
+        self.header_s = header_s
+
+    @classmethod
+    def of(cls, limits: Limits) -> "ListenerLimits":
+        """Return the limits that the daemon's settings name."""
+        return cls(limits.header_bytes, limits.connections, limits.requests)
+
+
+def _limited_protocol(limits: ListenerLimits) -> type[HttpToolsProtocol]:
     class LimitedProtocol(HttpToolsProtocol):
         """Refuses connections, requests and headers beyond the limits with a clear answer."""
 
         header_bytes = 0
+        header_timer: Optional[asyncio.TimerHandle] = None
 
         def connection_made(self, transport: Any) -> None:
             super().connection_made(transport)
             if len(self.connections) > limits.connections:
                 self._refuse(b"503 Service Unavailable", Reason.OVERLOADED_VM)
+                return
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
+
+        def connection_lost(self, exc: Optional[Exception]) -> None:
+            self._stop_header_timer()
+            super().connection_lost(exc)
 
         def on_message_begin(self) -> None:
             self.header_bytes = 0
+            if limits.header_s is not None:
+                self.header_timer = self.loop.call_later(limits.header_s, self._headers_late)
             super().on_message_begin()
 
+        def _headers_late(self) -> None:
+            self._refuse(b"408 Request Timeout", Reason.MALFORMED)
+
+        def _stop_header_timer(self) -> None:
+            if self.header_timer is not None:
+                self.header_timer.cancel()
+                self.header_timer = None
+
         def on_url(self, url: bytes) -> None:
             super().on_url(url)
             self._count(len(url))
@@ -54,6 +100,7 @@
             self._count(len(name) + len(value))
 
         def on_headers_complete(self) -> None:
+            self._stop_header_timer()
             if self.header_bytes > limits.header_bytes:
                 return
             if len(self.tasks) >= limits.requests:
@@ -126,15 +173,25 @@
     return bound
 
 
-def make_server(
-    app: AsgiApp, limits: Limits, *, keepalive_s: float = _KEEPALIVE_S
-) -> uvicorn.Server:
+def make_server(app: AsgiApp, limits: Limits) -> uvicorn.Server:
     """Return a server for an ASGI application, to be given a bound socket.
 
+    Args:
+        app: The application.
+        limits: Limits of the listener, from the settings.
+    """
+    return make_listener(app, ListenerLimits.of(limits))
+
+
+def make_listener(
+    app: AsgiApp, limits: ListenerLimits, *, keepalive_s: float = _KEEPALIVE_S
+) -> uvicorn.Server:
+    """Return a server whose limits may change while it runs.
+
     Args:
         app: The application.
         limits: Limits of the listener.
-        keepalive_s: How long a connection may rest between two requests, in seconds.
+        keepalive_s: How long a connection may rest, in seconds; see `keep_alive`.
     """
     config = uvicorn.Config(
         app,
@@ -152,3 +209,13 @@
         timeout_keep_alive=int(keepalive_s),
     )
     return _Server(config)
+
+
+def keep_alive(server: uvicorn.Server, seconds: float) -> None:
+    """Change how long new connections of a server may rest.
+
+    Args:
+        server: The server.
+        seconds: Longest rest, in seconds.
+    """
+    server.config.timeout_keep_alive = int(seconds)
--- a/sprucewinch/cli.py
+++ b/sprucewinch/cli.py
@@ -10,7 +10,7 @@
 
 from ._base_revision import read_base
 from ._tables import Printer
-from .client import OperatorClient
+from .client import OperatorClient, read_state
 from .config import load_configuration
 from .errors import ConfigurationError, ConflictError, PolicyError, SprucewinchError
 from .policy import check_program
@@ -204,6 +204,18 @@
             records = [record for record in records if record["operation"] == str(operation)]
         self._printer.rows(records, "audit trail")
 
+    @SetParseFn(str)
+    def machine(self, address: str) -> None:
+        """Show what a machine of the routed request path believes.
+
+        Args:
+            address: `IP:PORT` of its metrics listener.
+        """
+        answer = read_state(address)
+        self._printer.sections(
+            answer, {"services": "services", "backend_servers": "backend servers"}
+        )
+
     @SetParseFn(str)
     def explain(self, block: str, service: str) -> None:
         """Explain where a client block is sent for a service, and why."""
--- a/sprucewinch/client.py
+++ b/sprucewinch/client.py
@@ -114,3 +114,31 @@
             f"{self.address} went away during the call; the change may have been made",
             "look with: sprucewinch audit",
         )
+
+
+def read_state(address: str) -> Any:
+    """Return the state of a machine of the routed request path.
+
+    Args:
+        address: `IP:PORT` of its metrics listener.
+
+    Raises:
+        DaemonError: When it cannot be had.
+    """
+    if not is_address(address):
+        raise DaemonError(f"{address!r} is no address", "give IP:PORT of a metrics listener")
+    return asyncio.run(_read_state(address))
+
+
+async def _read_state(address: str) -> Any:
+    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(f"http://{address}/state") as response,
+        ):
+            return msgspec.json.decode(await response.read())
+    except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
+        raise DaemonError(
+            f"{address}: no state: {type(error).__name__}", "check that the machine runs"
+        ) from None
--- a/sprucewinch/gateway/beliefs.py
+++ b/sprucewinch/gateway/beliefs.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, Optional, Union
 
-from .model import Backend, Member, RouteConfiguration
+from .model import Backend, Member, PolicyChoice, PolicyProgram, RouteConfiguration
 from .replica import Delta, Item, Replica
 
 
@@ -14,7 +14,7 @@
     zone: str
 
 
-Fact = Union[RouteConfiguration, Evacuation, Backend, Member]
+Fact = Union[RouteConfiguration, Evacuation, Backend, Member, PolicyProgram, PolicyChoice]
 
 
 class MalformedItemError(Exception):
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -13,30 +13,35 @@
 
 from .. import log
 from .._address import parse_address
-from .._http_server import AsgiApp, bind, make_server
+from .._http_server import AsgiApp, ListenerLimits, bind, keep_alive, make_listener
 from ..clock import Clock, SystemClock
-from ..policy import ProgramPolicy, shipped_policies
-from ..settings import Limits
+from ..errors import SettingsError
 from .app import GatewayApp
-from .beliefs import Beliefs, Decoder
+from .beliefs import Beliefs, Change, Decoder
 from .directory import Directory
+from .expect import Expectation
 from .gossip import BEAT_S, Beat, Gossip
 from .journal import Journal
 from .listeners import PeerApp, TextApp
-from .model import GatewaySettings, Member, Names
+from .model import GatewaySettings, Member, Names, RouteConfiguration
 from .pipeline import Pipeline
 from .place import Placer
+from .policies import PolicyBook
 from .pool import Pool
 from .send import Sender
 from .servers import ServerBook
 from .shares import RegionShares
+from .state import machine_state
 from .store import Store
 from .sync import NeighbourFollower, Registrar, StoreFollower
 
-DEFAULT_POLICY = "capacity"
 _TICK_S = 0.2
 _SWEEP_S = 1.0
 _CONNECTIONS_PART = 0.5
+_FIRST_HEADER_BYTES = 65_536
+_HEADER_SLACK_BYTES = 1024
+_HEADER_SLACK_S = 1.0
+_IDLE_SLACK_S = 5.0
 _STOP_POLL_S = 0.05
 _STOP_MARGIN_S = 0.7
 _LINGER_S = 3.2
@@ -84,6 +89,7 @@
     Args:
         settings: Its settings.
         wire: The platform's translation.
+        reread: Returns the settings as they are now, or None when they are unchanged.
         clock: Source of time.
         rng: Source of randomness.
     """
@@ -93,11 +99,13 @@
         settings: GatewaySettings,
         wire: Wire,
         *,
+        reread: Callable[[], Optional[GatewaySettings]] = lambda: None,
         clock: Optional[Clock] = None,
         rng: Optional[random.Random] = None,
     ) -> None:
         self.settings = settings
         self.wire = wire
+        self.reread = reread
         self.clock = clock or SystemClock()
         self.rng = rng or random.Random()
         self.stopping = asyncio.Event()
@@ -107,9 +115,10 @@
         self.beliefs = Beliefs(wire.decoder, self._unreadable)
         self.gossip = Gossip(settings.name, incarnation, self.rng)
         self.book = ServerBook(self.beliefs, settings.bounds, settings.name)
+        self.policies = PolicyBook(self.beliefs, self._unreadable)
         self.shares = RegionShares(
             self.book,
-            ProgramPolicy(DEFAULT_POLICY, shipped_policies()[DEFAULT_POLICY]),
+            self.policies,
             regions=settings.regions,
             home=settings.region,
             shift_cap=settings.bounds.shift_cap,
@@ -119,7 +128,7 @@
             self.beliefs,
             self.book,
             Placer(self.book, self.shares, settings.regions),
-            Sender(self.book, self.pool, wire.names, monotonic),
+            Sender(self.book, self.pool, wire.names, monotonic, Expectation()),
             bounds=settings.bounds,
             monotonic=monotonic,
         )
@@ -142,6 +151,9 @@
             settings.caller_address,
             settings.peer_address,
         )
+        connections = int(settings.max_files * _CONNECTIONS_PART)
+        self._limits = ListenerLimits(_FIRST_HEADER_BYTES, connections, connections)
+        self.beliefs.listeners.append(self._limit_callers)
         self._servers: list[uvicorn.Server] = []
         self._tasks: list[asyncio.Task] = []
         self._udp: Optional[asyncio.DatagramTransport] = None
@@ -163,11 +175,51 @@
         self.journal.counters["items_unreadable"] += 1
         self.journal.state("unreadable", key=key, cause=cause)
 
+    def _limit_callers(self, change: Change) -> None:
+        """Follow the limits on callers; a connection rests a little longer than they are told."""
+        if not isinstance(change.after, RouteConfiguration):
+            return
+        limits = change.after.limits
+        self._limits.header_bytes = limits.header_bytes + _HEADER_SLACK_BYTES
+        self._limits.header_s = limits.header_s + _HEADER_SLACK_S
+        for server in self._servers:
+            keep_alive(server, limits.idle_s + _IDLE_SLACK_S)
+
     def _take_signals(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         loop.add_signal_handler(signal.SIGINT, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: self.journal.state("reload"))
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        """Look at the settings when told to."""
+        if not self._reload_if_changed():
+            self.journal.state("reload", outcome="unchanged")
+
+    def _reload_if_changed(self) -> bool:
+        """Take over changed settings; those that cannot be used leave the last good ones.
+
+        Returns:
+            True when there was something to tell.
+        """
+        try:
+            settings = self.reread()
+        except SettingsError as error:
+            self.journal.state("reload", outcome="refused", cause=str(error))
+            return True
+        if settings is None:
+            return False
+        self.journal.state("reload", outcome="taken")
+        self._follow_settings(settings)
+        return True
+
+    def _follow_settings(self, settings: GatewaySettings) -> None:
+        """Put settings in force; listeners stay where they are until the next start."""
+        self.settings = settings
+        self.book.bounds = self.pipeline.bounds = settings.bounds
+        self.pipeline.budgets.clear()
+        self.directory.limit(settings.bounds.lookup_ttl_s)
+        self.store.move(settings.store_address)
 
     async def _listen(self) -> None:
         settings = self.settings
@@ -176,7 +228,7 @@
             settings.caller_address: self.app,
             settings.ready_address: self.wire.ready_app(self.ready),
             settings.peer_address: PeerApp(self.beliefs),
-            settings.metrics_address: TextApp(self._report),
+            settings.metrics_address: TextApp({"/metrics": self._report, "/state": self._state}),
         }
         if settings.directory_address:
             apps[settings.directory_address] = self.wire.directory_app(self.directory, monotonic)
@@ -186,12 +238,7 @@
         await self._listen_for_beats()
 
     async def _serve(self, address: str, app: AsgiApp) -> None:
-        limits = Limits(
-            header_bytes=self.app.limits.header_bytes + 1024,
-            connections=int(self.settings.max_files * _CONNECTIONS_PART),
-            requests=int(self.settings.max_files * _CONNECTIONS_PART),
-        )
-        server = make_server(app, limits, keepalive_s=self.app.limits.idle_s + 5.0)
+        server = make_listener(app, self._limits)
         bound = bind("listen address", address)
         self._servers.append(server)
         self._tasks.append(asyncio.ensure_future(server.serve(sockets=[bound])))
@@ -259,6 +306,7 @@
             if now - swept_at > _SWEEP_S:
                 swept_at = now
                 self.pool.sweep()
+                self._reload_if_changed()
             await asyncio.sleep(_TICK_S)
 
     async def _leave(self) -> None:
@@ -281,6 +329,9 @@
         with contextlib.suppress(Exception):
             await self.registrar.leave()
 
+    def _state(self) -> str:
+        return machine_state(self).to_json()
+
     def _report(self) -> str:
         now = self.clock.monotonic()
         gauges = {
--- a/sprucewinch/gateway/directory.py
+++ b/sprucewinch/gateway/directory.py
@@ -35,6 +35,10 @@
     def __init__(self, beliefs: Beliefs, gossip: Gossip, ttl_s: float) -> None:
         self.beliefs = beliefs
         self.gossip = gossip
+        self.limit(ttl_s)
+
+    def limit(self, ttl_s: float) -> None:
+        """Change the longest time that an answer may be kept, in seconds."""
         self.ttl_s = min(ttl_s, LOOKUP_TTL_S)
 
     def find(self, region: str, now: float) -> Found:
--- a/sprucewinch/gateway/listeners.py
+++ b/sprucewinch/gateway/listeners.py
@@ -1,6 +1,6 @@
 """Small ASGI applications: readiness, neighbours and metrics."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -40,15 +40,19 @@
 
 
 class TextApp:
-    """Shows a text that is made for each request.
+    """Shows texts that are made for each request.
 
     Args:
-        text: Makes the text.
+        texts: What makes the text of each path.
     """
 
-    def __init__(self, text: Callable[[], str]) -> None:
-        self.text = text
+    def __init__(self, texts: Mapping[str, Callable[[], str]]) -> None:
+        self.texts = texts
 
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         """Serve one request."""
-        await send_bytes(send, 200, self.text().encode())
+        text = self.texts.get(scope["path"])
+        if text is None:
+            await send_bytes(send, 404, b"")
+            return
+        await send_bytes(send, 200, text().encode())
--- a/sprucewinch/gateway/model.py
+++ b/sprucewinch/gateway/model.py
@@ -135,6 +135,30 @@
     peer_address: str
 
 
+class PolicyProgram(NamedTuple):
+    """A steering policy's program.
+
+    Args:
+        name: Its name.
+        source: Its text.
+    """
+
+    name: str
+    source: str
+
+
+class PolicyChoice(NamedTuple):
+    """Which policy steers a service.
+
+    Args:
+        service: Service, or `*` for all that have no choice of their own.
+        policy: Name of the policy.
+    """
+
+    service: str
+    policy: str
+
+
 class Bounds(NamedTuple):
     """Figures that the fleet has to keep together.
 
--- a/sprucewinch/gateway/pipeline.py
+++ b/sprucewinch/gateway/pipeline.py
@@ -24,6 +24,10 @@
 START_COME_BACK_S = 0.3
 """When a caller that met a machine without a configuration is told to come back, in seconds."""
 
+_DEFAULT_AIM_S = 1.0
+_ANSWER_MARGIN_S = 0.04
+"""How long before a caller leaves it gets its final answer, in seconds."""
+
 _MOST_UNREACHABLE = 3
 """How many servers that cannot be reached one request tries."""
 
@@ -65,7 +69,7 @@
         self.sender = sender
         self.bounds = bounds
         self.monotonic = monotonic
-        self.admission = Admission(book.cold_allowance)
+        self.admission = Admission(book.cold_allowance, sender.expectation)
         self.splits = Splits()
         self.budgets: dict[str, RepeatBudget] = {}
         self.table: Optional[RouteTable] = None
@@ -113,7 +117,9 @@
     def _choose(self, call: Call, route: Route, service: str, now: float) -> Union[Chosen, Refused]:
         key = call.key if route.affinity and call.key else call.id
         placement = self.placer.place(service, key, route.regions, now)
-        return self.admission.choose(call, placement, service, now)
+        aim_s = _DEFAULT_AIM_S if route.aim_s is None else route.aim_s
+        aim_left_s = call.arrived_at + aim_s - now
+        return self.admission.choose(call, placement, service, aim_left_s, now)
 
     def _stop_reason(self, call: Call, route: Route, send: Send, service: str) -> Optional[Refused]:
         """Return why a request is not sent again; None when it is."""
@@ -153,9 +159,10 @@
 
 def _held_until(route: Route, call: Call) -> float:
     """Return until when a request is held, as monotonic time in seconds."""
+    leaves_at = call.leaves_at - _ANSWER_MARGIN_S
     if route.timeout_s is None:
-        return call.leaves_at
-    return min(call.leaves_at, call.arrived_at + route.timeout_s)
+        return leaves_at
+    return min(leaves_at, call.arrived_at + route.timeout_s)
 
 
 def _reply(refused: Refused, *, route: Optional[Route] = None) -> Reply:
--- a/sprucewinch/gateway/send.py
+++ b/sprucewinch/gateway/send.py
@@ -5,6 +5,7 @@
 
 from .call import Call, Chosen, Send, Verdict
 from .connection import Answer, ConnectFailedError, ExchangeFailedError
+from .expect import Expectation
 from .judge import judge, load_of
 from .model import Names
 from .pool import Pool
@@ -24,15 +25,22 @@
         pool: Connections.
         names: Names of headers.
         monotonic: Source of time.
+        expectation: Learns how long answers take.
     """
 
     def __init__(
-        self, book: ServerBook, pool: Pool, names: Names, monotonic: Callable[[], float]
+        self,
+        book: ServerBook,
+        pool: Pool,
+        names: Names,
+        monotonic: Callable[[], float],
+        expectation: Expectation,
     ) -> None:
         self.book = book
         self.pool = pool
         self.names = names
         self.monotonic = monotonic
+        self.expectation = expectation
 
     async def send(self, call: Call, chosen: Chosen, until: float, *, fresh: bool = False) -> Send:
         """Send a request to the chosen server.
@@ -52,10 +60,10 @@
         except TimeoutError:
             send = Send(server.backend.id, Verdict.UNKNOWN, True, "timeout")
         finally:
-            server.in_flight -= 1
+            self.book.release(server, started)
         now = self.monotonic()
         send = send._replace(seconds=now - started)
-        self._learn(server, send, now)
+        self._learn(server, call.key, send, started, now)
         return send
 
     async def _exchange(self, call: Call, server: Server, until: float, fresh: bool) -> Send:
@@ -83,18 +91,20 @@
             lines.append(f"content-length: {len(call.body)}")
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + call.body
 
-    def _learn(self, server: Server, send: Send, now: float) -> None:
+    def _learn(self, server: Server, key: str, send: Send, started: float, now: float) -> None:
         if send.answer is not None:
             load = load_of(send.answer, self.names)
             if load is not None:
                 server.told_load(load.running, load.waiting, now)
         if send.verdict is Verdict.ANSWERED:
-            server.succeeded(send.seconds)
+            times = self.expectation.times(server.backend.service)
+            times.learn(send.seconds, seen=server.has_seen(key))
+            server.succeeded(send.seconds, key, now)
         elif send.why == "misdirected":
             server.pause(now + _MISDIRECTED_PAUSE_S)
         elif send.why.startswith("shed"):
             server.pause(now + _SHED_PAUSE_S)
-        elif send.why != "timeout":
+        elif send.why != "timeout" or server.answered_at < started:
             server.failed(now)
 
 
--- a/sprucewinch/gateway/servers.py
+++ b/sprucewinch/gateway/servers.py
@@ -20,6 +20,12 @@
 _FIRST_PAUSE_S = 0.5
 _MOST_PAUSE_S = 4.0
 _LATENCY_WEIGHT = 0.2
+_SILENT_S = 0.4
+"""Time without any answer after which a server with requests counts as silent, in seconds."""
+
+_SILENT_LATENCIES = 3.0
+_MOST_SEEN = 64
+"""Most objects that a server is believed to have seen."""
 
 
 class Server:
@@ -32,6 +38,8 @@
     __slots__ = (
         "_others",
         "_others_at",
+        "_seen",
+        "answered_at",
         "backend",
         "cold_sent",
         "cold_until",
@@ -40,6 +48,7 @@
         "latency_s",
         "paused_until",
         "seed",
+        "started",
     )
 
     def __init__(self, backend: Backend) -> None:
@@ -51,8 +60,22 @@
         self.paused_until = float("-inf")
         self.failures = 0
         self.latency_s: Optional[float] = None
+        self.answered_at = float("-inf")
+        self.started: list[float] = []
         self._others = 0.0
         self._others_at = 0.0
+        self._seen: dict[str, None] = {}
+
+    def has_seen(self, key: str) -> bool:
+        """Tell whether it has lately answered a request about an object."""
+        return key in self._seen
+
+    def silent(self, now: float) -> bool:
+        """Tell whether it holds a request for long and has answered none meanwhile."""
+        if not self.started:
+            return False
+        patience = max(_SILENT_S, _SILENT_LATENCIES * (self.latency_s or 0.0))
+        return now - max(self.started[0], self.answered_at) > patience
 
     def cold(self, now: float) -> bool:
         """Tell whether it still counts as cold."""
@@ -68,8 +91,14 @@
         self._others = max(0.0, running + waiting - self.in_flight)
         self._others_at = now
 
-    def succeeded(self, seconds: float) -> None:
-        """Note an answer of its own and the time it took."""
+    def succeeded(self, seconds: float, key: str, now: float) -> None:
+        """Note an answer of its own, the time it took and the object."""
+        self.answered_at = now
+        if key:
+            self._seen.pop(key, None)
+            self._seen[key] = None
+            if len(self._seen) > _MOST_SEEN:
+                del self._seen[next(iter(self._seen))]
         self.failures = 0
         self.paused_until = float("-inf")
         held = self.latency_s
@@ -135,10 +164,16 @@
     def take(self, server: Server, now: float) -> None:
         """Count a request that is about to be sent."""
         server.in_flight += 1
+        server.started.append(now)
         server.cold_sent.append(now)
         if len(server.cold_sent) > 64:
             server.cold_sent.popleft()
 
+    def release(self, server: Server, started: float) -> None:
+        """Note that a request that was sent at some time is over."""
+        server.in_flight -= 1
+        server.started.remove(started)
+
     def _rank(self, server_id: str) -> int:
         """Return how many machines come before this one for a cold server."""
         own = hash64(f"{server_id}|{self.name}")
--- a/sprucewinch/gateway/shares.py
+++ b/sprucewinch/gateway/shares.py
@@ -1,12 +1,11 @@
 """Shares of regions in force at this machine: policy, guard, then the shift cap."""
 
-from typing import NamedTuple
-
 from ..guard import GuardLimits, grant
 from ..measures import RegionMeasures, Snapshot
 from ..placement import Shares, make_shares
-from ..policy import Policy, PolicyFault
+from ..policy import PolicyFault
 from ..shift import ShiftCap, ShiftLimiter
+from .policies import PolicyBook
 from .servers import ServerBook
 
 SHIFT_WINDOW_S = 2.0
@@ -15,17 +14,12 @@
 _AWAY_MS = 10.0
 
 
-class _Place(NamedTuple):
-    limiter: ShiftLimiter
-    policy: str
-
-
 class RegionShares:
     """Shares of the callers of this machine's region, by service.
 
     Args:
         book: Backend servers.
-        policy: Wants shares.
+        policies: Policies in force.
         regions: Region of each data hall.
         home: Region of this machine's callers.
         shift_cap: Most callers that may move within a window.
@@ -34,14 +28,14 @@
     def __init__(
         self,
         book: ServerBook,
-        policy: Policy,
+        policies: PolicyBook,
         *,
         regions: dict[str, str],
         home: str,
         shift_cap: float,
     ) -> None:
         self.book = book
-        self.policy = policy
+        self.policies = policies
         self.regions = regions
         self.home = home
         self.order = tuple(dict.fromkeys(regions.values()))
@@ -72,7 +66,7 @@
         snapshot = self._snapshot(service, now)
         limiter = self.limiters.get(service)
         current = limiter.current if limiter else self._by_capacity(snapshot)
-        wanted = self.policy.weights(snapshot)
+        wanted = self.policies.policy_for(service).weights(snapshot)
         if isinstance(wanted, PolicyFault):
             self.notes[service] = (f"policy-fault:{wanted.problem}",)
             self.targets.setdefault(service, current)
--- a/sprucewinch/gateway/store.py
+++ b/sprucewinch/gateway/store.py
@@ -19,6 +19,14 @@
     calls = 0
     """Calls made so far; the store counts and limits them."""
 
+    @abc.abstractmethod
+    def move(self, address: str) -> None:
+        """Use another address from the next call on, when it differs.
+
+        Args:
+            address: `IP:PORT`.
+        """
+
     @abc.abstractmethod
     async def listing(self) -> Delta:
         """Return everything that matters here, as a whole delta.
--- a/sprucewinch/gateway/sync.py
+++ b/sprucewinch/gateway/sync.py
@@ -20,6 +20,9 @@
 WATCH_S = 2.0
 """How long a watch waits, in seconds; one that died silently is noticed soon after."""
 
+GATHER_S = 0.15
+"""Pause after a change, in seconds, so that the next watch brings what follows in one call."""
+
 DELTA_PATH = "/v1/delta"
 _ASK_S = 0.3
 """How often it is looked whether a neighbour knows more, in seconds."""
@@ -82,6 +85,8 @@
         else:
             delta = await self.store.watch(self.beliefs.replica.at, WATCH_S)
         self.beliefs.apply(delta, self.monotonic())
+        if delta.items or delta.removals:
+            await asyncio.sleep(GATHER_S)
 
     def _is_up(self, up: bool, problem: str) -> None:
         if up != self.up:
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -5,6 +5,7 @@
 
 from sprucewinch.gateway.beliefs import Beliefs, Decoder, Fact
 from sprucewinch.gateway.call import Call
+from sprucewinch.gateway.expect import Expectation
 from sprucewinch.gateway.model import (
     Backend,
     Bounds,
@@ -17,12 +18,12 @@
 )
 from sprucewinch.gateway.pipeline import Pipeline
 from sprucewinch.gateway.place import Placer
+from sprucewinch.gateway.policies import PolicyBook
 from sprucewinch.gateway.pool import Pool
 from sprucewinch.gateway.replica import Delta, Item, Removal
 from sprucewinch.gateway.send import Sender
 from sprucewinch.gateway.servers import ServerBook
 from sprucewinch.gateway.shares import RegionShares
-from sprucewinch.policy import ProgramPolicy, shipped_policies
 from standins.scripted_server import ScriptedServer
 from standins.virtual import VirtualLoop
 
@@ -126,13 +127,13 @@
         self.addresses: dict[str, str] = {}
         for number in range(servers):
             self.add(f"s{number}", f"10.0.0.{number + 1}:80", zones[number % len(zones)])
-        policy = ProgramPolicy("capacity", shipped_policies()["capacity"])
+        self.policies = PolicyBook(self.world.beliefs)
         self.shares = RegionShares(
-            self.world.book, policy, regions=REGIONS, home="east", shift_cap=0.15
+            self.world.book, self.policies, regions=REGIONS, home="east", shift_cap=0.15
         )
         self.placer = Placer(self.world.book, self.shares, REGIONS)
         self.pool = Pool(NAMES.request_id, loop.time)
-        self.sender = Sender(self.world.book, self.pool, NAMES, loop.time)
+        self.sender = Sender(self.world.book, self.pool, NAMES, loop.time, Expectation())
         self.pipeline = Pipeline(
             self.world.beliefs,
             self.world.book,
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -137,7 +137,7 @@
         self.folder = tempfile.TemporaryDirectory()
         self.addCleanup(self.folder.cleanup)
         self.store = StoreStandIn(loop)
-        store = await self._listen(self.store.accept)
+        store = self.store_address = await self._listen(self.store.accept)
         self.backends = [ScriptedServer(loop, f"i-{n}") for n in range(self.servers)]
         for backend in self.backends:
             await self._list(backend, await self._listen(backend.accept))
--- /dev/null
+++ b/tests/test_gateway_policies.py
@@ -0,0 +1,90 @@
+"""Policies as the store holds them: loaded, swapped, faulty, and the shares that follow."""
+
+import unittest
+
+from sprucewinch.gateway.model import Backend, PolicyChoice, PolicyProgram
+from sprucewinch.gateway.policies import DEFAULT_POLICY, PolicyBook
+from sprucewinch.gateway.shares import RegionShares
+from sprucewinch.placement import moved_part
+
+from .gateway_fakes import BOUNDS, REGIONS, World, route
+
+_WEST = "def shares(snapshot):\n    return {'west': 1}\n"
+
+
+class Steered:
+    """Region shares over two servers in the east and six in the west."""
+
+    def __init__(self, home: str = "east") -> None:
+        self.world = World()
+        self.troubles: list[str] = []
+        self.world.configure(route())
+        for number, zone in enumerate(("east-a", "east-b", *["west-a"] * 6)):
+            backend = Backend(f"s{number}", "rates", f"10.0.0.{number}:80", zone, 6)
+            self.world.say(f"servers/s{number}", backend)
+        self.policies = PolicyBook(self.world.beliefs, lambda key, cause: self.troubles.append(key))
+        self.shares = RegionShares(
+            self.world.book,
+            self.policies,
+            regions=REGIONS,
+            home=home,
+            shift_cap=BOUNDS.shift_cap,
+        )
+        self.now = 0.0
+
+    def share(self, region: str) -> float:
+        return self.shares.shares("rates", self.now).share(region)
+
+    def run(self, seconds: float) -> list:
+        """Tick for some seconds; returns the shares after each tick."""
+        seen = []
+        for _ in range(int(seconds * 5)):
+            self.now += 0.2
+            self.shares.tick(self.now)
+            seen.append(self.shares.shares("rates", self.now))
+        return seen
+
+
+class Policies(unittest.TestCase):
+    def test_the_default_keeps_at_home_what_home_can_bear(self) -> None:
+        poor, rich = Steered("east"), Steered("west")
+        self.assertTrue(0.4 < poor.share("east") < 0.8)
+        self.assertGreater(rich.share("west"), 0.99)
+
+    def test_a_loaded_policy_takes_effect_and_moves_under_the_cap(self) -> None:
+        steered = Steered()
+        before = steered.shares.shares("rates", 0.0)
+        steered.world.say("policies/all-west", PolicyProgram("all-west", _WEST))
+        steered.world.say("policy-of/rates", PolicyChoice("rates", "all-west"))
+        seen = [before, *steered.run(60.0)]
+        self.assertGreater(seen[-1].share("west"), 0.99)
+        window = 10
+        for index in range(len(seen) - window):
+            moved = moved_part(seen[index], seen[index + window])
+            self.assertLessEqual(moved, BOUNDS.shift_cap)
+
+    def test_a_choice_that_is_withdrawn_or_unknown_falls_back(self) -> None:
+        steered = Steered()
+        steered.world.say("policy-of/rates", PolicyChoice("rates", "nobody-wrote-it"))
+        self.assertEqual(steered.policies.name_for("rates"), DEFAULT_POLICY)
+        steered.world.say("policy-of/*", PolicyChoice("*", "nearest"))
+        steered.world.drop("policy-of/rates")
+        self.assertEqual(steered.policies.name_for("rates"), "nearest")
+
+    def test_a_program_that_cannot_be_compiled_leaves_the_last_good_one(self) -> None:
+        steered = Steered()
+        steered.world.say("policies/mine", PolicyProgram("mine", _WEST))
+        good = steered.policies.programs["mine"]
+        steered.world.say("policies/mine", PolicyProgram("mine", "import os"))
+        self.assertIs(steered.policies.programs["mine"], good)
+        self.assertEqual(steered.troubles, ["policies/mine"])
+
+    def test_a_program_that_fails_leaves_the_shares_as_they_are(self) -> None:
+        steered = Steered()
+        before = steered.share("east")
+        faulty = "def shares(snapshot):\n    return {'nowhere': 1}\n"
+        steered.world.say("policies/faulty", PolicyProgram("faulty", faulty))
+        steered.world.say("policy-of/rates", PolicyChoice("rates", "faulty"))
+        steered.run(5.0)
+        self.assertEqual(steered.share("east"), before)
+        self.assertTrue(steered.shares.notes["rates"][0].startswith("policy-fault"))
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -7,8 +7,8 @@
 
 from sprucewinch.errors import SettingsError
 from sprucewinch.gateway.beliefs import Evacuation, MalformedItemError
-from sprucewinch.gateway.model import Backend, Member, Part
-from sprucewinch.gateway.registry import member_item
+from sprucewinch.gateway.model import Backend, Member, Part, PolicyChoice, PolicyProgram
+from sprucewinch.gateway.registry import choice_item, member_item, program_item
 from sprucewinch.gateway.replica import Item
 
 from . import adapter  # noqa: F401 - makes the next imports possible
@@ -127,6 +127,9 @@
         key, value = member_item(member)
         self.assertEqual(StoreItems().decode(Item(key, value, 1)), member)
         self.assertIsNone(_decode("status/x", {}))
+        program, choice = PolicyProgram("p", "x"), PolicyChoice("s1", "p")
+        for stored, fact in ((program_item(program), program), (choice_item(choice), choice)):
+            self.assertEqual(StoreItems().decode(Item(stored.key, stored.value, 1)), fact)
 
     def test_malformed_items_are_refused_with_the_fields_name(self) -> None:
         cases = (
@@ -134,7 +137,9 @@
             ("op/config", {**CONFIGURATION, "Hosts": {}}, "Hosts"),
             ("servers/i-1", {**SERVER, "Capacity": "six"}, "Capacity"),
             ("servers/i-1", {**SERVER, "WarmupLeft": "soon"}, "WarmupLeft"),
-            ("sprucewinch/members/x", {"name": 3}, "member"),
+            ("sprucewinch/members/x", {"name": 3}, "Member"),
+            ("sprucewinch/members/x", {"name": 3}, "`name`"),
+            ("sprucewinch/policies/x", {"name": "x"}, "`source`"),
         )
         for key, table, word in cases:
             with self.subTest(word=word), self.assertRaises(MalformedItemError) as caught:
--- a/tests/test_process_gateway.py
+++ b/tests/test_process_gateway.py
@@ -3,10 +3,12 @@
 import asyncio
 import json
 import signal
+import sys
+from pathlib import Path
 
 from standins.consortium_store import Fault
 
-from .gateway_process import CONFIGURATION, GatewayCase
+from .gateway_process import CONFIGURATION, ROOT, GatewayCase
 
 
 class Requests(GatewayCase):
@@ -70,15 +72,69 @@
     async def _cancelled(self) -> bool:
         return sum(backend.cancelled for backend in self.backends) == 1
 
-    async def test_a_reload_is_told_and_ends_nothing(self) -> None:
+    async def test_settings_are_taken_over_with_and_without_a_signal(self) -> None:
         vm = self.vms[0]
+        good = vm.settings.read_text()
         vm.signal(signal.SIGHUP)
+        await self.until(lambda: self._reloaded(vm, "unchanged"), "the first reload")
+        vm.settings.write_text(good.replace('"BudgetSlack": 60', '"BudgetSlack": 30'))
+        await self.until(lambda: self._reloaded(vm, "taken"), "the change without a signal")
+        vm.settings.write_text("{")
+        vm.signal(signal.SIGHUP)
+        await self.until(lambda: self._reloaded(vm, "refused"), "the refusal")
+        self.assertEqual((await self.ask(vm, "/rates/x", "q"))[0], 200)
 
-        async def told() -> bool:
-            return any(line["event"] == "reload" for line in vm.lines)
+    async def _reloaded(self, vm, outcome: str) -> bool:
+        return any(line.get("outcome") == outcome for line in vm.lines if line["event"] == "reload")
+
+    async def test_headers_that_do_not_arrive_are_given_up(self) -> None:
+        host, port = self.vms[0].addresses["Front"].split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(b"GET /rates/x HTTP/1.1\r\nhost: ")
+        async with asyncio.timeout(20):
+            self.assertTrue((await reader.readline()).startswith(b"HTTP/1.1 408"))
+
+
+class Operators(GatewayCase):
+    async def _run(self, *words: str) -> tuple[int, str]:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *words,
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await process.communicate()
+        return process.returncode or 0, output.decode()
 
-        await self.until(told, "the line of the reload")
-        self.assertEqual((await self.ask(vm, "/rates/x", "q"))[0], 200)
+    async def test_a_policy_is_loaded_and_the_command_line_shows_it_in_force(self) -> None:
+        vm = self.vms[0]
+        await self.ask(vm, "/rates/x", "q")
+        program = Path(self.folder.name) / "mine.txt"
+        program.write_text("def shares(snapshot):\n    return {'east': 1}\n")
+        store = f"--store={self.store_address}"
+        for words in (("load", "mine", str(program)), ("use", "rates", "mine")):
+            status, output = await self._run("platform/operate.py", *words, store)
+            self.assertEqual(status, 0, output)
+
+        async def in_force() -> bool:
+            _, output = await self._run(
+                "-m", "sprucewinch.cli", "machine", f"{vm.ip}:9464", "--json"
+            )
+            return '"policy": "mine"' in output
+
+        await self.until(in_force, "the policy to be in force")
+
+    async def test_a_faulty_program_is_refused_with_its_fault(self) -> None:
+        program = Path(self.folder.name) / "faulty.txt"
+        program.write_text("import os\n")
+        store = f"--store={self.store_address}"
+        status, output = await self._run(
+            "platform/operate.py", "load", "faulty", str(program), store
+        )
+        self.assertEqual(status, 2)
+        self.assertIn("faulty", output)
 
 
 class Neighbours(GatewayCase):
