Keep an object with its server under load; windows, a short wait, probes of halls taken back

Ruled out: the machines' own processor (0.07 cores). Change: a window for each server that shrinks when its requests wait and grows again; its told load is remembered longer (half in 0.6 s); an object goes to its first usable server only; a request waits for room for a fifth of its aim; refused callers are told to return after 0.25 to 0.75 s; what is left of the cold limit goes to machines of the server's region; servers of a hall that is taken back are asked once how long they are cold. A refusal's line says what decided it.

--- a/sprucewinch/gateway/call.py
+++ b/sprucewinch/gateway/call.py
@@ -25,6 +25,7 @@
         leaves_at: Monotonic time until which the caller waits, in seconds.
         key: Names the object that it is about; empty when it names none.
         sends: What was sent so far.
+        blocked: Why it was not sent at the last look, if it was not.
     """
 
     id: str
@@ -38,6 +39,7 @@
     leaves_at: float
     key: str = ""
     sends: list["Send"] = field(default_factory=list)
+    blocked: Optional["Blocked"] = None
 
     def tried(self) -> set[str]:
         """Return the backend servers that were tried."""
@@ -48,6 +50,24 @@
         return sum(send.verdict is not Verdict.NOT_RUN for send in self.sends)
 
 
+class Blocked(NamedTuple):
+    """Why the server that a request belongs to did not get it.
+
+    Args:
+        server_id: The server; empty when none can be used.
+        in_flight: This machine's requests there.
+        window: Most that it may have there.
+        load: Requests that the server probably holds, of all machines.
+        told_s: Age of the server's own word on its load, in seconds.
+    """
+
+    server_id: str
+    in_flight: int = 0
+    window: float = 0.0
+    load: float = 0.0
+    told_s: float = 0.0
+
+
 class Verdict(enum.Enum):
     """What is certain about one send."""
 
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -19,7 +19,6 @@
 from .app import GatewayApp
 from .beliefs import Beliefs, Change, Decoder
 from .directory import Directory
-from .expect import Expectation
 from .gossip import BEAT_S, Beat, Gossip
 from .journal import Journal
 from .listeners import PeerApp, TextApp
@@ -28,6 +27,7 @@
 from .place import Placer
 from .policies import PolicyBook
 from .pool import Pool
+from .probe import Prober
 from .send import Sender
 from .servers import ServerBook
 from .shares import RegionShares
@@ -114,7 +114,7 @@
         self.journal = Journal(log.line, monotonic=monotonic, wall=self.clock.wall)
         self.beliefs = Beliefs(wire.decoder, self._unreadable)
         self.gossip = Gossip(settings.name, incarnation, self.rng)
-        self.book = ServerBook(self.beliefs, settings.bounds, settings.name)
+        self.book = ServerBook(self.beliefs, settings.bounds, settings.name, settings.regions)
         self.policies = PolicyBook(self.beliefs, self._unreadable)
         self.shares = RegionShares(
             self.book,
@@ -128,9 +128,10 @@
             self.beliefs,
             self.book,
             Placer(self.book, self.shares, settings.regions),
-            Sender(self.book, self.pool, wire.names, monotonic, Expectation()),
+            Sender(self.book, self.pool, wire.names, monotonic, self.journal.state),
             bounds=settings.bounds,
             monotonic=monotonic,
+            rng=self.rng,
         )
         self.app = GatewayApp(
             self.beliefs,
@@ -267,6 +268,7 @@
             self.follower.run,
             self.neighbours.run,
             self.registrar.run,
+            Prober(self.book, self.wire.names, self.journal, monotonic).run,
             self._beat_loop,
             self._tick_loop,
         ):
--- a/sprucewinch/gateway/journal.py
+++ b/sprucewinch/gateway/journal.py
@@ -90,6 +90,8 @@
                 for s in call.sends
             ],
         }
+        if call.blocked is not None and not call.sends:
+            inputs["blocked"] = call.blocked._asdict()
         self._line("request", inputs, reserve=_BURST / 2 if half else 0.0)
 
     def _line(self, event: str, inputs: dict[str, Any], *, reserve: float) -> None:
--- a/sprucewinch/gateway/model.py
+++ b/sprucewinch/gateway/model.py
@@ -50,12 +50,14 @@
 
     Args:
         name: Its name.
+        health_path: Path on which its backend servers say how they are; empty for none.
         connections: Connections that one backend server accepts from all machines together.
         warmup_s: How long a backend server stays cold after its start, in seconds.
         cold_per_s: Requests a second that a cold backend server bears.
     """
 
     name: str
+    health_path: str = ""
     connections: int = 100
     warmup_s: float = 0.0
     cold_per_s: float = 0.0
@@ -198,6 +200,8 @@
         signature: A backend server's mark on an answer of its own.
         not_run: A backend server's word that it did not run the request.
         load: A backend server's load: running, waiting, slots.
+        cold_ms: In answers to probes, how much longer a server is cold, in milliseconds.
+        instance: In answers to probes, the server's id.
     """
 
     request_id: str = "sprucewinch-request-id"
@@ -207,6 +211,8 @@
     signature: str = "sprucewinch-signature"
     not_run: str = "sprucewinch-not-run"
     load: str = "sprucewinch-load"
+    cold_ms: str = "sprucewinch-cold-ms"
+    instance: str = "sprucewinch-instance"
 
 
 class GatewaySettings(NamedTuple):
--- a/sprucewinch/gateway/pipeline.py
+++ b/sprucewinch/gateway/pipeline.py
@@ -4,6 +4,7 @@
 passes all of them again, so that it meets the newest configuration and servers.
 """
 
+import random
 from collections.abc import Callable
 from typing import Optional, Union
 
@@ -12,19 +13,24 @@
 from .budget import RepeatBudget
 from .call import Call, Chosen, Refused, Reply, Send, Verdict
 from .model import Bounds, Route, RouteConfiguration
-from .place import Placer
+from .place import Placement, Placer
 from .routes import RouteTable
 from .send import Sender
 from .servers import ServerBook
 from .split import Splits
 
-COME_BACK_S = 0.1
-"""When a caller that met no room is told to come back, in seconds."""
+COME_BACK_S = (0.25, 0.75)
+"""When a caller that met no room is told to come back, in seconds: spread, so that callers refused
+together do not return together, and late enough that there may be room."""
 
 START_COME_BACK_S = 0.3
 """When a caller that met a machine without a configuration is told to come back, in seconds."""
 
-_DEFAULT_AIM_S = 1.0
+_DEFAULT_AIM_S = 0.4
+_WAIT_PART = 0.2
+"""Part of a route's aim that a request waits for room; a refusal after a quarter comes late."""
+
+_LOOK_AGAIN_S = 0.02
 _ANSWER_MARGIN_S = 0.04
 """How long before a caller leaves it gets its final answer, in seconds."""
 
@@ -51,6 +57,7 @@
         sender: Sends requests.
         bounds: The fleet's figures.
         monotonic: Source of time.
+        rng: Source of randomness.
     """
 
     def __init__(
@@ -62,6 +69,7 @@
         *,
         bounds: Bounds,
         monotonic: Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self.beliefs = beliefs
         self.book = book
@@ -69,7 +77,8 @@
         self.sender = sender
         self.bounds = bounds
         self.monotonic = monotonic
-        self.admission = Admission(book.cold_allowance, sender.expectation)
+        self.rng = rng
+        self.admission = Admission(book.cold_allowance)
         self.splits = Splits()
         self.budgets: dict[str, RepeatBudget] = {}
         self.table: Optional[RouteTable] = None
@@ -83,7 +92,7 @@
             self.book.now = now
             route = self._route(call)
             if isinstance(route, Refused):
-                return _reply(route)
+                return self._reply(route)
             if not service:
                 service = self._enter(route, call, now)
             elif service not in {part.service for part in route.parts}:
@@ -92,6 +101,8 @@
             if now >= until:
                 return self._end(call, route, Refused.TIMEOUT)
             chosen = self._choose(call, route, service, now)
+            if chosen is Refused.NO_ROOM and await self._wait_for_room(call, route, service, now):
+                continue
             if isinstance(chosen, Refused):
                 return self._end(call, route, chosen)
             fresh = bool(call.sends) or not route.repeatable
@@ -115,11 +126,24 @@
         return service
 
     def _choose(self, call: Call, route: Route, service: str, now: float) -> Union[Chosen, Refused]:
+        return self.admission.choose(call, self._place(call, route, service, now), service, now)
+
+    def _place(self, call: Call, route: Route, service: str, now: float) -> Placement:
         key = call.key if route.affinity and call.key else call.id
-        placement = self.placer.place(service, key, route.regions, now)
+        return self.placer.place(service, key, route.regions, now)
+
+    async def _wait_for_room(self, call: Call, route: Route, service: str, now: float) -> bool:
+        """Wait a little for room, while a refusal would still come early enough to be useful.
+
+        Returns:
+            False when there is no time left or too many wait already.
+        """
         aim_s = _DEFAULT_AIM_S if route.aim_s is None else route.aim_s
-        aim_left_s = call.arrived_at + aim_s - now
-        return self.admission.choose(call, placement, service, aim_left_s, now)
+        left_s = min(call.arrived_at + aim_s * _WAIT_PART, call.leaves_at) - now
+        server = self.admission.candidate(call, self._place(call, route, service, now), now)
+        if server is None or left_s <= 0 or call.sends:
+            return False
+        return await server.wait_for_room(min(left_s, _LOOK_AGAIN_S))
 
     def _stop_reason(self, call: Call, route: Route, send: Send, service: str) -> Optional[Refused]:
         """Return why a request is not sent again; None when it is."""
@@ -141,10 +165,18 @@
         """Return the final answer of a request that no server answered; never a false promise."""
         if call.runs():
             timeout = refused is Refused.TIMEOUT
-            return _reply(Refused.TIMEOUT if timeout else Refused.FAILED, route=route)
+            return self._reply(Refused.TIMEOUT if timeout else Refused.FAILED, route)
         if refused is Refused.TIMEOUT:
             refused = Refused.NO_ROOM
-        return _reply(refused, route=route)
+        return self._reply(refused, route)
+
+    def _reply(self, refused: Refused, route: Optional[Route] = None) -> Reply:
+        status = _STATUS.get(refused, _UNAVAILABLE)
+        come_back = None
+        if status == _UNAVAILABLE:
+            waiting_for_start = refused is Refused.NO_CONFIGURATION
+            come_back = START_COME_BACK_S if waiting_for_start else self.rng.uniform(*COME_BACK_S)
+        return Reply(None, refused, status, come_back, route)
 
     def _budget(self, service: str) -> RepeatBudget:
         budget = self.budgets.get(service)
@@ -163,11 +195,3 @@
     if route.timeout_s is None:
         return leaves_at
     return min(leaves_at, call.arrived_at + route.timeout_s)
-
-
-def _reply(refused: Refused, *, route: Optional[Route] = None) -> Reply:
-    status = _STATUS.get(refused, _UNAVAILABLE)
-    come_back = None
-    if status == _UNAVAILABLE:
-        come_back = START_COME_BACK_S if refused is Refused.NO_CONFIGURATION else COME_BACK_S
-    return Reply(None, refused, status, come_back, route)
--- a/sprucewinch/gateway/send.py
+++ b/sprucewinch/gateway/send.py
@@ -5,7 +5,6 @@
 
 from .call import Call, Chosen, Send, Verdict
 from .connection import Answer, ConnectFailedError, ExchangeFailedError
-from .expect import Expectation
 from .judge import judge, load_of
 from .model import Names
 from .pool import Pool
@@ -25,7 +24,7 @@
         pool: Connections.
         names: Names of headers.
         monotonic: Source of time.
-        expectation: Learns how long answers take.
+        tell: Told of changes of what is believed of a server.
     """
 
     def __init__(
@@ -34,13 +33,13 @@
         pool: Pool,
         names: Names,
         monotonic: Callable[[], float],
-        expectation: Expectation,
+        tell: Callable[..., None] = lambda event, **inputs: None,
     ) -> None:
         self.book = book
         self.pool = pool
         self.names = names
         self.monotonic = monotonic
-        self.expectation = expectation
+        self.tell = tell
 
     async def send(self, call: Call, chosen: Chosen, until: float, *, fresh: bool = False) -> Send:
         """Send a request to the chosen server.
@@ -63,7 +62,7 @@
             self.book.release(server, started)
         now = self.monotonic()
         send = send._replace(seconds=now - started)
-        self._learn(server, call.key, send, started, now)
+        self._learn(server, send, started, now, call.id)
         return send
 
     async def _exchange(self, call: Call, server: Server, until: float, fresh: bool) -> Send:
@@ -91,21 +90,23 @@
             lines.append(f"content-length: {len(call.body)}")
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + call.body
 
-    def _learn(self, server: Server, key: str, send: Send, started: float, now: float) -> None:
+    def _learn(
+        self, server: Server, send: Send, started: float, now: float, request_id: str
+    ) -> None:
         if send.answer is not None:
             load = load_of(send.answer, self.names)
             if load is not None:
                 server.told_load(load.running, load.waiting, now)
         if send.verdict is Verdict.ANSWERED:
-            times = self.expectation.times(server.backend.service)
-            times.learn(send.seconds, seen=server.has_seen(key))
-            server.succeeded(send.seconds, key, now)
+            server.succeeded(send.seconds, now)
         elif send.why == "misdirected":
             server.pause(now + _MISDIRECTED_PAUSE_S)
         elif send.why.startswith("shed"):
             server.pause(now + _SHED_PAUSE_S)
+            server.crowded(now)
         elif send.why != "timeout" or server.answered_at < started:
             server.failed(now)
+            self.tell("server-rests", server=server.backend.id, why=send.why, id=request_id)
 
 
 def _keep_alive_s(answer: Answer) -> float:
--- a/sprucewinch/gateway/servers.py
+++ b/sprucewinch/gateway/servers.py
@@ -1,5 +1,6 @@
 """What this machine knows of each backend server, and how much it may send there."""
 
+import asyncio
 import math
 from collections import deque
 from collections.abc import Iterable
@@ -16,7 +17,13 @@
 """Window of the cold limit at one machine: a second, and what differs between send and arrival."""
 
 _COLD_SAFETY = 0.8
-_LOAD_HALF_LIFE_S = 0.2
+_LOAD_HALF_LIFE_S = 0.6
+_CROWDED_PART = 0.34
+"""Waiting requests for each slot beyond which a server is crowded."""
+
+_SHRINK = 0.7
+_SHRINK_PAUSE_S = 0.2
+_GROWTH = 0.5
 _FIRST_PAUSE_S = 0.5
 _MOST_PAUSE_S = 4.0
 _LATENCY_WEIGHT = 0.2
@@ -24,8 +31,6 @@
 """Time without any answer after which a server with requests counts as silent, in seconds."""
 
 _SILENT_LATENCIES = 3.0
-_MOST_SEEN = 64
-"""Most objects that a server is believed to have seen."""
 
 
 class Server:
@@ -38,7 +43,6 @@
     __slots__ = (
         "_others",
         "_others_at",
-        "_seen",
         "answered_at",
         "backend",
         "cold_sent",
@@ -48,7 +52,10 @@
         "latency_s",
         "paused_until",
         "seed",
+        "shrunk_at",
         "started",
+        "waiters",
+        "window",
     )
 
     def __init__(self, backend: Backend) -> None:
@@ -62,13 +69,11 @@
         self.latency_s: Optional[float] = None
         self.answered_at = float("-inf")
         self.started: list[float] = []
+        self.waiters: deque[asyncio.Future[None]] = deque()
+        self.window = float(backend.capacity)
+        self.shrunk_at = float("-inf")
         self._others = 0.0
-        self._others_at = 0.0
-        self._seen: dict[str, None] = {}
-
-    def has_seen(self, key: str) -> bool:
-        """Tell whether it has lately answered a request about an object."""
-        return key in self._seen
+        self._others_at = float("-inf")
 
     def silent(self, now: float) -> bool:
         """Tell whether it holds a request for long and has answered none meanwhile."""
@@ -83,22 +88,32 @@
 
     def load(self, now: float) -> float:
         """Return the requests that it probably holds now, those of other machines included."""
-        age = max(0.0, now - self._others_at)
+        age = max(0.0, self.told_age_s(now))
         return self.in_flight + self._others * 0.5 ** (age / _LOAD_HALF_LIFE_S)
 
+    def told_age_s(self, now: float) -> float:
+        """Return the age of its own word on its load, in seconds."""
+        return now - self._others_at
+
     def told_load(self, running: int, waiting: int, now: float) -> None:
         """Take over what it says of its load."""
         self._others = max(0.0, running + waiting - self.in_flight)
         self._others_at = now
-
-    def succeeded(self, seconds: float, key: str, now: float) -> None:
-        """Note an answer of its own, the time it took and the object."""
+        if waiting > _CROWDED_PART * self.backend.capacity:
+            self.crowded(now)
+        else:
+            grown = self.window + _GROWTH / self.window
+            self.window = min(float(self.backend.capacity), grown)
+
+    def crowded(self, now: float) -> None:
+        """Send it less at a time: too many of its requests wait, those of all machines together."""
+        if now - self.shrunk_at >= _SHRINK_PAUSE_S:
+            self.shrunk_at = now
+            self.window = max(1.0, self.window * _SHRINK)
+
+    def succeeded(self, seconds: float, now: float) -> None:
+        """Note an answer of its own and the time it took."""
         self.answered_at = now
-        if key:
-            self._seen.pop(key, None)
-            self._seen[key] = None
-            if len(self._seen) > _MOST_SEEN:
-                del self._seen[next(iter(self._seen))]
         self.failures = 0
         self.paused_until = float("-inf")
         held = self.latency_s
@@ -114,6 +129,37 @@
         """Leave it alone until some time."""
         self.paused_until = max(self.paused_until, until)
 
+    async def wait_for_room(self, longest_s: float) -> bool:
+        """Wait until a request here is over, in the order of arrival.
+
+        Args:
+            longest_s: Longest wait, in seconds.
+
+        Returns:
+            False at once when as many wait as it has slots.
+        """
+        if len(self.waiters) >= self.backend.capacity:
+            return False
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.waiters.append(turn)
+        try:
+            async with asyncio.timeout(longest_s):
+                await turn
+        except TimeoutError:
+            pass
+        finally:
+            if turn in self.waiters:
+                self.waiters.remove(turn)
+        return True
+
+    def call_next(self) -> None:
+        """Let the request that has waited longest look for room."""
+        while self.waiters:
+            turn = self.waiters.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+
     def cold_allowed(self, now: float, allowance: int) -> bool:
         """Tell whether one more request may be sent while it is cold."""
         while self.cold_sent and self.cold_sent[0] <= now - _COLD_WINDOW_S:
@@ -128,14 +174,19 @@
         beliefs: What this machine believes.
         bounds: The fleet's figures.
         name: Name of this machine.
+        regions: Region of each data hall.
     """
 
-    def __init__(self, beliefs: Beliefs, bounds: Bounds, name: str) -> None:
+    def __init__(
+        self, beliefs: Beliefs, bounds: Bounds, name: str, regions: dict[str, str]
+    ) -> None:
         self.beliefs = beliefs
         self.bounds = bounds
         self.name = name
+        self.regions = regions
         self.now = 0.0
         self.settled = False
+        self.unsure: list[Server] = []
         self.servers: dict[str, Server] = {}
         self.by_service: dict[str, tuple[Server, ...]] = {}
         beliefs.listeners.append(self._learn)
@@ -156,10 +207,8 @@
             return server.backend.capacity
         bound = rule.cold_per_s * self.bounds.cold_over + self.bounds.cold_slack
         fleet = math.floor(_COLD_SAFETY * bound)
-        machines = self.machines()
-        if machines <= fleet:
-            return fleet // machines
-        return int(self._rank(server.backend.id) < fleet)
+        every, left_over = divmod(fleet, self.machines())
+        return every + (self._rank(server.backend) < left_over)
 
     def take(self, server: Server, now: float) -> None:
         """Count a request that is about to be sent."""
@@ -173,12 +222,19 @@
         """Note that a request that was sent at some time is over."""
         server.in_flight -= 1
         server.started.remove(started)
-
-    def _rank(self, server_id: str) -> int:
-        """Return how many machines come before this one for a cold server."""
-        own = hash64(f"{server_id}|{self.name}")
-        others = (hash64(f"{server_id}|{name}") for name in self.beliefs.members)
-        return sum(draw < own for draw in others)
+        server.call_next()
+
+    def _rank(self, backend: Backend) -> int:
+        """Return how many machines come before this one at a cold server: its region's first."""
+        region = self.regions.get(backend.zone, "")
+        draws = {
+            member.name: (member.region != region, hash64(f"{backend.id}|{member.name}"))
+            for member in self.beliefs.members.values()
+        }
+        own = draws.get(self.name)
+        if own is None:
+            return len(draws) + 1
+        return sum(draw < own for draw in draws.values())
 
     def _learn(self, change: Change) -> None:
         if isinstance(change.after, RouteConfiguration):
@@ -209,6 +265,13 @@
             if server.backend.zone == zone:
                 left = self._warmup_s(server.backend.service)
                 server.cold_until = max(server.cold_until, self.now + left + COLD_MARGIN_S)
+                self.unsure.append(server)
+
+    def health_path(self, service: str) -> str:
+        """Return the path on which a service's servers say how they are; empty for none."""
+        configuration = self.beliefs.configuration
+        rule = configuration.services.get(service) if configuration else None
+        return rule.health_path if rule else ""
 
     def _warmup_s(self, service: str) -> float:
         configuration = self.beliefs.configuration
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -10,6 +10,8 @@
 
 import httptools
 
+HEALTH_PATH = "/healthz"
+
 
 class Spoil(enum.Enum):
     """How an answer is spoilt."""
@@ -80,6 +82,8 @@
         self.running = 0
         self.cancelled = 0
         self.answer_bytes = b"the whole answer"
+        self.cold_ms: Optional[int] = None
+        self.probes = 0
         self.open: set[asyncio.Transport] = set()
 
     def accept(self) -> asyncio.Protocol:
@@ -137,6 +141,21 @@
         self.body += body
 
     def on_message_complete(self) -> None:
+        if self.target == HEALTH_PATH.encode():
+            self._begin()
+            self._tell_health()
+            return
+        self._take_request()
+
+    def _tell_health(self) -> None:
+        server = self.server
+        server.probes += 1
+        extra = f"X-Instance-Id: {server.server_id}\r\n"
+        if server.cold_ms is not None:
+            extra += f"X-Warmup-Remaining-Ms: {server.cold_ms}\r\n"
+        self._write(200, "", b"", extra=extra)
+
+    def _take_request(self) -> None:
         server = self.server
         server.arrivals.append(server.loop.time())
         request_id = self.headers.get("x-request-id", "")
--- /dev/null
+++ b/tests/test_gateway_journal.py
@@ -0,0 +1,75 @@
+"""Lines of the journal: what they say of a request, and that their number is bounded."""
+
+import json
+import unittest
+from typing import Any
+
+from sprucewinch.gateway.journal import Journal
+from standins.virtual import VirtualLoop, run_virtual
+
+from .gateway_fakes import Path, route
+
+
+class Lines:
+    """A journal whose lines are kept."""
+
+    def __init__(self) -> None:
+        self.rows: list[dict[str, Any]] = []
+        self.now = 100.0
+        self.journal = Journal(
+            lambda line: self.rows.append(json.loads(line)),
+            monotonic=lambda: self.now,
+            wall=lambda: self.now,
+        )
+
+
+class Requests(unittest.TestCase):
+    def test_a_line_says_what_decided_a_refusal(self) -> None:
+        async def main(loop: VirtualLoop) -> dict[str, Any]:
+            path = Path(loop, servers=1)
+            path.world.configure(route())
+            server = path.world.book.servers["s0"]
+            server.told_load(6, 18, loop.time())
+            call = path.call("q")
+            reply = await path.pipeline.run(call)
+            lines = Lines()
+            lines.journal.replied(call, reply, 0.06)
+            return lines.rows[0]
+
+        row = run_virtual(main)
+        self.assertEqual((row["id"], row["outcome"], row["status"]), ("q", "no-room", 503))
+        self.assertEqual(row["blocked"]["server_id"], "s0")
+        self.assertGreater(row["blocked"]["load"], 12)
+        self.assertGreaterEqual(row["blocked"]["told_s"], 0)
+
+    def test_a_line_says_what_became_of_each_send(self) -> None:
+        async def main(loop: VirtualLoop) -> dict[str, Any]:
+            path = Path(loop)
+            path.world.configure(route())
+            path.stop(path.first())
+            call = path.call("q")
+            reply = await path.pipeline.run(call)
+            lines = Lines()
+            lines.journal.replied(call, reply, 0.06)
+            return lines.rows[0]
+
+        row = run_virtual(main)
+        self.assertEqual([send[1:3] for send in row["sends"]][0], ["not-run", "unreachable"])
+        self.assertEqual([send[1] for send in row["sends"]][1], "answered")
+
+
+class Volume(unittest.TestCase):
+    def test_lines_are_bounded_and_what_is_dropped_is_counted(self) -> None:
+        lines = Lines()
+        for number in range(10_000):
+            lines.now += 0.001
+            lines.journal.state("something", number=number)
+        self.assertLess(len(lines.rows), 300 + 150 * 10 + 10)
+        self.assertEqual(len(lines.rows) + lines.journal.counters["lines_dropped"], 10_000)
+
+    def test_the_report_has_counters_gauges_and_latency(self) -> None:
+        lines = Lines()
+        lines.journal.counters["requests_answered"] = 3
+        text = lines.journal.report({"in_flight": 2})
+        self.assertIn("requests_answered 3\n", text)
+        self.assertIn("in_flight 2\n", text)
