Lay the hall's request path out as filters in one visible order

Cause: `dispatch` went back and forth between tickets, admission, peers and retries in one class. Change: `hallpath` has a module for each filter (once, local, elsewhere, again, comeback); `dispatch` is their order.

--- /dev/null
+++ b/sprucewinch/hallpath/local.py
@@ -0,0 +1,93 @@
+"""The filter that runs a request on the backend servers of this VM's own data hall."""
+
+from typing import Union
+
+from .._slot_wait import wait_for_slot
+from ..admission import Admission, Slot
+from ..backend import Attempt, BackendClient
+from ..clock import Clock
+from ..node import LEAVING_S, Node
+from ..outcome import Reason, Refusal, not_run
+from ..request import Request, Responder
+from .again import Again
+
+_MAX_TRIES = 3
+
+
+class LocalHall:
+    """Takes a slot, sends the request, and learns from what came of it.
+
+    Args:
+        node: This VM's view.
+        backend: Sends requests to backend servers.
+        clock: Source of time.
+        again: Allows repeats.
+    """
+
+    def __init__(self, node: Node, backend: BackendClient, clock: Clock, again: Again) -> None:
+        self.node = node
+        self.backend = backend
+        self.clock = clock
+        self.again = again
+
+    async def run(self, request: Request, responder: Responder) -> Attempt:
+        """Run a request here.
+
+        Returns:
+            What came of it; a refusal is certain to be `NOT_RUN` or else `UNKNOWN`.
+        """
+        admission = self.node.hall.find(request.service)
+        if admission is None:
+            return Attempt(not_run(Reason.NO_BACKEND_SERVER))
+        attempt = Attempt(not_run(Reason.NO_ROOM))
+        for _ in range(_MAX_TRIES):
+            slot = await self._slot(admission, request)
+            if isinstance(slot, Refusal):
+                return attempt if request.tried else Attempt(slot)
+            attempt = await self._try(admission, slot, request, responder)
+            if attempt.refusal is None or not self.again.allowed(attempt, request):
+                return attempt
+        return attempt
+
+    async def _slot(self, admission: Admission, request: Request) -> Union[Slot, Refusal]:
+        now = self.clock.monotonic()
+        if request.deadline <= now:
+            return not_run(Reason.DEADLINE_PASSED)
+        got = admission.acquire(now, frozenset(request.tried))
+        if isinstance(got, Slot) or request.tried or got.reason is not Reason.NO_ROOM:
+            return got
+        return await wait_for_slot(admission, self._longest_wait(request, now), self.clock)
+
+    def _longest_wait(self, request: Request, now: float) -> float:
+        topology = self.node.topology
+        service = topology.services.get(request.service) if topology else None
+        allowed = service.max_wait_ms / 1000 if service else 0.0
+        return min(allowed, request.deadline - now)
+
+    async def _try(
+        self, admission: Admission, slot: Slot, request: Request, responder: Responder
+    ) -> Attempt:
+        server = slot.server
+        started = self.clock.monotonic()
+        request.tried.add(server.address)
+        try:
+            attempt = await self.backend.run(request, server.address, responder, started)
+        finally:
+            admission.release(slot, self.clock.monotonic())
+        now = self.clock.monotonic()
+        self._learn(admission, slot, attempt, now, started)
+        return attempt
+
+    def _learn(
+        self, admission: Admission, slot: Slot, attempt: Attempt, now: float, started: float
+    ) -> None:
+        server = slot.server
+        if attempt.leaving:
+            admission.leaving(server.address, now + LEAVING_S)
+        if attempt.shed:
+            admission.shed(server, now)
+            self.node.metrics.counters["shed"] += 1
+        elif attempt.refusal is None:
+            admission.succeeded(server, (now - started) * 1000)
+        elif not attempt.leaving and attempt.refusal.reason is Reason.BACKEND_FAILED:
+            admission.failed(server, now)
--- /dev/null
+++ b/sprucewinch/hallpath/once.py
@@ -0,0 +1,131 @@
+"""The filter that lets an operation that must not run twice run at most once."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Optional, Union
+
+from ..backend import Attempt
+from ..clock import Clock
+from ..node import Node
+from ..outcome import Outcome, Reason, Refusal, not_run, unknown
+from ..recorder import RecordingResponder
+from ..request import Request, Responder
+from ..tickets import Answer, Claim, Ticket, TicketBook, parse_ticket
+from .peers import PeerLink
+
+Run = Callable[[Request, Responder], Awaitable[Attempt]]
+"""Runs a request and says what came of it."""
+
+
+class Away(NamedTuple):
+    """A ticket whose home is another process."""
+
+    ticket: Ticket
+
+
+class AtMostOnce:
+    """Claims an operation's ticket, runs the operation, and settles the claim.
+
+    Args:
+        node: This VM's view.
+        peers: Sends requests to other entry VMs.
+        clock: Source of time.
+        run: Runs a request that may run now.
+    """
+
+    def __init__(self, node: Node, peers: PeerLink, clock: Clock, run: Run) -> None:
+        self.node = node
+        self.peers = peers
+        self.clock = clock
+        self.run = run
+
+    async def enter(self, request: Request, responder: Responder) -> Optional[Refusal]:
+        """Run an operation once, or answer as its earlier run was answered.
+
+        Returns:
+            None when an answer was passed on completely; else the refusal to answer with.
+        """
+        claimed = self._claim(request)
+        if isinstance(claimed, Refusal):
+            return claimed
+        if isinstance(claimed, Away):
+            return await self._to_home(claimed.ticket, request, responder)
+        if isinstance(claimed, Answer):
+            return await _replay(claimed, responder)
+        return await self._run_claim(claimed, request, responder)
+
+    def certain(self, refusal: Refusal, text: Optional[str]) -> Refusal:
+        """Return a refusal that is true also when the operation came before.
+
+        A refusal given before the ticket's home has looked at the ticket says nothing about an
+        earlier request under it. At the home an unused ticket is closed, so that it never runs.
+
+        Args:
+            refusal: The refusal of this request alone.
+            text: The text of its ticket, if it has one.
+        """
+        ticket = parse_ticket(text) if text is not None else None
+        if ticket is None or refusal.outcome is Outcome.UNKNOWN:
+            return refusal
+        book = self.node.tickets
+        at_home = book is not None and book.is_home(ticket)
+        if at_home and book.close(ticket, self.clock.monotonic()):
+            return refusal
+        return refusal._replace(outcome=Outcome.UNKNOWN)
+
+    def _claim(self, request: Request) -> Union[Claim, Answer, Away, Refusal]:
+        if request.ticket is None:
+            return not_run(Reason.TICKET_REQUIRED)
+        ticket = parse_ticket(request.ticket)
+        book = self.node.tickets
+        if ticket is None or book is None:
+            return not_run(Reason.TICKET_INVALID)
+        if not book.is_home(ticket):
+            return Away(ticket)
+        now = self.clock.monotonic()
+        return book.claim(ticket, request.service, _fingerprint(request), now)
+
+    async def _run_claim(
+        self, claim: Claim, request: Request, responder: Responder
+    ) -> Optional[Refusal]:
+        """Run an operation; the claim is settled whatever happens."""
+        book = self._book()
+        recorder = RecordingResponder(responder, self.node.settings.limits.memory_body_bytes)
+        try:
+            attempt = await self.run(request, recorder)
+        except BaseException:
+            book.settle(claim, Outcome.UNKNOWN)
+            raise
+        if attempt.refusal is None:
+            book.settle(claim, Outcome.ANSWERED, recorder.answer())
+            return None
+        book.settle(claim, attempt.refusal.outcome)
+        return attempt.refusal
+
+    async def _to_home(
+        self, ticket: Ticket, request: Request, responder: Responder
+    ) -> Optional[Refusal]:
+        """Hand an operation to its ticket's home; without the home its fate is unknown."""
+        home = self.node.membership.find(ticket.vm)
+        if home is None or home.incarnation != ticket.incarnation or home is self.node.own:
+            return unknown(Reason.TICKET_HOME_LOST)
+        attempt = await self.peers.hand_on(home, request, responder, home=True)
+        if attempt.refusal is not None and not attempt.sent:
+            return unknown(Reason.TICKET_HOME_LOST)
+        return attempt.refusal
+
+    def _book(self) -> TicketBook:
+        assert self.node.tickets is not None
+        return self.node.tickets
+
+
+def _fingerprint(request: Request) -> str:
+    """Return what tells two different operations under one ticket apart."""
+    lengths = [value for name, value in request.headers if name.lower() == "content-length"]
+    return f"{request.method} {request.target} {':'.join(lengths)} {hash(request.body.first)}"
+
+
+async def _replay(answer: Answer, responder: Responder) -> None:
+    await responder.start(answer.status, list(answer.headers))
+    if answer.body:
+        await responder.write(answer.body)
+    await responder.finish()
--- a/sprucewinch/peer_client.py
+++ b/sprucewinch/peer_client.py
@@ -12,7 +12,7 @@
 from .backend import Attempt, BrokenAnswerError
 from .body import CallerLeftError
 from .clock import Clock
-from .dispatch import PeerLink
+from .hallpath.peers import PeerLink
 from .outcome import Reason, not_run, unknown
 from .peer_grpc import PeerStub
 from .peer_pb2 import ExchangeReply, ExchangeRequest, Frame, Member
