Leave a request alone once its answer is complete; name the new policy in two tests

One: a ticket was asked for on a kept connection and the server cut it. The HTTP server tells a disconnect as soon as an answer is complete; a handed-on request that was still ending its stream was then cancelled and refused, a second answer began, and the server closed the connection. Ruled out: idle times (30 s against the client's 15 s), the new timers (not set in this daemon). Change: a disconnect after the end of the answer cancels nothing. New test, red before, green after. The two others list the shipped policies and their comparison rows by number; `capacity` is a fifth policy, so they expect five now, as exactly as before.

--- a/sprucewinch/_asgi.py
+++ b/sprucewinch/_asgi.py
@@ -100,6 +100,9 @@
 class AsgiResponder(Responder):
     """Sends an answer to the caller."""
 
+    finished = False
+    """True from the moment at which the end of the answer is sent."""
+
     def __init__(self, send: Send, hall: str) -> None:
         self.send = send
         self.hall = hall
@@ -124,6 +127,7 @@
         await self.send({"type": "http.response.body", "body": chunk, "more_body": True})
 
     async def finish(self) -> None:
+        self.finished = True
         await self.send({"type": "http.response.body", "body": self._last})
 
 
--- a/sprucewinch/callers.py
+++ b/sprucewinch/callers.py
@@ -193,11 +193,17 @@
         work = asyncio.current_task()
         assert work is not None
         left = asyncio.create_task(body.caller_left())
-        left.add_done_callback(lambda task: None if task.cancelled() else work.cancel())
+
+        def cancel(task: asyncio.Task) -> None:
+            # The server tells a disconnect also when an answer is complete.
+            if not task.cancelled() and not responder.finished:
+                work.cancel()
+
+        left.add_done_callback(cancel)
         try:
             return await self.dispatcher.enter(request, responder)
         except asyncio.CancelledError:
-            if left.done() and not left.cancelled():
+            if left.done() and not left.cancelled() and not responder.finished:
                 work.uncancel()
                 raise CallerLeftError("the caller closed its connection") from None
             raise
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,3 +1,4 @@
+import asyncio
 import json
 import unittest
 from typing import Any
@@ -11,6 +12,7 @@
 from sprucewinch.dispatch import Dispatcher, PeerLink
 from sprucewinch.node import Node
 from sprucewinch.outcome import Outcome, Reason, not_run
+from sprucewinch.request import Request, Responder
 from sprucewinch.tickets import parse_ticket
 from tests.fakes import configure, example, node, run
 
@@ -134,3 +136,53 @@
     async def test_no_ticket_and_no_ticket_of_ours(self) -> None:
         self.assertEqual((await self.book(self.node, None))["reason"], "ticket-required")
         self.assertEqual((await self.book(self.node, "junk"))["reason"], "ticket-invalid")
+
+
+class _AnswersAndLingers:
+    """Gives a whole answer and goes on for a moment, as the end of a hand-on does."""
+
+    def __init__(self) -> None:
+        self.undisturbed = False
+
+    async def enter(self, request: Request, responder: Responder) -> None:
+        await responder.start(200, [("content-length", "2")])
+        await responder.write(b"ok")
+        await responder.finish()
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.undisturbed = True
+
+
+class AnswersThatAreComplete(CallerCase):
+    """The HTTP server tells a disconnect as soon as an answer is complete; that is no leaving."""
+
+    async def test_nothing_is_cancelled_or_sent_after_a_complete_answer(self) -> None:
+        lingers = _AnswersAndLingers()
+        app = CallerApp(self.node, lingers, self.clock)
+        complete = asyncio.Event()
+        received = iter([{"type": "http.request", "body": b"", "more_body": False}])
+        sent: list[dict] = []
+
+        async def receive() -> dict:
+            message = next(received, None)
+            if message is None:
+                await complete.wait()
+                return {"type": "http.disconnect"}
+            return message
+
+        async def send(message: dict) -> None:
+            sent.append(message)
+            if message["type"] == "http.response.body" and not message.get("more_body"):
+                complete.set()
+
+        scope = {
+            "path": "/s/rates/quote",
+            "raw_path": b"/s/rates/quote",
+            "query_string": b"",
+            "method": "GET",
+            "headers": [(b"sprucewinch-client-block", b"10.1.0.1")],
+            "client": ("10.1.0.1", 1),
+        }
+        await app(scope, receive, send)
+        self.assertTrue(lingers.undisturbed)
+        self.assertEqual(len([m for m in sent if m["type"] == "http.response.start"]), 1)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -19,7 +19,8 @@
 
 class ShippedPolicies(unittest.TestCase):
     def test_all_pass_their_trial(self) -> None:
-        self.assertEqual(set(shipped_policies()), {"nearest", "fixed", "headroom", "latency"})
+        names = {"capacity", "nearest", "fixed", "headroom", "latency"}
+        self.assertEqual(set(shipped_policies()), names)
         for name, source in shipped_policies().items():
             with self.subTest(name):
                 check_program(name, source, REGIONS)
--- a/tests/test_process_cli.py
+++ b/tests/test_process_cli.py
@@ -70,7 +70,7 @@
             await self.works("policy", "use", "rates", "nearest")
             await self.works("policy", "retire", "mine")
             compared = json.loads(await self.works("policy", "compare", "rates", "--json"))
-            self.assertEqual(len(compared), 4 * 2)
+            self.assertEqual(len(compared), 5 * 2)
         with self.subTest("drains"):
             server = self.pool("hall-1", "rates")
             await self.works("drain", "server", server)
