--- a/sprucewinch/gateway/admit.py
+++ b/sprucewinch/gateway/admit.py
@@ -2,8 +2,8 @@
 
 A request waits or is refused rather than sent to a server that has not seen its object: such work
 takes three times as long and pushes out what that server keeps warm, which sends still more
-requests astray. Only a server that cannot be used at all gives its objects to the next in their
-order.
+requests astray. Only a server that cannot be used at all, or that is full while the next in its
+object's order is nearly idle, gives its objects to the next.
 """
 
 from collections.abc import Callable
@@ -16,6 +16,9 @@
 QUEUE_PER_SLOT = 1.0
 """Requests that may wait at a server for each of its slots."""
 
+_IDLE_PART = 0.34
+"""Part of its slots below which a server is nearly idle."""
+
 
 class Admission:
     """Bounds what is sent to each backend server, without asking anybody.
@@ -43,6 +46,9 @@
             call.blocked = Blocked("")
             return Refused.NO_SERVER
         if not self._has_room(server, now):
+            following = self._idle_next(call, placement, server, now)
+            if following is not None:
+                return Chosen(following, service, True)
             call.blocked = _blocked(server, now)
             return Refused.NO_ROOM
         return Chosen(server, service, server is not placement.servers[0])
@@ -57,6 +63,18 @@
         resting = [server for server in untried if not server.cold(now)]
         return resting[0] if resting else None
 
+    def _idle_next(
+        self, call: Call, placement: Placement, full: Server, now: float
+    ) -> Server | None:
+        """Return the server after a full one in its object's order, if it is nearly idle."""
+        at = placement.servers.index(full) + 1
+        if at >= len(placement.servers):
+            return None
+        server = placement.servers[at]
+        if server.backend.id in call.tried() or not self._reachable(server, now):
+            return None
+        return server if server.load(now) < server.backend.capacity * _IDLE_PART else None
+
     def _reachable(self, server: Server, now: float) -> bool:
         if server.paused_until > now or server.silent(now):
             return False
