Divide resting connections among the machines; pass a server's 400 on

Cause, found by reading against the limits of larger deployments: 24 resting connections to a server from each of 89 machines are more than the 1,770 it accepts; and a 400 that a server gives without running a request was sent again and ended as 503, though no return helps. Change: half of the connections that a server accepts may rest, divided by the registered machines; a server's own 400 is passed on. Tried and taken back: at most 30 rows in a heartbeat, to keep it in one datagram: at 90 machines the test of membership then names 67 of them (red), so all rows stay.

--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -308,9 +308,16 @@
             if now - swept_at > _SWEEP_S:
                 swept_at = now
                 self.pool.sweep()
+                self._share_connections()
                 self._reload_if_changed()
             await asyncio.sleep(_TICK_S)
 
+    def _share_connections(self) -> None:
+        configuration = self.beliefs.configuration
+        if configuration is not None and configuration.services:
+            least = min(rule.connections for rule in configuration.services.values())
+            self.pool.share(least, self.book.machines())
+
     async def _leave(self) -> None:
         """Tell everybody, serve those who still come, and end before the process is killed."""
         now = self.clock.monotonic()
--- a/sprucewinch/gateway/judge.py
+++ b/sprucewinch/gateway/judge.py
@@ -6,6 +6,7 @@
 from .connection import Answer
 from .model import Names
 
+_BAD_REQUEST = 400
 _MISDIRECTED = 421
 _OK = range(200, 300)
 
@@ -38,6 +39,8 @@
         names: Names of headers.
         request_id: The request's id.
     """
+    if answer.header(names.not_run) is not None and answer.status == _BAD_REQUEST:
+        return Judged(Verdict.ANSWERED, "malformed")
     if answer.header(names.not_run) is not None:
         return Judged(Verdict.NOT_RUN, f"shed-{answer.status}")
     if answer.status == _MISDIRECTED:
--- a/sprucewinch/gateway/pool.py
+++ b/sprucewinch/gateway/pool.py
@@ -13,7 +13,10 @@
 """Longest rest of a kept connection that says nothing of its own, in seconds."""
 
 _IDLE_PART = 0.75
-_MOST_IDLE = 24
+_IDLE_SHARE = 0.5
+"""Part of a server's connections that may rest; the others are for requests."""
+
+MOST_IDLE = 24
 """Most resting connections to one server."""
 
 
@@ -29,6 +32,7 @@
         self.id_header = id_header
         self.monotonic = monotonic
         self.opened = 0
+        self.most_idle = MOST_IDLE
         self._idle: dict[str, deque[Connection]] = {}
 
     async def take(self, address: str, *, fresh: bool = False) -> Connection:
@@ -64,9 +68,19 @@
         connection.idle_until = self.monotonic() + min(_IDLE_S, keep_s * _IDLE_PART)
         idle = self._idle.setdefault(address, deque())
         idle.append(connection)
-        if len(idle) > _MOST_IDLE:
+        while len(idle) > self.most_idle:
             idle.popleft().close()
 
+    def share(self, connections: int, machines: int) -> None:
+        """Divide the connections that servers accept among the machines.
+
+        Args:
+            connections: Connections that one server accepts from all machines together.
+            machines: How many machines there are.
+        """
+        part = int(connections * _IDLE_SHARE / max(1, machines))
+        self.most_idle = max(1, min(MOST_IDLE, part))
+
     def sweep(self) -> None:
         """Close what has rested too long."""
         now = self.monotonic()
--- /dev/null
+++ b/tests/test_gateway_pool.py
@@ -0,0 +1,65 @@
+"""Kept connections: how many, how long, and none in doubt."""
+
+import asyncio
+import unittest
+
+from sprucewinch.gateway.pool import MOST_IDLE, Pool
+from standins.scripted_server import ScriptedServer
+from standins.virtual import VirtualLoop, run_virtual
+
+ADDRESS = "10.0.0.1:80"
+_REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\nx-request-id: q\r\n\r\n"
+
+
+def _started(loop: VirtualLoop) -> tuple[Pool, ScriptedServer]:
+    server = ScriptedServer(loop, "s0")
+    loop.listen(ADDRESS, server.accept)
+    return Pool("x-request-id", loop.time), server
+
+
+class Kept(unittest.TestCase):
+    def test_a_connection_is_used_again_until_it_has_rested_too_long(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            pool, _ = _started(loop)
+            first = await pool.take(ADDRESS)
+            pool.give_back(ADDRESS, first, keep_s=4.0)
+            self.assertIs(await pool.take(ADDRESS), first)
+            pool.give_back(ADDRESS, first, keep_s=4.0)
+            loop.instant.skipped_s += 3.1
+            self.assertIsNot(await pool.take(ADDRESS), first)
+            self.assertFalse(first.alive)
+
+        run_virtual(main)
+
+    def test_a_closed_connection_is_not_given_out(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            pool, server = _started(loop)
+            first = await pool.take(ADDRESS)
+            pool.give_back(ADDRESS, first)
+            server.reset()
+            await asyncio.sleep(2 * loop.delay_s)
+            second = await pool.take(ADDRESS)
+            self.assertEqual((await second.exchange(_REQUEST, request_id="q")).status, 200)
+            self.assertEqual(pool.opened, 2)
+
+        run_virtual(main)
+
+    def test_machines_share_what_a_server_accepts(self) -> None:
+        for machines in (12, 89, 2800):
+            with self.subTest(machines=machines):
+                pool = Pool("x", lambda: 0.0)
+                pool.share(1770, machines)
+                self.assertTrue(1 <= pool.most_idle <= MOST_IDLE)
+        pool.share(390, 89)
+        self.assertLessEqual(pool.most_idle * 89, 390 / 2)
+
+    def test_no_more_rest_than_allowed(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            pool, server = _started(loop)
+            pool.share(8, 2)
+            taken = [await pool.take(ADDRESS) for _ in range(5)]
+            for connection in taken:
+                pool.give_back(ADDRESS, connection)
+            self.assertEqual(sum(connection.alive for connection in taken), 2)
+
+        run_virtual(main)
