Name a machine whose clock was set back before its restart; split the daemon

Cause, found by reading: incarnations come from the time of day, which may jump back. A machine that then restarted had a lower incarnation than the one others remembered, and was not named to callers until they had forgotten it, a minute later. The new test is red without the change. Change: a machine that hears of a newer incarnation of itself starts one above it.

--- a/sprucewinch/gateway/connection.py
+++ b/sprucewinch/gateway/connection.py
@@ -236,3 +236,23 @@
         return
     with contextlib.suppress(OSError):
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000)
+
+
+async def get(address: str, target: str, timeout_s: float) -> Optional[Answer]:
+    """Make one GET on a connection of its own; None when no whole answer comes in time.
+
+    Args:
+        address: `IP:PORT`.
+        target: Path and query.
+        timeout_s: Longest time for all of it, in seconds.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            connection = await connect(address, timeout_s)
+            try:
+                request = f"GET {target} HTTP/1.1\r\nhost: {address}\r\n\r\n"
+                return await connection.exchange(request.encode())
+            finally:
+                connection.close()
+    except (ConnectFailedError, ExchangeFailedError, TimeoutError):
+        return None
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -4,25 +4,22 @@
 import contextlib
 import random
 import signal
-import socket
 from collections.abc import Callable, Coroutine
 from typing import Any, Optional, Protocol
 
-import msgspec
-import uvicorn
-
 from .. import log
-from .._address import parse_address
-from .._http_server import AsgiApp, ListenerLimits, bind, keep_alive, make_listener
+from .._http_server import AsgiApp
 from ..clock import Clock, SystemClock
 from ..errors import SettingsError
 from .app import GatewayApp
-from .beliefs import Beliefs, Change, Decoder
+from .beliefs import Beliefs, Decoder
 from .directory import Directory
-from .gossip import BEAT_S, Beat, Gossip
+from .gossip import Gossip
+from .heartbeats import Heartbeats
 from .journal import Journal
 from .listeners import PeerApp, TextApp
-from .model import GatewaySettings, Member, Names, RouteConfiguration
+from .listening import Listening
+from .model import GatewaySettings, Member, Names
 from .pipeline import Pipeline
 from .place import Placer
 from .policies import PolicyBook
@@ -37,11 +34,6 @@
 
 _TICK_S = 0.2
 _SWEEP_S = 1.0
-_CONNECTIONS_PART = 0.5
-_FIRST_HEADER_BYTES = 65_536
-_HEADER_SLACK_BYTES = 1024
-_HEADER_SLACK_S = 1.0
-_IDLE_SLACK_S = 5.0
 _STOP_POLL_S = 0.05
 _STOP_MARGIN_S = 0.7
 _LINGER_S = 3.2
@@ -67,22 +59,6 @@
         ...
 
 
-class _Beats(asyncio.DatagramProtocol):
-    """Receives heartbeats."""
-
-    def __init__(self, gossip: Gossip, monotonic: Callable[[], float]) -> None:
-        self.gossip = gossip
-        self.monotonic = monotonic
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Learn from a heartbeat; what is none is dropped."""
-        with contextlib.suppress(msgspec.MsgspecError):
-            self.gossip.take(msgspec.msgpack.decode(data, type=Beat), self.monotonic())
-
-    def error_received(self, exc: Exception) -> None:
-        """Ignore a machine that is not there."""
-
-
 class Gateway:
     """One entry VM.
 
@@ -152,12 +128,12 @@
             settings.caller_address,
             settings.peer_address,
         )
-        connections = int(settings.max_files * _CONNECTIONS_PART)
-        self._limits = ListenerLimits(_FIRST_HEADER_BYTES, connections, connections)
-        self.beliefs.listeners.append(self._limit_callers)
-        self._servers: list[uvicorn.Server] = []
+        self.listening = Listening(settings.max_files)
+        self.beliefs.listeners.append(self.listening.learn)
+        self.heartbeats = Heartbeats(
+            self.gossip, self.beliefs, ready=self.ready, monotonic=monotonic, rng=self.rng
+        )
         self._tasks: list[asyncio.Task] = []
-        self._udp: Optional[asyncio.DatagramTransport] = None
 
     def ready(self) -> bool:
         """Tell whether callers may be sent here."""
@@ -176,16 +152,6 @@
         self.journal.counters["items_unreadable"] += 1
         self.journal.state("unreadable", key=key, cause=cause)
 
-    def _limit_callers(self, change: Change) -> None:
-        """Follow the limits on callers; a connection rests a little longer than they are told."""
-        if not isinstance(change.after, RouteConfiguration):
-            return
-        limits = change.after.limits
-        self._limits.header_bytes = limits.header_bytes + _HEADER_SLACK_BYTES
-        self._limits.header_s = limits.header_s + _HEADER_SLACK_S
-        for server in self._servers:
-            keep_alive(server, limits.idle_s + _IDLE_SLACK_S)
-
     def _take_signals(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
@@ -235,25 +201,8 @@
             apps[settings.directory_address] = self.wire.directory_app(self.directory, monotonic)
         for address, app in apps.items():
             if address:
-                await self._serve(address, app)
-        await self._listen_for_beats()
-
-    async def _serve(self, address: str, app: AsgiApp) -> None:
-        server = make_listener(app, self._limits)
-        bound = bind("listen address", address)
-        self._servers.append(server)
-        self._tasks.append(asyncio.ensure_future(server.serve(sockets=[bound])))
-        while not server.started:
-            await asyncio.sleep(0.005)
-
-    async def _listen_for_beats(self) -> None:
-        host, port = parse_address(self.settings.peer_address)
-        loop = asyncio.get_running_loop()
-        self._udp, _ = await loop.create_datagram_endpoint(
-            lambda: _Beats(self.gossip, self.clock.monotonic),
-            local_addr=(host, port),
-            family=socket.AF_INET,
-        )
+                await self.listening.serve(address, app)
+        await self.heartbeats.listen(settings.peer_address)
 
     def _start_loops(self) -> None:
         monotonic, rng = self.clock.monotonic, self.rng
@@ -269,7 +218,7 @@
             self.neighbours.run,
             self.registrar.run,
             Prober(self.book, self.wire.names, self.journal, monotonic).run,
-            self._beat_loop,
+            self.heartbeats.run,
             self._tick_loop,
         ):
             self._tasks.append(asyncio.ensure_future(self._forever(loop)))
@@ -284,20 +233,6 @@
                 self.journal.state("fault", loop=loop.__qualname__, error=repr(error))
                 await asyncio.sleep(_TICK_S)
 
-    async def _beat_loop(self) -> None:
-        while True:
-            self._beat(self.gossip.partners(self.beliefs.members))
-            await asyncio.sleep(BEAT_S * self.rng.uniform(0.9, 1.1))
-
-    def _beat(self, names: list[str]) -> None:
-        self.gossip.open = self.ready()
-        beat = self.gossip.tick(self.clock.monotonic(), self.beliefs.revision)
-        data = msgspec.msgpack.encode(beat)
-        for name in names:
-            member = self.beliefs.members.get(name)
-            if member is not None and self._udp is not None:
-                self._udp.sendto(data, tuple(parse_address(member.peer_address)))
-
     async def _tick_loop(self) -> None:
         swept_at = self.clock.monotonic()
         while True:
@@ -323,7 +258,7 @@
         now = self.clock.monotonic()
         self.app.stopping = True
         self.journal.state("stopping", in_flight=self.app.in_flight)
-        self._beat(list(self.beliefs.members))
+        self.heartbeats.send(self.beliefs.members)
         leave = asyncio.ensure_future(self._unregister())
         end = now + self.settings.bounds.grace_s - _STOP_MARGIN_S
         linger = min(end, now + _LINGER_S)
--- a/sprucewinch/gateway/gossip.py
+++ b/sprucewinch/gateway/gossip.py
@@ -95,6 +95,7 @@
         self.revisions[beat.sender] = max(beat.revision, self.revisions.get(beat.sender, 0))
         for row in beat.rows:
             if row.name == self.name:
+                self._outrun(row)
                 continue
             held = self.heard.get(row.name)
             if held is None or _newer(row, held.row):
@@ -122,6 +123,14 @@
         newer = (name for name, known in self.revisions.items() if known > revision)
         return [name for name in newer if self.in_touch(name, now)]
 
+    def _outrun(self, row: Row) -> None:
+        """Start a newer incarnation when others hold a newer one of this machine than its own.
+
+        The time of day, from which incarnations are made, may have been set back meanwhile.
+        """
+        if (row.incarnation, row.counter) > (self.incarnation, self.counter):
+            self.incarnation = row.incarnation + 1
+
     def _excuse_own_pause(self, now: float) -> None:
         before, self._ticked_at = self._ticked_at, now
         if before is None or now - before < BEAT_S + _GAP_S:
--- /dev/null
+++ b/sprucewinch/gateway/listening.py
@@ -0,0 +1,59 @@
+"""The HTTP listeners of one machine, with limits that follow the configuration."""
+
+import asyncio
+
+import uvicorn
+
+from .._http_server import AsgiApp, ListenerLimits, bind, keep_alive, make_listener
+from .beliefs import Change
+from .model import RouteConfiguration
+
+_CONNECTIONS_PART = 0.5
+"""Part of the descriptors that callers' connections may take."""
+
+_FIRST_HEADER_BYTES = 65_536
+_HEADER_SLACK_BYTES = 1024
+_HEADER_SLACK_S = 1.0
+_IDLE_SLACK_S = 5.0
+_LOOK_S = 0.005
+
+
+class Listening:
+    """Starts listeners and keeps their limits.
+
+    Args:
+        max_files: Descriptors that the process may open.
+    """
+
+    def __init__(self, max_files: int) -> None:
+        connections = int(max_files * _CONNECTIONS_PART)
+        self.limits = ListenerLimits(_FIRST_HEADER_BYTES, connections, connections)
+        self.servers: list[uvicorn.Server] = []
+        self.tasks: list[asyncio.Task] = []
+
+    async def serve(self, address: str, app: AsgiApp) -> None:
+        """Listen at an address, and return once callers can connect.
+
+        Args:
+            address: `IP:PORT`.
+            app: Answers.
+
+        Raises:
+            SettingsError: When the address cannot be listened on.
+        """
+        server = make_listener(app, self.limits)
+        bound = bind("listen address", address)
+        self.servers.append(server)
+        self.tasks.append(asyncio.ensure_future(server.serve(sockets=[bound])))
+        while not server.started:
+            await asyncio.sleep(_LOOK_S)
+
+    def learn(self, change: Change) -> None:
+        """Follow the limits on callers; a connection rests a little longer than they are told."""
+        if not isinstance(change.after, RouteConfiguration):
+            return
+        limits = change.after.limits
+        self.limits.header_bytes = limits.header_bytes + _HEADER_SLACK_BYTES
+        self.limits.header_s = limits.header_s + _HEADER_SLACK_S
+        for server in self.servers:
+            keep_alive(server, limits.idle_s + _IDLE_SLACK_S)
--- a/sprucewinch/gateway/probe.py
+++ b/sprucewinch/gateway/probe.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
-from .connection import ConnectFailedError, ExchangeFailedError, connect
+from .connection import get
 from .journal import Journal
 from .model import Names
 from .servers import COLD_MARGIN_S, Server, ServerBook
@@ -48,16 +48,8 @@
         path = self.book.health_path(server.backend.service)
         if not path:
             return
-        address = server.backend.address
-        try:
-            async with asyncio.timeout(_TIMEOUT_S):
-                connection = await connect(address, _TIMEOUT_S)
-                try:
-                    request = f"GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n"
-                    answer = await connection.exchange(request.encode())
-                finally:
-                    connection.close()
-        except (ConnectFailedError, ExchangeFailedError, TimeoutError):
+        answer = await get(server.backend.address, path, _TIMEOUT_S)
+        if answer is None:
             return
         left_ms = answer.header(self.names.cold_ms)
         same = answer.header(self.names.instance) == server.backend.id
--- a/sprucewinch/gateway/sync.py
+++ b/sprucewinch/gateway/sync.py
@@ -9,7 +9,7 @@
 
 from ..retry import backoff_s
 from .beliefs import Beliefs
-from .connection import ConnectFailedError, ExchangeFailedError, connect
+from .connection import get
 from .gossip import Gossip
 from .journal import Journal
 from .model import Member
@@ -28,6 +28,7 @@
 """How often it is looked whether a neighbour knows more, in seconds."""
 
 _ASK_TIMEOUT_S = 0.6
+_OK = 200
 _REGISTER_S = 2.0
 _FORGET_MEMBER_S = 30.0
 _MOST_BACKOFF_S = 1.0
@@ -222,16 +223,12 @@
         address: `IP:PORT` of its peer listener.
         after: Revision.
     """
+    answer = await get(address, f"{DELTA_PATH}?after={after}", _ASK_TIMEOUT_S)
+    if answer is None or answer.status != _OK:
+        return None
     try:
-        async with asyncio.timeout(_ASK_TIMEOUT_S):
-            connection = await connect(address, _ASK_TIMEOUT_S)
-            try:
-                request = f"GET {DELTA_PATH}?after={after} HTTP/1.1\r\nhost: {address}\r\n\r\n"
-                answer = await connection.exchange(request.encode())
-            finally:
-                connection.close()
-        return decode_delta(answer.body) if answer.status == 200 else None
-    except (ConnectFailedError, ExchangeFailedError, TimeoutError, msgspec.MsgspecError):
+        return decode_delta(answer.body)
+    except msgspec.MsgspecError:
         return None
 
 
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -158,6 +158,15 @@
         return near, near.protocol
 
 
+async def pass_time(seconds: float) -> None:
+    """Let virtual time pass; real time does not.
+
+    Args:
+        seconds: Virtual time, in seconds.
+    """
+    await asyncio.sleep(seconds)
+
+
 def run_virtual(main: Callable[[VirtualLoop], Coroutine[Any, Any, T]]) -> T:
     """Run a coroutine on a fresh virtual loop and return its result."""
     loop = VirtualLoop()
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -10,7 +10,6 @@
     Backend,
     Bounds,
     Member,
-    Names,
     Part,
     Route,
     RouteConfiguration,
@@ -27,17 +26,10 @@
 from standins.scripted_server import ScriptedServer
 from standins.virtual import VirtualLoop
 
-NAMES = Names(
-    request_id="x-request-id",
-    deadline_ms="x-request-deadline-ms",
-    affinity="x-affinity-key",
-    expected="x-expected-instance",
-    signature="x-response-signature",
-    not_run="x-not-executed",
-    load="x-server-load",
-    cold_ms="x-warmup-remaining-ms",
-    instance="x-instance-id",
-)
+from . import adapter  # noqa: F401 - makes the next import possible
+
+from consortium import NAMES  # isort: skip
+
 REGIONS = {"east-a": "east", "east-b": "east", "west-a": "west"}
 BOUNDS = Bounds(
     contact_s=3.0, retry_ratio=0.2, retry_slack=60.0, cold_over=1.5, cold_slack=5.0, shift_cap=0.15
--- a/tests/test_gateway_admit.py
+++ b/tests/test_gateway_admit.py
@@ -6,7 +6,7 @@
 from sprucewinch.gateway.model import Backend
 from sprucewinch.gateway.servers import Server
 from standins.scripted_server import Spoil
-from standins.virtual import VirtualLoop, run_virtual
+from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .gateway_fakes import Path, route
 
@@ -19,7 +19,7 @@
             silent = path.first()
             silent.spoils = [Spoil.SILENT] * 99
             held = loop.create_task(path.pipeline.run(path.call("q0")))
-            await asyncio.sleep(0.45)
+            await pass_time(0.45)
             reply = await path.pipeline.run(path.call("q1"))
             self.assertEqual((reply.status, len(silent.runs)), (200, 1))
             self.assertEqual((await held).status, 504)
@@ -36,7 +36,7 @@
             first.work_s = 0.5
             for number in range(12):
                 loop.create_task(path.pipeline.run(path.call(f"q{number}")))
-                await asyncio.sleep(0.15)
+                await pass_time(0.15)
             server = path.world.book.servers[first.server_id]
             self.assertFalse(server.silent(loop.time()))
 
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -91,6 +91,15 @@
         fleet.run(3.0)
         self.assertIn("vm3", fleet.named("vm0"))
 
+    def test_a_machine_that_restarts_with_its_clock_set_back_is_named_again(self) -> None:
+        fleet = Fleet(12)
+        fleet.machines["vm3"].incarnation = 9_000
+        fleet.run(5.0)
+        fleet.machines["vm3"] = Gossip("vm3", 2, random.Random(9))
+        fleet.machines["vm3"].open = True
+        fleet.run(SILENCE_S + 1.0)
+        self.assertTrue(all("vm3" in fleet.named(name) for name in fleet.machines))
+
     def test_halves_that_are_cut_apart_name_their_own(self) -> None:
         fleet = Fleet(12)
         fleet.run(5.0)
--- a/tests/test_gateway_pipeline.py
+++ b/tests/test_gateway_pipeline.py
@@ -1,11 +1,10 @@
 """What callers get and what backend servers see, for every way in which a send can end."""
 
-import asyncio
 import unittest
 
 from sprucewinch.gateway.call import Refused
 from standins.scripted_server import Spoil
-from standins.virtual import VirtualLoop, run_virtual
+from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .gateway_fakes import Path, route
 
@@ -123,7 +122,7 @@
             self.assertAlmostEqual(loop.time() - started, 0.5, delta=0.01)
             given = int(path.first().runs[0].headers["x-request-deadline-ms"])
             self.assertLessEqual(given, 500)
-            await asyncio.sleep(0.1)
+            await pass_time(0.1)
             self.assertEqual(path.first().cancelled, 1)
 
         run_virtual(main)
@@ -134,9 +133,9 @@
             path.world.configure(route())
             path.first().work_s = 0.7
             task = loop.create_task(path.pipeline.run(path.call("q")))
-            await asyncio.sleep(0.1)
+            await pass_time(0.1)
             task.cancel()
-            await asyncio.sleep(0.01)
+            await pass_time(0.01)
             self.assertEqual(path.first().cancelled, 1)
 
         run_virtual(main)
@@ -158,7 +157,7 @@
             path.world.configure(route(), version=1)
             path.first().spoils = [Spoil.LOST]
             task = loop.create_task(path.pipeline.run(path.call("q")))
-            await asyncio.sleep(0.02)
+            await pass_time(0.02)
             path.world.configure(route(prefix="/moved/"), version=2)
             reply = await task
             self.assertEqual(path.runs("q"), 1)
--- a/tests/test_gateway_pool.py
+++ b/tests/test_gateway_pool.py
@@ -1,11 +1,10 @@
 """Kept connections: how many, how long, and none in doubt."""
 
-import asyncio
 import unittest
 
 from sprucewinch.gateway.pool import MOST_IDLE, Pool
 from standins.scripted_server import ScriptedServer
-from standins.virtual import VirtualLoop, run_virtual
+from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 ADDRESS = "10.0.0.1:80"
 _REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\nx-request-id: q\r\n\r\n"
@@ -37,7 +36,7 @@
             first = await pool.take(ADDRESS)
             pool.give_back(ADDRESS, first)
             server.reset()
-            await asyncio.sleep(2 * loop.delay_s)
+            await pass_time(2 * loop.delay_s)
             second = await pool.take(ADDRESS)
             self.assertEqual((await second.exchange(_REQUEST, request_id="q")).status, 200)
             self.assertEqual(pool.opened, 2)
--- a/tests/test_gateway_probe.py
+++ b/tests/test_gateway_probe.py
@@ -1,13 +1,12 @@
 """What is asked of the servers of a data hall that is taken back, and what follows from it."""
 
-import asyncio
 import unittest
 from typing import Optional
 
 from sprucewinch.gateway.beliefs import Evacuation
 from sprucewinch.gateway.journal import Journal
 from sprucewinch.gateway.probe import Prober
-from standins.virtual import VirtualLoop, run_virtual
+from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .gateway_fakes import NAMES, Path, route
 
@@ -22,9 +21,9 @@
     prober = Prober(path.world.book, NAMES, journal, loop.time)
     task = loop.create_task(prober.run())
     path.world.say("evacuate/east-a", Evacuation("east-a"), loop.time())
-    await asyncio.sleep(1.0)
+    await pass_time(1.0)
     path.world.drop("evacuate/east-a", loop.time())
-    await asyncio.sleep(0.2)
+    await pass_time(0.2)
     task.cancel()
     return path
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,6 +1,5 @@
 """The adapter's store client and the product's followers against the store's stand-in."""
 
-import asyncio
 import random
 import unittest
 
@@ -10,7 +9,7 @@
 from sprucewinch.gateway.model import Member
 from sprucewinch.gateway.sync import Registrar, StoreFollower
 from standins.consortium_store import Fault, StoreStandIn
-from standins.virtual import VirtualLoop, run_virtual
+from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from . import adapter  # noqa: F401 - makes the next imports possible
 
@@ -74,7 +73,7 @@
     store.put("op/config", configuration(3))
     machine = Machine(loop)
     machine.start()
-    await asyncio.sleep(1.0)
+    await pass_time(1.0)
     return store, machine
 
 
@@ -86,11 +85,11 @@
             self.assertIn("vm0", machine.beliefs.members)
             store.put("op/config", configuration(5))
             store.put("op/evacuate/z", b"{}")
-            await asyncio.sleep(0.5)
+            await pass_time(0.5)
             self.assertEqual(machine.version(), 5)
             self.assertEqual(machine.beliefs.evacuated, {"z"})
             store.remove("op/evacuate/z")
-            await asyncio.sleep(0.5)
+            await pass_time(0.5)
             self.assertEqual(machine.beliefs.evacuated, set())
 
         run_virtual(main)
@@ -104,20 +103,20 @@
     async def _trouble(self, loop: VirtualLoop, fault: Fault, lasts_s: float) -> None:
         store, machine = await started(loop)
         store.fault = fault
-        await asyncio.sleep(lasts_s / 2)
+        await pass_time(lasts_s / 2)
         store.put("op/config", configuration(9))
-        await asyncio.sleep(lasts_s / 2)
+        await pass_time(lasts_s / 2)
         store.fault = Fault.NONE
-        await asyncio.sleep(CONTACT_S)
+        await pass_time(CONTACT_S)
         self.assertEqual(machine.version(), 9)
 
     def test_a_slow_store_does_not_keep_changes_back(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             store, machine = await started(loop)
             store.slow_s = 0.3
-            await asyncio.sleep(4.0)
+            await pass_time(4.0)
             store.put("op/config", configuration(9))
-            await asyncio.sleep(BOUND_S)
+            await pass_time(BOUND_S)
             self.assertEqual(machine.version(), 9)
 
         run_virtual(main)
@@ -126,13 +125,13 @@
         async def main(loop: VirtualLoop) -> None:
             store, machine = await started(loop)
             store.put("op/evacuate/z", b"{}")
-            await asyncio.sleep(0.5)
+            await pass_time(0.5)
             store.fault = Fault.DEAF
             store.remove("op/evacuate/z")
             store.put("op/config", configuration(9))
             store.forget()
             store.fault = Fault.NONE
-            await asyncio.sleep(1.0)
+            await pass_time(1.0)
             self.assertEqual(machine.version(), 9)
             self.assertEqual(machine.beliefs.evacuated, set())
 
@@ -145,7 +144,7 @@
                 store.put(f"op/evacuate/z{number:02}", b"{}")
             machine = Machine(loop)
             machine.start()
-            await asyncio.sleep(1.0)
+            await pass_time(1.0)
             self.assertEqual(len(machine.beliefs.evacuated), 11)
 
         run_virtual(main)
@@ -154,9 +153,9 @@
         async def main(loop: VirtualLoop) -> None:
             store, machine = await started(loop)
             store.put("op/config", configuration(12))
-            await asyncio.sleep(0.5)
+            await pass_time(0.5)
             store.put("op/config", configuration(4))
-            await asyncio.sleep(0.5)
+            await pass_time(0.5)
             self.assertEqual(machine.version(), 12)
 
         run_virtual(main)
@@ -167,7 +166,7 @@
             for value in (b"", b"{", b"[]", b'{"Version":7}', b'{"Version":"r9","Hosts":[3]}'):
                 store.put("op/config", value)
                 store.put("servers/i-1", value)
-            await asyncio.sleep(0.5)
+            await pass_time(0.5)
             self.assertEqual(machine.version(), 3)
             self.assertEqual(machine.beliefs.backends, {})
 
@@ -181,11 +180,11 @@
             store.fault = Fault.LOST
             machine = Machine(loop)
             machine.start()
-            await asyncio.sleep(1.0)
+            await pass_time(1.0)
             store.fault = Fault.NONE
             self.assertIn("vm0", machine.beliefs.members)
             store.remove("sprucewinch/members/vm0")
-            await asyncio.sleep(3.0)
+            await pass_time(3.0)
             self.assertIn("vm0", machine.beliefs.members)
 
         run_virtual(main)
@@ -194,7 +193,7 @@
         async def main(loop: VirtualLoop) -> None:
             store, _ = await started(loop)
             before = len(store.calls)
-            await asyncio.sleep(60.0)
+            await pass_time(60.0)
             self.assertLessEqual(len(store.calls) - before, 35)
 
         run_virtual(main)
