--- a/sprucewinch/gateway/place.py
+++ b/sprucewinch/gateway/place.py
@@ -10,7 +10,7 @@
 from .shares import RegionShares
 
 _HASH_SPACE = float(1 << 32)
-_MAX_KEPT = 20_000
+_MAX_KEPT = 4_000
 
 
 class Placement(NamedTuple):
