Let watches of a larger fleet wait longer; a neighbour completes a machine that is turned away

Change: watches wait 2 s for up to 12 machines and longer beyond, up to 8 s; neighbours, whose watches end at other times, tell by their heartbeats that they know more. Deployments of up to 12 machines are as before. The store's stand-in can turn single machines away; a real machine that it turns away learns a version from its neighbour.

--- a/sprucewinch/gateway/sync.py
+++ b/sprucewinch/gateway/sync.py
@@ -18,7 +18,14 @@
 from .store import HistoryGoneError, Store, StoreUnavailableError
 
 WATCH_S = 2.0
-"""How long a watch waits, in seconds; one that died silently is noticed soon after."""
+"""How long a watch waits in a small fleet, in seconds; one that died silently is noticed then.
+
+In a larger fleet watches wait longer: somebody's is renewed soon in any case, and neighbours that
+know more are asked.
+"""
+
+_SMALL_FLEET = 12
+_MOST_WATCH_S = 8.0
 
 GATHER_S = 0.15
 """Pause after a change, in seconds, so that the next watch brings what follows in one call."""
@@ -84,7 +91,8 @@
             delta = await self.store.listing()
             self._list_first = False
         else:
-            delta = await self.store.watch(self.beliefs.replica.at, WATCH_S)
+            wait_s = watch_s(len(self.beliefs.members))
+            delta = await self.store.watch(self.beliefs.replica.at, wait_s)
         self.beliefs.apply(delta, self.monotonic())
         if delta.items or delta.removals:
             await asyncio.sleep(GATHER_S)
@@ -95,6 +103,15 @@
             self.journal.state("store", up=up, problem=problem, at=self.beliefs.replica.at)
 
 
+def watch_s(machines: int) -> float:
+    """Return how long a watch waits, in seconds.
+
+    Args:
+        machines: How many machines are registered.
+    """
+    return min(_MOST_WATCH_S, WATCH_S * max(1.0, machines / _SMALL_FLEET))
+
+
 class NeighbourFollower:
     """Takes over from neighbours what the store has not told yet.
 
--- a/standins/consortium_store.py
+++ b/standins/consortium_store.py
@@ -46,12 +46,17 @@
         self.floor = 0
         self.slow_s = 0.0
         self.fault = Fault.NONE
+        self.faults_by_machine: dict[str, Fault] = {}
         self.calls: list[tuple[str, dict[str, str]]] = []
         self.changed = asyncio.Event()
 
-    def accept(self) -> asyncio.Protocol:
-        """Return the protocol of one connection, for a listener of the loop."""
-        return _Call(self)
+    def accept(self, machine: str = "") -> asyncio.Protocol:
+        """Return the protocol of one connection, for a listener of the loop.
+
+        Args:
+            machine: Name under which its calls meet faults of their own.
+        """
+        return _Call(self, machine)
 
     def put(self, key: str, value: bytes) -> int:
         """Write a value as the operator or a backend server would; returns its revision."""
@@ -83,14 +88,21 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def answer(self, method: str, path: str, query: dict[str, str], body: bytes) -> Any:
+    def fault_of(self, machine: str) -> Fault:
+        """Return what is wrong for a machine's calls."""
+        return self.faults_by_machine.get(machine, self.fault)
+
+    async def answer(
+        self, machine: str, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> Any:
         """Return status and body of a call, or None for none."""
         self.calls.append((path, query))
         await asyncio.sleep(0.004 + self.slow_s)
-        if self.fault in (Fault.SILENT, Fault.RESET):
+        fault = self.fault_of(machine)
+        if fault in (Fault.SILENT, Fault.RESET):
             return None
-        if self.fault in (Fault.BUSY, Fault.MANY):
-            return (503 if self.fault is Fault.BUSY else 429), {}
+        if fault in (Fault.BUSY, Fault.MANY):
+            return (503 if fault is Fault.BUSY else 429), {}
         if path == "/sprucewinch/kv-range":
             return 200, self._range(query)
         if path == "/sprucewinch/kv-watch":
@@ -140,8 +152,9 @@
 class _Call(asyncio.Protocol):
     """One connection at the store."""
 
-    def __init__(self, store: StoreStandIn) -> None:
+    def __init__(self, store: StoreStandIn, machine: str) -> None:
         self.store = store
+        self.machine = machine
         self.parser = httptools.HttpRequestParser(self)
         self.transport: Optional[asyncio.Transport] = None
         self.url = b""
@@ -167,10 +180,10 @@
         self.store.loop.create_task(self._answer(method, path, dict(parse_qsl(query)), body))
 
     async def _answer(self, method: str, path: str, query: dict[str, str], body: bytes) -> None:
-        answer = await self.store.answer(method, path, query, body)
         assert self.transport is not None
+        answer = await self.store.answer(self.machine, method, path, query, body)
         if answer is None:
-            if self.store.fault is not Fault.SILENT:
+            if self.store.fault_of(self.machine) is not Fault.SILENT:
                 self.transport.abort()
             return
         status, table = answer
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -1,6 +1,7 @@
 """The real program of the folder `platform/` as a process, beside stand-ins in the test."""
 
 import asyncio
+import functools
 import json
 import os
 import signal
@@ -137,15 +138,17 @@
         self.folder = tempfile.TemporaryDirectory()
         self.addCleanup(self.folder.cleanup)
         self.store = StoreStandIn(loop)
-        store = self.store_address = await self._listen(self.store.accept)
+        self.store_address = await self._listen(self.store.accept)
         self.backends = [ScriptedServer(loop, f"i-{n}") for n in range(self.servers)]
         for backend in self.backends:
             await self._list(backend, await self._listen(backend.accept))
         self.store.put("op/config", json.dumps(CONFIGURATION).encode())
         port = free_port("127.0.0.1")
-        self.vms = [
-            GatewayProcess(n + 1, store, port, self.folder.name) for n in range(self.machines)
-        ]
+        self.vms = []
+        for number in range(1, self.machines + 1):
+            accept = functools.partial(self.store.accept, f"vm{number}")
+            store = await self._listen(accept)
+            self.vms.append(GatewayProcess(number, store, port, self.folder.name))
         self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=20))
         self.addAsyncCleanup(self.session.close)
         for vm in self.vms:
--- /dev/null
+++ b/tests/test_gateway_sync.py
@@ -0,0 +1,42 @@
+"""Neighbours that complete each other where the store is out of reach, and what watching costs."""
+
+import json
+import unittest
+
+from sprucewinch.gateway.sync import WATCH_S, fetch_delta, watch_s
+from standins.consortium_store import Fault
+
+from .gateway_process import CONFIGURATION, GatewayCase
+
+
+class WatchTimes(unittest.TestCase):
+    def test_watches_of_a_fleet_cost_the_store_little_more_than_a_small_ones(self) -> None:
+        self.assertEqual(watch_s(10), WATCH_S)
+        for machines in (12, 30, 48):
+            self.assertAlmostEqual(machines / watch_s(machines), 6.0)
+        self.assertLess(90 / watch_s(90), 12.0)
+
+
+class TurnedAway(GatewayCase):
+    machines = 2
+
+    async def test_a_machine_that_the_store_turns_away_learns_from_its_neighbour(self) -> None:
+        first, second = self.vms
+        await self.until(lambda: self._knows_all(first), "the machines to know each other")
+        self.store.faults_by_machine[second.name] = Fault.BUSY
+        table = {**CONFIGURATION, "Version": "r9"}
+        self.store.put("op/config", json.dumps(table).encode())
+        await self.until(lambda: self._version(second, 9), "the version to arrive")
+
+    async def _knows_all(self, vm) -> bool:
+        return len(await self.named(vm)) == 2
+
+    async def _version(self, vm, version: int) -> bool:
+        async with self.session.get(f"http://{vm.ip}:9464/state") as response:
+            state = json.loads(await response.read())
+        return state["configuration_version"] == version
+
+
+class Unreachable(unittest.IsolatedAsyncioTestCase):
+    async def test_a_neighbour_that_is_not_there_says_nothing(self) -> None:
+        self.assertIsNone(await fetch_delta("127.0.0.1:9", 0))
