--- a/tests/test_gateway_sync.py
+++ b/tests/test_gateway_sync.py
@@ -24,6 +24,7 @@
         first, second = self.vms
         await self.until(lambda: self._knows_all(first), "the machines to know each other")
         self.store.faults_by_machine[second.name] = Fault.BUSY
+        await self.until(lambda: self._lost_store(second), "the machine to be turned away")
         table = {**CONFIGURATION, "Version": "r9"}
         self.store.put("op/config", json.dumps(table).encode())
         await self.until(lambda: self._version(second, 9), "the version to arrive")
@@ -31,6 +32,9 @@
     async def _knows_all(self, vm) -> bool:
         return len(await self.named(vm)) == 2
 
+    async def _lost_store(self, vm) -> bool:
+        return any(line["event"] == "store" and not line["up"] for line in vm.lines)
+
     async def _version(self, vm, version: int) -> bool:
         async with self.session.get(f"http://{vm.ip}:9464/state") as response:
             state = json.loads(await response.read())
