--- a/standins/consortium_store.py
+++ b/standins/consortium_store.py
@@ -15,6 +15,13 @@
 import msgspec
 
 PAGE = 500
+LATE_S = 2.0
+"""How much later a late write is done, in seconds."""
+
+_LEASES = "/sprucewinch/kv-lease"
+_KEEP = "/sprucewinch/kv-keep/"
+_END = "/sprucewinch/kv-lease-end/"
+_SECOND_MS = 1000
 
 
 class Fault(enum.Enum):
@@ -26,9 +33,25 @@
     RESET = "connections are reset"
     SILENT = "nothing is answered"
     LOST = "writes are done and not answered"
+    LATE = "writes are not answered, and done seconds later if their condition still holds"
     DEAF = "watches hear nothing, all else works"
 
 
+class Lease:
+    """A lease that ends unless it is renewed.
+
+    Args:
+        ttl_s: How long it lasts, in seconds.
+        timer: Ends it.
+    """
+
+    __slots__ = ("timer", "ttl_s")
+
+    def __init__(self, ttl_s: float, timer: asyncio.TimerHandle) -> None:
+        self.ttl_s = ttl_s
+        self.timer = timer
+
+
 class StoreStandIn:
     """The store.
 
@@ -48,6 +71,7 @@
         self.fault = Fault.NONE
         self.faults_by_machine: dict[str, Fault] = {}
         self.calls: list[tuple[str, dict[str, str]]] = []
+        self.leases: dict[int, Lease] = {}
         self.changed = asyncio.Event()
 
     def accept(self, machine: str = "") -> asyncio.Protocol:
@@ -58,12 +82,18 @@
         """
         return _Call(self, machine)
 
-    def put(self, key: str, value: bytes) -> int:
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write a value as the operator or a backend server would; returns its revision."""
         self.revision += 1
         made = self.items.get(key, {"made": self.revision})["made"]
         text = base64.b64encode(value).decode()
-        item = {"TlsKey": key, "Value": text, "Revision": self.revision, "made": made, "lease": 0}
+        item = {
+            "TlsKey": key,
+            "Value": text,
+            "Revision": self.revision,
+            "made": made,
+            "lease": lease,
+        }
         self.items[key] = item
         self._tell(item)
         return self.revision
@@ -74,6 +104,14 @@
         del self.items[key]
         self._tell({"TlsKey": key, "Revision": self.revision, "gone": True})
 
+    def revoke(self, number: int) -> None:
+        """End a lease; its keys go with it."""
+        lease = self.leases.pop(number, None)
+        if lease is not None:
+            lease.timer.cancel()
+        for key in [k for k, item in self.items.items() if number and item["lease"] == number]:
+            self.remove(key)
+
     def forget(self) -> None:
         """Drop the history; watches that wait are cut with 410."""
         self.floor = self.revision
@@ -107,11 +145,47 @@
             return 200, self._range(query)
         if path == "/sprucewinch/kv-watch":
             return await self._watch(query)
-        if path == "/sprucewinch/kv-txn" and method == "POST":
-            answer = self._change(msgspec.json.decode(body))
-            return None if self.fault is Fault.LOST else answer
+        if path == "/sprucewinch/kv-key" and query.get("TlsKey") in self.items:
+            return 200, {**self.items[query["TlsKey"]], "at": self.revision}
+        if method == "GET":
+            return 404, {}
+        return self._write(fault, path, body)
+
+    def _write(self, fault: Fault, path: str, body: bytes) -> Any:
+        if fault is Fault.LATE:
+            self.loop.call_later(LATE_S, self._carry_out, path, body)
+            return None
+        answer = self._carry_out(path, body)
+        return None if fault is Fault.LOST else answer
+
+    def _carry_out(self, path: str, body: bytes) -> tuple[int, dict[str, Any]]:
+        if path == "/sprucewinch/kv-txn":
+            return self._change(msgspec.json.decode(body))
+        if path == _LEASES:
+            return self._grant(msgspec.json.decode(body)["ttl"])
+        if path.startswith(_KEEP):
+            return self._keep(int(path.removeprefix(_KEEP)))
+        if path.startswith(_END):
+            self.revoke(int(path.removeprefix(_END)))
+            return 200, {}
         return 404, {}
 
+    def _grant(self, ttl: str) -> tuple[int, dict[str, Any]]:
+        self.revision += 1
+        number = self.revision
+        ttl_s = float(ttl.removesuffix("ms")) / _SECOND_MS
+        timer = self.loop.call_later(ttl_s, self.revoke, number)
+        self.leases[number] = Lease(ttl_s, timer)
+        return 200, {"lease": number, "ttl": ttl}
+
+    def _keep(self, number: int) -> tuple[int, dict[str, Any]]:
+        lease = self.leases.get(number)
+        if lease is None:
+            return 404, {}
+        lease.timer.cancel()
+        lease.timer = self.loop.call_later(lease.ttl_s, self.revoke, number)
+        return 200, {"ttl": f"{lease.ttl_s * _SECOND_MS:g}ms"}
+
     def _range(self, query: dict[str, str]) -> dict[str, Any]:
         prefix, after = query.get("PathPrefix", ""), query.get("after", "")
         keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
@@ -141,8 +215,10 @@
             held = self.items.get(row["TlsKey"])
             if (held["Revision"] if held else 0) != row["Revision"]:
                 return 412, {"items": [held] if held else []}
+        if any(row["lease"] and row["lease"] not in self.leases for row in body["put"]):
+            return 404, {}
         for row in body["put"]:
-            self.put(row["TlsKey"], base64.b64decode(row["Value"]))
+            self.put(row["TlsKey"], base64.b64decode(row["Value"]), row["lease"])
         for key in body["Remove"]:
             if key in self.items:
                 self.remove(key)
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -83,6 +83,8 @@
         self.cancelled = 0
         self.answer_bytes = b"the whole answer"
         self.cold_ms: Optional[int] = None
+        self.cold_until = 0.0
+        self.cold_factor = 2.0
         self.probes = 0
         self.open: set[asyncio.Transport] = set()
 
@@ -94,6 +96,20 @@
         """Return how the next answer is spoilt."""
         return self.spoils.pop(0) if self.spoils else Spoil.NONE
 
+    def turn_cold(self, seconds: float) -> None:
+        """Be slow for some seconds, as after a start, and say so when asked."""
+        self.cold_until = self.loop.time() + seconds
+
+    def cold_left_ms(self) -> Optional[int]:
+        """Return what it says of its warm-up; None when it says nothing."""
+        left = max(0.0, self.cold_until - self.loop.time())
+        return int(left * 1000) if left else self.cold_ms
+
+    def work_now_s(self) -> float:
+        """Return the time of a run that begins now, in seconds."""
+        cold = self.loop.time() < self.cold_until
+        return self.work_s * (self.cold_factor if cold else 1.0)
+
     def reset(self) -> None:
         """Reset all open connections."""
         for transport in list(self.open):
@@ -151,8 +167,9 @@
         server = self.server
         server.probes += 1
         extra = f"X-Instance-Id: {server.server_id}\r\n"
-        if server.cold_ms is not None:
-            extra += f"X-Warmup-Remaining-Ms: {server.cold_ms}\r\n"
+        left_ms = server.cold_left_ms()
+        if left_ms is not None:
+            extra += f"X-Warmup-Remaining-Ms: {left_ms}\r\n"
         self._write(200, "", b"", extra=extra)
 
     def _take_request(self) -> None:
@@ -178,7 +195,7 @@
         server.runs.append(run)
         server.running += 1
         try:
-            await asyncio.sleep(server.work_s)
+            await asyncio.sleep(server.work_now_s())
         finally:
             server.running -= 1
         self._answer(run, server.next_spoil())
--- a/tests/test_gateway_probe.py
+++ b/tests/test_gateway_probe.py
@@ -45,6 +45,21 @@
         self.assertEqual(self._cold(1000, 1.0), {True})
         self.assertEqual(self._cold(1000, 2.0), {False})
 
+    def test_a_server_that_turned_cold_in_the_evacuation_says_how_long(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=1)
+            path.world.configure(route())
+            path.servers["s0"].turn_cold(2.0)
+            await pass_time(1.0)
+            server = path.world.book.servers["s0"]
+            server.cold_until = loop.time() + 3.0
+            journal = Journal(lambda line: None, monotonic=loop.time, wall=loop.time)
+            await Prober(path.world.book, NAMES, journal, loop.time).ask(server)
+            self.assertTrue(server.cold(loop.time() + 0.9))
+            self.assertFalse(server.cold(loop.time() + 1.6))
+
+        run_virtual(main)
+
     def test_servers_that_say_nothing_clear_count_as_cold(self) -> None:
         self.assertEqual(self._cold(None, 2.5), {True})
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,7 +8,7 @@
 from sprucewinch.gateway.journal import Journal
 from sprucewinch.gateway.model import Member
 from sprucewinch.gateway.sync import Registrar, StoreFollower
-from standins.consortium_store import Fault, StoreStandIn
+from standins.consortium_store import LATE_S, Fault, StoreStandIn
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from . import adapter  # noqa: F401 - makes the next imports possible
@@ -189,6 +189,23 @@
 
         run_virtual(main)
 
+    def test_a_registration_that_is_done_late_counts_once(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            store = standin(loop)
+            store.fault = Fault.LATE
+            machine = Machine(loop)
+            machine.start()
+            await pass_time(1.0)
+            self.assertEqual(machine.beliefs.members, {})
+            store.fault = Fault.NONE
+            await pass_time(LATE_S + 3.0)
+            self.assertEqual(list(machine.beliefs.members), ["vm0"])
+            before = store.revision
+            await pass_time(30.0)
+            self.assertEqual(store.revision, before)
+
+        run_virtual(main)
+
     def test_a_registered_machine_in_calm_times_makes_few_calls(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             store, _ = await started(loop)
