Keep living servers whose entries lapse in an outage of the store; let urgent requests wait in front

A route's priority was read and not used. Ruled out: holding every entry that goes, which breaks the bound on leaving servers; an outage shorter than a heartbeat, or a server that had said that it leaves, is believed at once. Servers first seen then are asked once whether they are cold; a probe without an answer writes its line too. Requests that wait for room stand in order of rank; a full queue drops the least urgent, with a time to come back. Tests: three of test_gateway_outages are red when nothing is held to have lapsed; the order of waiting is red when ranks are ignored.

--- a/sprucewinch/gateway/admit.py
+++ b/sprucewinch/gateway/admit.py
@@ -31,7 +31,7 @@
         self.allowance = allowance
 
     def choose(
-        self, call: Call, placement: Placement, service: str, now: float
+        self, call: Call, placement: Placement, service: str, now: float, rank: int = 0
     ) -> Union[Chosen, Refused]:
         """Choose the server of a request: the first of its object that can be used.
 
@@ -40,12 +40,13 @@
             placement: Its servers.
             service: Its service.
             now: Monotonic time, in seconds.
+            rank: The request's rank, 0 the most urgent.
         """
         server = self.candidate(call, placement, now)
         if server is None:
             call.blocked = Blocked("")
             return Refused.NO_SERVER
-        if not self._has_room(server, now):
+        if server.more_urgent_waits(rank) or not self._has_room(server, now):
             following = self._idle_next(call, placement, server, now)
             if following is not None:
                 return Chosen(following, service, True)
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -20,6 +20,7 @@
 from .listeners import PeerApp, TextApp
 from .listening import Listening
 from .model import GatewaySettings, Member, Names
+from .outages import StoreOutages
 from .pipeline import Pipeline
 from .place import Placer
 from .policies import PolicyBook
@@ -90,7 +91,10 @@
         self.journal = Journal(log.line, monotonic=monotonic, wall=self.clock.wall)
         self.beliefs = Beliefs(wire.decoder, self._unreadable)
         self.gossip = Gossip(settings.name, incarnation, self.rng)
-        self.book = ServerBook(self.beliefs, settings.bounds, settings.name, settings.regions)
+        self.outages = StoreOutages(settings.server_heartbeat_s)
+        self.book = ServerBook(
+            self.beliefs, settings.bounds, settings.name, settings.regions, self.outages
+        )
         self.policies = PolicyBook(self.beliefs, self._unreadable)
         self.shares = RegionShares(
             self.book,
@@ -207,7 +211,7 @@
     def _start_loops(self) -> None:
         monotonic, rng = self.clock.monotonic, self.rng
         self.follower = StoreFollower(
-            self.beliefs, self.store, self.journal, monotonic=monotonic, rng=rng
+            self.beliefs, self.store, self.outages, self.journal, monotonic=monotonic, rng=rng
         )
         self.neighbours = NeighbourFollower(self.beliefs, self.gossip, monotonic=monotonic, rng=rng)
         self.registrar = Registrar(
@@ -239,6 +243,7 @@
             now = self.clock.monotonic()
             self.book.now = now
             self.book.settled = self.beliefs.known
+            self.book.drop_missing(now)
             self.shares.tick(now)
             if now - swept_at > _SWEEP_S:
                 swept_at = now
--- a/sprucewinch/gateway/journal.py
+++ b/sprucewinch/gateway/journal.py
@@ -8,7 +8,7 @@
 from hdrh.histogram import HdrHistogram
 
 from .beliefs import Change
-from .call import Call, Refused, Reply
+from .call import Call, Reply
 from .model import RouteConfiguration
 
 _LINES_PER_S = 150.0
@@ -121,7 +121,3 @@
                 value = histogram.get_value_at_percentile(quantile) / 1000
                 lines.append(f'latency_ms{{route="{route}",quantile="{quantile}"}} {value:g}')
         return "\n".join(lines) + "\n"
-
-
-REFUSALS = tuple(refused.value for refused in Refused)
-"""All reasons that a request's line may give as its outcome."""
--- a/sprucewinch/gateway/model.py
+++ b/sprucewinch/gateway/model.py
@@ -229,6 +229,7 @@
         peer_address: `IP:PORT` for other entry VMs, TCP and UDP.
         metrics_address: `IP:PORT` for counters and histograms.
         store_address: `IP:PORT` of the platform's store.
+        server_heartbeat_s: How often backend servers renew their entries there, in seconds.
         max_files: Descriptors that the process may open.
         memory_bytes: Memory that the process may use.
         bounds: Figures that the fleet keeps together.
@@ -244,6 +245,7 @@
     peer_address: str
     metrics_address: str
     store_address: str
+    server_heartbeat_s: float = 1.5
     max_files: int = 4096
     memory_bytes: int = 300 * 1024 * 1024
     bounds: Bounds = Bounds()
--- a/sprucewinch/gateway/pipeline.py
+++ b/sprucewinch/gateway/pipeline.py
@@ -126,7 +126,8 @@
         return service
 
     def _choose(self, call: Call, route: Route, service: str, now: float) -> Union[Chosen, Refused]:
-        return self.admission.choose(call, self._place(call, route, service, now), service, now)
+        placement = self._place(call, route, service, now)
+        return self.admission.choose(call, placement, service, now, route.priority)
 
     def _place(self, call: Call, route: Route, service: str, now: float) -> Placement:
         key = call.key if route.affinity and call.key else call.id
@@ -143,7 +144,7 @@
         server = self.admission.candidate(call, self._place(call, route, service, now), now)
         if server is None or left_s <= 0 or call.sends:
             return False
-        return await server.wait_for_room(min(left_s, _LOOK_AGAIN_S))
+        return await server.wait_for_room(min(left_s, _LOOK_AGAIN_S), route.priority)
 
     def _stop_reason(self, call: Call, route: Route, send: Send, service: str) -> Optional[Refused]:
         """Return why a request is not sent again; None when it is."""
--- a/sprucewinch/gateway/place.py
+++ b/sprucewinch/gateway/place.py
@@ -52,8 +52,8 @@
             allowed: Regions that may run it; empty for all.
             now: Monotonic time, in seconds.
         """
-        if self._generation != self.book.beliefs.generation or len(self._kept) > _MAX_KEPT:
-            self._generation = self.book.beliefs.generation
+        if self._generation != self.book.generation or len(self._kept) > _MAX_KEPT:
+            self._generation = self.book.generation
             self._kept.clear()
         block = block_key(key, service)
         region = self.shares.shares(service, now).region_at(block)
--- a/sprucewinch/gateway/probe.py
+++ b/sprucewinch/gateway/probe.py
@@ -1,13 +1,15 @@
-"""Asks backend servers of a data hall that was taken back whether they are cold.
+"""Asks backend servers whether they are cold, where the store does not tell.
 
-They may have become cold during the evacuation or not; until they say so they count as cold. The
-question is asked once for each return, as probes are dear.
+Servers of a data hall that was taken back may have become cold during the evacuation or not, and
+servers that appeared while the store was away may have started long ago. Until they say so they
+count as cold. The question is asked once, as probes are dear.
 """
 
 import asyncio
 from collections.abc import Callable
+from typing import Optional
 
-from .connection import get
+from .connection import Answer, get
 from .journal import Journal
 from .model import Names
 from .servers import COLD_MARGIN_S, Server, ServerBook
@@ -48,13 +50,18 @@
         path = self.book.health_path(server.backend.service)
         if not path:
             return
+        self.journal.counters["probes"] += 1
         answer = await get(server.backend.address, path, _TIMEOUT_S)
-        if answer is None:
-            return
+        left_s = None if answer is None else self._cold_left_s(answer, server)
+        if left_s is not None:
+            server.cold_until = self.monotonic() + left_s + COLD_MARGIN_S if left_s else 0.0
+        status = 0 if answer is None else answer.status
+        self.journal.state("probe", server=server.backend.id, status=status, cold_s=left_s)
+
+    def _cold_left_s(self, answer: Answer, server: Server) -> Optional[float]:
+        """Return how long a server says that it stays cold; None when it does not say."""
         left_ms = answer.header(self.names.cold_ms)
         same = answer.header(self.names.instance) == server.backend.id
-        self.journal.counters["probes"] += 1
-        if answer.status == _OK and same and left_ms is not None and left_ms.isdigit():
-            left_s = int(left_ms) / 1000
-            server.cold_until = self.monotonic() + left_s + COLD_MARGIN_S if left_s else 0.0
-            self.journal.state("probe", server=server.backend.id, cold_s=left_s)
+        if answer.status != _OK or not same or left_ms is None or not left_ms.isdigit():
+            return None
+        return int(left_ms) / 1000
--- a/sprucewinch/gateway/servers.py
+++ b/sprucewinch/gateway/servers.py
@@ -1,14 +1,16 @@
 """What this machine knows of each backend server, and how much it may send there."""
 
 import asyncio
+import bisect
 import math
 from collections import deque
 from collections.abc import Iterable
-from typing import Optional
+from typing import NamedTuple, Optional
 
 from .._hash import hash64
 from .beliefs import Beliefs, Change, Evacuation
 from .model import Backend, Bounds, RouteConfiguration
+from .outages import RETURN_S, StoreOutages
 
 COLD_MARGIN_S = 0.5
 """How much longer than it says a backend server counts as cold, in seconds."""
@@ -33,6 +35,22 @@
 _SILENT_LATENCIES = 3.0
 
 
+class Waiter(NamedTuple):
+    """A request that waits for room at a backend server.
+
+    Args:
+        rank: Its rank, 0 the most urgent.
+        turn: Done with True when it may look for room, with False when it lost its place.
+    """
+
+    rank: int
+    turn: "asyncio.Future[bool]"
+
+    def order(self) -> int:
+        """Return what waiting requests are sorted by."""
+        return self.rank
+
+
 class Server:
     """One incarnation of a backend server, as this machine sees it.
 
@@ -50,6 +68,7 @@
         "failures",
         "in_flight",
         "latency_s",
+        "missing_until",
         "paused_until",
         "seed",
         "shrunk_at",
@@ -69,9 +88,10 @@
         self.latency_s: Optional[float] = None
         self.answered_at = float("-inf")
         self.started: list[float] = []
-        self.waiters: deque[asyncio.Future[None]] = deque()
+        self.waiters: list[Waiter] = []
         self.window = float(backend.capacity)
         self.shrunk_at = float("-inf")
+        self.missing_until: Optional[float] = None
         self._others = 0.0
         self._others_at = float("-inf")
 
@@ -129,37 +149,52 @@
         """Leave it alone until some time."""
         self.paused_until = max(self.paused_until, until)
 
-    async def wait_for_room(self, longest_s: float) -> bool:
-        """Wait until a request here is over, in the order of arrival.
+    async def wait_for_room(self, longest_s: float, rank: int) -> bool:
+        """Wait until a request here is over; the most urgent goes first, then who came first.
 
         Args:
             longest_s: Longest wait, in seconds.
+            rank: The request's rank, 0 the most urgent.
 
         Returns:
-            False at once when as many wait as it has slots.
+            False when as many wait as the server has slots and none of them is less urgent, or
+            when a more urgent request took the place.
         """
-        if len(self.waiters) >= self.backend.capacity:
+        if len(self.waiters) >= self.backend.capacity and not self._displace(rank):
             return False
-        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.waiters.append(turn)
+        waiter = Waiter(rank, asyncio.get_running_loop().create_future())
+        bisect.insort(self.waiters, waiter, key=Waiter.order)
         try:
             async with asyncio.timeout(longest_s):
-                await turn
+                return await waiter.turn
         except TimeoutError:
-            pass
+            return True
         finally:
-            if turn in self.waiters:
-                self.waiters.remove(turn)
+            if waiter in self.waiters:
+                self.waiters.remove(waiter)
+
+    def _displace(self, rank: int) -> bool:
+        """Let a less urgent request stop waiting, the one that came last; False when none is."""
+        last = self.waiters[-1]
+        if last.rank <= rank:
+            return False
+        self.waiters.pop()
+        if not last.turn.done():
+            last.turn.set_result(False)
         return True
 
     def call_next(self) -> None:
-        """Let the request that has waited longest look for room."""
+        """Let the most urgent waiting request look for room."""
         while self.waiters:
-            turn = self.waiters.popleft()
+            turn = self.waiters.pop(0).turn
             if not turn.done():
-                turn.set_result(None)
+                turn.set_result(True)
                 return
 
+    def more_urgent_waits(self, rank: int) -> bool:
+        """Tell whether a request that is more urgent than a rank waits for room here."""
+        return bool(self.waiters) and self.waiters[0].rank < rank
+
     def cold_allowed(self, now: float, allowance: int) -> bool:
         """Tell whether one more request may be sent while it is cold."""
         while self.cold_sent and self.cold_sent[0] <= now - _COLD_WINDOW_S:
@@ -175,15 +210,23 @@
         bounds: The fleet's figures.
         name: Name of this machine.
         regions: Region of each data hall.
+        outages: When the store was out of reach.
     """
 
     def __init__(
-        self, beliefs: Beliefs, bounds: Bounds, name: str, regions: dict[str, str]
+        self,
+        beliefs: Beliefs,
+        bounds: Bounds,
+        name: str,
+        regions: dict[str, str],
+        outages: StoreOutages,
     ) -> None:
         self.beliefs = beliefs
         self.bounds = bounds
         self.name = name
         self.regions = regions
+        self.outages = outages
+        self.generation = 0
         self.now = 0.0
         self.settled = False
         self.unsure: list[Server] = []
@@ -244,18 +287,43 @@
         if isinstance(change.after, Backend):
             self._update(change.after)
         elif isinstance(change.before, Backend) and change.after is None:
-            self.servers.pop(change.before.id, None)
+            self._lose(change.before)
         self._rebuild()
 
+    def _lose(self, backend: Backend) -> None:
+        """Drop a server whose entry is gone, or keep it while its entry may only have lapsed."""
+        server = self.servers.get(backend.id)
+        if server is None:
+            return
+        if not backend.draining and self.outages.entries_may_have_lapsed(self.now):
+            server.missing_until = self.now + RETURN_S
+        else:
+            del self.servers[backend.id]
+
+    def drop_missing(self, now: float) -> None:
+        """Drop servers whose entries have not come back in time after an outage of the store."""
+        overdue = [
+            server.backend.id
+            for server in self.servers.values()
+            if server.missing_until is not None and server.missing_until <= now
+        ]
+        for server_id in overdue:
+            del self.servers[server_id]
+        if overdue:
+            self._rebuild()
+
     def _update(self, backend: Backend) -> None:
         server = self.servers.get(backend.id)
         new = server is None
         if server is None:
             server = self.servers[backend.id] = Server(backend)
         server.backend = backend
+        server.missing_until = None
         left = backend.warm_in_s
         if new and self.settled:
             left = max(left, self._warmup_s(backend.service))
+            if self.outages.entries_may_have_lapsed(self.now):
+                self.unsure.append(server)
         if left > 0:
             server.cold_until = max(server.cold_until, self.now + left + COLD_MARGIN_S)
 
@@ -279,6 +347,7 @@
         return rule.warmup_s if rule else 3.0
 
     def _rebuild(self) -> None:
+        self.generation += 1
         self.by_service = {}
         for service, servers in _grouped(self.servers.values()).items():
             self.by_service[service] = tuple(
--- a/sprucewinch/gateway/shares.py
+++ b/sprucewinch/gateway/shares.py
@@ -43,7 +43,7 @@
         self.limiters: dict[str, ShiftLimiter] = {}
         self.targets: dict[str, Shares] = {}
         self.notes: dict[str, tuple[str, ...]] = {}
-        self._generation = -1
+        self._planned_for = (-1, -1)
 
     def shares(self, service: str, now: float) -> Shares:
         """Return the shares in force of a service."""
@@ -55,8 +55,9 @@
 
     def tick(self, now: float) -> None:
         """Follow what has changed, then move all shares towards their targets."""
-        if self._generation != self.book.beliefs.generation:
-            self._generation = self.book.beliefs.generation
+        facts = (self.book.beliefs.generation, self.book.generation)
+        if self._planned_for != facts:
+            self._planned_for = facts
             for service in list(self.limiters):
                 self._plan(service, now)
         for service, limiter in self.limiters.items():
--- a/sprucewinch/gateway/sync.py
+++ b/sprucewinch/gateway/sync.py
@@ -13,6 +13,7 @@
 from .gossip import Gossip
 from .journal import Journal
 from .model import Member
+from .outages import StoreOutages
 from .registry import MEMBER_PREFIX, member_item
 from .replica import Delta, Item, Removal
 from .store import HistoryGoneError, Store, StoreUnavailableError
@@ -47,6 +48,7 @@
     Args:
         beliefs: What this machine believes.
         store: The store.
+        outages: Told when the store is out of reach and when it is back.
         journal: Told of lost and regained touch.
         monotonic: Source of time.
         rng: Source of randomness.
@@ -56,6 +58,7 @@
         self,
         beliefs: Beliefs,
         store: Store,
+        outages: StoreOutages,
         journal: Journal,
         *,
         monotonic: Callable[[], float],
@@ -63,6 +66,7 @@
     ) -> None:
         self.beliefs = beliefs
         self.store = store
+        self.outages = outages
         self.journal = journal
         self.monotonic = monotonic
         self.rng = rng
@@ -82,6 +86,7 @@
                 self.journal.state("store-history-gone", after=self.beliefs.replica.at)
             except StoreUnavailableError as error:
                 failures += 1
+                self.outages.lost(self.monotonic())
                 self._is_up(False, str(error))
                 wait = backoff_s(failures, self.rng, base_s=0.1, most_s=_MOST_BACKOFF_S)
                 await asyncio.sleep(0.05 + wait)
@@ -93,6 +98,7 @@
         else:
             wait_s = watch_s(len(self.beliefs.members))
             delta = await self.store.watch(self.beliefs.replica.at, wait_s)
+        self.outages.regained(self.monotonic())
         self.beliefs.apply(delta, self.monotonic())
         if delta.items or delta.removals:
             await asyncio.sleep(GATHER_S)
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -15,6 +15,7 @@
     RouteConfiguration,
     ServiceRule,
 )
+from sprucewinch.gateway.outages import StoreOutages
 from sprucewinch.gateway.pipeline import Pipeline
 from sprucewinch.gateway.place import Placer
 from sprucewinch.gateway.policies import PolicyBook
@@ -60,7 +61,8 @@
         self.beliefs = Beliefs(self.decoder)
         self.revision = 0
         self._numbers = itertools.count()
-        self.book = ServerBook(self.beliefs, BOUNDS, name, REGIONS)
+        self.outages = StoreOutages(heartbeat_s=1.5)
+        self.book = ServerBook(self.beliefs, BOUNDS, name, REGIONS, self.outages)
         for number in range(machines):
             zone = list(REGIONS)[number % len(REGIONS)]
             region = REGIONS[zone]
--- a/tests/test_gateway_admit.py
+++ b/tests/test_gateway_admit.py
@@ -116,3 +116,31 @@
             self.assertEqual(sum(len(s.runs) for s in path.servers.values()), 40 - refused)
 
         run_virtual(main)
+
+
+class Priorities(unittest.TestCase):
+    def test_the_most_urgent_waiting_request_gets_the_next_room(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=1)
+            path.world.configure(
+                route(aim_s=0.9, priority=2),
+                route(name="r2", prefix="/urgent/", aim_s=0.9, priority=1),
+            )
+            server = path.first()
+            server.work_s = 0.3
+            tasks = []
+            for number in range(6):
+                tasks.append(loop.create_task(path.pipeline.run(path.call(f"r{number}"))))
+                await pass_time(0.03)
+            tasks += [loop.create_task(path.pipeline.run(path.call(f"q{n}"))) for n in range(6)]
+            await pass_time(0.005)
+            urgent = [path.call(f"u{n}", path="/urgent/a", target="/urgent/a") for n in range(2)]
+            tasks += [loop.create_task(path.pipeline.run(call)) for call in urgent]
+            replies = await asyncio.gather(*tasks)
+            self.assertEqual([run.request_id[0] for run in server.runs], ["r"] * 6 + ["u"] * 2)
+            self.assertEqual([reply.status for reply in replies[-2:]], [200] * 2)
+            refused = [reply for reply in replies if reply.status == 503]
+            self.assertEqual(len(refused), 6)
+            self.assertTrue(all(reply.retry_after_s for reply in refused))
+
+        run_virtual(main)
--- /dev/null
+++ b/tests/test_gateway_outages.py
@@ -0,0 +1,127 @@
+"""Entries of living servers that run out while the store is away, and what becomes of them."""
+
+import json
+import unittest
+
+from sprucewinch.gateway.outages import RETURN_S, StoreOutages
+from sprucewinch.gateway.servers import ServerBook
+from standins.consortium_store import Fault, StoreStandIn
+from standins.virtual import VirtualLoop, pass_time, run_virtual
+
+from .gateway_fakes import BOUNDS, REGIONS
+from .test_platform_store import Machine, started
+
+_HEARTBEAT_S = 1.5
+
+
+def _entry(state: str = "ready") -> bytes:
+    table = {"Service": "rates", "Address": "10.0.0.1:80", "Zone": "east-a", "Capacity": 6}
+    return json.dumps({**table, "State": state, "Version": "v1"}).encode()
+
+
+class _Watched:
+    """A store, a machine that follows it, and the machine's book of servers."""
+
+    def __init__(self, loop: VirtualLoop, store: StoreStandIn, machine: Machine) -> None:
+        self.loop = loop
+        self.store = store
+        self.book = ServerBook(machine.beliefs, BOUNDS, "vm0", REGIONS, machine.outages)
+
+    async def pass_time(self, seconds: float) -> None:
+        """Let time pass for the book as the daemon's ticks do."""
+        end = self.loop.time() + seconds
+        while self.loop.time() < end:
+            await pass_time(0.1)
+            self.book.now = self.loop.time()
+            self.book.settled = True
+            self.book.drop_missing(self.loop.time())
+
+    async def outage(self, seconds: float) -> None:
+        """Let the store be away while the entry of its server runs out."""
+        self.store.fault = Fault.RESET
+        await self.pass_time(seconds)
+        self.store.remove("servers/s0")
+        self.store.fault = Fault.NONE
+
+    def usable(self) -> list[str]:
+        """Return the servers that get requests."""
+        return [server.backend.id for server in self.book.usable("rates")]
+
+
+async def _watched(loop: VirtualLoop) -> _Watched:
+    store, machine = await started(loop)
+    watched = _Watched(loop, store, machine)
+    store.put("servers/s0", _entry())
+    await watched.pass_time(6.0)
+    return watched
+
+
+class Lapses(unittest.TestCase):
+    def test_a_living_server_stays_in_use_and_warm_until_its_entry_is_back(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            watched = await _watched(loop)
+            await watched.outage(6.0)
+            await watched.pass_time(1.5)
+            self.assertEqual(watched.usable(), ["s0"])
+            watched.store.put("servers/s0", _entry())
+            await watched.pass_time(5.0)
+            self.assertEqual(watched.usable(), ["s0"])
+            self.assertFalse(watched.book.servers["s0"].cold(loop.time()))
+
+        run_virtual(main)
+
+    def test_a_server_whose_entry_does_not_come_back_is_taken_as_gone(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            watched = await _watched(loop)
+            await watched.outage(6.0)
+            await watched.pass_time(RETURN_S + 1.5)
+            self.assertEqual(watched.usable(), [])
+
+        run_virtual(main)
+
+    def test_a_server_that_had_said_that_it_leaves_is_gone_at_once(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            watched = await _watched(loop)
+            watched.store.put("servers/s0", _entry("draining"))
+            await watched.pass_time(1.0)
+            await watched.outage(6.0)
+            await watched.pass_time(1.5)
+            self.assertEqual(watched.book.servers, {})
+
+        run_virtual(main)
+
+    def test_without_an_outage_as_long_as_a_heartbeat_an_entry_that_goes_is_believed(self) -> None:
+        for outage_s in (0.0, 0.4):
+            with self.subTest(outage_s=outage_s):
+                run_virtual(lambda loop, s=outage_s: self._believed(loop, s))
+
+    async def _believed(self, loop: VirtualLoop, outage_s: float) -> None:
+        watched = await _watched(loop)
+        await watched.outage(outage_s)
+        await watched.pass_time(1.2)
+        self.assertEqual(watched.usable(), [])
+
+    def test_servers_first_seen_after_an_outage_are_asked_whether_they_are_cold(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            watched = await _watched(loop)
+            await watched.outage(6.0)
+            watched.store.put("servers/s1", _entry())
+            await watched.pass_time(1.5)
+            self.assertEqual([s.backend.id for s in watched.book.unsure], ["s1"])
+
+        run_virtual(main)
+
+
+class Outages(unittest.TestCase):
+    def test_only_long_outages_count_and_only_for_a_while(self) -> None:
+        outages = StoreOutages(_HEARTBEAT_S)
+        outages.lost(10.0)
+        outages.lost(11.0)
+        self.assertFalse(outages.entries_may_have_lapsed(11.4))
+        self.assertTrue(outages.entries_may_have_lapsed(11.5))
+        outages.regained(12.0)
+        self.assertTrue(outages.entries_may_have_lapsed(12.0 + RETURN_S - 0.01))
+        self.assertFalse(outages.entries_may_have_lapsed(12.0 + RETURN_S))
+        outages.lost(20.0)
+        outages.regained(20.5)
+        self.assertFalse(outages.entries_may_have_lapsed(20.6))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,6 +7,7 @@
 from sprucewinch.gateway.gossip import Gossip
 from sprucewinch.gateway.journal import Journal
 from sprucewinch.gateway.model import Member
+from sprucewinch.gateway.outages import StoreOutages
 from sprucewinch.gateway.sync import Registrar, StoreFollower
 from standins.consortium_store import LATE_S, Fault, StoreStandIn
 from standins.virtual import VirtualLoop, pass_time, run_virtual
@@ -40,9 +41,10 @@
         self.loop = loop
         self.store = KvStore(ADDRESS, loop.time)
         self.beliefs = Beliefs(StoreItems())
+        self.outages = StoreOutages(heartbeat_s=1.5)
         journal = Journal(lambda line: None, monotonic=loop.time, wall=loop.time)
         self.follower = StoreFollower(
-            self.beliefs, self.store, journal, monotonic=loop.time, rng=rng
+            self.beliefs, self.store, self.outages, journal, monotonic=loop.time, rng=rng
         )
         own = Member(name, 7, "z", "r", "10.0.0.1:1", "10.0.0.1:2")
         self.registrar = Registrar(
