Let one machine of each region follow the store and tell the others; register once

Ruled out: fewer, longer watches (tried before: changes come late); a lease for the watcher (a call more, and no help when it is paused); watchers by hall (no saving at 12 machines in six halls). Change: gateway/relay: the watchers, one a region and three at least, are the first by width of link and hash that are in touch and that the store answers. They tell the others every 0.3 s, and at once after a change, what they know and how long ago the store confirmed it; who knows less fetches the delta. Who hears nothing fresh for 1 s, cannot catch up within 0.8 s, or whose neighbour fails it, follows the store itself, so that no promise hangs on the choice. A machine's entry stays while it is stopped and carries no incarnation. What a machine knows is now its complete revision, so that equal replicas never ask each other. sync is split into sync, deltas, registrar, timing.

--- a/sprucewinch/gateway/beliefs.py
+++ b/sprucewinch/gateway/beliefs.py
@@ -73,6 +73,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.generation = 0
         self.confirmed_at = float("-inf")
+        self.told_by_store_at = float("-inf")
         self.revision = 0
         self.listeners: list[Listener] = []
 
@@ -81,6 +82,11 @@
         """Tell whether a configuration is known."""
         return self.configuration is not None
 
+    @property
+    def known_to(self) -> int:
+        """Return the newest revision of a fact up to which nothing is missing here."""
+        return min(self.revision, self.replica.at)
+
     def apply(self, delta: Delta, now: float) -> None:
         """Take over what a store or a neighbour says.
 
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -1,7 +1,6 @@
 """One entry VM of the routed request path, put together."""
 
 import asyncio
-import contextlib
 import random
 import signal
 from collections.abc import Callable, Coroutine
@@ -26,12 +25,15 @@
 from .policies import PolicyBook
 from .pool import Pool
 from .probe import Prober
+from .registrar import Registrar
+from .relay import Relay
 from .send import Sender
 from .servers import ServerBook
 from .shares import RegionShares
 from .state import machine_state
 from .store import Store
-from .sync import NeighbourFollower, Registrar, StoreFollower
+from .sync import NeighbourFollower, StoreFollower
+from .timing import Timing
 
 _TICK_S = 0.2
 _SWEEP_S = 1.0
@@ -90,7 +92,8 @@
         incarnation = int(self.clock.wall() * 1000)
         self.journal = Journal(log.line, monotonic=monotonic, wall=self.clock.wall)
         self.beliefs = Beliefs(wire.decoder, self._unreadable)
-        self.gossip = Gossip(settings.name, incarnation, self.rng)
+        self.incarnation = incarnation
+        self.gossip = Gossip(settings.name, incarnation, self.rng, link_mbps=settings.link_mbps)
         self.outages = StoreOutages(settings.server_heartbeat_s)
         self.book = ServerBook(
             self.beliefs, settings.bounds, settings.name, settings.regions, self.outages
@@ -126,7 +129,6 @@
         self.beliefs.listeners.append(self.journal.learned)
         self.own = Member(
             settings.name,
-            incarnation,
             settings.zone,
             settings.region,
             settings.caller_address,
@@ -134,8 +136,20 @@
         )
         self.listening = Listening(settings.max_files)
         self.beliefs.listeners.append(self.listening.learn)
+        self.relay = Relay(
+            settings.name,
+            settings.region,
+            self.gossip,
+            self.beliefs,
+            regions=len(set(settings.regions.values())),
+        )
         self.heartbeats = Heartbeats(
-            self.gossip, self.beliefs, ready=self.ready, monotonic=monotonic, rng=self.rng
+            self.gossip,
+            self.beliefs,
+            self.relay,
+            ready=self.ready,
+            monotonic=monotonic,
+            rng=self.rng,
         )
         self._tasks: list[asyncio.Task] = []
 
@@ -148,7 +162,7 @@
         self._take_signals()
         await self._listen()
         self._start_loops()
-        self.journal.state("start", name=self.settings.name, incarnation=self.own.incarnation)
+        self.journal.state("start", name=self.settings.name, incarnation=self.incarnation)
         await self.stopping.wait()
         await self._leave()
 
@@ -209,20 +223,28 @@
         await self.heartbeats.listen(settings.peer_address)
 
     def _start_loops(self) -> None:
-        monotonic, rng = self.clock.monotonic, self.rng
+        timing = Timing(self.clock.monotonic, self.rng)
         self.follower = StoreFollower(
-            self.beliefs, self.store, self.outages, self.journal, monotonic=monotonic, rng=rng
+            self.beliefs,
+            self.store,
+            self.relay,
+            self.outages,
+            self.journal,
+            timing,
+            tell=lambda: self.heartbeats.tell_news(changed=True),
         )
-        self.neighbours = NeighbourFollower(self.beliefs, self.gossip, monotonic=monotonic, rng=rng)
-        self.registrar = Registrar(
-            self.own, self.beliefs, self.gossip, self.store, monotonic=monotonic, rng=rng
+        self.neighbours = NeighbourFollower(
+            self.beliefs, self.gossip, self.relay, self.heartbeats.known_less, timing
         )
+        registrar = Registrar(self.own, self.beliefs, self.gossip, self.store, timing)
+        prober = Prober(self.book, self.wire.names, self.journal, timing.monotonic)
         for loop in (
             self.follower.run,
             self.neighbours.run,
-            self.registrar.run,
-            Prober(self.book, self.wire.names, self.journal, monotonic).run,
+            registrar.run,
+            prober.run,
             self.heartbeats.run,
+            self.heartbeats.run_news,
             self._tick_loop,
         ):
             self._tasks.append(asyncio.ensure_future(self._forever(loop)))
@@ -264,20 +286,14 @@
         self.app.stopping = True
         self.journal.state("stopping", in_flight=self.app.in_flight)
         self.heartbeats.send(self.beliefs.members)
-        leave = asyncio.ensure_future(self._unregister())
         end = now + self.settings.bounds.grace_s - _STOP_MARGIN_S
         linger = min(end, now + _LINGER_S)
         while self.clock.monotonic() < end:
             if self.clock.monotonic() >= linger and self.app.in_flight == 0:
                 break
             await asyncio.sleep(_STOP_POLL_S)
-        leave.cancel()
         self.journal.state("stop", in_flight=self.app.in_flight)
 
-    async def _unregister(self) -> None:
-        with contextlib.suppress(Exception):
-            await self.registrar.leave()
-
     def _state(self) -> str:
         return machine_state(self).to_json()
 
--- a/sprucewinch/gateway/gossip.py
+++ b/sprucewinch/gateway/gossip.py
@@ -28,15 +28,19 @@
         incarnation: Its process.
         counter: Its heartbeat.
         open: True when it takes callers.
+        linked: True when the store answers it, as far as it has asked.
+        link_mbps: Width of its link.
     """
 
     name: str
     incarnation: int
     counter: int
     open: bool
+    linked: bool = True
+    link_mbps: int = 0
 
 
-class Beat(msgspec.Struct, array_like=True, frozen=True):
+class Beat(msgspec.Struct, array_like=True, frozen=True, tag="beat"):
     """One heartbeat message.
 
     Args:
@@ -64,14 +68,19 @@
         name: This machine.
         incarnation: This process.
         rng: Source of randomness.
+        link_mbps: Width of this machine's link.
     """
 
-    def __init__(self, name: str, incarnation: int, rng: random.Random) -> None:
+    def __init__(
+        self, name: str, incarnation: int, rng: random.Random, *, link_mbps: int = 0
+    ) -> None:
         self.name = name
         self.incarnation = incarnation
         self.rng = rng
+        self.link_mbps = link_mbps
         self.counter = 0
         self.open = False
+        self.linked = True
         self.heard: dict[str, Heard] = {}
         self.revisions: dict[str, int] = {}
         self._ticked_at: Optional[float] = None
@@ -85,7 +94,7 @@
         """
         self._excuse_own_pause(now)
         self.counter += 1
-        own = Row(self.name, self.incarnation, self.counter, self.open)
+        own = Row(self.name, self.incarnation, self.counter, self.open, self.linked, self.link_mbps)
         self.heard = {n: h for n, h in self.heard.items() if now - h.at < _FORGET_S}
         fresh = [h.row for h in self.heard.values() if now - h.at < SILENCE_S]
         return Beat(self.name, revision, (own, *fresh))
@@ -108,6 +117,17 @@
         heard = self.heard.get(name)
         return heard is not None and heard.row.open and now - heard.at < SILENCE_S
 
+    def can_watch(self, name: str, now: float) -> bool:
+        """Tell whether another machine can follow the store for others."""
+        return self.takes_callers(name, now) and self.heard[name].row.linked
+
+    def link_of(self, name: str) -> int:
+        """Return the width of a machine's link, in Mbit/s; 0 when it is not known."""
+        if name == self.name:
+            return self.link_mbps
+        heard = self.heard.get(name)
+        return heard.row.link_mbps if heard else 0
+
     def in_touch(self, name: str, now: float) -> bool:
         """Tell whether a machine was heard of lately."""
         heard = self.heard.get(name)
@@ -119,7 +139,7 @@
         return self.rng.sample(others, min(fanout, len(others)))
 
     def ahead(self, revision: int, now: float) -> list[str]:
-        """Return machines in touch that know a newer fact than a revision."""
+        """Return machines in touch that know more than what a revision brought."""
         newer = (name for name, known in self.revisions.items() if known > revision)
         return [name for name in newer if self.in_touch(name, now)]
 
--- a/sprucewinch/gateway/heartbeats.py
+++ b/sprucewinch/gateway/heartbeats.py
@@ -1,17 +1,18 @@
-"""Heartbeats as datagrams between entry VMs."""
+"""Datagrams between entry VMs: heartbeats, and news of what the store says."""
 
 import asyncio
 import contextlib
 import random
 import socket
 from collections.abc import Callable, Iterable
-from typing import Optional
+from typing import Optional, Union
 
 import msgspec
 
 from .._address import parse_address
 from .beliefs import Beliefs
 from .gossip import BEAT_S, Beat, Gossip
+from .relay import NEWS_S, News, Relay
 
 
 class Heartbeats(asyncio.DatagramProtocol):
@@ -20,6 +21,7 @@
     Args:
         gossip: Who is there.
         beliefs: Registered machines.
+        relay: This machine's part in passing on what the store says.
         ready: Tells whether this machine takes callers.
         monotonic: Source of time.
         rng: Source of randomness.
@@ -29,6 +31,7 @@
         self,
         gossip: Gossip,
         beliefs: Beliefs,
+        relay: Relay,
         *,
         ready: Callable[[], bool],
         monotonic: Callable[[], float],
@@ -36,10 +39,12 @@
     ) -> None:
         self.gossip = gossip
         self.beliefs = beliefs
+        self.relay = relay
         self.ready = ready
         self.monotonic = monotonic
         self.rng = rng
         self.transport: Optional[asyncio.DatagramTransport] = None
+        self.known_less = asyncio.Event()
 
     async def listen(self, address: str) -> None:
         """Receive at an address.
@@ -59,20 +64,48 @@
             self.send(self.gossip.partners(self.beliefs.members))
             await asyncio.sleep(BEAT_S * self.rng.uniform(0.9, 1.1))
 
+    async def run_news(self) -> None:
+        """Tell others what the store says while this machine follows it, again and again."""
+        while True:
+            await asyncio.sleep(NEWS_S * self.rng.uniform(0.9, 1.1))
+            if self.relay.follows_store(self.monotonic()):
+                self.tell_news(changed=False)
+
+    def tell_news(self, *, changed: bool) -> None:
+        """Tell others what the store says.
+
+        Args:
+            changed: True when this machine has just learnt something.
+        """
+        news = self.relay.news(self.monotonic())
+        if news is None:
+            return
+        data = msgspec.msgpack.encode(news)
+        for member in self.relay.audience(changed):
+            self._send(data, member.peer_address)
+
     def send(self, names: Iterable[str]) -> None:
         """Send one heartbeat to some machines."""
         self.gossip.open = self.ready()
-        beat = self.gossip.tick(self.monotonic(), self.beliefs.revision)
+        beat = self.gossip.tick(self.monotonic(), self.beliefs.known_to)
         data = msgspec.msgpack.encode(beat)
         for name in names:
             member = self.beliefs.members.get(name)
-            if member is not None and self.transport is not None:
-                self.transport.sendto(data, tuple(parse_address(member.peer_address)))
+            if member is not None:
+                self._send(data, member.peer_address)
+
+    def _send(self, data: bytes, address: str) -> None:
+        if self.transport is not None:
+            self.transport.sendto(data, tuple(parse_address(address)))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Learn from a heartbeat; what is none is dropped."""
+        """Learn from a message; what is none is dropped."""
         with contextlib.suppress(msgspec.MsgspecError):
-            self.gossip.take(msgspec.msgpack.decode(data, type=Beat), self.monotonic())
+            message = msgspec.msgpack.decode(data, type=Union[Beat, News])
+            if isinstance(message, Beat):
+                self.gossip.take(message, self.monotonic())
+            elif self.relay.take(message, self.monotonic()):
+                self.known_less.set()
 
     def error_received(self, exc: Exception) -> None:
         """Ignore a machine that is not there."""
--- a/sprucewinch/gateway/listeners.py
+++ b/sprucewinch/gateway/listeners.py
@@ -6,7 +6,7 @@
 
 from .._asgi import Receive, Send
 from .beliefs import Beliefs
-from .sync import DELTA_PATH, encode_delta
+from .deltas import DELTA_PATH, encode_delta
 
 
 async def send_bytes(send: Send, status: int, body: bytes, kind: str = "text/plain") -> None:
--- a/sprucewinch/gateway/model.py
+++ b/sprucewinch/gateway/model.py
@@ -122,7 +122,6 @@
 
     Args:
         name: Its name.
-        incarnation: Grows with every start.
         zone: Data hall.
         region: Region.
         caller_address: `IP:PORT` for callers.
@@ -130,7 +129,6 @@
     """
 
     name: str
-    incarnation: int
     zone: str
     region: str
     caller_address: str
@@ -232,6 +230,7 @@
         server_heartbeat_s: How often backend servers renew their entries there, in seconds.
         max_files: Descriptors that the process may open.
         memory_bytes: Memory that the process may use.
+        link_mbps: Width of the machine's link.
         bounds: Figures that the fleet keeps together.
     """
 
@@ -248,4 +247,5 @@
     server_heartbeat_s: float = 1.5
     max_files: int = 4096
     memory_bytes: int = 300 * 1024 * 1024
+    link_mbps: int = 0
     bounds: Bounds = Bounds()
--- /dev/null
+++ b/sprucewinch/gateway/registrar.py
@@ -0,0 +1,82 @@
+"""Registration of entry VMs in the store."""
+
+import asyncio
+from typing import Optional
+
+from ..retry import backoff_s
+from .beliefs import Beliefs
+from .gossip import Gossip
+from .model import Member
+from .registry import MEMBER_PREFIX, member_item
+from .replica import Item
+from .store import Store, StoreUnavailableError
+from .timing import Timing
+
+_REGISTER_S = 2.0
+_FORGET_MEMBER_S = 30.0
+_MOST_BACKOFF_S = 1.0
+
+
+class Registrar:
+    """Keeps this machine registered and removes machines that are long gone.
+
+    A machine that stops stays registered: whether it takes callers is told by heartbeats, and one
+    that comes back at its address need not write again.
+
+    Args:
+        own: This machine.
+        beliefs: What this machine believes.
+        gossip: Who is there.
+        store: The store.
+        timing: Sources of time and randomness.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        beliefs: Beliefs,
+        gossip: Gossip,
+        store: Store,
+        timing: Timing,
+    ) -> None:
+        self.own = own
+        self.beliefs = beliefs
+        self.gossip = gossip
+        self.store = store
+        self.timing = timing
+        self._missing_since: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Write until registered, and look again now and then."""
+        failures = 0
+        while True:
+            try:
+                await self._step()
+                failures = 0
+                await asyncio.sleep(_REGISTER_S)
+            except StoreUnavailableError:
+                failures += 1
+                wait = backoff_s(failures, self.timing.rng, base_s=0.2, most_s=_MOST_BACKOFF_S)
+                await asyncio.sleep(0.1 + wait)
+
+    async def _step(self) -> None:
+        if self.beliefs.members.get(self.own.name) != self.own:
+            await self.store.write(*member_item(self.own))
+            return
+        gone = self._longest_gone(self.timing.monotonic())
+        if gone is not None:
+            await self.store.remove(gone)
+
+    def _longest_gone(self, now: float) -> Optional[Item]:
+        """Return the registration of a machine not heard of for long, if it falls to this one."""
+        silent = {
+            name
+            for name in self.beliefs.members
+            if name != self.own.name and not self.gossip.in_touch(name, now)
+        }
+        self._missing_since = {n: self._missing_since.get(n, now) for n in silent}
+        alive = [name for name in self.beliefs.members if name not in silent]
+        long_gone = [n for n, at in self._missing_since.items() if now - at > _FORGET_MEMBER_S]
+        if not long_gone or self.own.name != min(alive, default=self.own.name):
+            return None
+        return self.beliefs.replica.items.get(MEMBER_PREFIX + long_gone[0])
--- a/sprucewinch/gateway/sync.py
+++ b/sprucewinch/gateway/sync.py
@@ -1,272 +1,215 @@
-"""Keeps beliefs in step with the store, and with neighbours where the store is out of reach."""
+"""Keeps beliefs in step with the store, directly or through neighbours that follow it."""
 
 import asyncio
-import random
 from collections.abc import Callable
-from typing import Optional
-
-import msgspec
 
 from ..retry import backoff_s
 from .beliefs import Beliefs
-from .connection import get
+from .deltas import fetch_delta
 from .gossip import Gossip
 from .journal import Journal
-from .model import Member
 from .outages import StoreOutages
-from .registry import MEMBER_PREFIX, member_item
-from .replica import Delta, Item, Removal
+from .relay import Relay
 from .store import HistoryGoneError, Store, StoreUnavailableError
+from .timing import Timing
 
 WATCH_S = 2.0
-"""How long a watch waits in a small fleet, in seconds; one that died silently is noticed then.
-
-In a larger fleet watches wait longer: somebody's is renewed soon in any case, and neighbours that
-know more are asked.
-"""
+"""How long a watch waits, in seconds; one that died silently is noticed then."""
 
-_SMALL_FLEET = 12
-_MOST_WATCH_S = 8.0
-
-GATHER_S = 0.15
+GATHER_S = 0.3
 """Pause after a change, in seconds, so that the next watch brings what follows in one call."""
 
-DELTA_PATH = "/v1/delta"
+_FIRST_GATHER_S = 0.5
+"""Pause after the listing at the start, when all machines register."""
+
+_LOOK_S = 0.1
 _ASK_S = 0.3
 """How often it is looked whether a neighbour knows more, in seconds."""
 
-_ASK_TIMEOUT_S = 0.6
-_OK = 200
-_REGISTER_S = 2.0
-_FORGET_MEMBER_S = 30.0
+_SPACING_S = 0.1
+"""Pause after a delta, in seconds, so that the next one brings what follows."""
+
+_FORGIVE_S = 10.0
+"""How long a machine that lost the store is no watcher, in seconds, unless the store answers."""
+
 _MOST_BACKOFF_S = 1.0
+_MOST_BACKOFF_BESIDE_S = 3.0
+"""Longest pause between calls of a machine that watchers will tell of the store's return."""
 
 
 class StoreFollower:
-    """Lists the store once, then follows its changes.
+    """Lists the store once, then follows its changes while nobody else does it for this machine.
 
     Args:
         beliefs: What this machine believes.
         store: The store.
+        relay: Tells whether to follow the store.
         outages: Told when the store is out of reach and when it is back.
         journal: Told of lost and regained touch.
-        monotonic: Source of time.
-        rng: Source of randomness.
+        timing: Sources of time and randomness.
+        tell: Called when the store has told something new.
     """
 
     def __init__(
         self,
         beliefs: Beliefs,
         store: Store,
+        relay: Relay,
         outages: StoreOutages,
         journal: Journal,
-        *,
-        monotonic: Callable[[], float],
-        rng: random.Random,
+        timing: Timing,
+        tell: Callable[[], None] = lambda: None,
     ) -> None:
         self.beliefs = beliefs
         self.store = store
+        self.relay = relay
         self.outages = outages
         self.journal = journal
-        self.monotonic = monotonic
-        self.rng = rng
+        self.timing = timing
+        self.tell = tell
         self.up = False
+        self.follows = True
         self._list_first = True
+        self._failures = 0
+        self._failed_at = float("-inf")
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        failures = 0
         while True:
-            try:
-                await self._step()
-                failures = 0
-                self._is_up(True, "")
-            except HistoryGoneError:
-                self._list_first = True
-                self.journal.state("store-history-gone", after=self.beliefs.replica.at)
-            except StoreUnavailableError as error:
-                failures += 1
-                self.outages.lost(self.monotonic())
-                self._is_up(False, str(error))
-                wait = backoff_s(failures, self.rng, base_s=0.1, most_s=_MOST_BACKOFF_S)
-                await asyncio.sleep(0.05 + wait)
+            if self._is_needed():
+                await self._try_step()
+            else:
+                self._rest()
+                await asyncio.sleep(_LOOK_S)
+
+    def _is_needed(self) -> bool:
+        needed = self._list_first or self.relay.follows_store(self.timing.monotonic())
+        if needed != self.follows:
+            self.follows = needed
+            source = "store" if needed else "neighbours"
+            self.journal.state("follows", source=source, at=self.beliefs.replica.at)
+        return needed
+
+    def _rest(self) -> None:
+        """Let watchers follow the store; their news proves that it is there."""
+        now = self.timing.monotonic()
+        self.outages.regained(now)
+        if now - self._failed_at > _FORGIVE_S:
+            self.relay.gossip.linked = True
+
+    async def _try_step(self) -> None:
+        try:
+            await self._step()
+            self._failures = 0
+            self._is_up(True, "")
+        except HistoryGoneError:
+            self._list_first = True
+            self.journal.state("store-history-gone", after=self.beliefs.replica.at)
+        except StoreUnavailableError as error:
+            self._failed(str(error))
+            soon = self._list_first or self.relay.first_in_line(self.timing.monotonic())
+            most_s = _MOST_BACKOFF_S if soon else _MOST_BACKOFF_BESIDE_S
+            wait_s = backoff_s(self._failures, self.timing.rng, base_s=0.1, most_s=most_s)
+            await asyncio.sleep(0.05 + wait_s)
+
+    def _failed(self, problem: str) -> None:
+        self._failures += 1
+        self._failed_at = self.timing.monotonic()
+        self.outages.lost(self._failed_at)
+        self._is_up(False, problem)
 
     async def _step(self) -> None:
-        if self._list_first:
-            delta = await self.store.listing()
-            self._list_first = False
-        else:
-            wait_s = watch_s(len(self.beliefs.members))
-            delta = await self.store.watch(self.beliefs.replica.at, wait_s)
-        self.outages.regained(self.monotonic())
-        self.beliefs.apply(delta, self.monotonic())
-        if delta.items or delta.removals:
+        first, self._list_first = self._list_first, False
+        try:
+            if first:
+                delta = await self.store.listing()
+            else:
+                delta = await self.store.watch(self.beliefs.replica.at, WATCH_S)
+        except StoreUnavailableError:
+            self._list_first = first
+            raise
+        now = self.timing.monotonic()
+        self.outages.regained(now)
+        self.beliefs.told_by_store_at = now
+        self.beliefs.apply(delta, now)
+        if first:
+            await asyncio.sleep(_FIRST_GATHER_S)
+        elif delta.items or delta.removals:
+            self.tell()
             await asyncio.sleep(GATHER_S)
 
     def _is_up(self, up: bool, problem: str) -> None:
+        self.relay.gossip.linked = up
         if up != self.up:
             self.up = up
             self.journal.state("store", up=up, problem=problem, at=self.beliefs.replica.at)
 
 
-def watch_s(machines: int) -> float:
-    """Return how long a watch waits, in seconds.
-
-    Args:
-        machines: How many machines are registered.
-    """
-    return min(_MOST_WATCH_S, WATCH_S * max(1.0, machines / _SMALL_FLEET))
-
-
 class NeighbourFollower:
-    """Takes over from neighbours what the store has not told yet.
+    """Takes over from neighbours what the store has not told here.
 
     Args:
         beliefs: What this machine believes.
         gossip: Who is there and knows how much.
-        monotonic: Source of time.
-        rng: Source of randomness.
+        relay: Told of what became of it.
+        known_less: Set when a watcher has told of something that is not known here.
+        timing: Sources of time and randomness.
     """
 
     def __init__(
         self,
         beliefs: Beliefs,
         gossip: Gossip,
-        *,
-        monotonic: Callable[[], float],
-        rng: random.Random,
+        relay: Relay,
+        known_less: asyncio.Event,
+        timing: Timing,
     ) -> None:
         self.beliefs = beliefs
         self.gossip = gossip
-        self.monotonic = monotonic
-        self.rng = rng
+        self.relay = relay
+        self.known_less = known_less
+        self.timing = timing
         self.taken = 0
-        self._behind_since: Optional[float] = None
+        self._behind = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            await asyncio.sleep(_ASK_S)
+            try:
+                async with asyncio.timeout(_ASK_S):
+                    await self.known_less.wait()
+            except TimeoutError:
+                pass
+            self.known_less.clear()
             await self.step()
 
     async def step(self) -> None:
-        """Ask one neighbour that knows more than the store has told for a while."""
-        now = self.monotonic()
-        ahead = self.gossip.ahead(self.beliefs.revision, now)
-        known = [name for name in ahead if name in self.beliefs.members]
-        if not known:
-            self._behind_since = None
-            return
-        if self._behind_since is None:
-            self._behind_since = now
-            return
-        member = self.beliefs.members[self.rng.choice(known)]
-        delta = await fetch_delta(member.peer_address, self.beliefs.replica.at)
-        if delta is not None:
-            self.taken += 1
-            self.beliefs.apply(delta, self.monotonic())
-
-
-class Registrar:
-    """Keeps this machine registered and removes machines that are long gone.
-
-    Args:
-        own: This machine.
-        beliefs: What this machine believes.
-        gossip: Who is there.
-        store: The store.
-        monotonic: Source of time.
-        rng: Source of randomness.
-    """
-
-    def __init__(
-        self,
-        own: Member,
-        beliefs: Beliefs,
-        gossip: Gossip,
-        store: Store,
-        *,
-        monotonic: Callable[[], float],
-        rng: random.Random,
-    ) -> None:
-        self.own = own
-        self.beliefs = beliefs
-        self.gossip = gossip
-        self.store = store
-        self.monotonic = monotonic
-        self.rng = rng
-        self._missing_since: dict[str, float] = {}
-
-    async def run(self) -> None:
-        """Write until registered, and look again now and then."""
-        failures = 0
-        while True:
-            try:
-                await self._step()
-                failures = 0
-                await asyncio.sleep(_REGISTER_S)
-            except StoreUnavailableError:
-                failures += 1
-                wait = backoff_s(failures, self.rng, base_s=0.2, most_s=_MOST_BACKOFF_S)
-                await asyncio.sleep(0.1 + wait)
-
-    async def leave(self) -> None:
-        """Remove this machine's registration."""
-        item = self.beliefs.replica.items.get(MEMBER_PREFIX + self.own.name)
-        if item is not None:
-            await self.store.remove(item)
+        """Ask a neighbour that knows more than is known here.
+
+        A watcher's news is followed at once. What heartbeats tell is followed at the second look,
+        as a watcher's news is probably on its way.
+        """
+        now = self.timing.monotonic()
+        told_by = self.relay.ahead_of_us
+        known = self.gossip.ahead(self.beliefs.replica.at, now)
+        known = [name for name in known if name in self.beliefs.members]
+        if told_by in self.beliefs.members:
+            await self._ask(told_by)
+        elif not known:
+            self._behind = False
+        elif not self._behind:
+            self._behind = True
+        else:
+            await self._ask(self.timing.rng.choice(known))
 
-    async def _step(self) -> None:
-        if self.beliefs.members.get(self.own.name) != self.own:
-            await self.store.write(*member_item(self.own))
+    async def _ask(self, name: str) -> None:
+        member = self.beliefs.members[name]
+        delta = await fetch_delta(member.peer_address, self.beliefs.replica.at)
+        now = self.timing.monotonic()
+        if delta is None:
+            self.relay.doubt(now)
             return
-        gone = self._longest_gone(self.monotonic())
-        if gone is not None:
-            await self.store.remove(gone)
-
-    def _longest_gone(self, now: float) -> Optional[Item]:
-        """Return the registration of a machine not heard of for long, if it falls to this one."""
-        silent = {
-            name
-            for name in self.beliefs.members
-            if name != self.own.name and not self.gossip.in_touch(name, now)
-        }
-        self._missing_since = {n: self._missing_since.get(n, now) for n in silent}
-        alive = [name for name in self.beliefs.members if name not in silent]
-        long_gone = [n for n, at in self._missing_since.items() if now - at > _FORGET_MEMBER_S]
-        if not long_gone or self.own.name != min(alive, default=self.own.name):
-            return None
-        return self.beliefs.replica.items.get(MEMBER_PREFIX + long_gone[0])
-
-
-async def fetch_delta(address: str, after: int) -> Optional[Delta]:
-    """Ask a neighbour what has changed after a revision; None when it does not answer.
-
-    Args:
-        address: `IP:PORT` of its peer listener.
-        after: Revision.
-    """
-    answer = await get(address, f"{DELTA_PATH}?after={after}", _ASK_TIMEOUT_S)
-    if answer is None or answer.status != _OK:
-        return None
-    try:
-        return decode_delta(answer.body)
-    except msgspec.MsgspecError:
-        return None
-
-
-def encode_delta(delta: Delta) -> bytes:
-    """Return a delta as bytes for a neighbour."""
-    return msgspec.msgpack.encode(delta)
-
-
-def decode_delta(data: bytes) -> Delta:
-    """Return the delta that a neighbour sent.
-
-    Raises:
-        msgspec.MsgspecError: When it is none.
-    """
-    items, removals, at, whole = msgspec.msgpack.decode(
-        data, type=tuple[tuple[Item, ...], tuple[Removal, ...], int, bool]
-    )
-    return Delta(items, removals, at, whole)
+        self.taken += 1
+        self.beliefs.apply(delta, now)
+        self.relay.look_whether_caught_up()
+        await asyncio.sleep(_SPACING_S)
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -66,7 +66,7 @@
         for number in range(machines):
             zone = list(REGIONS)[number % len(REGIONS)]
             region = REGIONS[zone]
-            member = Member(f"vm{number}", 1, zone, region, "127.0.0.1:1", "127.0.0.1:2")
+            member = Member(f"vm{number}", zone, region, "127.0.0.1:1", "127.0.0.1:2")
             self.say(f"members/vm{number}", member)
 
     def say(self, key: str, fact: Fact, now: float = 0.0) -> None:
--- /dev/null
+++ b/tests/test_gateway_relay.py
@@ -0,0 +1,170 @@
+"""A few machines follow the store for all: what it costs, and how soon a change is in force."""
+
+import unittest
+from collections.abc import Callable
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sprucewinch.gateway.relay import MOST_AGE_S, NEWS_SILENCE_S
+from standins.consortium_store import Fault
+from standins.virtual import VirtualLoop, pass_time, run_virtual
+
+from .test_platform_store import BOUND_S, configuration, standin
+from .virtual_fleet import REGIONS, FleetMachine, VirtualFleet
+
+_SETTLED_S = 6.0
+
+
+async def _fleet(loop: VirtualLoop, count: int = 12, seed: int = 1) -> VirtualFleet:
+    store = standin(loop)
+    store.put("op/config", configuration(3))
+    fleet = VirtualFleet(loop, store, count, seed=seed)
+    await pass_time(_SETTLED_S)
+    return fleet
+
+
+def _nothing(fleet: VirtualFleet, machine: FleetMachine) -> None:
+    """Leave everything as it is."""
+
+
+def _kill(fleet: VirtualFleet, machine: FleetMachine) -> None:
+    machine.kill()
+
+
+def _isolate(fleet: VirtualFleet, machine: FleetMachine) -> None:
+    fleet.isolate(machine)
+
+
+def _turn_away(fault: Fault) -> Callable[[VirtualFleet, FleetMachine], None]:
+    def turn_away(fleet: VirtualFleet, machine: FleetMachine) -> None:
+        fleet.store.faults_by_machine[machine.name] = fault
+
+    return turn_away
+
+
+class Calm(unittest.TestCase):
+    def test_one_machine_of_each_region_follows_the_store(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _fleet(loop)
+            self.assertEqual(len(fleet.watchers()), len(REGIONS))
+            self.assertEqual({m.region for m in fleet.watchers()}, set(REGIONS))
+
+        run_virtual(main)
+
+    def test_calls_do_not_grow_with_the_fleet(self) -> None:
+        async def main(loop: VirtualLoop, count: int) -> int:
+            fleet = await _fleet(loop, count)
+            before = len(fleet.store.calls)
+            for version in range(10, 20):
+                fleet.store.put("op/config", configuration(version))
+                await pass_time(2.0)
+            self.assertEqual(fleet.versions(), {19})
+            return len(fleet.store.calls) - before
+
+        small = run_virtual(lambda loop: main(loop, 6))
+        large = run_virtual(lambda loop: main(loop, 48))
+        self.assertLessEqual(large, small + 12)
+
+    def test_a_fleet_of_one_follows_the_store_itself(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _fleet(loop, 1)
+            fleet.store.put("op/config", configuration(9))
+            await pass_time(1.0)
+            self.assertEqual(fleet.versions(), {9})
+
+        run_virtual(main)
+
+
+class InForce(unittest.TestCase):
+    """A change reaches every machine in time whatever has just become of the watchers."""
+
+    def _reaches_all(self, trouble: Callable, seed: int, everyone: bool = False) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _fleet(loop, 12, seed)
+            for machine in fleet.watchers() if everyone else fleet.watchers()[:1]:
+                trouble(fleet, machine)
+            fleet.store.put("op/config", configuration(9))
+            await pass_time(BOUND_S)
+            late = {m.name for m in fleet.machines if m.version() != 9} - fleet.gone
+            self.assertEqual(late, set())
+
+        run_virtual(main)
+
+    def test_nothing_happens(self) -> None:
+        self._reaches_all(_nothing, 1)
+
+    @settings(max_examples=10)
+    @given(st.integers(0, 2**16))
+    def test_a_watcher_is_killed(self, seed: int) -> None:
+        self._reaches_all(_kill, seed)
+
+    @settings(max_examples=10)
+    @given(st.integers(0, 2**16))
+    def test_all_watchers_are_killed(self, seed: int) -> None:
+        self._reaches_all(_kill, seed, everyone=True)
+
+    @settings(max_examples=10)
+    @given(st.integers(0, 2**16))
+    def test_a_watcher_is_cut_off_from_all_others(self, seed: int) -> None:
+        self._reaches_all(_isolate, seed)
+
+    @settings(max_examples=10)
+    @given(st.integers(0, 2**16))
+    def test_all_watchers_are_cut_off_from_all_others(self, seed: int) -> None:
+        self._reaches_all(_isolate, seed, everyone=True)
+
+    def test_a_watcher_is_turned_away(self) -> None:
+        for fault in (Fault.BUSY, Fault.MANY, Fault.RESET, Fault.SILENT):
+            with self.subTest(fault=fault):
+                self._reaches_all(_turn_away(fault), 5)
+
+    def test_a_machine_that_is_no_watcher_is_cut_off_from_all_others(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _fleet(loop)
+            watchers = {machine.name for machine in fleet.watchers()}
+            other = next(m for m in fleet.machines if m.name not in watchers)
+            fleet.isolate(other)
+            fleet.store.put("op/config", configuration(9))
+            await pass_time(BOUND_S)
+            self.assertEqual(fleet.versions(), {9})
+
+        run_virtual(main)
+
+
+class Outages(unittest.TestCase):
+    def test_all_know_a_change_soon_after_an_outage(self) -> None:
+        for fault in (Fault.BUSY, Fault.RESET, Fault.SILENT):
+            with self.subTest(fault=fault):
+                run_virtual(lambda loop, f=fault: self._outage(loop, f))
+
+    async def _outage(self, loop: VirtualLoop, fault: Fault) -> None:
+        fleet = await _fleet(loop)
+        fleet.store.fault = fault
+        await pass_time(7.0)
+        self.assertEqual(len(fleet.watchers()), 12)
+        fleet.store.fault = Fault.NONE
+        fleet.store.put("op/config", configuration(9))
+        await pass_time(3.0)
+        self.assertEqual(fleet.versions(), {9})
+        await pass_time(12.0)
+        self.assertEqual(len(fleet.watchers()), len(REGIONS))
+
+    def test_news_of_a_watcher_that_lost_the_store_does_not_keep_others_from_it(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _fleet(loop)
+            watchers = fleet.watchers()
+            for watcher in watchers:
+                fleet.store.faults_by_machine[watcher.name] = Fault.SILENT
+            await pass_time(MOST_AGE_S + NEWS_SILENCE_S + 3.5)
+            now_watching = {machine.name for machine in fleet.watchers()}
+            self.assertGreater(len(now_watching - {w.name for w in watchers}), 0)
+            fleet.store.put("op/config", configuration(9))
+            await pass_time(BOUND_S)
+            self.assertEqual(fleet.versions(), {9})
+
+        run_virtual(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_gateway_sync.py
+++ b/tests/test_gateway_sync.py
@@ -3,20 +3,12 @@
 import json
 import unittest
 
-from sprucewinch.gateway.sync import WATCH_S, fetch_delta, watch_s
+from sprucewinch.gateway.deltas import fetch_delta
 from standins.consortium_store import Fault
 
 from .gateway_process import CONFIGURATION, GatewayCase
 
 
-class WatchTimes(unittest.TestCase):
-    def test_watches_of_a_fleet_cost_the_store_little_more_than_a_small_ones(self) -> None:
-        self.assertEqual(watch_s(10), WATCH_S)
-        for machines in (12, 30, 48):
-            self.assertAlmostEqual(machines / watch_s(machines), 6.0)
-        self.assertLess(90 / watch_s(90), 12.0)
-
-
 class TurnedAway(GatewayCase):
     machines = 2
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,7 +8,10 @@
 from sprucewinch.gateway.journal import Journal
 from sprucewinch.gateway.model import Member
 from sprucewinch.gateway.outages import StoreOutages
-from sprucewinch.gateway.sync import Registrar, StoreFollower
+from sprucewinch.gateway.registrar import Registrar
+from sprucewinch.gateway.relay import Relay
+from sprucewinch.gateway.sync import StoreFollower
+from sprucewinch.gateway.timing import Timing
 from standins.consortium_store import LATE_S, Fault, StoreStandIn
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
@@ -43,13 +46,14 @@
         self.beliefs = Beliefs(StoreItems())
         self.outages = StoreOutages(heartbeat_s=1.5)
         journal = Journal(lambda line: None, monotonic=loop.time, wall=loop.time)
+        timing = Timing(loop.time, rng)
+        gossip = Gossip(name, 7, rng)
+        relay = Relay(name, "r", gossip, self.beliefs, regions=1)
         self.follower = StoreFollower(
-            self.beliefs, self.store, self.outages, journal, monotonic=loop.time, rng=rng
-        )
-        own = Member(name, 7, "z", "r", "10.0.0.1:1", "10.0.0.1:2")
-        self.registrar = Registrar(
-            own, self.beliefs, Gossip(name, 7, rng), self.store, monotonic=loop.time, rng=rng
+            self.beliefs, self.store, relay, self.outages, journal, timing
         )
+        own = Member(name, "z", "r", "10.0.0.1:1", "10.0.0.1:2")
+        self.registrar = Registrar(own, self.beliefs, gossip, self.store, timing)
 
     def start(self) -> None:
         """Follow and register."""
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -123,7 +123,7 @@
             Backend("i-1", "s1", "10.128.0.9:8080", "a", 6, True, 1.5),
         )
         self.assertEqual(_decode("op/evacuate/a", {}), Evacuation("a"))
-        member = Member("vm", 3, "a", "east", "10.0.0.1:1", "10.0.0.1:2")
+        member = Member("vm", "a", "east", "10.0.0.1:1", "10.0.0.1:2")
         key, value = member_item(member)
         self.assertEqual(StoreItems().decode(Item(key, value, 1)), member)
         self.assertIsNone(_decode("status/x", {}))
--- /dev/null
+++ b/tests/virtual_fleet.py
@@ -0,0 +1,173 @@
+"""A fleet that follows one store on a virtual clock: followers, heartbeats, news; no requests."""
+
+import asyncio
+import random
+import re
+from typing import Any
+
+from sprucewinch.gateway.beliefs import Beliefs
+from sprucewinch.gateway.deltas import encode_delta
+from sprucewinch.gateway.gossip import Gossip
+from sprucewinch.gateway.heartbeats import Heartbeats
+from sprucewinch.gateway.journal import Journal
+from sprucewinch.gateway.model import Member
+from sprucewinch.gateway.outages import StoreOutages
+from sprucewinch.gateway.registrar import Registrar
+from sprucewinch.gateway.relay import Relay
+from sprucewinch.gateway.sync import NeighbourFollower, StoreFollower
+from sprucewinch.gateway.timing import Timing
+from standins.consortium_store import StoreStandIn
+from standins.virtual import VirtualLoop
+
+from . import adapter  # noqa: F401 - makes the next imports possible
+
+from kv_store import KvStore  # isort: skip
+from store_items import StoreItems  # isort: skip
+
+REGIONS = ("east", "west", "north")
+_DATAGRAM_S = 0.005
+
+
+class FleetMachine:
+    """One machine of the fleet.
+
+    Args:
+        fleet: The fleet.
+        number: Its number, from 0.
+    """
+
+    def __init__(self, fleet: "VirtualFleet", number: int) -> None:
+        loop = fleet.loop
+        self.fleet = fleet
+        self.name = f"vm{number}"
+        self.address = f"10.0.0.{number + 1}:70"
+        self.region = REGIONS[number % len(REGIONS)]
+        self.store_address = f"10.9.0.{number + 1}:80"
+        rng = random.Random(fleet.seed * 1000 + number)
+        timing = Timing(loop.time, rng)
+        self.beliefs = Beliefs(StoreItems())
+        self.gossip = Gossip(self.name, 1, rng)
+        self.relay = Relay(self.name, self.region, self.gossip, self.beliefs, regions=len(REGIONS))
+        self.heartbeats = Heartbeats(
+            self.gossip,
+            self.beliefs,
+            self.relay,
+            ready=lambda: self.beliefs.known,
+            monotonic=loop.time,
+            rng=rng,
+        )
+        self.heartbeats.transport = _Datagrams(self)  # type: ignore[assignment]
+        store = KvStore(self.store_address, loop.time)
+        own = Member(self.name, "z", self.region, self.address, self.address)
+        journal = Journal(lambda line: None, monotonic=loop.time, wall=loop.time)
+        follower = StoreFollower(
+            self.beliefs,
+            store,
+            self.relay,
+            StoreOutages(1.5),
+            journal,
+            timing,
+            tell=lambda: self.heartbeats.tell_news(changed=True),
+        )
+        neighbours = NeighbourFollower(
+            self.beliefs, self.gossip, self.relay, self.heartbeats.known_less, timing
+        )
+        registrar = Registrar(own, self.beliefs, self.gossip, store, timing)
+        loop.listen(self.store_address, lambda: fleet.store.accept(self.name))
+        loop.listen(self.address, lambda: _Deltas(self))
+        loops = (
+            follower.run,
+            neighbours.run,
+            registrar.run,
+            self.heartbeats.run,
+            self.heartbeats.run_news,
+        )
+        self.tasks = [loop.create_task(run()) for run in loops]
+
+    def kill(self) -> None:
+        """End the machine at once."""
+        for task in self.tasks:
+            task.cancel()
+        self.fleet.loop.listeners.pop(self.address)
+        self.fleet.gone.add(self.name)
+
+    def version(self) -> int:
+        """Return the configuration version that is believed; 0 for none."""
+        held = self.beliefs.configuration
+        return held.version if held else 0
+
+
+class VirtualFleet:
+    """All machines and their store.
+
+    Args:
+        loop: The virtual loop.
+        store: The store.
+        count: How many machines.
+        seed: Seed of the machines' randomness.
+    """
+
+    def __init__(
+        self, loop: VirtualLoop, store: StoreStandIn, count: int, *, seed: int = 1
+    ) -> None:
+        self.loop = loop
+        self.store = store
+        self.seed = seed
+        self.gone: set[str] = set()
+        self.cut: set[str] = set()
+        self.machines = [FleetMachine(self, number) for number in range(count)]
+
+    def deliver(self, sender: FleetMachine, data: bytes, address: tuple[str, int]) -> None:
+        """Bring a datagram to its machine, unless one of the two is gone or cut off."""
+        found = [m for m in self.machines if m.address == f"{address[0]}:{address[1]}"]
+        for machine in found:
+            if not {machine.name, sender.name} & (self.gone | self.cut):
+                self.loop.call_later(
+                    _DATAGRAM_S, machine.heartbeats.datagram_received, data, address
+                )
+
+    def isolate(self, machine: FleetMachine) -> None:
+        """Cut a machine off from all others; it still reaches the store."""
+        self.cut.add(machine.name)
+        self.loop.listeners[machine.address].silent = True
+
+    def watchers(self) -> list[FleetMachine]:
+        """Return the machines that follow the store now."""
+        now = self.loop.time()
+        return [
+            machine
+            for machine in self.machines
+            if machine.name not in self.gone and machine.relay.follows_store(now)
+        ]
+
+    def versions(self) -> set[int]:
+        """Return the versions in force at the machines that are there."""
+        return {m.version() for m in self.machines if m.name not in self.gone}
+
+
+class _Datagrams:
+    """Stands for a datagram transport."""
+
+    def __init__(self, machine: FleetMachine) -> None:
+        self.machine = machine
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        fleet = self.machine.fleet
+        fleet.deliver(self.machine, data, address)
+
+
+class _Deltas(asyncio.Protocol):
+    """Answers requests for deltas as a machine's peer listener does."""
+
+    def __init__(self, machine: FleetMachine) -> None:
+        self.machine = machine
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        found = re.search(rb"after=(\d+)", data)
+        assert found is not None
+        body = encode_delta(self.machine.beliefs.replica.since(int(found[1])))
+        head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n"
+        self.transport.write(head.encode() + body)
