--- a/sprucewinch/gateway/admit.py
+++ b/sprucewinch/gateway/admit.py
@@ -2,36 +2,37 @@
 
 A request waits or is refused rather than sent to a server that has not seen its object: such work
 takes three times as long and pushes out what that server keeps warm, which sends still more
-requests astray. Only a server that cannot be used at all, or that is full while the next in its
-object's order is nearly idle, gives its objects to the next.
+requests astray. A server that cannot be used at all gives its objects to the next in their order.
+One without a free slot shares them with that same next one, as long as it has slots to spare.
 """
 
-from collections.abc import Callable
 from typing import Union
 
 from .call import Blocked, Call, Chosen, Refused
+from .model import Route
 from .place import Placement
-from .servers import Server
+from .server import Server
+from .servers import ServerBook
 
-QUEUE_PER_SLOT = 1.0
-"""Requests that may wait at a server for each of its slots."""
+_FREE_PART = 0.5
+"""Part of its slots below which a server has some to spare for another of its region."""
 
 _IDLE_PART = 0.34
-"""Part of its slots below which a server is nearly idle."""
+"""Part of its slots below which it helps a server of another region that has no room at all."""
 
 
 class Admission:
     """Bounds what is sent to each backend server, without asking anybody.
 
     Args:
-        allowance: Returns how many requests a cold server may get from here in a second.
+        book: Backend servers.
     """
 
-    def __init__(self, allowance: Callable[[Server], int]) -> None:
-        self.allowance = allowance
+    def __init__(self, book: ServerBook) -> None:
+        self.book = book
 
     def choose(
-        self, call: Call, placement: Placement, service: str, now: float, rank: int = 0
+        self, call: Call, placement: Placement, service: str, now: float, route: Route
     ) -> Union[Chosen, Refused]:
         """Choose the server of a request: the first of its object that can be used.
 
@@ -40,16 +41,18 @@
             placement: Its servers.
             service: Its service.
             now: Monotonic time, in seconds.
-            rank: The request's rank, 0 the most urgent.
+            route: Its route.
         """
         server = self.candidate(call, placement, now)
         if server is None:
             call.blocked = Blocked("")
             return Refused.NO_SERVER
-        if server.more_urgent_waits(rank) or not self._has_room(server, now):
-            following = self._idle_next(call, placement, server, now)
-            if following is not None:
-                return Chosen(following, service, True)
+        room = not server.more_urgent_waits(route.priority) and self._has_room(server, now, route)
+        if not room or server.load(now) >= server.backend.capacity:
+            helper = self._helper(call, placement, server, now)
+            if helper is not None and (not room or self._is_near(helper, placement)):
+                return Chosen(helper, service, True)
+        if not room:
             call.blocked = _blocked(server, now)
             return Refused.NO_ROOM
         return Chosen(server, service, server is not placement.servers[0])
@@ -64,27 +67,32 @@
         resting = [server for server in untried if not server.cold(now)]
         return resting[0] if resting else None
 
-    def _idle_next(
-        self, call: Call, placement: Placement, full: Server, now: float
-    ) -> Server | None:
-        """Return the server after a full one in its object's order, if it is nearly idle."""
+    def _helper(self, call: Call, placement: Placement, full: Server, now: float) -> Server | None:
+        """Return the server after a full one in its object's order, if it has slots to spare.
+
+        It is always the same one, so that it soon keeps the object warm too.
+        """
         at = placement.servers.index(full) + 1
         if at >= len(placement.servers):
             return None
         server = placement.servers[at]
         if server.backend.id in call.tried() or not self._reachable(server, now):
             return None
-        return server if server.load(now) < server.backend.capacity * _IDLE_PART else None
+        part = _FREE_PART if at < placement.near else _IDLE_PART
+        return server if server.load(now) < server.backend.capacity * part else None
+
+    def _is_near(self, server: Server, placement: Placement) -> bool:
+        return server in placement.servers[: placement.near]
 
     def _reachable(self, server: Server, now: float) -> bool:
         if server.paused_until > now or server.silent(now):
             return False
-        return not server.cold(now) or server.cold_allowed(now, self.allowance(server))
+        return not server.cold(now) or server.cold_allowed(now, self.book.cold_allowance(server))
 
-    def _has_room(self, server: Server, now: float) -> bool:
+    def _has_room(self, server: Server, now: float, route: Route) -> bool:
         if server.in_flight >= int(server.window):
             return False
-        return server.load(now) < server.backend.capacity * (1 + QUEUE_PER_SLOT)
+        return server.load(now) < self.book.most_load(server, route.timeout_s)
 
 
 def _blocked(server: Server, now: float) -> Blocked:
--- a/sprucewinch/gateway/call.py
+++ b/sprucewinch/gateway/call.py
@@ -6,7 +6,7 @@
 
 from .connection import Answer
 from .model import Route
-from .servers import Server
+from .server import Server
 
 
 @dataclass(slots=True)
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -147,10 +147,12 @@
             self.gossip,
             self.beliefs,
             self.relay,
+            self.book,
             ready=self.ready,
             monotonic=monotonic,
             rng=self.rng,
         )
+        self.book.tell_crowded = self.heartbeats.tell_crowded
         self._tasks: list[asyncio.Task] = []
 
     def ready(self) -> bool:
--- a/sprucewinch/gateway/heartbeats.py
+++ b/sprucewinch/gateway/heartbeats.py
@@ -1,4 +1,4 @@
-"""Datagrams between entry VMs: heartbeats, and news of what the store says."""
+"""Datagrams between entry VMs: heartbeats, news of what the store says, crowded servers."""
 
 import asyncio
 import contextlib
@@ -13,6 +13,21 @@
 from .beliefs import Beliefs
 from .gossip import BEAT_S, Beat, Gossip
 from .relay import NEWS_S, News, Relay
+from .servers import ServerBook
+
+
+class Crowded(msgspec.Struct, array_like=True, frozen=True, tag="crowded"):
+    """A backend server's word that requests wait at it, passed on by the machine that heard it.
+
+    Args:
+        server: Id of the server.
+        running: Requests that it runs.
+        waiting: Requests that wait there.
+    """
+
+    server: str
+    running: int
+    waiting: int
 
 
 class Heartbeats(asyncio.DatagramProtocol):
@@ -22,6 +37,7 @@
         gossip: Who is there.
         beliefs: Registered machines.
         relay: This machine's part in passing on what the store says.
+        book: Backend servers; told of those that are crowded.
         ready: Tells whether this machine takes callers.
         monotonic: Source of time.
         rng: Source of randomness.
@@ -32,6 +48,7 @@
         gossip: Gossip,
         beliefs: Beliefs,
         relay: Relay,
+        book: ServerBook,
         *,
         ready: Callable[[], bool],
         monotonic: Callable[[], float],
@@ -40,6 +57,7 @@
         self.gossip = gossip
         self.beliefs = beliefs
         self.relay = relay
+        self.book = book
         self.ready = ready
         self.monotonic = monotonic
         self.rng = rng
@@ -84,6 +102,15 @@
         for member in self.relay.audience(changed):
             self._send(data, member.peer_address)
 
+    def tell_crowded(self, server_id: str, running: int, waiting: int) -> None:
+        """Tell other machines that requests wait at a backend server.
+
+        A machine of a large fleet sends each server so few requests that it would not hear of it.
+        """
+        data = msgspec.msgpack.encode(Crowded(server_id, running, waiting))
+        for member in self.relay.audience(changed=False):
+            self._send(data, member.peer_address)
+
     def send(self, names: Iterable[str]) -> None:
         """Send one heartbeat to some machines."""
         self.gossip.open = self.ready()
@@ -101,11 +128,16 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Learn from a message; what is none is dropped."""
         with contextlib.suppress(msgspec.MsgspecError):
-            message = msgspec.msgpack.decode(data, type=Union[Beat, News])
-            if isinstance(message, Beat):
-                self.gossip.take(message, self.monotonic())
-            elif self.relay.take(message, self.monotonic()):
-                self.known_less.set()
+            message = msgspec.msgpack.decode(data, type=Union[Beat, News, Crowded])
+            self._take(message, self.monotonic())
+
+    def _take(self, message: Union[Beat, News, Crowded], now: float) -> None:
+        if isinstance(message, Beat):
+            self.gossip.take(message, now)
+        elif isinstance(message, Crowded):
+            self.book.heard_crowded(message.server, message.running, message.waiting, now)
+        elif self.relay.take(message, now):
+            self.known_less.set()
 
     def error_received(self, exc: Exception) -> None:
         """Ignore a machine that is not there."""
--- a/sprucewinch/gateway/pipeline.py
+++ b/sprucewinch/gateway/pipeline.py
@@ -78,7 +78,7 @@
         self.bounds = bounds
         self.monotonic = monotonic
         self.rng = rng
-        self.admission = Admission(book.cold_allowance)
+        self.admission = Admission(book)
         self.splits = Splits()
         self.budgets: dict[str, RepeatBudget] = {}
         self.table: Optional[RouteTable] = None
@@ -127,7 +127,7 @@
 
     def _choose(self, call: Call, route: Route, service: str, now: float) -> Union[Chosen, Refused]:
         placement = self._place(call, route, service, now)
-        return self.admission.choose(call, placement, service, now, route.priority)
+        return self.admission.choose(call, placement, service, now, route)
 
     def _place(self, call: Call, route: Route, service: str, now: float) -> Placement:
         key = call.key if route.affinity and call.key else call.id
--- a/sprucewinch/gateway/place.py
+++ b/sprucewinch/gateway/place.py
@@ -6,7 +6,8 @@
 import xxhash
 
 from ..placement import block_key
-from .servers import Server, ServerBook
+from .server import Server
+from .servers import ServerBook
 from .shares import RegionShares
 
 _HASH_SPACE = float(1 << 32)
--- a/sprucewinch/gateway/probe.py
+++ b/sprucewinch/gateway/probe.py
@@ -12,7 +12,8 @@
 from .connection import Answer, get
 from .journal import Journal
 from .model import Names
-from .servers import COLD_MARGIN_S, Server, ServerBook
+from .server import Server
+from .servers import COLD_MARGIN_S, ServerBook
 
 _LOOK_S = 0.05
 _TIMEOUT_S = 0.5
--- a/sprucewinch/gateway/send.py
+++ b/sprucewinch/gateway/send.py
@@ -8,7 +8,8 @@
 from .judge import judge, load_of
 from .model import Names
 from .pool import Pool
-from .servers import Server, ServerBook
+from .server import Server
+from .servers import ServerBook
 
 _SHED_PAUSE_S = 0.05
 _MISDIRECTED_PAUSE_S = 60.0
@@ -96,9 +97,9 @@
         if send.answer is not None:
             load = load_of(send.answer, self.names)
             if load is not None:
-                server.told_load(load.running, load.waiting, now)
+                self.book.told_load(server, load.running, load.waiting, now)
         if send.verdict is Verdict.ANSWERED:
-            server.succeeded(send.seconds, now)
+            self.book.answered(server, send.seconds, now)
         elif send.why == "misdirected":
             server.pause(now + _MISDIRECTED_PAUSE_S)
         elif send.why.startswith("shed"):
--- a/sprucewinch/gateway/servers.py
+++ b/sprucewinch/gateway/servers.py
@@ -1,205 +1,22 @@
-"""What this machine knows of each backend server, and how much it may send there."""
+"""All backend servers that this machine knows, and how much it may send there."""
 
-import asyncio
-import bisect
 import math
-from collections import deque
-from collections.abc import Iterable
-from typing import NamedTuple, Optional
+from collections.abc import Callable, Iterable
+from typing import Optional
 
 from .._hash import hash64
 from .beliefs import Beliefs, Change, Evacuation
 from .model import Backend, Bounds, RouteConfiguration
 from .outages import RETURN_S, StoreOutages
+from .server import Server
+from .service_times import ServiceTimes
 
 COLD_MARGIN_S = 0.5
 """How much longer than it says a backend server counts as cold, in seconds."""
 
-_COLD_WINDOW_S = 1.15
-"""Window of the cold limit at one machine: a second, and what differs between send and arrival."""
-
 _COLD_SAFETY = 0.8
-_LOAD_HALF_LIFE_S = 0.6
-_CROWDED_PART = 0.34
-"""Waiting requests for each slot beyond which a server is crowded."""
-
-_SHRINK = 0.7
-_SHRINK_PAUSE_S = 0.2
-_GROWTH = 0.5
-_FIRST_PAUSE_S = 0.5
-_MOST_PAUSE_S = 4.0
-_LATENCY_WEIGHT = 0.2
-_SILENT_S = 0.4
-"""Time without any answer after which a server with requests counts as silent, in seconds."""
-
-_SILENT_LATENCIES = 3.0
-
-
-class Waiter(NamedTuple):
-    """A request that waits for room at a backend server.
-
-    Args:
-        rank: Its rank, 0 the most urgent.
-        turn: Done with True when it may look for room, with False when it lost its place.
-    """
-
-    rank: int
-    turn: "asyncio.Future[bool]"
-
-    def order(self) -> int:
-        """Return what waiting requests are sorted by."""
-        return self.rank
-
-
-class Server:
-    """One incarnation of a backend server, as this machine sees it.
-
-    Args:
-        backend: The store's entry.
-    """
-
-    __slots__ = (
-        "_others",
-        "_others_at",
-        "answered_at",
-        "backend",
-        "cold_sent",
-        "cold_until",
-        "failures",
-        "in_flight",
-        "latency_s",
-        "missing_until",
-        "paused_until",
-        "seed",
-        "shrunk_at",
-        "started",
-        "waiters",
-        "window",
-    )
-
-    def __init__(self, backend: Backend) -> None:
-        self.backend = backend
-        self.seed = hash64(backend.id) & 0xFFFFFFFF
-        self.in_flight = 0
-        self.cold_until = float("-inf")
-        self.cold_sent: deque[float] = deque()
-        self.paused_until = float("-inf")
-        self.failures = 0
-        self.latency_s: Optional[float] = None
-        self.answered_at = float("-inf")
-        self.started: list[float] = []
-        self.waiters: list[Waiter] = []
-        self.window = float(backend.capacity)
-        self.shrunk_at = float("-inf")
-        self.missing_until: Optional[float] = None
-        self._others = 0.0
-        self._others_at = float("-inf")
-
-    def silent(self, now: float) -> bool:
-        """Tell whether it holds a request for long and has answered none meanwhile."""
-        if not self.started:
-            return False
-        patience = max(_SILENT_S, _SILENT_LATENCIES * (self.latency_s or 0.0))
-        return now - max(self.started[0], self.answered_at) > patience
-
-    def cold(self, now: float) -> bool:
-        """Tell whether it still counts as cold."""
-        return now < self.cold_until
-
-    def load(self, now: float) -> float:
-        """Return the requests that it probably holds now, those of other machines included."""
-        age = max(0.0, self.told_age_s(now))
-        return self.in_flight + self._others * 0.5 ** (age / _LOAD_HALF_LIFE_S)
-
-    def told_age_s(self, now: float) -> float:
-        """Return the age of its own word on its load, in seconds."""
-        return now - self._others_at
-
-    def told_load(self, running: int, waiting: int, now: float) -> None:
-        """Take over what it says of its load."""
-        self._others = max(0.0, running + waiting - self.in_flight)
-        self._others_at = now
-        if waiting > _CROWDED_PART * self.backend.capacity:
-            self.crowded(now)
-        else:
-            grown = self.window + _GROWTH / self.window
-            self.window = min(float(self.backend.capacity), grown)
-
-    def crowded(self, now: float) -> None:
-        """Send it less at a time: too many of its requests wait, those of all machines together."""
-        if now - self.shrunk_at >= _SHRINK_PAUSE_S:
-            self.shrunk_at = now
-            self.window = max(1.0, self.window * _SHRINK)
-
-    def succeeded(self, seconds: float, now: float) -> None:
-        """Note an answer of its own and the time it took."""
-        self.answered_at = now
-        self.failures = 0
-        self.paused_until = float("-inf")
-        held = self.latency_s
-        self.latency_s = seconds if held is None else held + _LATENCY_WEIGHT * (seconds - held)
-
-    def failed(self, now: float) -> None:
-        """Note that it could not be reached or broke off; it rests, longer each time."""
-        self.failures += 1
-        pause = min(_MOST_PAUSE_S, _FIRST_PAUSE_S * 2 ** (self.failures - 1))
-        self.paused_until = now + pause
-
-    def pause(self, until: float) -> None:
-        """Leave it alone until some time."""
-        self.paused_until = max(self.paused_until, until)
-
-    async def wait_for_room(self, longest_s: float, rank: int) -> bool:
-        """Wait until a request here is over; the most urgent goes first, then who came first.
-
-        Args:
-            longest_s: Longest wait, in seconds.
-            rank: The request's rank, 0 the most urgent.
-
-        Returns:
-            False when as many wait as the server has slots and none of them is less urgent, or
-            when a more urgent request took the place.
-        """
-        if len(self.waiters) >= self.backend.capacity and not self._displace(rank):
-            return False
-        waiter = Waiter(rank, asyncio.get_running_loop().create_future())
-        bisect.insort(self.waiters, waiter, key=Waiter.order)
-        try:
-            async with asyncio.timeout(longest_s):
-                return await waiter.turn
-        except TimeoutError:
-            return True
-        finally:
-            if waiter in self.waiters:
-                self.waiters.remove(waiter)
-
-    def _displace(self, rank: int) -> bool:
-        """Let a less urgent request stop waiting, the one that came last; False when none is."""
-        last = self.waiters[-1]
-        if last.rank <= rank:
-            return False
-        self.waiters.pop()
-        if not last.turn.done():
-            last.turn.set_result(False)
-        return True
-
-    def call_next(self) -> None:
-        """Let the most urgent waiting request look for room."""
-        while self.waiters:
-            turn = self.waiters.pop(0).turn
-            if not turn.done():
-                turn.set_result(True)
-                return
-
-    def more_urgent_waits(self, rank: int) -> bool:
-        """Tell whether a request that is more urgent than a rank waits for room here."""
-        return bool(self.waiters) and self.waiters[0].rank < rank
-
-    def cold_allowed(self, now: float, allowance: int) -> bool:
-        """Tell whether one more request may be sent while it is cold."""
-        while self.cold_sent and self.cold_sent[0] <= now - _COLD_WINDOW_S:
-            self.cold_sent.popleft()
-        return len(self.cold_sent) < allowance
+_TELL_CROWDED_S = 0.2
+"""Pause between telling other machines that the same server is crowded, in seconds."""
 
 
 class ServerBook:
@@ -227,6 +44,10 @@
         self.regions = regions
         self.outages = outages
         self.generation = 0
+        self.times = ServiceTimes()
+        self.tell_crowded: Callable[[str, int, int], None] = lambda server_id, running, waiting: (
+            None
+        )
         self.now = 0.0
         self.settled = False
         self.unsure: list[Server] = []
@@ -253,6 +74,35 @@
         every, left_over = divmod(fleet, self.machines())
         return every + (self._rank(server.backend) < left_over)
 
+    def answered(self, server: Server, seconds: float, now: float) -> None:
+        """Note an answer of a server's own and the time it took, in seconds."""
+        server.succeeded(seconds, now)
+        self.times.answered(server.backend.service, seconds)
+
+    def told_load(self, server: Server, running: int, waiting: int, now: float) -> None:
+        """Take over what a server says of its load; others are told when it is crowded."""
+        part = self.times.crowded_part(server.backend.service)
+        crowded = server.told_load(running, waiting, now, part)
+        if crowded and now - server.told_others_at >= _TELL_CROWDED_S:
+            server.told_others_at = now
+            self.tell_crowded(server.backend.id, running, waiting)
+
+    def heard_crowded(self, server_id: str, running: int, waiting: int, now: float) -> None:
+        """Take over what a server told another machine of its load."""
+        server = self.servers.get(server_id)
+        if server is not None:
+            server.heard_load(running, waiting, now)
+
+    def most_load(self, server: Server, timeout_s: Optional[float]) -> float:
+        """Return the load up to which a server takes another request of a route.
+
+        Args:
+            server: The server.
+            timeout_s: Longest time that the route holds a request, in seconds; None for no limit.
+        """
+        service = server.backend.service
+        return server.backend.capacity * self.times.turns(service, server.latency_s, timeout_s)
+
     def take(self, server: Server, now: float) -> None:
         """Count a request that is about to be sent."""
         server.in_flight += 1
@@ -281,6 +131,7 @@
 
     def _learn(self, change: Change) -> None:
         if isinstance(change.after, RouteConfiguration):
+            self.times.learn_aims(change.after)
             return
         if isinstance(change.before, Evacuation) and change.after is None:
             self._chill(change.before.zone)
--- a/tests/test_gateway_admit.py
+++ b/tests/test_gateway_admit.py
@@ -4,11 +4,18 @@
 import unittest
 
 from sprucewinch.gateway.model import Backend
-from sprucewinch.gateway.servers import Server
+from sprucewinch.gateway.server import Server
 from standins.scripted_server import Spoil
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
-from .gateway_fakes import Path, route
+from .gateway_fakes import Path, World, route
+from .test_platform_store import configuration, standin
+from .virtual_fleet import VirtualFleet
+
+SERVER_ENTRY = (
+    b'{"Service":"rates","Address":"10.1.0.1:80","Zone":"east-a","Version":"v1",'
+    b'"Capacity":6,"State":"ready"}'
+)
 
 
 class SilentServers(unittest.TestCase):
@@ -74,6 +81,36 @@
         self.assertEqual((first, third), (6, 0))
         self.assertTrue(1 <= following <= 3, following)
 
+    def test_a_server_without_a_free_slot_shares_with_the_same_next_one(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=3)
+            path.world.configure(route())
+            order = path.placer.place("rates", "lane-1", (), loop.time()).servers
+            order[0].told_load(6, 0, loop.time())
+            self.assertEqual(await self._runs_of_one(path, order), [0, 1, 0])
+            order[1].told_load(3, 0, loop.time())
+            self.assertEqual(await self._runs_of_one(path, order), [1, 1, 0])
+
+        run_virtual(main)
+
+    def test_a_server_of_another_region_helps_only_where_there_is_no_room_at_all(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=2, zones=("east-a", "west-a"))
+            path.world.configure(route())
+            order = path.placer.place("rates", "lane-1", (), loop.time()).servers
+            order[0].told_load(7, 0, loop.time())
+            self.assertEqual(await self._runs_of_one(path, order), [1, 0])
+            order[0].told_load(13, 0, loop.time())
+            self.assertEqual(await self._runs_of_one(path, order), [1, 1])
+
+        run_virtual(main)
+
+    async def _runs_of_one(self, path: Path, order: tuple[Server, ...]) -> list[int]:
+        """Send one more request about an object and return how many each of its servers ran."""
+        reply = await path.pipeline.run(path.call(f"n{path.loop.time()}"))
+        self.assertEqual(reply.status, 200)
+        return [len(path.servers[server.backend.id].runs) for server in order]
+
     def test_room_that_comes_soon_is_waited_for(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             path = Path(loop, servers=1)
@@ -144,3 +181,67 @@
             self.assertTrue(all(reply.retry_after_s for reply in refused))
 
         run_virtual(main)
+
+
+class QueuesThatFit(unittest.TestCase):
+    """How much may wait at a server depends on what its requests take and may take."""
+
+    def _runs(self, work_s: float, timeout_s: float) -> tuple[int, set[int]]:
+        """Return how many of 12 requests a server of six slots got at once, and all statuses."""
+
+        async def main(loop: VirtualLoop) -> tuple[int, set[int]]:
+            path = Path(loop, servers=1)
+            path.world.configure(route(timeout_s=timeout_s, repeatable=False))
+            server = path.first()
+            server.work_s = work_s
+            server.slots = 6
+            book = path.world.book.servers[server.server_id]
+            book.told_load(6, 2, loop.time())
+            path.world.book.answered(book, work_s, loop.time())
+            before = len(server.arrivals)
+            calls = [path.pipeline.run(path.call(f"q{n}", key="")) for n in range(12)]
+            replies = await asyncio.gather(*calls)
+            return len(server.arrivals) - before, {reply.status for reply in replies}
+
+        return run_virtual(main)
+
+    def test_nothing_is_queued_where_it_would_end_after_the_routes_time(self) -> None:
+        sent, statuses = self._runs(0.9, 1.0)
+        self.assertEqual((sent, statuses), (0, {503}))
+
+    def test_short_work_is_queued(self) -> None:
+        self.assertGreaterEqual(self._runs(0.1, 1.0)[0], 4)
+
+
+class CrowdedServers(unittest.TestCase):
+    def test_machines_that_sent_nothing_know_that_a_server_is_crowded(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            store = standin(loop)
+            store.put("op/config", configuration(3))
+            store.put("servers/s0", SERVER_ENTRY)
+            fleet = VirtualFleet(loop, store, 6)
+            await pass_time(4.0)
+            now = loop.time()
+            book = fleet.machines[0].book
+            book.told_load(book.servers["s0"], 6, 1, now)
+            await pass_time(0.05)
+            self.assertEqual(self._believed(fleet), [0.0] * 5)
+            book.told_load(book.servers["s0"], 6, 12, now)
+            await pass_time(0.05)
+            for load in self._believed(fleet):
+                self.assertGreater(load, 15.0)
+
+        run_virtual(main)
+
+    def _believed(self, fleet: VirtualFleet) -> list[float]:
+        now = fleet.loop.time()
+        return [round(m.book.servers["s0"].load(now), 1) for m in fleet.machines[1:]]
+
+    def test_the_same_server_is_not_told_of_again_and_again(self) -> None:
+        world = World()
+        told: list[tuple[str, int, int]] = []
+        world.book.tell_crowded = lambda *load: told.append(load)
+        world.say("servers/s0", Backend("s0", "rates", "10.0.0.1:80", "east-a", 6))
+        for number in range(40):
+            world.book.told_load(world.book.servers["s0"], 6, 12, 10.0 + number * 0.01)
+        self.assertEqual(len(told), 2)
