Add sprucewinch story: what became of a request, from logs alone

Cause: on-call engineers have only logs and metrics; OPERATIONS.md told them to search by hand. Change: sprucewinch/story parses lines with or without a machine's name before them, finds the request and tells what happened within 5 s before on its machine and to the servers that it touched. Tests: test_story (9, two with Hypothesis).

--- a/sprucewinch/_tables.py
+++ b/sprucewinch/_tables.py
@@ -28,6 +28,15 @@
         for key, value in values.items():
             print(f"{key.replace('_', ' ')}: {_text(value)}")
 
+    def record_with_lines(self, values: Mapping[str, Any], lines: Sequence[str]) -> None:
+        """Print one record and lines of text below it."""
+        if self.as_json:
+            self._json({**values, "lines": list(lines)})
+            return
+        self.record(values)
+        for line in lines:
+            print(f"  {line}")
+
     def rows(self, rows: Sequence[Mapping[str, Any]], title: str) -> None:
         """Print a table."""
         if self.as_json:
--- a/sprucewinch/cli.py
+++ b/sprucewinch/cli.py
@@ -15,6 +15,7 @@
 from .errors import ConfigurationError, ConflictError, PolicyError, SprucewinchError
 from .policy import check_program
 from .report import sizes
+from .story import read as read_story
 
 
 class _Group:
@@ -216,6 +217,18 @@
             answer, {"services": "services", "backend_servers": "backend servers"}
         )
 
+    @SetParseFn(str)
+    def story(self, request_id: str, *logs: str) -> None:
+        """Tell what became of a request of the routed request path, from logs alone.
+
+        Args:
+            request_id: Its id, or the start of it.
+            logs: Files with the lines of the machines that may have had it.
+        """
+        found = read_story(logs, request_id)
+        values = {"request": found.request_id, "meaning": found.meaning}
+        self._printer.record_with_lines(values, found.lines)
+
     @SetParseFn(str)
     def explain(self, block: str, service: str) -> None:
         """Explain where a client block is sent for a service, and why."""
--- a/sprucewinch/errors.py
+++ b/sprucewinch/errors.py
@@ -29,6 +29,12 @@
     exit_code = 2
 
 
+class LogError(SprucewinchError):
+    """A log cannot be read, or does not tell what is asked of it."""
+
+    exit_code = 2
+
+
 class PolicyError(SprucewinchError):
     """A policy program is refused, or failed while it ran."""
 
--- /dev/null
+++ b/tests/test_story.py
@@ -0,0 +1,123 @@
+"""The story of a request, told from log lines alone."""
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sprucewinch.cli import Sprucewinch
+from sprucewinch.errors import LogError
+from sprucewinch.story import parse, read, tell
+
+
+def _line(time: float, event: str, machine: str = "vm1", **fields: object) -> str:
+    return f"{time:9.3f} {machine} " + json.dumps({"time": time, "event": event, **fields})
+
+
+def _request(time: float, request_id: str, machine: str = "vm1", **fields: object) -> str:
+    plain: dict[str, object] = {
+        "outcome": "answered",
+        "status": 200,
+        "route": "r1",
+        "ms": 5.0,
+        "version": 4,
+    }
+    plain["sends"] = []
+    return _line(time, "request", machine, id=request_id, **{**plain, **fields})
+
+
+LOG = [
+    "not a structured line",
+    _line(90.0, "configuration", version=3, routes=2),
+    _line(96.0, "configuration", version=4, routes=2),
+    _line(96.5, "configuration", "vm2", version=4, routes=2),
+    _line(97.0, "store", up=False, problem="TimeoutError", at=40),
+    _line(98.0, "fact", key="servers/s1", word="gone", revision=41),
+    _line(98.1, "fact", key="servers/s7", word="gone", revision=42),
+    _line(99.0, "server-rests", server="s1", why="the connection ended", id="other"),
+    _request(99.5, "other"),
+    _request(
+        100.0,
+        "abc1",
+        outcome="failed",
+        status=502,
+        ms=812.5,
+        sends=[["s1", "unknown", "the connection ended", 800.1]],
+    ),
+    _request(
+        101.0,
+        "abc2",
+        outcome="no-room",
+        status=503,
+        blocked={"server_id": "s2", "in_flight": 2, "window": 2.2, "load": 8.9, "told_s": 0.01},
+    ),
+    _line(103.0, "stopping", in_flight=1),
+    '{"time": "soon", "event": "store"}',
+    '{"broken',
+]
+
+
+class Stories(unittest.TestCase):
+    def test_a_failed_request_with_what_happened_to_its_server_before(self) -> None:
+        story = tell(parse(LOG), "abc1")
+        self.assertIn("may have run", story.meaning)
+        self.assertEqual(
+            [text.partition(": ")[2].split()[0] for text in story.lines[:-1]],
+            ["configuration", "store", "fact", "server-rests"],
+        )
+        self.assertIn("4.000 s before: configuration version=4", story.lines[0])
+        self.assertIn("s1 may have run it (the connection ended, 800.1 ms)", story.lines[-1])
+
+    def test_a_refused_request_with_what_kept_it_back(self) -> None:
+        story = tell(parse(LOG), "abc2")
+        self.assertIn("not run", story.meaning)
+        self.assertIn("s2 had 2 of this machine's requests (2.2 allowed)", story.lines[-1])
+
+    def test_lines_of_other_machines_and_servers_do_not_belong_to_it(self) -> None:
+        text = "\n".join(tell(parse(LOG), "abc1").lines)
+        self.assertNotIn("s7", text)
+        self.assertNotIn("abc2", text)
+        self.assertNotIn("stopping", text)
+
+    def test_an_id_that_is_not_there_or_not_whole_is_told_of(self) -> None:
+        for request_id, words in (("zzz", "no line"), ("abc", "2 requests"), ("", "no line")):
+            with self.subTest(request_id=request_id), self.assertRaises(LogError) as caught:
+                tell(parse(LOG), request_id)
+            self.assertIn(words, str(caught.exception))
+
+    def test_the_start_of_an_id_is_enough_when_it_is_the_only_one(self) -> None:
+        self.assertEqual(tell(parse(LOG), "oth").request_id, "other")
+
+    @given(st.permutations(LOG))
+    def test_the_order_of_the_lines_does_not_matter(self, lines: list[str]) -> None:
+        self.assertEqual(tell(parse(lines), "abc1"), tell(parse(LOG), "abc1"))
+
+    @given(st.lists(st.text(), max_size=6))
+    def test_whatever_stands_between_is_passed_over(self, noise: list[str]) -> None:
+        self.assertEqual(tell(parse([*noise, *LOG]), "abc2"), tell(parse(LOG), "abc2"))
+
+
+class Files(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "vm1.log"
+        self.path.write_text("\n".join(LOG))
+
+    def test_the_command_prints_lines_or_json(self) -> None:
+        for as_json in (False, True):
+            out = io.StringIO()
+            with contextlib.redirect_stdout(out):
+                Sprucewinch(json=as_json).story("abc1", str(self.path))
+            self.assertIn("the connection ended", out.getvalue())
+        self.assertEqual(json.loads(out.getvalue())["request"], "abc1")
+
+    def test_a_file_that_is_not_there_is_named(self) -> None:
+        with self.assertRaises(LogError) as caught:
+            read([str(self.path) + ".not"], "abc1")
+        self.assertIn("give the path", str(caught.exception))
