--- /dev/null
+++ b/tests/test_plays.py
@@ -0,0 +1,53 @@
+"""Entries of the journal side by side."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from tools.plays import PlayError, days_table, prices_table, read
+
+
+def _day(name: str, worth: float, calls: float, rules: dict) -> dict:
+    return {
+        "name": name,
+        "G": worth,
+        "served": 0.9,
+        "refused": 0.01,
+        "failed": 0.02,
+        "rules": rules,
+        "prices": [["cloud calls", 100.0, calls], ["duties missed", 0.0, 0.0]],
+        "seed": 7,
+    }
+
+
+class Entries(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self._write("aaaa", _day("quiet-1", 0.8, 0.02, {}), _day("scale-1", 0.6, 0.04, {}))
+        self._write("bbbb", _day("scale-1", 0.7, 0.01, {"SHIFT": 1}))
+
+    def _write(self, entry_id: str, *days: dict) -> None:
+        table = {"id": entry_id, "argv": ["../x/a.toml", "--why", "b"], "why": "b", "days": days}
+        (self.folder / f"20261202T100000-{entry_id}.json").write_text(json.dumps(table))
+
+    def test_days_that_all_have_stand_beside_each_other_with_broken_rules(self) -> None:
+        entries = [read("aaaa", self.folder), read("bbbb", self.folder)]
+        lines = days_table(entries)
+        self.assertEqual(len(lines), 3)
+        self.assertIn("| scale-1 | 0.600, 0.900, 0.010, 0.020 | 0.700,", lines[2])
+        self.assertTrue(lines[2].endswith("broken: SHIFT |"))
+        self.assertEqual(entries[0].site, "a")
+
+    def test_prices_are_means_of_common_days_and_trifles_are_left_out(self) -> None:
+        entries = [read("aaaa", self.folder)]
+        self.assertEqual(prices_table(entries)[2:], ["| cloud calls | 0.0300 |"])
+
+    def test_what_cannot_be_read_is_named(self) -> None:
+        self._write("cccc", {"name": "quiet-1"})
+        for entry_id, words in (("dddd", "0 entries"), ("cccc", "run, score or hunt")):
+            with self.subTest(entry_id), self.assertRaises(PlayError) as caught:
+                read(entry_id, self.folder)
+            self.assertIn(words, str(caught.exception))
