--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -236,7 +236,7 @@
             tell=lambda: self.heartbeats.tell_news(changed=True),
         )
         self.neighbours = NeighbourFollower(
-            self.beliefs, self.gossip, self.relay, self.heartbeats.known_less, timing
+            self.beliefs, self.gossip, self.relay, self.heartbeats, timing
         )
         registrar = Registrar(self.own, self.beliefs, self.gossip, self.store, timing)
         prober = Prober(self.book, self.wire.names, self.journal, timing.monotonic)
--- a/sprucewinch/gateway/heartbeats.py
+++ b/sprucewinch/gateway/heartbeats.py
@@ -63,6 +63,7 @@
         self.rng = rng
         self.transport: Optional[asyncio.DatagramTransport] = None
         self.known_less = asyncio.Event()
+        self.heard_from: Optional[str] = None
 
     async def listen(self, address: str) -> None:
         """Receive at an address.
@@ -129,6 +130,7 @@
         """Learn from a message; what is none is dropped."""
         with contextlib.suppress(msgspec.MsgspecError):
             message = msgspec.msgpack.decode(data, type=Union[Beat, News, Crowded])
+            self.heard_from = f"{addr[0]}:{addr[1]}"
             self._take(message, self.monotonic())
 
     def _take(self, message: Union[Beat, News, Crowded], now: float) -> None:
--- a/sprucewinch/gateway/sync.py
+++ b/sprucewinch/gateway/sync.py
@@ -7,6 +7,7 @@
 from .beliefs import Beliefs
 from .deltas import fetch_delta
 from .gossip import Gossip
+from .heartbeats import Heartbeats
 from .journal import Journal
 from .outages import StoreOutages
 from .relay import Relay
@@ -26,6 +27,10 @@
 _ASK_S = 0.3
 """How often it is looked whether a neighbour knows more, in seconds."""
 
+_STORE_FIRST_S = 0.5
+"""How long a machine that starts waits for the store before it starts from a neighbour, in
+seconds."""
+
 _SPACING_S = 0.1
 """Pause after a delta, in seconds, so that the next one brings what follows."""
 
@@ -83,7 +88,8 @@
                 await asyncio.sleep(_LOOK_S)
 
     def _is_needed(self) -> bool:
-        needed = self._list_first or self.relay.follows_store(self.timing.monotonic())
+        now = self.timing.monotonic()
+        needed = not self.beliefs.known or self.relay.follows_store(now)
         if needed != self.follows:
             self.follows = needed
             source = "store" if needed else "neighbours"
@@ -152,7 +158,7 @@
         beliefs: What this machine believes.
         gossip: Who is there and knows how much.
         relay: Told of what became of it.
-        known_less: Set when a watcher has told of something that is not known here.
+        heartbeats: Tells when a watcher has told of something that is not known here.
         timing: Sources of time and randomness.
     """
 
@@ -161,26 +167,27 @@
         beliefs: Beliefs,
         gossip: Gossip,
         relay: Relay,
-        known_less: asyncio.Event,
+        heartbeats: Heartbeats,
         timing: Timing,
     ) -> None:
         self.beliefs = beliefs
         self.gossip = gossip
         self.relay = relay
-        self.known_less = known_less
+        self.heartbeats = heartbeats
         self.timing = timing
         self.taken = 0
         self._behind = False
+        self._started_at = timing.monotonic()
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
             try:
                 async with asyncio.timeout(_ASK_S):
-                    await self.known_less.wait()
+                    await self.heartbeats.known_less.wait()
             except TimeoutError:
                 pass
-            self.known_less.clear()
+            self.heartbeats.known_less.clear()
             await self.step()
 
     async def step(self) -> None:
@@ -189,6 +196,9 @@
         A watcher's news is followed at once. What heartbeats tell is followed at the second look,
         as a watcher's news is probably on its way.
         """
+        if not self.beliefs.known:
+            await self._begin()
+            return
         now = self.timing.monotonic()
         told_by = self.relay.ahead_of_us
         known = self.gossip.ahead(self.beliefs.replica.at, now)
@@ -202,6 +212,23 @@
         else:
             await self._ask(self.timing.rng.choice(known))
 
+    async def _begin(self) -> None:
+        """Start from a neighbour when the store has not answered yet.
+
+        A machine that comes back is still registered, so that others send it heartbeats.
+        """
+        address = self.heartbeats.heard_from
+        if address is None or not self._begins_late():
+            return
+        delta = await fetch_delta(address, 0)
+        if delta is not None and not self.beliefs.known:
+            self.taken += 1
+            self.beliefs.apply(delta, self.timing.monotonic())
+
+    def _begins_late(self) -> bool:
+        """Tell whether the store has had its time to answer."""
+        return self.timing.monotonic() - self._started_at >= _STORE_FIRST_S
+
     async def _ask(self, name: str) -> None:
         member = self.beliefs.members[name]
         delta = await fetch_delta(member.peer_address, self.beliefs.replica.at)
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -150,6 +150,26 @@
         await pass_time(12.0)
         self.assertEqual(len(fleet.watchers()), len(REGIONS))
 
+    def test_a_machine_that_starts_again_during_an_outage_starts_from_a_neighbour(self) -> None:
+        for fault in (Fault.BUSY, Fault.SILENT):
+            with self.subTest(fault=fault):
+                run_virtual(lambda loop, f=fault: self._starts_again(loop, f))
+
+    async def _starts_again(self, loop: VirtualLoop, fault: Fault) -> None:
+        fleet = await _fleet(loop)
+        fleet.store.fault = fault
+        killed = fleet.machines[4]
+        killed.kill()
+        await pass_time(1.0)
+        again = fleet.start_again(killed)
+        await pass_time(BOUND_S)
+        self.assertEqual(again.version(), 3)
+        self.assertEqual(len(again.beliefs.members), 12)
+        fleet.store.fault = Fault.NONE
+        fleet.store.put("op/config", configuration(9))
+        await pass_time(4.0)
+        self.assertEqual(fleet.versions(), {9})
+
     def test_news_of_a_watcher_that_lost_the_store_does_not_keep_others_from_it(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             fleet = await _fleet(loop)
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -37,9 +37,10 @@
     Args:
         fleet: The fleet.
         number: Its number, from 0.
+        incarnation: Number of its process.
     """
 
-    def __init__(self, fleet: "VirtualFleet", number: int) -> None:
+    def __init__(self, fleet: "VirtualFleet", number: int, *, incarnation: int = 1) -> None:
         loop = fleet.loop
         self.fleet = fleet
         self.name = f"vm{number}"
@@ -49,7 +50,7 @@
         rng = random.Random(fleet.seed * 1000 + number)
         timing = Timing(loop.time, rng)
         self.beliefs = Beliefs(StoreItems())
-        self.gossip = Gossip(self.name, 1, rng)
+        self.gossip = Gossip(self.name, incarnation, rng)
         self.relay = Relay(self.name, self.region, self.gossip, self.beliefs, regions=len(REGIONS))
         outages = StoreOutages(1.5)
         self.book = ServerBook(self.beliefs, BOUNDS, self.name, FLEET_ZONES, outages)
@@ -77,7 +78,7 @@
             tell=lambda: self.heartbeats.tell_news(changed=True),
         )
         neighbours = NeighbourFollower(
-            self.beliefs, self.gossip, self.relay, self.heartbeats.known_less, timing
+            self.beliefs, self.gossip, self.relay, self.heartbeats, timing
         )
         registrar = Registrar(own, self.beliefs, self.gossip, store, timing)
         loop.listen(self.store_address, lambda: fleet.store.accept(self.name))
@@ -91,6 +92,11 @@
         )
         self.tasks = [loop.create_task(run()) for run in loops]
 
+    def peer(self) -> tuple[str, int]:
+        """Return the address that its datagrams come from."""
+        ip, port = self.address.split(":")
+        return ip, int(port)
+
     def kill(self) -> None:
         """End the machine at once."""
         for task in self.tasks:
@@ -124,13 +130,20 @@
         self.cut: set[str] = set()
         self.machines = [FleetMachine(self, number) for number in range(count)]
 
+    def start_again(self, machine: FleetMachine) -> FleetMachine:
+        """Start a killed machine as a new process that knows nothing."""
+        at = self.machines.index(machine)
+        self.gone.discard(machine.name)
+        self.machines[at] = FleetMachine(self, at, incarnation=2)
+        return self.machines[at]
+
     def deliver(self, sender: FleetMachine, data: bytes, address: tuple[str, int]) -> None:
         """Bring a datagram to its machine, unless one of the two is gone or cut off."""
         found = [m for m in self.machines if m.address == f"{address[0]}:{address[1]}"]
         for machine in found:
             if not {machine.name, sender.name} & (self.gone | self.cut):
                 self.loop.call_later(
-                    _DATAGRAM_S, machine.heartbeats.datagram_received, data, address
+                    _DATAGRAM_S, machine.heartbeats.datagram_received, data, sender.peer()
                 )
 
     def isolate(self, machine: FleetMachine) -> None:
