Hold lapsed entries only while nobody reaches the store; prove the proofs on wrong versions

A server gone at 13.032 got a request from front-victoria-b-1 at 15.204, 2,172 ms later. The hold for entries that may have lapsed lasted 2.2 s and asked only whether this machine had lost the store: with its neighbours' deltas failing too, it held a server that had really left. Change: news that the store has answered another machine since ends the outage; the hold is 2 s. Test: a machine turned away alone whose neighbours fail it (test_gateway_relay.Outages), red without the change.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test bench fuzz format proto lock clean
+.PHONY: demo test bench fuzz prove format proto lock clean
 
 demo: $(STAMP)
 	$(BIN)/python -m tools.demo
@@ -20,6 +20,9 @@
 fuzz: $(STAMP)
 	$(BIN)/python -m tools.fuzz
 
+prove: $(STAMP)
+	$(BIN)/python -m tools.wrong_versions
+
 format: $(STAMP)
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -141,6 +141,7 @@
             settings.region,
             self.gossip,
             self.beliefs,
+            self.outages,
             regions=len(set(settings.regions.values())),
         )
         self.heartbeats = Heartbeats(
--- a/sprucewinch/gateway/outages.py
+++ b/sprucewinch/gateway/outages.py
@@ -7,7 +7,7 @@
 
 from typing import Optional
 
-RETURN_S = 2.2
+RETURN_S = 2.0
 """How long after an outage entries of living servers may still be missing, in seconds."""
 
 
@@ -37,6 +37,19 @@
             self._over_until = now + RETURN_S
         self._lost_at = None
 
+    def answered_others(self, at: float, now: float) -> None:
+        """Note that the store answered another machine.
+
+        Then it is this machine alone that does not reach it: backend servers do, and an entry that
+        goes belongs to a server that has left.
+
+        Args:
+            at: When the store answered it, as monotonic time here, in seconds.
+            now: Monotonic time, in seconds.
+        """
+        if self._lost_at is not None and at > self._lost_at:
+            self.regained(now)
+
     def entries_may_have_lapsed(self, now: float) -> bool:
         """Tell whether an entry that is found gone now may belong to a living server.
 
--- a/sprucewinch/gateway/relay.py
+++ b/sprucewinch/gateway/relay.py
@@ -17,6 +17,7 @@
 from .beliefs import Beliefs
 from .gossip import Gossip
 from .model import Member
+from .outages import StoreOutages
 
 NEWS_S = 0.3
 """How often a watcher tells what it knows, in seconds."""
@@ -61,16 +62,25 @@
         region: Its region.
         gossip: Who is there.
         beliefs: What this machine believes.
+        outages: Told when the store answers others.
         regions: How many regions there are.
     """
 
     def __init__(
-        self, name: str, region: str, gossip: Gossip, beliefs: Beliefs, *, regions: int
+        self,
+        name: str,
+        region: str,
+        gossip: Gossip,
+        beliefs: Beliefs,
+        outages: StoreOutages,
+        *,
+        regions: int,
     ) -> None:
         self.name = name
         self.region = region
         self.gossip = gossip
         self.beliefs = beliefs
+        self.outages = outages
         self.watchers_per_region = math.ceil(_LEAST_WATCHERS / max(1, regions))
         self.ahead_of_us: Optional[str] = None
         self._heard_at = float("-inf")
@@ -95,6 +105,7 @@
         if age_s > MOST_AGE_S:
             return False
         self._heard_at = now
+        self.outages.answered_others(now - age_s, now)
         self._told = max(self._told, news.revision)
         if news.revision > self.beliefs.replica.at:
             self.ahead_of_us = news.sender
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -14,6 +14,10 @@
 from .virtual_fleet import REGIONS, FleetMachine, VirtualFleet
 
 _SETTLED_S = 6.0
+_SERVER = (
+    b'{"Service":"rates","Address":"10.1.0.1:80","Zone":"east-a","Version":"v1",'
+    b'"Capacity":6,"State":"ready"}'
+)
 
 
 async def _fleet(loop: VirtualLoop, count: int = 12, seed: int = 1) -> VirtualFleet:
@@ -119,6 +123,16 @@
             with self.subTest(fault=fault):
                 self._reaches_all(_turn_away(fault), 5)
 
+    def test_neighbours_that_tell_of_a_change_and_never_give_it(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _fleet(loop)
+            fleet.empty_deltas = True
+            fleet.store.put("op/config", configuration(9))
+            await pass_time(BOUND_S)
+            self.assertEqual(fleet.versions(), {9})
+
+        run_virtual(main)
+
     def test_a_machine_that_is_no_watcher_is_cut_off_from_all_others(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             fleet = await _fleet(loop)
@@ -170,6 +184,33 @@
         await pass_time(4.0)
         self.assertEqual(fleet.versions(), {9})
 
+    def test_a_server_that_leaves_while_one_machine_is_turned_away_is_gone_there_at_once(
+        self,
+    ) -> None:
+        """Seen in a hunt (cfqc-quotes, hunt-d694-11): it was held as if its entry had lapsed."""
+
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _fleet(loop)
+            fleet.store.put("servers/s0", _SERVER)
+            await pass_time(2.0)
+            turned_away = fleet.watchers()[0]
+            others = [m for m in fleet.machines if m is not turned_away]
+            fleet.store.faults_by_machine[turned_away.name] = Fault.BUSY
+            self._silence(loop, others, True)
+            for version in range(5, 15):
+                fleet.store.put("op/config", configuration(version))
+                await pass_time(0.5)
+            fleet.store.remove("servers/s0")
+            self._silence(loop, others, False)
+            await pass_time(BOUND_S)
+            self.assertEqual(turned_away.book.usable("rates"), ())
+
+        run_virtual(main)
+
+    def _silence(self, loop: VirtualLoop, machines: list[FleetMachine], silent: bool) -> None:
+        for machine in machines:
+            loop.listeners[machine.address].silent = silent
+
     def test_news_of_a_watcher_that_lost_the_store_does_not_keep_others_from_it(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             fleet = await _fleet(loop)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -48,7 +48,7 @@
         journal = Journal(lambda line: None, monotonic=loop.time, wall=loop.time)
         timing = Timing(loop.time, rng)
         gossip = Gossip(name, 7, rng)
-        relay = Relay(name, "r", gossip, self.beliefs, regions=1)
+        relay = Relay(name, "r", gossip, self.beliefs, self.outages, regions=1)
         self.follower = StoreFollower(
             self.beliefs, self.store, relay, self.outages, journal, timing
         )
--- /dev/null
+++ b/tests/test_wrong_versions.py
@@ -0,0 +1,32 @@
+"""The wrong versions that proofs have to fail on are up to date with the mechanisms."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from tools.wrong_versions import ROOT, VERSIONS, StaleVersionError, WrongVersion, make_wrong
+
+
+class WrongVersions(unittest.TestCase):
+    def test_each_replaces_a_text_that_stands_just_once(self) -> None:
+        for version in VERSIONS:
+            with self.subTest(version.what):
+                text = (ROOT / version.path).read_text(encoding="utf-8")
+                self.assertEqual(text.count(version.old), 1)
+                self.assertNotEqual(version.new, version.old)
+
+    def test_the_tests_that_have_to_fail_are_there(self) -> None:
+        for version in VERSIONS:
+            for test in version.tests:
+                with self.subTest(test):
+                    suite = unittest.defaultTestLoader.loadTestsFromName(test)
+                    self.assertGreater(suite.countTestCases(), 0)
+                    self.assertNotIn("_FailedTest", str(suite))
+
+    def test_a_version_that_no_longer_fits_is_named(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            (Path(name) / "a.py").write_text("one\n")
+            stale = WrongVersion("RULE", "what", "a.py", "two", "three", ())
+            with self.assertRaises(StaleVersionError) as caught:
+                make_wrong(stale, Path(name))
+            self.assertIn("a.py has 0 times 'two'", str(caught.exception))
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -14,6 +14,7 @@
 from sprucewinch.gateway.outages import StoreOutages
 from sprucewinch.gateway.registrar import Registrar
 from sprucewinch.gateway.relay import Relay
+from sprucewinch.gateway.replica import Delta
 from sprucewinch.gateway.servers import ServerBook
 from sprucewinch.gateway.sync import NeighbourFollower, StoreFollower
 from sprucewinch.gateway.timing import Timing
@@ -51,8 +52,10 @@
         timing = Timing(loop.time, rng)
         self.beliefs = Beliefs(StoreItems())
         self.gossip = Gossip(self.name, incarnation, rng)
-        self.relay = Relay(self.name, self.region, self.gossip, self.beliefs, regions=len(REGIONS))
         outages = StoreOutages(1.5)
+        self.relay = Relay(
+            self.name, self.region, self.gossip, self.beliefs, outages, regions=len(REGIONS)
+        )
         self.book = ServerBook(self.beliefs, BOUNDS, self.name, FLEET_ZONES, outages)
         self.book.tell_crowded = lambda *load: self.heartbeats.tell_crowded(*load)
         self.heartbeats = Heartbeats(
@@ -89,9 +92,18 @@
             registrar.run,
             self.heartbeats.run,
             self.heartbeats.run_news,
+            self._tick,
         )
         self.tasks = [loop.create_task(run()) for run in loops]
 
+    async def _tick(self) -> None:
+        """Keep the book's time as the daemon does."""
+        while True:
+            self.book.now = self.fleet.loop.time()
+            self.book.settled = self.beliefs.known
+            self.book.drop_missing(self.book.now)
+            await asyncio.sleep(0.2)
+
     def peer(self) -> tuple[str, int]:
         """Return the address that its datagrams come from."""
         ip, port = self.address.split(":")
@@ -128,6 +140,7 @@
         self.seed = seed
         self.gone: set[str] = set()
         self.cut: set[str] = set()
+        self.empty_deltas = False
         self.machines = [FleetMachine(self, number) for number in range(count)]
 
     def start_again(self, machine: FleetMachine) -> FleetMachine:
@@ -188,6 +201,9 @@
     def data_received(self, data: bytes) -> None:
         found = re.search(rb"after=(\d+)", data)
         assert found is not None
-        body = encode_delta(self.machine.beliefs.replica.since(int(found[1])))
+        delta = self.machine.beliefs.replica.since(int(found[1]))
+        if self.machine.fleet.empty_deltas:
+            delta = Delta((), (), 0)
+        body = encode_delta(delta)
         head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n"
         self.transport.write(head.encode() + body)
--- /dev/null
+++ b/tools/wrong_versions.py
@@ -0,0 +1,293 @@
+"""Shows that the proofs of the platform's rules fail on wrong versions of the mechanisms.
+
+    python -m tools.wrong_versions
+
+For each rule a copy of the sources is made wrong in one place, and that rule's tests run on it.
+A wrong version that stays green is a proof that proves nothing.
+"""
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterable
+from pathlib import Path
+from typing import NamedTuple
+
+from rich.console import Console
+from rich.table import Table
+
+from sprucewinch.errors import SprucewinchError
+
+ROOT = Path(__file__).resolve().parent.parent
+_COPIED = ("sprucewinch", "platform", "standins", "tests", "tools")
+_GATEWAY = "sprucewinch/gateway"
+_LONGEST_S = 180.0
+
+
+class StaleVersionError(SprucewinchError):
+    """The text that a wrong version replaces does not stand in its file just once."""
+
+
+class WrongVersion(NamedTuple):
+    """One mechanism made wrong.
+
+    Args:
+        rule: Rule that it breaks.
+        what: What is wrong.
+        path: File of the mechanism.
+        old: Text that stands there once.
+        new: What stands there in the wrong version.
+        tests: Test ids that have to fail.
+    """
+
+    rule: str
+    what: str
+    path: str
+    old: str
+    new: str
+    tests: tuple[str, ...]
+
+
+VERSIONS = (
+    WrongVersion(
+        "MIXED",
+        "an answer to another request is taken",
+        f"{_GATEWAY}/connection.py",
+        "return named is not None and named != self._request_id",
+        "return False",
+        ("tests.test_gateway_pipeline.SpoiltAnswers",),
+    ),
+    WrongVersion(
+        "MIXED",
+        "an answer without a length is whole when it is reset",
+        f"{_GATEWAY}/connection.py",
+        "if exc is None and self._clean_end and self._head_done and self._until_end():",
+        "if self._head_done and self._until_end():",
+        ("tests.test_gateway_pipeline.SpoiltAnswers", "tests.test_gateway_connection"),
+    ),
+    WrongVersion(
+        "TWICE",
+        "requests that must not run twice are sent again after a reset",
+        f"{_GATEWAY}/pipeline.py",
+        "if not route.repeatable or call.runs() >= route.attempts:",
+        "if call.runs() >= route.attempts:",
+        ("tests.test_gateway_pipeline.SpoiltAnswers",),
+    ),
+    WrongVersion(
+        "REFUSED",
+        "a request that may have run is called not run",
+        f"{_GATEWAY}/pipeline.py",
+        "        if call.runs():\n            timeout = refused is Refused.TIMEOUT\n",
+        "        if False:\n            timeout = refused is Refused.TIMEOUT\n",
+        ("tests.test_gateway_pipeline.SpoiltAnswers",),
+    ),
+    WrongVersion(
+        "ROUTE",
+        "sends do not name the server's incarnation",
+        f"{_GATEWAY}/send.py",
+        'lines.append(f"{self.names.expected}: {server_id}")',
+        "pass",
+        ("tests.test_gateway_pipeline.Ends",),
+    ),
+    WrongVersion(
+        "BUDGET",
+        "repeats are not counted",
+        f"{_GATEWAY}/budget.py",
+        "        if self.repeats.count(now) + 1 > allowed:\n",
+        "        if allowed < 0:\n",
+        ("tests.test_gateway_pipeline.Repeats",),
+    ),
+    WrongVersion(
+        "GONE",
+        "a send goes on when its caller leaves",
+        f"{_GATEWAY}/connection.py",
+        "        except BaseException:\n            self.close()\n            raise\n",
+        "        except ExchangeFailedError:\n            self.close()\n            raise\n",
+        ("tests.test_gateway_pipeline.Ends",),
+    ),
+    WrongVersion(
+        "DENIED",
+        "404 before a configuration is known",
+        f"{_GATEWAY}/pipeline.py",
+        "return Refused.NO_CONFIGURATION",
+        "return Refused.NO_ROUTE",
+        ("tests.test_gateway_pipeline.Ends",),
+    ),
+    WrongVersion(
+        "CONFIG",
+        "an older version is taken over",
+        f"{_GATEWAY}/beliefs.py",
+        "if held is not None and after.version <= held.version:",
+        "if held is not None and after.version == held.version:",
+        ("tests.test_platform_store.InForce",),
+    ),
+    WrongVersion(
+        "CONFIG",
+        "machines that are no watchers never follow the store themselves",
+        f"{_GATEWAY}/relay.py",
+        "return not self.fresh(now) or self.chosen(now)",
+        "return self.chosen(now)",
+        (
+            "tests.test_gateway_relay.InForce."
+            "test_a_machine_that_is_no_watcher_is_cut_off_from_all_others",
+        ),
+    ),
+    WrongVersion(
+        "CONFIG",
+        "a machine that cannot catch up trusts its neighbours",
+        f"{_GATEWAY}/relay.py",
+        "return self._behind_since is None or now - self._behind_since <= _BEHIND_S",
+        "return True",
+        (
+            "tests.test_gateway_relay.InForce.test_neighbours_that_tell_of_a_change_and_never_give_it",
+        ),
+    ),
+    WrongVersion(
+        "EVAC",
+        "evacuations are not looked at",
+        f"{_GATEWAY}/servers.py",
+        "if not server.backend.draining and server.backend.zone not in self.beliefs.evacuated",
+        "if not server.backend.draining",
+        ("tests.test_gateway_servers.WhatIsCold",),
+    ),
+    WrongVersion(
+        "DRAIN",
+        "servers that leave get requests",
+        f"{_GATEWAY}/servers.py",
+        "if not server.backend.draining and server.backend.zone not in self.beliefs.evacuated",
+        "if server.backend.zone not in self.beliefs.evacuated",
+        ("tests.test_gateway_servers.WhatIsCold",),
+    ),
+    WrongVersion(
+        "DRAIN",
+        "every entry that goes is held for a while",
+        f"{_GATEWAY}/outages.py",
+        "return self._long(now) or now < self._over_until",
+        "return True",
+        ("tests.test_gateway_outages",),
+    ),
+    WrongVersion(
+        "DRAIN",
+        "a machine that alone is turned away holds servers that have left",
+        f"{_GATEWAY}/outages.py",
+        "if self._lost_at is not None and at > self._lost_at:",
+        "if False:",
+        ("tests.test_gateway_relay.Outages",),
+    ),
+    WrongVersion(
+        "DRAIN (directory)",
+        "silent machines are named to callers",
+        f"{_GATEWAY}/gossip.py",
+        "return heard is not None and heard.row.open and now - heard.at < SILENCE_S",
+        "return heard is not None and heard.row.open",
+        ("tests.test_gateway_gossip",),
+    ),
+    WrongVersion(
+        "FAILBACK",
+        "the limit on a cold server is not divided",
+        f"{_GATEWAY}/servers.py",
+        "every, left_over = divmod(fleet, self.machines())",
+        "every, left_over = divmod(fleet, 1)",
+        ("tests.test_gateway_servers.ColdLimit",),
+    ),
+    WrongVersion(
+        "FAILBACK",
+        "a data hall taken back counts as warm",
+        f"{_GATEWAY}/servers.py",
+        "            self._chill(change.before.zone)\n",
+        "            pass\n",
+        ("tests.test_gateway_servers.WhatIsCold",),
+    ),
+    WrongVersion(
+        "SHIFT",
+        "shares move without the cap",
+        f"{_GATEWAY}/shares.py",
+        "limiter.move(self.targets[service], now)",
+        "limiter.commit(self.targets[service], now)",
+        ("tests.test_gateway_policies.Policies",),
+    ),
+    WrongVersion(
+        "HOME",
+        "allowed regions are not looked at",
+        f"{_GATEWAY}/place.py",
+        "if not allowed or self.regions.get(server.backend.zone) in allowed",
+        "if True",
+        ("tests.test_gateway_pipeline.Placing",),
+    ),
+    WrongVersion(
+        "Duty",
+        "splits follow the objects alone",
+        f"{_GATEWAY}/split.py",
+        "chosen = wanted if self._off(wanted) <= _MOST_OFF else min(self._weights, key=self._off)",
+        "chosen = wanted",
+        ("tests.test_gateway_routes.SplitShares",),
+    ),
+    WrongVersion(
+        "RECOVER",
+        "a machine starts only from the store",
+        f"{_GATEWAY}/sync.py",
+        "        if not self.beliefs.known:\n            await self._begin()\n",
+        "        if not self.beliefs.known:\n",
+        ("tests.test_gateway_relay.Outages",),
+    ),
+)
+
+
+def make_wrong(version: WrongVersion, folder: Path) -> None:
+    """Make a copy of the sources wrong in one place.
+
+    Args:
+        version: What is wrong.
+        folder: The copy.
+
+    Raises:
+        StaleVersionError: When the text to replace is not there just once.
+    """
+    path = folder / version.path
+    text = path.read_text(encoding="utf-8")
+    if text.count(version.old) != 1:
+        problem = f"{version.path} has {text.count(version.old)} times {version.old!r}"
+        raise StaleVersionError(problem, "bring this wrong version up to date with its mechanism")
+    path.write_text(text.replace(version.old, version.new), encoding="utf-8")
+
+
+def is_red(version: WrongVersion) -> bool:
+    """Tell whether the tests of a wrong version fail on it."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        for part in _COPIED:
+            ignored = shutil.ignore_patterns("__pycache__")
+            shutil.copytree(ROOT / part, folder / part, ignore=ignored)
+        make_wrong(version, folder)
+        return not _passes(version.tests, folder)
+
+
+def _passes(tests: Iterable[str], folder: Path) -> bool:
+    command = [sys.executable, "-m", "unittest", "-q", *tests]
+    try:
+        done = subprocess.run(
+            command, cwd=folder, capture_output=True, timeout=_LONGEST_S, check=False
+        )
+    except subprocess.TimeoutExpired:
+        return False
+    return done.returncode == 0
+
+
+def main() -> int:
+    """Run all wrong versions; returns the exit status, 1 when one stays green."""
+    console = Console(width=120)
+    table = Table("rule", "wrong version", "tests", "seen")
+    green = 0
+    for version in VERSIONS:
+        red = is_red(version)
+        green += not red
+        tests = "\n".join(test.removeprefix("tests.") for test in version.tests)
+        table.add_row(version.rule, version.what, tests, "red" if red else "GREEN")
+    console.print(table)
+    console.print(f"{len(VERSIONS) - green} red, {green} green")
+    return 1 if green else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
