Do not blame a server for a pause of this process while a connection comes up

A timer that is due when a stopped process goes on fires before the connection that came up meanwhile is seen, so the server counts as unreachable; twice in a row, the request is refused. A process test that waits in vain tells the last lines of the processes.

--- a/sprucewinch/gateway/connection.py
+++ b/sprucewinch/gateway/connection.py
@@ -12,6 +12,7 @@
 import httptools
 
 from .._address import parse_address
+from .patience import run_within
 
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 """Largest answer that is taken."""
@@ -209,7 +210,7 @@
 
     Args:
         address: `IP:PORT`.
-        timeout_s: Longest wait, in seconds.
+        timeout_s: Longest wait, in seconds; time in which this process stood still does not count.
         id_header: See `Connection`.
 
     Raises:
@@ -218,10 +219,8 @@
     loop = asyncio.get_running_loop()
     host, port = parse_address(address)
     try:
-        async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(
-                lambda: Connection(loop, id_header=id_header), host, port
-            )
+        opening = loop.create_connection(lambda: Connection(loop, id_header=id_header), host, port)
+        _, connection = await run_within(opening, timeout_s)
     except (OSError, TimeoutError) as error:
         raise ConnectFailedError(f"{address}: {type(error).__name__}") from None
     _give_up_early(connection)
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -21,6 +21,7 @@
 HOST = "quotes.example"
 _START_S = 30.0
 _POLL_S = 0.02
+_TOLD_LINES = 5
 
 CONFIGURATION: dict[str, Any] = {
     "Version": "r3",
@@ -181,7 +182,8 @@
                 while not await condition():
                     await asyncio.sleep(_POLL_S)
         except TimeoutError:
-            self.fail(f"waited in vain for {what}")
+            told = {vm.name: vm.lines[-_TOLD_LINES:] for vm in self.vms}
+            self.fail(f"waited in vain for {what}; last lines: {told}")
 
     async def ready(self, vm: GatewayProcess) -> bool:
         """Tell whether a machine says that it is ready."""
--- a/tests/test_gateway_connection.py
+++ b/tests/test_gateway_connection.py
@@ -3,11 +3,12 @@
 import asyncio
 import socket
 import struct
+import time
 import unittest
 
 import aiohttp
 
-from sprucewinch.gateway.connection import ExchangeFailedError, connect
+from sprucewinch.gateway.connection import ConnectFailedError, ExchangeFailedError, connect
 
 _REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
 _LINGER_NONE = struct.pack("ii", 1, 0)
@@ -43,5 +44,42 @@
             self.assertEqual(await response.read(), b"half of th")
 
 
+class OwnPauses(unittest.IsolatedAsyncioTestCase):
+    """A process that stands still while a connection comes up."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = await asyncio.start_server(self._hold, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        self.addCleanup(self.server.close)
+
+    async def _hold(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read()
+        writer.close()
+
+    async def test_a_server_that_took_the_connection_is_not_blamed(self) -> None:
+        opening = asyncio.ensure_future(connect(self.address, 0.2))
+        await asyncio.sleep(0)
+        asyncio.get_running_loop().call_soon(time.sleep, 0.4)
+        connection = await opening
+        self.assertTrue(connection.alive)
+        connection.close()
+        await asyncio.sleep(0.05)
+
+    async def test_a_silent_address_is_given_up_in_time(self) -> None:
+        full = socket.socket()
+        self.addCleanup(full.close)
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        address = f"127.0.0.1:{full.getsockname()[1]}"
+        held = []
+        began = asyncio.get_running_loop().time()
+        with self.assertRaises(ConnectFailedError):
+            for _ in range(5):
+                held.append(await connect(address, 0.2))
+        self.assertLess(asyncio.get_running_loop().time() - began, 2.0)
+        for connection in held:
+            connection.close()
+
+
 if __name__ == "__main__":
     unittest.main()
