--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -3,25 +3,24 @@
 import asyncio
 import functools
 import json
-import os
-import signal
-import socket
-import sys
 import tempfile
 import unittest
 from pathlib import Path
-from typing import Any, Optional
+from typing import Any
 
 import aiohttp
 
 from standins.consortium_store import StoreStandIn
 from standins.scripted_server import ScriptedServer
+from tools.entry_vm import ROOT, EntryVm, free_port
+
+__all__ = ["CONFIGURATION", "HOST", "ROOT", "GatewayCase"]
 
-ROOT = Path(__file__).resolve().parent.parent
 HOST = "quotes.example"
 _START_S = 30.0
 _POLL_S = 0.02
 _TOLD_LINES = 5
+_FIRST_IP = 20
 
 CONFIGURATION: dict[str, Any] = {
     "Version": "r3",
@@ -53,81 +52,6 @@
 }
 
 
-def free_port(ip: str) -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
-
-
-class GatewayProcess:
-    """One entry VM as a process.
-
-    Args:
-        number: Its number, from 1; it gets a loopback address of its own.
-        store: Address of the store.
-        peer_port: Port between entry VMs.
-        folder: Where its settings file is laid.
-    """
-
-    def __init__(self, number: int, store: str, peer_port: int, folder: str) -> None:
-        self.ip = f"127.0.0.{20 + number}"
-        self.name = f"vm{number}"
-        ports = {name: free_port(self.ip) for name in ("Front", "Ready", "Directory")}
-        self.addresses = {name: f"{self.ip}:{port}" for name, port in ports.items()}
-        self.settings = Path(folder) / f"{self.name}.settings"
-        table = {
-            "NodeName": self.name,
-            "Ip": self.ip,
-            "Zone": "east-a",
-            "Region": "east",
-            "Zones": {"east-a": "east"},
-            "Listen": self.addresses,
-            "InternalPorts": [peer_port, peer_port],
-            "Limits": {"MemoryMb": 300, "MaxFds": 1024},
-            "Bounds": {"Contact": "3000ms", "Grace": "6s", "ttl_max": "5s", "BudgetSlack": 60},
-            "Platform": {"Address": store},
-        }
-        self.settings.write_text(json.dumps(table))
-        self.process: Optional[asyncio.subprocess.Process] = None
-        self.lines: list[dict[str, Any]] = []
-        self._reader: Optional[asyncio.Task] = None
-
-    async def start(self) -> None:
-        """Start the process."""
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "platform/main.py",
-            cwd=ROOT,
-            env={**os.environ, "SPRUCEWINCH_CONFIG": str(self.settings)},
-            stdout=asyncio.subprocess.PIPE,
-        )
-        self._reader = asyncio.create_task(self._read())
-
-    async def _read(self) -> None:
-        assert self.process is not None and self.process.stdout is not None
-        async for line in self.process.stdout:
-            self.lines.append(json.loads(line))
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send the process a signal."""
-        assert self.process is not None
-        self.process.send_signal(number)
-
-    async def ended(self) -> int:
-        """Return the exit status, once all lines are read."""
-        assert self.process is not None and self._reader is not None
-        status = await self.process.wait()
-        await self._reader
-        return status
-
-    async def kill(self) -> None:
-        """Kill the process if it still runs."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.kill()
-            await self.ended()
-
-
 class GatewayCase(unittest.IsolatedAsyncioTestCase):
     """A test with real processes, a store and backend servers."""
 
@@ -149,7 +73,9 @@
         for number in range(1, self.machines + 1):
             accept = functools.partial(self.store.accept, f"vm{number}")
             store = await self._listen(accept)
-            self.vms.append(GatewayProcess(number, store, port, self.folder.name))
+            ip = f"127.0.0.{_FIRST_IP + number}"
+            folder = Path(self.folder.name)
+            self.vms.append(EntryVm(f"vm{number}", ip, store, port, folder))
         self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=20))
         self.addAsyncCleanup(self.session.close)
         for vm in self.vms:
@@ -185,16 +111,15 @@
             told = {vm.name: vm.lines[-_TOLD_LINES:] for vm in self.vms}
             self.fail(f"waited in vain for {what}; last lines: {told}")
 
-    async def ready(self, vm: GatewayProcess) -> bool:
+    async def ready(self, vm: EntryVm) -> bool:
         """Tell whether a machine says that it is ready."""
-        url = f"http://{vm.addresses['Ready']}/sprucewinch/readyz"
         try:
-            async with self.session.get(url) as response:
+            async with self.session.get(vm.ready_url) as response:
                 return response.status == 200
         except aiohttp.ClientError:
             return False
 
-    async def named(self, vm: GatewayProcess) -> set[str]:
+    async def named(self, vm: EntryVm) -> set[str]:
         """Return the addresses that a machine's directory names."""
         url = (
             f"http://{vm.addresses['Directory']}/sprucewinch/resolve?Name=x&Region=east&Zone=east-a"
@@ -205,7 +130,7 @@
             return set((await response.json())["Addresses"])
 
     async def ask(
-        self, vm: GatewayProcess, path: str, request_id: str, method: str = "GET", **options: Any
+        self, vm: EntryVm, path: str, request_id: str, method: str = "GET", **options: Any
     ) -> tuple[int, bytes, dict[str, str]]:
         """Send a request and return status, body and headers."""
         headers = {
