--- a/standins/consortium_store.py
+++ b/standins/consortium_store.py
@@ -14,6 +14,8 @@
 import httptools
 import msgspec
 
+from .resets import reset
+
 PAGE = 500
 LATE_S = 2.0
 """How much later a late write is done, in seconds."""
@@ -260,7 +262,7 @@
         answer = await self.store.answer(self.machine, method, path, query, body)
         if answer is None:
             if self.store.fault_of(self.machine) is not Fault.SILENT:
-                self.transport.abort()
+                reset(self.transport)
             return
         status, table = answer
         data = msgspec.json.encode(table)
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,7 +1,8 @@
-"""Stand-in for a link: a byte relay that can cut, delay and freeze what goes through it."""
+"""Stand-in for a link: a byte relay that can cut, reset, delay and freeze what goes through it."""
 
 import asyncio
-import contextlib
+
+from .resets import reset
 
 
 class Relay:
@@ -20,8 +21,10 @@
         self.is_cut = False
         self.passed = 0
         self._writers: set[asyncio.StreamWriter] = set()
-        self._thawed = asyncio.Event()
-        self._thawed.set()
+        self._served: set[asyncio.Task] = set()
+        self._to_target = asyncio.Event()
+        self._to_caller = asyncio.Event()
+        self.thaw()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -33,6 +36,8 @@
         if self._server is not None:
             self._server.close()
         self.cut()
+        self.thaw()
+        await asyncio.gather(*self._served, return_exceptions=True)
 
     def cut(self) -> None:
         """Close all connections and refuse new ones until `mend`."""
@@ -44,15 +49,33 @@
         """Accept connections again."""
         self.is_cut = False
 
-    def freeze(self) -> None:
-        """Hold back all bytes until `thaw`; connections stay open."""
-        self._thawed.clear()
+    def reset(self) -> None:
+        """Reset all connections; new ones are accepted."""
+        for writer in list(self._writers):
+            reset(writer.transport)
+
+    def freeze(self, *, to_target: bool = True, to_caller: bool = True) -> None:
+        """Hold back bytes until `thaw`; connections stay open.
+
+        Args:
+            to_target: Hold back what goes to the target.
+            to_caller: Hold back what comes from there.
+        """
+        if to_target:
+            self._to_target.clear()
+        if to_caller:
+            self._to_caller.clear()
 
     def thaw(self) -> None:
         """Let bytes through again."""
-        self._thawed.set()
+        self._to_target.set()
+        self._to_caller.set()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._served.add(task)
+        task.add_done_callback(self._served.discard)
         if self.is_cut:
             writer.transport.abort()
             return
@@ -63,19 +86,26 @@
             return
         self._writers |= {writer, to_writer}
         try:
-            await asyncio.gather(self._pump(reader, to_writer), self._pump(to_reader, writer))
+            await asyncio.gather(
+                self._pump(reader, to_writer, self._to_target),
+                self._pump(to_reader, writer, self._to_caller),
+            )
         finally:
             for each in (writer, to_writer):
                 self._writers.discard(each)
                 each.close()
 
-    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError):
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, thawed: asyncio.Event
+    ) -> None:
+        try:
             while data := await reader.read(65_536):
                 await asyncio.sleep(self.delay_s)
-                await self._thawed.wait()
+                await thawed.wait()
                 self.passed += len(data)
                 writer.write(data)
                 await writer.drain()
             if writer.can_write_eof():
                 writer.write_eof()
+        except OSError:
+            reset(writer.transport)
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -6,10 +6,13 @@
 
 import asyncio
 import enum
+from collections.abc import Callable
 from typing import Optional
 
 import httptools
 
+from .resets import reset
+
 HEALTH_PATH = "/healthz"
 
 
@@ -82,6 +85,7 @@
         self.running = 0
         self.cancelled = 0
         self.answer_bytes = b"the whole answer"
+        self.answer_of: Optional[Callable[[Run], bytes]] = None
         self.cold_ms: Optional[int] = None
         self.cold_until = 0.0
         self.cold_factor = 2.0
@@ -92,6 +96,10 @@
         """Return the protocol of one connection, for a listener of the loop."""
         return _Served(self)
 
+    def answer_to(self, run: Run) -> bytes:
+        """Return the body of a run's answer."""
+        return self.answer_bytes if self.answer_of is None else self.answer_of(run)
+
     def next_spoil(self) -> Spoil:
         """Return how the next answer is spoilt."""
         return self.spoils.pop(0) if self.spoils else Spoil.NONE
@@ -113,7 +121,7 @@
     def reset(self) -> None:
         """Reset all open connections."""
         for transport in list(self.open):
-            transport.abort()
+            reset(transport)
 
 
 class _Served(asyncio.Protocol):
@@ -202,7 +210,7 @@
 
     def _answer(self, run: Run, spoil: Spoil) -> None:
         assert self.transport is not None
-        body = self.server.answer_bytes
+        body = self.server.answer_to(run)
         whole = self._encode(200, run.request_id, body)
         owed, self.owed = self.owed, b""
         if spoil is Spoil.NONE:
@@ -223,19 +231,19 @@
 
     def _break_off(self, run: Run, spoil: Spoil, whole: bytes) -> None:
         assert self.transport is not None
-        body = self.server.answer_bytes
+        body = self.server.answer_to(run)
         unframed = self._encode(200, run.request_id, body, framed=False)
         if spoil is Spoil.UNFRAMED:
             self.transport.write(unframed)
             self.transport.close()
         elif spoil is Spoil.UNFRAMED_RESET:
             self.transport.write(unframed[:-4])
-            self.transport.abort()
+            reset(self.transport)
         elif spoil is Spoil.CUT:
             self.transport.write(whole[:-4])
-            self.transport.abort()
+            reset(self.transport)
         elif spoil is Spoil.LOST:
-            self.transport.abort()
+            reset(self.transport)
 
     def _write(self, status: int, request_id: str, body: bytes, *, extra: str = "") -> None:
         assert self.transport is not None
--- a/tests/test_gateway_connection.py
+++ b/tests/test_gateway_connection.py
@@ -2,16 +2,15 @@
 
 import asyncio
 import socket
-import struct
 import time
 import unittest
 
 import aiohttp
 
 from sprucewinch.gateway.connection import ConnectFailedError, ExchangeFailedError, connect
+from standins.resets import reset
 
 _REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
-_LINGER_NONE = struct.pack("ii", 1, 0)
 
 
 class ResetAnswers(unittest.IsolatedAsyncioTestCase):
@@ -27,9 +26,7 @@
         writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf of th")
         await writer.drain()
         await asyncio.sleep(0.05)
-        raw = writer.get_extra_info("socket")
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
-        writer.transport.abort()
+        reset(writer.transport)
 
     async def test_a_reset_answer_is_no_answer(self) -> None:
         connection = await connect(self.address, 5.0)
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,94 @@
+"""Runs days of the soak and prints what broke.
+
+python -m tools.soak --seeds=1:50 --jobs=3
+"""
+
+import asyncio
+import sys
+import time
+
+import fire
+from rich.console import Console
+
+from sprucewinch.errors import SprucewinchError
+
+from .day import TROUBLED_S, Outcome, run_day
+
+_MOST_JOBS = 6
+
+
+class SoakError(SprucewinchError):
+    """The soak was asked for something that it cannot do."""
+
+    exit_code = 2
+
+
+def parse_seeds(text: str) -> list[int]:
+    """Return the seeds that `7`, `1:50` or `3,9,12` names.
+
+    Raises:
+        SoakError: When it is none of these.
+    """
+    try:
+        if ":" in text:
+            first, last = (int(word) for word in text.split(":"))
+            return list(range(first, last + 1))
+        return [int(word) for word in text.split(",")]
+    except ValueError:
+        raise SoakError(f"no seeds: {text!r}", "write 7, 1:50 or 3,9,12") from None
+
+
+async def run_days(seeds: list[int], jobs: int, troubled_s: float) -> list[Outcome]:
+    """Run several days, some of them at once; prints each as it ends."""
+    console = Console()
+    left = list(reversed(seeds))
+    outcomes: list[Outcome] = []
+
+    async def worker(group: int) -> None:
+        while left:
+            outcome = await run_day(left.pop(), group=group, troubled_s=troubled_s)
+            outcomes.append(outcome)
+            tell(console, outcome)
+
+    await asyncio.gather(*(worker(group + 1) for group in range(jobs)))
+    return outcomes
+
+
+def tell(console: Console, outcome: Outcome) -> None:
+    """Print how a day went; the plan only where something broke."""
+    statuses = ", ".join(f"{name}: {count}" for name, count in sorted(outcome.statuses.items()))
+    word = "broken" if outcome.broken else "kept"
+    console.print(f"seed {outcome.seed}: {word}; {outcome.attempts} attempts ({statuses})")
+    if outcome.broken:
+        for row in outcome.plan:
+            console.print(f"    {row.at:5.1f} s {row.kind.__name__} for {row.for_s} s")
+        for broken in outcome.broken[:10]:
+            console.print(f"    {broken.rule}: {broken.what}", markup=False)
+
+
+def main(seeds: str = "", jobs: int = 1, seconds: float = TROUBLED_S) -> None:
+    """Run days of the soak.
+
+    Args:
+        seeds: Seeds such as 7, 1:50 or 3,9,12; a fresh one when empty.
+        jobs: Days at once, each with its own processes.
+        seconds: How long troubles strike in a day.
+    """
+    try:
+        chosen = parse_seeds(str(seeds).strip("()").replace(" ", "")) if seeds else [fresh_seed()]
+    except SoakError as error:
+        print(error, file=sys.stderr)
+        sys.exit(error.exit_code)
+    outcomes = asyncio.run(run_days(chosen, max(1, min(jobs, _MOST_JOBS)), seconds))
+    broken = sorted(outcome.seed for outcome in outcomes if outcome.broken)
+    print(f"{len(outcomes)} days, {len(broken)} with a broken promise: {broken}")
+    sys.exit(1 if broken else 0)
+
+
+def fresh_seed() -> int:
+    """Return a seed that was probably never used."""
+    return time.time_ns() % (1 << 31)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/tools/soak/callers.py
@@ -0,0 +1,122 @@
+"""Callers of the soak: some follow the look-up, some cling to a connection until it is gone."""
+
+import asyncio
+import random
+from typing import Optional
+
+import aiohttp
+
+from .ledger import Attempt, End
+from .promises import Promises
+from .world import BOOK, HOST, RATES, ROUTE_TIMEOUT_S, World
+
+RATE_PER_S = 8.0
+"""Requests a second of one caller."""
+
+_KEEP_S = 1.0
+_LOOKUP_S = 1.0
+_LONGEST_S = ROUTE_TIMEOUT_S + 3.0
+_OBJECTS = 12
+_BOOKED_PART = 0.35
+_OTHER_PART = 0.15
+
+
+class Caller:
+    """One caller.
+
+    Args:
+        world: The day.
+        promises: Told of every answer.
+        number: Its number.
+        rng: Source of randomness.
+        clings: Uses one entry VM as long as its process lives.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        promises: Promises,
+        number: int,
+        rng: random.Random,
+        *,
+        clings: bool,
+    ) -> None:
+        self.world = world
+        self.promises = promises
+        self.number = number
+        self.rng = rng
+        self.clings = clings
+        self.region = rng.choice(("east", "west"))
+        self.sent = 0
+        self._vm: Optional[str] = None
+        self._named: tuple[str, ...] = ()
+        self._kept_until = float("-inf")
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        connector = aiohttp.TCPConnector(keepalive_timeout=30)
+        timeout = aiohttp.ClientTimeout(total=_LONGEST_S)
+        async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+            while True:
+                await asyncio.sleep(self.rng.expovariate(RATE_PER_S))
+                await self._send(session, await self._choose(session))
+
+    async def _choose(self, session: aiohttp.ClientSession) -> str:
+        if self.clings and self._vm is not None:
+            return self._vm
+        if self.world.loop.time() > self._kept_until:
+            await self._look_up(session)
+        self._vm = self.rng.choice(self._named or tuple(self.world.vms))
+        return self._vm
+
+    async def _look_up(self, session: aiohttp.ClientSession) -> None:
+        vm = self.world.vms[self.rng.choice(tuple(self.world.vms))]
+        query = f"?Name={HOST}&Region={self.region}&Zone={vm.zone}"
+        url = vm.url("Directory", f"/sprucewinch/resolve{query}")
+        by_address = {each.addresses["Front"]: name for name, each in self.world.vms.items()}
+        try:
+            limit = aiohttp.ClientTimeout(total=_LOOKUP_S)
+            async with session.get(url, timeout=limit) as response:
+                named = (await response.json())["Addresses"] if response.status == 200 else []
+        except (aiohttp.ClientError, TimeoutError):
+            return
+        if named:
+            self._named = tuple(by_address[address] for address in named)
+            self._kept_until = self.world.loop.time() + _KEEP_S
+
+    def _route(self) -> str:
+        draw = self.rng.random()
+        others = [name for name in self.world.services if name not in (RATES, BOOK)]
+        if others and draw < _OTHER_PART:
+            return self.rng.choice(others)
+        return BOOK if draw < _BOOKED_PART else RATES
+
+    async def _send(self, session: aiohttp.ClientSession, name: str) -> None:
+        self.sent += 1
+        route = self._route()
+        attempt = Attempt(f"c{self.number}-{self.sent}", route, name, self.world.loop.time())
+        self.world.ledger.attempts.append(attempt)
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": attempt.request_id,
+            "X-Request-Deadline-Ms": str(int(_LONGEST_S * 1000)),
+            "Cookie": f"X-Affinity-Key={self.rng.randrange(_OBJECTS)}",
+        }
+        method = "POST" if route == BOOK else "GET"
+        data = b"x" * self.rng.choice((1, 100, 70_000)) if route == BOOK else None
+        url = self.world.vms[name].url("Front", f"/{route}/{self.sent}")
+        try:
+            async with session.request(method, url, headers=headers, data=data) as response:
+                body = await response.read()
+            attempt.end, attempt.status = End.ANSWERED, response.status
+            self.promises.answered(attempt, body, response.headers)
+        except TimeoutError:
+            attempt.end = End.LATE
+        except aiohttp.ClientConnectorError:
+            attempt.end = End.UNREACHED
+        except aiohttp.ClientError:
+            attempt.end = End.CLOSED
+        attempt.ended_at = self.world.loop.time()
+        if attempt.end in (End.UNREACHED, End.CLOSED):
+            self._vm = None
+            self._kept_until = float("-inf")
--- /dev/null
+++ b/tools/soak/day.py
@@ -0,0 +1,129 @@
+"""One day of the soak: what its seed says, run with real processes, judged at its end."""
+
+import asyncio
+import random
+from collections import Counter
+from typing import NamedTuple
+
+from .callers import Caller
+from .ledger import Broken
+from .promises import Promises
+from .troubles import KINDS, Change, Trouble
+from .world import World
+
+TROUBLED_S = 9.0
+"""How long troubles strike, in seconds, unless told otherwise."""
+
+_FIRST_S = 0.5
+_SETTLE_S = 6.5
+"""Time after the last trouble until everything has to work again, in seconds: a stop and a start
+may still go on."""
+
+_QUIET_S = 3.5
+_CALLERS = 12
+_CLINGING = 6
+_LEAST_TROUBLES, _MOST_TROUBLES = 5, 9
+
+
+class Planned(NamedTuple):
+    """One trouble of a day.
+
+    Args:
+        at: When it strikes, in seconds from the start of traffic.
+        kind: What it is.
+        for_s: How long it lasts, in seconds.
+        seed: Seed of its own choices.
+    """
+
+    at: float
+    kind: type[Trouble]
+    for_s: float
+    seed: int
+
+
+class Outcome(NamedTuple):
+    """How a day went.
+
+    Args:
+        seed: Its seed.
+        plan: What struck.
+        attempts: Attempts of callers.
+        statuses: How often each status, or end without one, came.
+        broken: Promises that were broken.
+    """
+
+    seed: int
+    plan: tuple[Planned, ...]
+    attempts: int
+    statuses: dict[str, int]
+    broken: tuple[Broken, ...]
+
+
+def plan(seed: int, troubled_s: float = TROUBLED_S) -> tuple[Planned, ...]:
+    """Return the troubles of a day; a change of the configuration closes it.
+
+    Args:
+        seed: Seed of the day.
+        troubled_s: How long troubles strike, in seconds.
+    """
+    rng = random.Random(seed)
+    count = rng.randint(_LEAST_TROUBLES, _MOST_TROUBLES)
+    rows = [
+        Planned(
+            round(rng.uniform(_FIRST_S, troubled_s), 2),
+            rng.choice(KINDS),
+            round(rng.uniform(0.4, 3.0), 2),
+            rng.randrange(1 << 30),
+        )
+        for _ in range(count)
+    ]
+    last = Planned(troubled_s + _SETTLE_S - 1.0, Change, 0.0, rng.randrange(1 << 30))
+    return (*sorted(rows, key=lambda row: row.at), last)
+
+
+async def run_day(seed: int, *, group: int = 1, troubled_s: float = TROUBLED_S) -> Outcome:
+    """Run one day.
+
+    Args:
+        seed: Its seed.
+        group: Number of its own loopback addresses, 1 to 200; days that run at once need others.
+        troubled_s: How long troubles strike, in seconds.
+    """
+    world = World(group)
+    planned = plan(seed, troubled_s)
+    try:
+        await world.start()
+        await world.until_all_ready()
+        promises = Promises(world)
+        await _traffic(world, promises, planned, seed)
+        broken = tuple(promises.judge())
+    finally:
+        await world.stop()
+    attempts = world.ledger.attempts
+    statuses = Counter(str(a.status or (a.end.value if a.end else "unfinished")) for a in attempts)
+    return Outcome(seed, planned, len(attempts), dict(statuses), broken)
+
+
+async def _traffic(
+    world: World, promises: Promises, planned: tuple[Planned, ...], seed: int
+) -> None:
+    rng = random.Random(seed ^ 0x5EED)
+    callers = [
+        Caller(world, promises, n, random.Random(rng.random()), clings=n < _CLINGING)
+        for n in range(_CALLERS)
+    ]
+    start = world.loop.time()
+    world.ledger.quiet_from = start + planned[-1].at + 1.0
+    work = [asyncio.create_task(caller.run()) for caller in callers]
+    troubles = [asyncio.create_task(_strike(world, row, start)) for row in planned]
+    await asyncio.sleep(planned[-1].at + _QUIET_S)
+    for task in (*work, *troubles):
+        task.cancel()
+    for result in await asyncio.gather(*work, *troubles, return_exceptions=True):
+        if isinstance(result, Exception):
+            raise result
+
+
+async def _strike(world: World, row: Planned, start: float) -> None:
+    await asyncio.sleep(max(0.0, start + row.at - world.loop.time()))
+    await row.kind(world, random.Random(row.seed), row.for_s).strike()
--- /dev/null
+++ b/tools/soak/ledger.py
@@ -0,0 +1,141 @@
+"""What happened in one day of the soak, as it was seen from outside the processes."""
+
+import enum
+from collections import defaultdict
+from typing import NamedTuple, Optional
+
+STORE = "store"
+"""Scope of a trouble that strikes the store for all entry VMs."""
+
+EVERYBODY = "everybody"
+"""Scope of a trouble that strikes all entry VMs, such as a pause of the soak's own process."""
+
+
+class End(enum.Enum):
+    """How an attempt ended for its caller."""
+
+    ANSWERED = "answered"
+    UNREACHED = "no connection"
+    CLOSED = "closed without an answer"
+    LATE = "no answer in time"
+
+
+class Attempt:
+    """One attempt of a caller.
+
+    Args:
+        request_id: Its id.
+        route: Name of the route that it is for.
+        vm: Entry VM that it was sent to.
+        sent_at: When it was sent, as monotonic time in seconds.
+    """
+
+    __slots__ = ("end", "ended_at", "request_id", "route", "sent_at", "status", "vm")
+
+    def __init__(self, request_id: str, route: str, vm: str, sent_at: float) -> None:
+        self.request_id = request_id
+        self.route = route
+        self.vm = vm
+        self.sent_at = sent_at
+        self.ended_at = float("inf")
+        self.end: Optional[End] = None
+        self.status = 0
+
+
+class Struck(NamedTuple):
+    """One trouble while it lasted.
+
+    Args:
+        what: What it was.
+        scope: Entry VM that it struck, or `STORE`, or `EVERYBODY`.
+        start: When it began, as monotonic time in seconds.
+        end: When it was over, likewise.
+        planned: True for work that is planned and must cut nothing off.
+    """
+
+    what: str
+    scope: str
+    start: float
+    end: float
+    planned: bool = False
+
+
+class Version(NamedTuple):
+    """One version of the configuration.
+
+    Args:
+        number: Its number.
+        acknowledged_at: When the store took it, as monotonic time in seconds.
+        services: Service of each route, by the route's name.
+    """
+
+    number: int
+    acknowledged_at: float
+    services: dict[str, str]
+
+
+class Leaving(NamedTuple):
+    """A backend server that leaves, or whose data hall is evacuated.
+
+    Args:
+        server_id: The server.
+        acknowledged_at: When the store took it, as monotonic time in seconds.
+        allowed_s: How long requests may still arrive, in seconds.
+        until: Until when it holds, as monotonic time in seconds.
+        rule: The promise that it is for.
+    """
+
+    server_id: str
+    acknowledged_at: float
+    allowed_s: float
+    until: float
+    rule: str
+
+
+class Broken(NamedTuple):
+    """A promise that was broken.
+
+    Args:
+        rule: The promise.
+        what: What was seen.
+    """
+
+    rule: str
+    what: str
+
+
+class Ledger:
+    """Everything that the promises are judged by."""
+
+    def __init__(self) -> None:
+        self.attempts: list[Attempt] = []
+        self.struck: list[Struck] = []
+        self.versions: list[Version] = []
+        self.leavings: list[Leaving] = []
+        self.broken: list[Broken] = []
+        self.ends: dict[str, list[tuple[float, int]]] = defaultdict(list)
+        self.signalled: dict[str, list[tuple[float, int]]] = defaultdict(list)
+        self.began_at = 0.0
+        self.quiet_from = float("inf")
+
+    def breaks(self, rule: str, what: str) -> None:
+        """Note a promise that was broken."""
+        self.broken.append(Broken(rule, what))
+
+    def undisturbed(self, vm: str, start: float, end: float, *, planned: bool = False) -> bool:
+        """Tell whether nothing struck an entry VM in some time.
+
+        Args:
+            vm: The entry VM.
+            start: Start, as monotonic time in seconds.
+            end: End, likewise.
+            planned: Leave planned work out.
+        """
+        scopes = (vm, STORE, EVERYBODY)
+        return not any(
+            struck.scope in scopes
+            and struck.start <= end
+            and struck.end >= start
+            and not (planned and struck.planned)
+            for struck in self.struck
+        )
--- /dev/null
+++ b/tools/soak_vm.py
@@ -0,0 +1,45 @@
+"""One entry VM whose time of day a file sets off; else the same as `platform/main.py`."""
+
+import asyncio
+import contextlib
+import os
+import sys
+import time
+from pathlib import Path
+
+_ROOT = Path(__file__).resolve().parent.parent
+CLOCK_SUFFIX = ".clock"
+
+
+def main() -> None:
+    """Run until told to stop."""
+    sys.path += [str(_ROOT), str(_ROOT / "platform")]
+    from consortium import ConsortiumWire
+    from main import SETTINGS_VARIABLE
+    from node_settings import SettingsFile
+
+    from sprucewinch import log
+    from sprucewinch.clock import SystemClock
+    from sprucewinch.gateway.daemon import Gateway
+
+    path = Path(os.environ[SETTINGS_VARIABLE])
+    offset_file = path.with_suffix(CLOCK_SUFFIX)
+
+    class OffsetClock(SystemClock):
+        """The machine's clocks, with a time of day that is as far off as the file says."""
+
+        def wall(self) -> float:
+            """Return the time of day, in seconds since the epoch."""
+            offset = 0.0
+            with contextlib.suppress(OSError, ValueError):
+                offset = float(offset_file.read_text(encoding="utf-8"))
+            return time.time() + offset
+
+    log.configure_lines()
+    file = SettingsFile(path)
+    gateway = Gateway(file.settings, ConsortiumWire(), reread=file.reread, clock=OffsetClock())
+    asyncio.run(gateway.run())
+
+
+if __name__ == "__main__":
+    main()
