A stopping entry VM accepts no more at the end of its linger and waits until its answers are read

Cause: the process ended as soon as no request was in flight, although answers of callers that read slowly still stood in its buffers; a busy one kept its listeners open until it had to break off. Ruled out: the process being killed (status 0 in the test, 3.2 s after the signal). Change: after 3.2 s the listeners close, resting connections end, and the process waits for the others until 0.7 s before it is killed.

--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -284,19 +284,26 @@
             self.pool.share(least, self.book.machines())
 
     async def _leave(self) -> None:
-        """Tell everybody, serve those who still come, and end before the process is killed."""
+        """Tell everybody, serve those who still come, and end before the process is killed.
+
+        An answer counts as given once its connection has ended: a caller that reads slowly may
+        have most of it still to come when the request is over here.
+        """
         now = self.clock.monotonic()
         self.app.stopping = True
         self.journal.state("stopping", in_flight=self.app.in_flight)
         self.heartbeats.send(self.beliefs.members)
         end = now + self.settings.bounds.grace_s - _STOP_MARGIN_S
-        linger = min(end, now + _LINGER_S)
-        while self.clock.monotonic() < end:
-            if self.clock.monotonic() >= linger and self.app.in_flight == 0:
-                break
-            await asyncio.sleep(_STOP_POLL_S)
+        await self._until(lambda: False, min(end, now + _LINGER_S))
+        self.listening.accept_no_more()
+        await self._until(lambda: self.listening.closed, end)
         self.journal.state("stop", in_flight=self.app.in_flight)
 
+    async def _until(self, holds: Callable[[], bool], end: float) -> None:
+        """Wait until something holds, at the longest until some monotonic time, in seconds."""
+        while not holds() and self.clock.monotonic() < end:
+            await asyncio.sleep(_STOP_POLL_S)
+
     def _state(self) -> str:
         return machine_state(self).to_json()
 
--- a/sprucewinch/gateway/listening.py
+++ b/sprucewinch/gateway/listening.py
@@ -48,6 +48,16 @@
         while not server.started:
             await asyncio.sleep(_LOOK_S)
 
+    def accept_no_more(self) -> None:
+        """Refuse new connections and end those that rest; requests in flight go on."""
+        for server in self.servers:
+            server.should_exit = True
+
+    @property
+    def closed(self) -> bool:
+        """Tell whether every connection has ended, with all that was written to it read."""
+        return all(task.done() for task in self.tasks)
+
     def learn(self, change: Change) -> None:
         """Follow the limits on callers; a connection rests a little longer than they are told."""
         if not isinstance(change.after, RouteConfiguration):
--- a/tests/test_process_gateway.py
+++ b/tests/test_process_gateway.py
@@ -3,12 +3,17 @@
 import asyncio
 import json
 import signal
+import socket
 import sys
 from pathlib import Path
 
 from standins.consortium_store import Fault
 
-from .gateway_process import CONFIGURATION, ROOT, GatewayCase
+from .gateway_process import CONFIGURATION, HOST, ROOT, GatewayCase
+
+_LARGE_BYTES = 8_000_000
+_AFTER_LINGER_S = 3.9
+"""Later than a stopping process with nothing left to do ends, sooner than it is killed."""
 
 
 class Requests(GatewayCase):
@@ -55,6 +60,31 @@
         self.assertEqual(await vm.ended(), 0)
         self.assertEqual([line["event"] for line in vm.lines][-1], "stop")
 
+    async def test_a_stop_waits_for_a_caller_that_reads_slowly(self) -> None:
+        vm = self.vms[0]
+        for backend in self.backends:
+            backend.answer_bytes = b"x" * _LARGE_BYTES
+        reader, writer = await self._open_slow_reader(vm)
+        self.addCleanup(writer.close)
+        writer.write(
+            f"GET /rates/x HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: slow\r\n\r\n".encode()
+        )
+        await self.until(self._running, "the request to run")
+        vm.signal(signal.SIGTERM)
+        await asyncio.sleep(_AFTER_LINGER_S)
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 200"))
+        self.assertEqual(len(await reader.readexactly(_LARGE_BYTES)), _LARGE_BYTES)
+        self.assertEqual(await vm.ended(), 0)
+
+    async def _open_slow_reader(self, vm) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, port = vm.addresses["Front"].split(":")
+        raw = socket.socket()
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        raw.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(raw, (host, int(port)))
+        return await asyncio.open_connection(sock=raw, limit=65_536)
+
     async def _running(self) -> bool:
         return self.runs("slow") == 1
 
