Tell policies on the platform of load, latency and demand; end with 0 however often told to stop

Cause: policies on the platform saw slots alone, so headroom and latency kept callers at home as nearest does. Change: while a policy in force reads measures, one watcher of each region tells all machines, once a second, the load and latency of its region's servers and its callers' demand (gateway/measured); the guard gets them too, and figures that are no longer told let no region gain callers. SPRUCEWINCH_POLICY names the policy of services without a choice. The default policy reads none: nothing is sent for it. Tried and mended on the way: shares went on towards a target that was planned from figures since gone (test_figures_that_are_no_longer_told_move_nobody, red before): shares are planned again every second while figures are held. Tests: test_gateway_measured, 9 passed.

--- a/sprucewinch/gateway/budget.py
+++ b/sprucewinch/gateway/budget.py
@@ -30,6 +30,10 @@
         """Count a caller's request."""
         self.requests.add(now)
 
+    def requests_per_s(self, now: float) -> float:
+        """Return the requests a second of callers, over the window of the budget."""
+        return self.requests.count(now) / self.requests.window_s
+
     def take(self, now: float, machines: int) -> bool:
         """Take one repeat.
 
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -18,6 +18,7 @@
 from .journal import Journal
 from .listeners import PeerApp, TextApp
 from .listening import Listening
+from .measured import MeasureBoard, Measured
 from .model import GatewaySettings, Member, Names
 from .outages import StoreOutages
 from .pipeline import Pipeline
@@ -98,10 +99,12 @@
         self.book = ServerBook(
             self.beliefs, settings.bounds, settings.name, settings.regions, self.outages
         )
-        self.policies = PolicyBook(self.beliefs, self._unreadable)
+        self.policies = PolicyBook(self.beliefs, self._unreadable, default=settings.policy)
+        self.board = MeasureBoard(self.book, settings.name, settings.region)
         self.shares = RegionShares(
             self.book,
             self.policies,
+            self.board,
             regions=settings.regions,
             home=settings.region,
             shift_cap=settings.bounds.shift_cap,
@@ -149,11 +152,13 @@
             self.beliefs,
             self.relay,
             self.book,
+            self.board,
             ready=self.ready,
             monotonic=monotonic,
             rng=self.rng,
         )
         self.book.tell_crowded = self.heartbeats.tell_crowded
+        self.heartbeats.own_measures = self._own_measures
         self._tasks: list[asyncio.Task] = []
 
     def ready(self) -> bool:
@@ -168,6 +173,7 @@
         self.journal.state("start", name=self.settings.name, incarnation=self.incarnation)
         await self.stopping.wait()
         await self._leave()
+        self._ignore_signals()
 
     def _unreadable(self, key: str, cause: str) -> None:
         self.journal.counters["items_unreadable"] += 1
@@ -179,6 +185,13 @@
         loop.add_signal_handler(signal.SIGINT, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
+    def _ignore_signals(self) -> None:
+        """Let nobody who tells this process to stop once more end it with a failure."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+
     def _reload(self) -> None:
         """Look at the settings when told to."""
         if not self._reload_if_changed():
@@ -248,6 +261,7 @@
             prober.run,
             self.heartbeats.run,
             self.heartbeats.run_news,
+            self.heartbeats.run_measures,
             self._tick_loop,
         ):
             self._tasks.append(asyncio.ensure_future(self._forever(loop)))
@@ -262,6 +276,18 @@
                 self.journal.state("fault", loop=loop.__qualname__, error=repr(error))
                 await asyncio.sleep(_TICK_S)
 
+    def _own_measures(self, now: float) -> Optional[Measured]:
+        """Return what this machine has seen of its region; None while no policy asks for it."""
+        if not self.policies.steers_by_measures:
+            return None
+        machines = sum(
+            member.region == self.settings.region and self.gossip.takes_callers(member.name, now)
+            for member in self.beliefs.members.values()
+        )
+        return self.board.measure(
+            lambda service: machines * self.pipeline.arrivals_per_s(service, now), now
+        )
+
     async def _tick_loop(self) -> None:
         swept_at = self.clock.monotonic()
         while True:
--- a/sprucewinch/gateway/heartbeats.py
+++ b/sprucewinch/gateway/heartbeats.py
@@ -1,4 +1,4 @@
-"""Datagrams between entry VMs: heartbeats, news of what the store says, crowded servers."""
+"""Datagrams between entry VMs: heartbeats, news of the store, crowded servers, measures."""
 
 import asyncio
 import contextlib
@@ -12,6 +12,7 @@
 from .._address import parse_address
 from .beliefs import Beliefs
 from .gossip import BEAT_S, Beat, Gossip
+from .measured import MEASURE_S, MeasureBoard, Measured
 from .relay import NEWS_S, News, Relay
 from .servers import ServerBook
 
@@ -30,6 +31,9 @@
     waiting: int
 
 
+Message = Union[Beat, News, Crowded, Measured]
+
+
 class Heartbeats(asyncio.DatagramProtocol):
     """Sends this machine's heartbeats and learns from those of others.
 
@@ -38,6 +42,7 @@
         beliefs: Registered machines.
         relay: This machine's part in passing on what the store says.
         book: Backend servers; told of those that are crowded.
+        board: Told of the load of other regions.
         ready: Tells whether this machine takes callers.
         monotonic: Source of time.
         rng: Source of randomness.
@@ -49,6 +54,7 @@
         beliefs: Beliefs,
         relay: Relay,
         book: ServerBook,
+        board: MeasureBoard,
         *,
         ready: Callable[[], bool],
         monotonic: Callable[[], float],
@@ -58,6 +64,8 @@
         self.beliefs = beliefs
         self.relay = relay
         self.book = book
+        self.board = board
+        self.own_measures: Callable[[float], Optional[Measured]] = lambda now: None
         self.ready = ready
         self.monotonic = monotonic
         self.rng = rng
@@ -90,6 +98,19 @@
             if self.relay.follows_store(self.monotonic()):
                 self.tell_news(changed=False)
 
+    async def run_measures(self) -> None:
+        """Tell others of this region's load while this machine is its watcher, again and again."""
+        while True:
+            await asyncio.sleep(MEASURE_S * self.rng.uniform(0.9, 1.1))
+            now = self.monotonic()
+            measured = self.own_measures(now) if self.relay.chosen(now) else None
+            if measured is None:
+                continue
+            self.board.take(measured, now)
+            data = msgspec.msgpack.encode(measured)
+            for member in self.relay.audience(changed=True):
+                self._send(data, member.peer_address)
+
     def tell_news(self, *, changed: bool) -> None:
         """Tell others what the store says.
 
@@ -129,15 +150,17 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Learn from a message; what is none is dropped."""
         with contextlib.suppress(msgspec.MsgspecError):
-            message = msgspec.msgpack.decode(data, type=Union[Beat, News, Crowded])
+            message = msgspec.msgpack.decode(data, type=Message)
             self.heard_from = f"{addr[0]}:{addr[1]}"
             self._take(message, self.monotonic())
 
-    def _take(self, message: Union[Beat, News, Crowded], now: float) -> None:
+    def _take(self, message: Message, now: float) -> None:
         if isinstance(message, Beat):
             self.gossip.take(message, now)
         elif isinstance(message, Crowded):
             self.book.heard_crowded(message.server, message.running, message.waiting, now)
+        elif isinstance(message, Measured):
+            self.board.take(message, now)
         elif self.relay.take(message, now):
             self.known_less.set()
 
--- a/sprucewinch/gateway/model.py
+++ b/sprucewinch/gateway/model.py
@@ -231,6 +231,7 @@
         max_files: Descriptors that the process may open.
         memory_bytes: Memory that the process may use.
         link_mbps: Width of the machine's link.
+        policy: Shipped policy of services for which operators have chosen none.
         bounds: Figures that the fleet keeps together.
     """
 
@@ -248,4 +249,5 @@
     max_files: int = 4096
     memory_bytes: int = 300 * 1024 * 1024
     link_mbps: int = 0
+    policy: str = "capacity"
     bounds: Bounds = Bounds()
--- a/sprucewinch/gateway/pipeline.py
+++ b/sprucewinch/gateway/pipeline.py
@@ -114,6 +114,11 @@
             if refused is not None:
                 return self._end(call, route, refused)
 
+    def arrivals_per_s(self, service: str, now: float) -> float:
+        """Return the requests a second that callers send here for a service."""
+        budget = self.budgets.get(service)
+        return budget.requests_per_s(now) if budget else 0.0
+
     def _route(self, call: Call) -> Union[Route, Refused]:
         if self.table is None:
             return Refused.NO_CONFIGURATION
--- a/sprucewinch/gateway/policies.py
+++ b/sprucewinch/gateway/policies.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Callable
 
-from ..errors import PolicyError
+from ..errors import PolicyError, SettingsError
 from ..policy import Policy, ProgramPolicy, shipped_policies
 from .beliefs import Beliefs, Change
 from .model import PolicyChoice, PolicyProgram
 
 DEFAULT_POLICY = "capacity"
+_MEASURED = ("in_use", "headroom", "latency_ms", "demand_per_s")
+"""Fields of a snapshot that have to be measured."""
+
 ALL_SERVICES = "*"
 """Name that a choice carries when it is for every service without one of its own."""
 
@@ -20,26 +23,50 @@
     Args:
         beliefs: What this machine believes.
         trouble: Told of a program that cannot be used, with the cause.
+        default: Shipped policy of services without a choice.
+
+    Raises:
+        SettingsError: When no policy of that name is shipped.
     """
 
     def __init__(
-        self, beliefs: Beliefs, trouble: Callable[[str, str], None] = lambda key, cause: None
+        self,
+        beliefs: Beliefs,
+        trouble: Callable[[str, str], None] = lambda key, cause: None,
+        *,
+        default: str = DEFAULT_POLICY,
     ) -> None:
         shipped = shipped_policies()
+        if default not in shipped:
+            raise SettingsError(
+                f"no policy {default!r} is shipped", f"name one of {', '.join(shipped)}"
+            )
         self.trouble = trouble
+        self.default = default
         self.programs: dict[str, Policy] = {n: ProgramPolicy(n, s) for n, s in shipped.items()}
         self.choices: dict[str, str] = {}
         beliefs.listeners.append(self._learn)
 
     def name_for(self, service: str) -> str:
         """Return the name of the policy in force for a service."""
-        chosen = self.choices.get(service, self.choices.get(ALL_SERVICES, DEFAULT_POLICY))
-        return chosen if chosen in self.programs else DEFAULT_POLICY
+        chosen = self.choices.get(service, self.choices.get(ALL_SERVICES, self.default))
+        return chosen if chosen in self.programs else self.default
 
     def policy_for(self, service: str) -> Policy:
         """Return the policy in force for a service."""
         return self.programs[self.name_for(service)]
 
+    @property
+    def steers_by_measures(self) -> bool:
+        """Tell whether a policy that may be in force reads measures of load or latency."""
+        names = {self.default, *self.choices.values()}
+        programs = (self.programs[name] for name in names if name in self.programs)
+        return any(reads_measures(program) for program in programs)
+
+    def measured(self, service: str) -> bool:
+        """Tell whether the policy in force for a service reads measures."""
+        return reads_measures(self.policy_for(service))
+
     def _learn(self, change: Change) -> None:
         if isinstance(change.after, PolicyProgram):
             self._compile(change.key, change.after)
@@ -53,3 +80,8 @@
             self.programs[program.name] = ProgramPolicy(program.name, program.source)
         except PolicyError as error:
             self.trouble(key, str(error))
+
+
+def reads_measures(policy: Policy) -> bool:
+    """Tell whether a program names a field that has to be measured."""
+    return isinstance(policy, ProgramPolicy) and any(name in policy.source for name in _MEASURED)
--- a/sprucewinch/gateway/shares.py
+++ b/sprucewinch/gateway/shares.py
@@ -5,6 +5,7 @@
 from ..placement import Shares, make_shares
 from ..policy import PolicyFault
 from ..shift import ShiftCap, ShiftLimiter
+from .measured import MeasureBoard
 from .policies import PolicyBook
 from .servers import ServerBook
 
@@ -20,6 +21,7 @@
     Args:
         book: Backend servers.
         policies: Policies in force.
+        board: Load and latency of the regions, as far as they were told.
         regions: Region of each data hall.
         home: Region of this machine's callers.
         shift_cap: Most callers that may move within a window.
@@ -29,6 +31,7 @@
         self,
         book: ServerBook,
         policies: PolicyBook,
+        board: MeasureBoard,
         *,
         regions: dict[str, str],
         home: str,
@@ -36,14 +39,16 @@
     ) -> None:
         self.book = book
         self.policies = policies
+        self.board = board
         self.regions = regions
         self.home = home
         self.order = tuple(dict.fromkeys(regions.values()))
         self.cap = ShiftCap(shift_cap * _CAP_SAFETY, SHIFT_WINDOW_S, 0.0)
+        self.limits = GuardLimits(planners=max(1, len(self.order)))
         self.limiters: dict[str, ShiftLimiter] = {}
         self.targets: dict[str, Shares] = {}
         self.notes: dict[str, tuple[str, ...]] = {}
-        self._planned_for = (-1, -1)
+        self._planned_for: tuple[int, int, tuple[int, int]] = (-1, -1, (-1, -1))
 
     def shares(self, service: str, now: float) -> Shares:
         """Return the shares in force of a service."""
@@ -55,7 +60,8 @@
 
     def tick(self, now: float) -> None:
         """Follow what has changed, then move all shares towards their targets."""
-        facts = (self.book.beliefs.generation, self.book.generation)
+        told = self.board.changes(now)
+        facts = (self.book.beliefs.generation, self.book.generation, told)
         if self._planned_for != facts:
             self._planned_for = facts
             for service in list(self.limiters):
@@ -72,7 +78,7 @@
             self.notes[service] = (f"policy-fault:{wanted.problem}",)
             self.targets.setdefault(service, current)
         else:
-            granted = grant(wanted, current, snapshot, GuardLimits())
+            granted = grant(wanted, current, snapshot, self.limits)
             self.targets[service] = granted.shares
             self.notes[service] = granted.notes
         if limiter is None:
@@ -93,6 +99,18 @@
         return Snapshot(
             service=service,
             client_region=self.home,
-            regions={r: RegionMeasures(slots, age_s=0.0) for r, slots in capacity.items()},
+            regions={r: self._measures(service, r, slots, now) for r, slots in capacity.items()},
             distance_ms={r: _HOME_MS if r == self.home else _AWAY_MS for r in self.order},
+            demand_per_s=self.board.demand_per_s(service, now),
         )
+
+    def _measures(self, service: str, region: str, slots: float, now: float) -> RegionMeasures:
+        """Return what is known of a region.
+
+        A policy that reads measures gets none where none were told, so that the guard lets the
+        region gain nobody; for any other policy the slots are all there is to know.
+        """
+        told = self.board.region_measures(region, service, slots, now)
+        if told is not None:
+            return told
+        return RegionMeasures(slots, age_s=None if self.policies.measured(service) else 0.0)
--- /dev/null
+++ b/tests/test_gateway_measured.py
@@ -0,0 +1,133 @@
+"""Load and latency of regions on the routed path: who tells them, what policies do with them."""
+
+import unittest
+
+import msgspec
+
+from sprucewinch.errors import SettingsError
+from sprucewinch.gateway.heartbeats import Message
+from sprucewinch.gateway.measured import KEPT_S, Measured, ServiceMeasure
+from sprucewinch.gateway.model import PolicyChoice
+from sprucewinch.gateway.policies import PolicyBook
+from standins.consortium_store import StoreStandIn
+from standins.virtual import VirtualLoop, pass_time, run_virtual
+
+from .gateway_fakes import World
+from .test_gateway_policies import Steered
+from .test_platform_store import configuration
+from .virtual_fleet import VirtualFleet
+
+_GUARD_STALE_S = 5.5
+_FULL, _EMPTY = 12.0, 0.0
+
+
+def _tell(
+    steered: Steered, *, east: float, west: float, east_ms: float = 150, west_ms: float = 150
+) -> None:
+    """Let both regions tell their load: the east has 12 slots, the west 36."""
+    for region, in_use, latency_ms in (("east", east, east_ms), ("west", west, west_ms)):
+        measure = ServiceMeasure("rates", in_use, latency_ms, 20.0)
+        steered.board.take(Measured("vm9", region, (measure,)), steered.now)
+
+
+def _steer(steered: Steered, seconds: float, **load: float) -> float:
+    """Tell the same load every second for some time; returns the east's share at the end."""
+    for _ in range(int(seconds)):
+        _tell(steered, **load)
+        steered.run(1.0)
+    return steered.share("east")
+
+
+def _live(steered: Steered, demand: float, seconds: float) -> list[float]:
+    """Let callers need some slots, wherever they are steered; returns the east's shares."""
+    shares = []
+    for _ in range(int(seconds)):
+        east = steered.share("east")
+        _tell(steered, east=min(_FULL, demand * east), west=demand * (1 - east))
+        steered.run(1.0)
+        shares.append(steered.share("east"))
+    return shares
+
+
+def _choose(policy: str, home: str = "east") -> Steered:
+    steered = Steered(home)
+    steered.world.say("policy-of/rates", PolicyChoice("rates", policy))
+    return steered
+
+
+class PoliciesThatMeasure(unittest.TestCase):
+    def test_headroom_leaves_a_full_home_and_comes_back(self) -> None:
+        steered = _choose("headroom")
+        self.assertGreater(_live(steered, 3.0, 60)[-1], 0.95)
+        full = _live(steered, 15.0, 120)[-60:]
+        self.assertTrue(all(0.4 < share < 0.8 for share in full), full)
+        self.assertGreater(_live(steered, 3.0, 60)[-1], 0.95)
+
+    def test_headroom_does_not_move_callers_into_a_full_region(self) -> None:
+        steered = _choose("headroom")
+        _steer(steered, 30, east=_EMPTY, west=36.0)
+        self.assertGreater(_steer(steered, 60, east=_FULL, west=36.0), 0.95)
+
+    def test_latency_goes_where_answers_take_least_time(self) -> None:
+        steered = _choose("latency")
+        slow = _steer(steered, 60, east=3.0, west=3.0, east_ms=900.0)
+        self.assertLess(slow, 0.3)
+
+    def test_figures_that_are_no_longer_told_move_nobody(self) -> None:
+        steered = _choose("headroom")
+        _steer(steered, 60, east=_EMPTY, west=_EMPTY)
+        _tell(steered, east=_FULL, west=_EMPTY)
+        steered.run(_GUARD_STALE_S)
+        before = steered.share("east")
+        steered.run(KEPT_S + 60.0)
+        self.assertAlmostEqual(steered.share("east"), before, places=2)
+
+    def test_the_default_policy_asks_for_no_measures(self) -> None:
+        self.assertFalse(Steered().policies.steers_by_measures)
+        for policy, asks in (("headroom", True), ("latency", True), ("nearest", False)):
+            self.assertIs(_choose(policy).policies.steers_by_measures, asks, policy)
+
+    def test_a_default_that_is_not_shipped_is_refused_with_a_remedy(self) -> None:
+        with self.assertRaisesRegex(SettingsError, "name one of capacity"):
+            PolicyBook(World().beliefs, default="nobody-wrote-it")
+
+
+class Board(unittest.TestCase):
+    def test_a_watcher_tells_of_its_own_region_alone(self) -> None:
+        steered = Steered("east")
+        book = steered.world.book
+        for server in book.servers.values():
+            server.told_load(4, 1, 10.0)
+            server.succeeded(0.2, 10.0)
+        (told,) = steered.board.measure(lambda service: 30.0, 10.0).services
+        self.assertEqual((told.service, told.in_use), ("rates", 10.0))
+        self.assertEqual((told.latency_ms, told.demand_per_s), (200.0, 30.0))
+
+    def test_a_message_passes_unchanged(self) -> None:
+        told = Measured("vm1", "east", (ServiceMeasure("rates", 3.5, -1.0, 8.0),))
+        data = msgspec.msgpack.encode(told)
+        self.assertEqual(msgspec.msgpack.decode(data, type=Message), told)
+
+
+class Fleet(unittest.TestCase):
+    def test_all_machines_hold_the_figures_of_one_watcher_of_each_region(self) -> None:
+        async def play(loop: VirtualLoop) -> None:
+            store = StoreStandIn(loop)
+            store.put("op/config", configuration(3))
+            fleet = VirtualFleet(loop, store, 9)
+            for machine in fleet.machines:
+                measured = Measured(machine.name, machine.region, (ServiceMeasure("s", 1, 2, 3),))
+                machine.heartbeats.own_measures = lambda now, told=measured: told
+            await pass_time(15.0)
+            counts = [machine.board.heard for machine in fleet.machines]
+            begun = list(counts)
+            await pass_time(10.0)
+            told = [m.board.heard - b for m, b in zip(fleet.machines, begun, strict=True)]
+            self.assertTrue(all(24 <= count <= 36 for count in told), told)
+            self.assertTrue(all(len(m.board.held) == 3 for m in fleet.machines))
+
+        run_virtual(play)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_gateway_policies.py
+++ b/tests/test_gateway_policies.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from sprucewinch.gateway.measured import MeasureBoard
 from sprucewinch.gateway.model import Backend, PolicyChoice, PolicyProgram
 from sprucewinch.gateway.policies import DEFAULT_POLICY, PolicyBook
 from sprucewinch.gateway.shares import RegionShares
@@ -23,9 +24,11 @@
             backend = Backend(f"s{number}", "rates", f"10.0.0.{number}:80", zone, 6)
             self.world.say(f"servers/s{number}", backend)
         self.policies = PolicyBook(self.world.beliefs, lambda key, cause: self.troubles.append(key))
+        self.board = MeasureBoard(self.world.book, "vm0", home)
         self.shares = RegionShares(
             self.world.book,
             self.policies,
+            self.board,
             regions=REGIONS,
             home=home,
             shift_cap=BOUNDS.shift_cap,
--- a/tests/test_process_gateway.py
+++ b/tests/test_process_gateway.py
@@ -1,6 +1,7 @@
 """The program on the consortium's platform as a real process: requests, signals, neighbours."""
 
 import asyncio
+import contextlib
 import json
 import signal
 import socket
@@ -91,6 +92,15 @@
     async def _unready(self, vm) -> bool:
         return not await self.ready(vm)
 
+    async def test_being_told_to_stop_again_until_the_end_changes_nothing(self) -> None:
+        vm = self.vms[0]
+        ending = asyncio.create_task(vm.ended())
+        while not ending.done():
+            with contextlib.suppress(ProcessLookupError):
+                vm.signal(signal.SIGTERM)
+            await asyncio.sleep(0.002)
+        self.assertEqual(await ending, 0)
+
     async def test_a_caller_that_leaves_ends_the_run(self) -> None:
         for backend in self.backends:
             backend.work_s = 20.0
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -10,6 +10,7 @@
 from sprucewinch.gateway.gossip import Gossip
 from sprucewinch.gateway.heartbeats import Heartbeats
 from sprucewinch.gateway.journal import Journal
+from sprucewinch.gateway.measured import MeasureBoard
 from sprucewinch.gateway.model import Member
 from sprucewinch.gateway.outages import StoreOutages
 from sprucewinch.gateway.registrar import Registrar
@@ -57,12 +58,14 @@
             self.name, self.region, self.gossip, self.beliefs, outages, regions=len(REGIONS)
         )
         self.book = ServerBook(self.beliefs, BOUNDS, self.name, FLEET_ZONES, outages)
+        self.board = MeasureBoard(self.book, self.name, self.region)
         self.book.tell_crowded = lambda *load: self.heartbeats.tell_crowded(*load)
         self.heartbeats = Heartbeats(
             self.gossip,
             self.beliefs,
             self.relay,
             self.book,
+            self.board,
             ready=lambda: self.beliefs.known,
             monotonic=loop.time,
             rng=rng,
@@ -92,6 +95,7 @@
             registrar.run,
             self.heartbeats.run,
             self.heartbeats.run_news,
+            self.heartbeats.run_measures,
             self._tick,
         )
         self.tasks = [loop.create_task(run()) for run in loops]
