Eject backend servers that are slow or fail while others of their service do not

Change: gateway/outliers: bad samples (failed, or 2.5 times the usual work on an object that the server has lately had), shared by datagram; four of them and three for each good one eject for 2, 4, 8 s; a fifth of a service at most. Ruled out as samples: objects new to a server, waiting in its queue (tests). Tests: test_gateway_outliers, 9 passed.

--- a/sprucewinch/gateway/admit.py
+++ b/sprucewinch/gateway/admit.py
@@ -10,6 +10,7 @@
 
 from .call import Blocked, Call, Chosen, Refused
 from .model import Route
+from .outliers import Outliers
 from .place import Placement
 from .server import Server
 from .servers import ServerBook
@@ -26,10 +27,12 @@
 
     Args:
         book: Backend servers.
+        outliers: Servers that are slow or fail while others are not.
     """
 
-    def __init__(self, book: ServerBook) -> None:
+    def __init__(self, book: ServerBook, outliers: Outliers) -> None:
         self.book = book
+        self.outliers = outliers
 
     def choose(
         self, call: Call, placement: Placement, service: str, now: float, route: Route
@@ -85,7 +88,7 @@
         return server in placement.servers[: placement.near]
 
     def _reachable(self, server: Server, now: float) -> bool:
-        if server.paused_until > now or server.silent(now):
+        if server.paused_until > now or server.silent(now) or self.outliers.ejected(server, now):
             return False
         return not server.cold(now) or server.cold_allowed(now, self.book.cold_allowance(server))
 
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -21,6 +21,7 @@
 from .measured import MeasureBoard, Measured
 from .model import GatewaySettings, Member, Names
 from .outages import StoreOutages
+from .outliers import Outliers
 from .pipeline import Pipeline
 from .place import Placer
 from .policies import PolicyBook
@@ -110,11 +111,12 @@
             shift_cap=settings.bounds.shift_cap,
         )
         self.pool = Pool(wire.names.request_id, monotonic)
+        self.outliers = Outliers(self.book, note=self.journal.state)
         self.pipeline = Pipeline(
             self.beliefs,
             self.book,
             Placer(self.book, self.shares, settings.regions),
-            Sender(self.book, self.pool, wire.names, monotonic, self.journal.state),
+            Sender(self.book, self.outliers, self.pool, wire.names, monotonic, self.journal.state),
             bounds=settings.bounds,
             monotonic=monotonic,
             rng=self.rng,
@@ -152,12 +154,14 @@
             self.beliefs,
             self.relay,
             self.book,
+            self.outliers,
             self.board,
             ready=self.ready,
             monotonic=monotonic,
             rng=self.rng,
         )
         self.book.tell_crowded = self.heartbeats.tell_crowded
+        self.outliers.tell = self.heartbeats.tell_bad_sample
         self.heartbeats.own_measures = self._own_measures
         self._tasks: list[asyncio.Task] = []
 
@@ -299,6 +303,7 @@
             if now - swept_at > _SWEEP_S:
                 swept_at = now
                 self.pool.sweep()
+                self.outliers.forget()
                 self._share_connections()
                 self._reload_if_changed()
             await asyncio.sleep(_TICK_S)
--- a/sprucewinch/gateway/heartbeats.py
+++ b/sprucewinch/gateway/heartbeats.py
@@ -13,6 +13,7 @@
 from .beliefs import Beliefs
 from .gossip import BEAT_S, Beat, Gossip
 from .measured import MEASURE_S, MeasureBoard, Measured
+from .outliers import Outliers
 from .relay import NEWS_S, News, Relay
 from .servers import ServerBook
 
@@ -31,7 +32,17 @@
     waiting: int
 
 
-Message = Union[Beat, News, Crowded, Measured]
+class BadSample(msgspec.Struct, array_like=True, frozen=True, tag="bad"):
+    """A request that failed at a backend server, or took far longer than usual.
+
+    Args:
+        server: Id of the server.
+    """
+
+    server: str
+
+
+Message = Union[Beat, News, Crowded, BadSample, Measured]
 
 
 class Heartbeats(asyncio.DatagramProtocol):
@@ -42,6 +53,7 @@
         beliefs: Registered machines.
         relay: This machine's part in passing on what the store says.
         book: Backend servers; told of those that are crowded.
+        outliers: Told of bad samples.
         board: Told of the load of other regions.
         ready: Tells whether this machine takes callers.
         monotonic: Source of time.
@@ -54,6 +66,7 @@
         beliefs: Beliefs,
         relay: Relay,
         book: ServerBook,
+        outliers: Outliers,
         board: MeasureBoard,
         *,
         ready: Callable[[], bool],
@@ -64,6 +77,7 @@
         self.beliefs = beliefs
         self.relay = relay
         self.book = book
+        self.outliers = outliers
         self.board = board
         self.own_measures: Callable[[float], Optional[Measured]] = lambda now: None
         self.ready = ready
@@ -129,7 +143,14 @@
 
         A machine of a large fleet sends each server so few requests that it would not hear of it.
         """
-        data = msgspec.msgpack.encode(Crowded(server_id, running, waiting))
+        self._tell_some(Crowded(server_id, running, waiting))
+
+    def tell_bad_sample(self, server_id: str) -> None:
+        """Tell other machines of a request that failed at a backend server or took long."""
+        self._tell_some(BadSample(server_id))
+
+    def _tell_some(self, message: Message) -> None:
+        data = msgspec.msgpack.encode(message)
         for member in self.relay.audience(changed=False):
             self._send(data, member.peer_address)
 
@@ -159,6 +180,8 @@
             self.gossip.take(message, now)
         elif isinstance(message, Crowded):
             self.book.heard_crowded(message.server, message.running, message.waiting, now)
+        elif isinstance(message, BadSample):
+            self.outliers.heard(message.server, now)
         elif isinstance(message, Measured):
             self.board.take(message, now)
         elif self.relay.take(message, now):
--- /dev/null
+++ b/sprucewinch/gateway/outliers.py
@@ -0,0 +1,188 @@
+"""Outlier ejection: backend servers that are slow or fail while others of their service are not.
+
+A sample is bad when its request failed, or took several times what the service usually takes
+although this machine had sent the server the same object shortly before: an object that is new to a
+server takes longer anywhere. Machines tell each other of bad samples, as one alone sees too few. An
+ejected server's objects go to the next in their order; after a while it is tried again. Never more
+than a part of a service is ejected, as the others have to bear its load.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from .server import Server
+from .servers import ServerBook
+
+_WINDOW_S = 2.5
+"""How long samples count, in seconds."""
+
+_LEAST_BAD = 4
+_BAD_FOR_EACH_GOOD = 3.0
+_SLOW_TIMES = 2.5
+"""How many times the usual work of its service makes a sample slow."""
+
+_LEAST_SAMPLES = 20
+"""Samples of a service before its usual work is trusted."""
+
+_STEP = 0.02
+"""Part by which the usual work moves with each sample: a running median."""
+
+_WARM_S = 10.0
+"""How long a server is taken to keep an object warm, in seconds."""
+
+_MOST_KEPT = 4000
+_FIRST_EJECTION_S = 2.0
+_MOST_EJECTION_S = 8.0
+_FORGIVEN_S = 15.0
+"""Time without an ejection after which the next is a first one again, in seconds."""
+
+_MOST_PART = 0.2
+"""Largest part of a service's servers that is ejected at once."""
+
+_TELL_S = 0.1
+_CROWDED_TIMES = 1.5
+
+
+class Sample(NamedTuple):
+    """One request's fate at a server, as monotonic time in seconds and a verdict."""
+
+    at: float
+    bad: bool
+
+
+class Record:
+    """What speaks for and against one server."""
+
+    __slots__ = ("ejected_at", "ejected_until", "ejections", "samples", "told_at")
+
+    def __init__(self) -> None:
+        self.samples: deque[Sample] = deque()
+        self.ejections = 0
+        self.ejected_at = float("-inf")
+        self.ejected_until = float("-inf")
+        self.told_at = float("-inf")
+
+    def add(self, sample: Sample) -> None:
+        """Keep a sample, and drop those that no longer count."""
+        self.samples.append(sample)
+        while self.samples[0].at < sample.at - _WINDOW_S:
+            self.samples.popleft()
+
+    def stands_out(self) -> bool:
+        """Tell whether bad samples outweigh good ones."""
+        bad = sum(sample.bad for sample in self.samples)
+        good = len(self.samples) - bad
+        return bad >= _LEAST_BAD and bad >= _BAD_FOR_EACH_GOOD * good
+
+    def eject(self, now: float) -> None:
+        """Eject the server, twice as long as the last time."""
+        if now - self.ejected_until > _FORGIVEN_S:
+            self.ejections = 0
+        pause_s = min(_MOST_EJECTION_S, _FIRST_EJECTION_S * 2**self.ejections)
+        self.ejections += 1
+        self.ejected_at = now
+        self.ejected_until = now + pause_s
+        self.samples.clear()
+
+
+class Outliers:
+    """Judges the servers of a book.
+
+    Args:
+        book: Backend servers.
+        tell: Tells other machines of a bad sample at a server.
+        note: Told of an ejection, for the log.
+    """
+
+    def __init__(
+        self,
+        book: ServerBook,
+        tell: Callable[[str], None] = lambda server_id: None,
+        note: Callable[..., None] = lambda event, **inputs: None,
+    ) -> None:
+        self.book = book
+        self.tell = tell
+        self.note = note
+        self.records: dict[str, Record] = {}
+        self.usual_s: dict[str, float] = {}
+        self.counts: dict[str, int] = {}
+        self._sent: OrderedDict[tuple[str, str], float] = OrderedDict()
+
+    def answered(self, server: Server, key: str, seconds: float, held: int, now: float) -> None:
+        """Note an answer of a server's own.
+
+        Args:
+            server: The server.
+            key: Object of the request; empty when it has none.
+            seconds: How long the answer took.
+            held: Requests that the server held when it answered, as it said; 0 when it did not.
+            now: Monotonic time, in seconds.
+        """
+        if not key or not self._kept_warm(server.backend.id, key, now):
+            return
+        slots = server.backend.capacity
+        work_s = seconds * slots / max(slots, held)
+        self._sample(server, self._is_slow(server.backend.service, work_s), now)
+
+    def failed(self, server: Server, now: float) -> None:
+        """Note a request that failed at a server; where too many wait, that is no fault of its."""
+        if server.load(now) <= _CROWDED_TIMES * server.backend.capacity:
+            self._sample(server, True, now)
+
+    def heard(self, server_id: str, now: float) -> None:
+        """Take over a bad sample of another machine."""
+        server = self.book.servers.get(server_id)
+        if server is not None:
+            self._add(server, Sample(now, True))
+
+    def ejected(self, server: Server, now: float) -> bool:
+        """Tell whether a server is to get nothing for now."""
+        record = self.records.get(server.backend.id)
+        return record is not None and now < record.ejected_until
+
+    def forget(self) -> None:
+        """Drop what is known of servers that are gone."""
+        servers = self.book.servers
+        self.records = {name: r for name, r in self.records.items() if name in servers}
+
+    def _kept_warm(self, server_id: str, key: str, now: float) -> bool:
+        """Tell whether a server had this object lately; from now on it has."""
+        before = self._sent.pop((server_id, key), float("-inf"))
+        self._sent[server_id, key] = now
+        if len(self._sent) > _MOST_KEPT:
+            self._sent.popitem(last=False)
+        return now - before <= _WARM_S
+
+    def _is_slow(self, service: str, work_s: float) -> bool:
+        usual_s = self.usual_s.get(service, work_s)
+        count = self.counts.get(service, 0)
+        self.counts[service] = count + 1
+        self.usual_s[service] = usual_s * (1 + _STEP if work_s > usual_s else 1 - _STEP)
+        return count >= _LEAST_SAMPLES and work_s > _SLOW_TIMES * usual_s
+
+    def _sample(self, server: Server, bad: bool, now: float) -> None:
+        record = self._add(server, Sample(now, bad))
+        if bad and now - record.told_at >= _TELL_S:
+            record.told_at = now
+            self.tell(server.backend.id)
+
+    def _add(self, server: Server, sample: Sample) -> Record:
+        record = self.records.setdefault(server.backend.id, Record())
+        if sample.at < record.ejected_until:
+            return record
+        record.add(sample)
+        if record.stands_out() and self._may_eject(server.backend.service, sample.at):
+            record.eject(sample.at)
+            self.note(
+                "server-ejected",
+                server=server.backend.id,
+                for_s=round(record.ejected_until - sample.at, 1),
+                usual_ms=round(1000 * self.usual_s.get(server.backend.service, 0.0), 1),
+            )
+        return record
+
+    def _may_eject(self, service: str, now: float) -> bool:
+        servers = self.book.usable(service)
+        out = sum(self.ejected(server, now) for server in servers)
+        return out + 1 <= _MOST_PART * len(servers)
--- a/sprucewinch/gateway/pipeline.py
+++ b/sprucewinch/gateway/pipeline.py
@@ -78,7 +78,7 @@
         self.bounds = bounds
         self.monotonic = monotonic
         self.rng = rng
-        self.admission = Admission(book)
+        self.admission = Admission(book, sender.outliers)
         self.splits = Splits()
         self.budgets: dict[str, RepeatBudget] = {}
         self.table: Optional[RouteTable] = None
--- a/sprucewinch/gateway/send.py
+++ b/sprucewinch/gateway/send.py
@@ -7,12 +7,14 @@
 from .connection import Answer, ConnectFailedError, ExchangeFailedError
 from .judge import judge, load_of
 from .model import Names
+from .outliers import Outliers
 from .pool import Pool
 from .server import Server
 from .servers import ServerBook
 
 _SHED_PAUSE_S = 0.05
 _MISDIRECTED_PAUSE_S = 60.0
+_FAILURE = 500
 _KEEP_ALIVE = "timeout="
 _LEAST_DEADLINE_MS = 1
 
@@ -22,6 +24,7 @@
 
     Args:
         book: Backend servers.
+        outliers: Told of the fate of every request.
         pool: Connections.
         names: Names of headers.
         monotonic: Source of time.
@@ -31,12 +34,14 @@
     def __init__(
         self,
         book: ServerBook,
+        outliers: Outliers,
         pool: Pool,
         names: Names,
         monotonic: Callable[[], float],
         tell: Callable[..., None] = lambda event, **inputs: None,
     ) -> None:
         self.book = book
+        self.outliers = outliers
         self.pool = pool
         self.names = names
         self.monotonic = monotonic
@@ -64,6 +69,7 @@
         now = self.monotonic()
         send = send._replace(seconds=now - started)
         self._learn(server, send, started, now, call.id)
+        self._sample(server, send, call.key, now)
         return send
 
     async def _exchange(self, call: Call, server: Server, until: float, fresh: bool) -> Send:
@@ -91,6 +97,18 @@
             lines.append(f"content-length: {len(call.body)}")
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + call.body
 
+    def _sample(self, server: Server, send: Send, key: str, now: float) -> None:
+        """Note what a send says of its server beside the others of its service."""
+        if send.verdict is Verdict.UNKNOWN:
+            self.outliers.failed(server, now)
+        elif send.verdict is Verdict.ANSWERED and send.answer is not None:
+            if send.answer.status >= _FAILURE:
+                self.outliers.failed(server, now)
+                return
+            load = load_of(send.answer, self.names)
+            held = load.running + load.waiting if load else 0
+            self.outliers.answered(server, key, send.seconds, held, now)
+
     def _learn(
         self, server: Server, send: Send, started: float, now: float, request_id: str
     ) -> None:
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -17,6 +17,7 @@
     ServiceRule,
 )
 from sprucewinch.gateway.outages import StoreOutages
+from sprucewinch.gateway.outliers import Outliers
 from sprucewinch.gateway.pipeline import Pipeline
 from sprucewinch.gateway.place import Placer
 from sprucewinch.gateway.policies import PolicyBook
@@ -133,7 +134,8 @@
         )
         self.placer = Placer(self.world.book, self.shares, REGIONS)
         self.pool = Pool(NAMES.request_id, loop.time)
-        self.sender = Sender(self.world.book, self.pool, NAMES, loop.time)
+        self.outliers = Outliers(self.world.book)
+        self.sender = Sender(self.world.book, self.outliers, self.pool, NAMES, loop.time)
         self.pipeline = Pipeline(
             self.world.beliefs,
             self.world.book,
--- /dev/null
+++ b/tests/test_gateway_outliers.py
@@ -0,0 +1,161 @@
+"""Servers that are slow or fail while others are not: who is ejected, and for how long."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sprucewinch.gateway.model import Backend
+from sprucewinch.gateway.outliers import Outliers
+from standins.consortium_store import StoreStandIn
+from standins.virtual import VirtualLoop, pass_time, run_virtual
+
+from .gateway_fakes import Path, World, route
+from .test_platform_store import configuration
+from .virtual_fleet import VirtualFleet
+
+_USUAL_S = 0.15
+_SERVERS = 10
+_OBJECTS = 40
+
+
+async def _serve(path: Path, seconds: float, start: int = 0) -> dict[str, int]:
+    """Send 60 requests a second about many objects; returns how many ran at each server."""
+    before = {name: len(server.runs) for name, server in path.servers.items()}
+    for number in range(int(seconds * 60)):
+        key = f"lane-{number % _OBJECTS}"
+        path.loop.create_task(path.pipeline.run(path.call(f"q{start + number}", key=key)))
+        await pass_time(1 / 60)
+    return {name: len(server.runs) - before[name] for name, server in path.servers.items()}
+
+
+def _path(loop: VirtualLoop) -> Path:
+    path = Path(loop, servers=_SERVERS)
+    path.world.configure(route(timeout_s=2.0))
+    for server in path.servers.values():
+        server.work_s = _USUAL_S
+    return path
+
+
+class SlowServers(unittest.TestCase):
+    def test_a_server_five_times_slower_is_left_alone_and_tried_again(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = _path(loop)
+            usual = await _serve(path, 4.0)
+            slow = max(path.servers.values(), key=lambda server: usual[server.server_id])
+            slow.work_s = 5 * _USUAL_S
+            await _serve(path, 3.0, 1000)
+            during = await _serve(path, 1.0, 2000)
+            self.assertEqual(during[slow.server_id], 0)
+            slow.work_s = _USUAL_S
+            await _serve(path, 6.0, 3000)
+            after = await _serve(path, 4.0, 4000)
+            self.assertGreater(after[slow.server_id], usual[slow.server_id] / 2)
+
+        run_virtual(main)
+
+    def test_objects_that_are_new_to_a_server_speak_against_nobody(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = _path(loop)
+            await _serve(path, 2.0)
+            one = path.world.book.servers["s0"]
+            for number in range(50):
+                path.outliers.answered(one, f"new-{number}", 5 * _USUAL_S, 1, loop.time())
+            self.assertFalse(path.outliers.ejected(one, loop.time()))
+
+        run_virtual(main)
+
+    def test_a_long_queue_speaks_against_nobody(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = _path(loop)
+            await _serve(path, 2.0)
+            one = path.world.book.servers["s0"]
+            for _ in range(50):
+                path.outliers.answered(one, "lane-1", 4 * _USUAL_S, 24, loop.time())
+            self.assertFalse(path.outliers.ejected(one, loop.time()))
+
+        run_virtual(main)
+
+
+class FailingServers(unittest.TestCase):
+    def _world(self, servers: int = _SERVERS) -> tuple[World, Outliers]:
+        world = World()
+        world.configure(route())
+        for number in range(servers):
+            backend = Backend(f"s{number}", "rates", f"10.0.0.{number}:80", "east-a", 6)
+            world.say(f"servers/s{number}", backend)
+        return world, Outliers(world.book)
+
+    def test_a_server_that_fails_two_in_five_is_ejected_by_the_fleets_samples(self) -> None:
+        world, outliers = self._world()
+        server = world.book.servers["s3"]
+        outliers.answered(server, "k", 0.1, 1, 10.0)
+        outliers.answered(server, "k", 0.1, 1, 10.1)
+        for number in range(8):
+            outliers.heard("s3", 10.2 + number / 10)
+        self.assertTrue(outliers.ejected(server, 11.0))
+
+    def test_a_server_that_fails_now_and_then_stays(self) -> None:
+        world, outliers = self._world()
+        server = world.book.servers["s3"]
+        for number in range(200):
+            now = 10.0 + number / 10
+            outliers.answered(server, "k", 0.1, 1, now)
+            if number % 10 == 0:
+                outliers.failed(server, now)
+            self.assertFalse(outliers.ejected(server, now))
+
+    @given(st.lists(st.integers(0, 9), max_size=400), st.integers(1, 10))
+    def test_never_more_than_a_part_of_a_service_is_ejected(
+        self, failing: list[int], servers: int
+    ) -> None:
+        world, outliers = self._world(servers)
+        for step, number in enumerate(failing):
+            now = 10.0 + step / 50
+            server = world.book.servers.get(f"s{number}")
+            if server is not None:
+                outliers.failed(server, now)
+            out = sum(outliers.ejected(s, now) for s in world.book.servers.values())
+            self.assertLessEqual(out, 0.2 * servers)
+
+    def test_each_ejection_lasts_longer_until_it_is_forgiven(self) -> None:
+        world, outliers = self._world()
+        server = world.book.servers["s3"]
+        now, lasted = 10.0, []
+        for _ in range(4):
+            while not outliers.ejected(server, now):
+                outliers.failed(server, now)
+                now += 0.05
+            began = now
+            while outliers.ejected(server, now):
+                now += 0.05
+            lasted.append(round(now - began))
+        self.assertEqual(lasted, [2, 4, 8, 8])
+
+    def test_what_is_known_of_a_server_goes_with_it(self) -> None:
+        world, outliers = self._world()
+        outliers.failed(world.book.servers["s3"], 10.0)
+        world.drop("servers/s3", 11.0)
+        outliers.forget()
+        self.assertEqual(outliers.records, {})
+
+
+class Fleet(unittest.TestCase):
+    def test_a_bad_sample_reaches_the_other_machines(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            store = StoreStandIn(loop)
+            store.put("op/config", configuration(3))
+            entry = b'{"Service":"rates","Address":"10.1.0.1:80","Zone":"z","Capacity":6,'
+            store.put("servers/s1", entry + b'"State":"ready"}')
+            fleet = VirtualFleet(loop, store, 6)
+            await pass_time(6.0)
+            fleet.machines[0].heartbeats.tell_bad_sample("s1")
+            await pass_time(0.1)
+            known = [len(m.heartbeats.outliers.records) for m in fleet.machines[1:]]
+            self.assertEqual(known, [1] * 5)
+
+        run_virtual(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -13,6 +13,7 @@
 from sprucewinch.gateway.measured import MeasureBoard
 from sprucewinch.gateway.model import Member
 from sprucewinch.gateway.outages import StoreOutages
+from sprucewinch.gateway.outliers import Outliers
 from sprucewinch.gateway.registrar import Registrar
 from sprucewinch.gateway.relay import Relay
 from sprucewinch.gateway.replica import Delta
@@ -65,6 +66,7 @@
             self.beliefs,
             self.relay,
             self.book,
+            Outliers(self.book),
             self.board,
             ready=lambda: self.beliefs.known,
             monotonic=loop.time,
