Ask another server when one answers a repeatable request with a failure of its own

Cause: a backend server that fails part of its requests (health good) made its callers fail: its 500 was final although the route allows another attempt. Change: within attempts and budget another server is asked; the failure is passed on as it is when that comes to nothing. Before and after: test_gateway_pipeline.OwnFailures, three of four red before, all green after.

--- a/sprucewinch/gateway/pipeline.py
+++ b/sprucewinch/gateway/pipeline.py
@@ -45,6 +45,8 @@
     Refused.FAILED: 502,
 }
 _UNAVAILABLE = 503
+_SERVER_FAILED = 500
+"""Least status of an answer that says that the server failed."""
 
 
 class Pipeline:
@@ -108,8 +110,10 @@
             fresh = bool(call.sends) or not route.repeatable
             send = await self.sender.send(call, chosen, until, fresh=fresh)
             call.sends.append(send)
-            if send.verdict is Verdict.ANSWERED and send.answer is not None:
-                return Reply(send.answer, None, send.answer.status, route=route)
+            if send.verdict is Verdict.ANSWERED:
+                if self._is_final(call, route, send, service):
+                    return _passed_on(send, route)
+                continue
             refused = self._stop_reason(call, route, send, service)
             if refused is not None:
                 return self._end(call, route, refused)
@@ -151,6 +155,15 @@
             return False
         return await server.wait_for_room(min(left_s, _LOOK_AGAIN_S), route.priority)
 
+    def _is_final(self, call: Call, route: Route, send: Send, service: str) -> bool:
+        """Tell whether a server's own answer is passed on, or another server is asked first."""
+        assert send.answer is not None
+        if send.answer.status < _SERVER_FAILED or not route.repeatable:
+            return True
+        if call.runs() >= route.attempts:
+            return True
+        return not self._budget(service).take(self.monotonic(), self.book.machines())
+
     def _stop_reason(self, call: Call, route: Route, send: Send, service: str) -> Optional[Refused]:
         """Return why a request is not sent again; None when it is."""
         if send.verdict is Verdict.UNKNOWN:
@@ -168,7 +181,13 @@
         return Refused.NO_ROOM if send.verdict is Verdict.NOT_RUN else Refused.FAILED
 
     def _end(self, call: Call, route: Route, refused: Refused) -> Reply:
-        """Return the final answer of a request that no server answered; never a false promise."""
+        """Return the final answer of a request that no server served; never a false promise.
+
+        A server's own failure is passed on when asking another one came to nothing.
+        """
+        for send in call.sends:
+            if send.verdict is Verdict.ANSWERED:
+                return _passed_on(send, route)
         if call.runs():
             timeout = refused is Refused.TIMEOUT
             return self._reply(Refused.TIMEOUT if timeout else Refused.FAILED, route)
@@ -195,6 +214,12 @@
             self.table = RouteTable(change.after)
 
 
+def _passed_on(send: Send, route: Route) -> Reply:
+    """Return the reply that passes a server's own answer on."""
+    assert send.answer is not None
+    return Reply(send.answer, None, send.answer.status, route=route)
+
+
 def _held_until(route: Route, call: Call) -> float:
     """Return until when a request is held, as monotonic time in seconds."""
     leaves_at = call.leaves_at - _ANSWER_MARGIN_S
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -30,6 +30,7 @@
     OTHER_ID = "the id of another request"
     LOST = "no answer: the connection is reset after the run"
     SILENT = "no answer, no end"
+    FAILED = "a failure of its own, signed"
 
 
 class Run:
@@ -220,6 +221,8 @@
         elif spoil is Spoil.TWICE_LATE:
             self.transport.write(owed + whole)
             self.owed = whole
+        elif spoil is Spoil.FAILED:
+            self.transport.write(self._encode(500, run.request_id, b"it failed"))
         elif spoil is Spoil.UNSIGNED:
             self.transport.write(self._encode(200, run.request_id, body, signed=False))
         elif spoil is Spoil.OTHER_ID:
--- a/tests/test_gateway_pipeline.py
+++ b/tests/test_gateway_pipeline.py
@@ -201,6 +201,48 @@
         run_virtual(main)
 
 
+class OwnFailures(unittest.TestCase):
+    """A server's own failure is final only where no other server may be asked."""
+
+    def _reply(self, failing: int, **changes: object) -> tuple[int, int]:
+        """Return the status of a request whose first servers fail, and how often it ran."""
+
+        async def main(loop: VirtualLoop) -> tuple[int, int]:
+            path = Path(loop, servers=3)
+            path.world.configure(route(**changes))
+            placement = path.placer.place("rates", "lane-1", (), loop.time())
+            for server in placement.servers[:failing]:
+                path.servers[server.backend.id].spoils = [Spoil.FAILED]
+            reply = await path.pipeline.run(path.call("q"))
+            if reply.status == 500:
+                assert reply.answer is not None
+                self.assertIsNotNone(reply.answer.header("x-response-signature"))
+            return reply.status, path.runs("q")
+
+        return run_virtual(main)
+
+    def test_another_server_answers_a_repeatable_request(self) -> None:
+        self.assertEqual(self._reply(1), (200, 2))
+
+    def test_the_failure_is_passed_on_when_all_attempts_fail(self) -> None:
+        self.assertEqual(self._reply(3), (500, 2))
+
+    def test_the_failure_is_passed_on_when_the_request_must_not_run_twice(self) -> None:
+        self.assertEqual(self._reply(1, repeatable=False), (500, 1))
+
+    def test_the_failure_is_passed_on_when_the_budget_is_spent(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop)
+            path.world.configure(route())
+            path.first().spoils = [Spoil.FAILED] * 200
+            statuses = [
+                (await path.pipeline.run(path.call(f"q{number}"))).status for number in range(200)
+            ]
+            self.assertEqual(set(statuses), {200, 500})
+
+        run_virtual(main)
+
+
 class Placing(unittest.TestCase):
     def test_an_object_stays_with_its_server_while_others_come_and_go(self) -> None:
         async def main(loop: VirtualLoop) -> None:
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -15,7 +15,7 @@
 
 _OK = 200
 _FAULT = 500
-"""No part of the system answers with it, and the stand-ins' backend servers never do."""
+"""No part of the system answers with it of its own."""
 
 _FORBIDDEN = (400, 401, 403, 404, 413, 431)
 _CONFIGURED_S = 2.0
@@ -62,7 +62,7 @@
                 self.ledger.breaks("MIXED", f"{attempt.request_id} got {body[:60]!r}")
         elif attempt.status in _FORBIDDEN and attempt.route in (RATES, BOOK):
             self.ledger.breaks("DENIED", f"{attempt.request_id} got {attempt.status}")
-        elif attempt.status == _FAULT:
+        elif attempt.status == _FAULT and "X-Response-Signature" not in headers:
             self.ledger.breaks("FAULT", f"{attempt.request_id} at {attempt.vm} got {_FAULT}")
         elif attempt.status == 503 and "Retry-After" not in headers:
             self.ledger.breaks("COME BACK", f"{attempt.request_id} is not told when to come back")
