--- a/sprucewinch/gateway/outliers.py
+++ b/sprucewinch/gateway/outliers.py
@@ -40,8 +40,10 @@
 _MOST_PART = 0.2
 """Largest part of a service's servers that is ejected at once."""
 
+_TRIAL_S = 1.0
+"""How long one machine alone tries a server after its ejection, in seconds."""
+
 _TELL_S = 0.1
-_CROWDED_TIMES = 1.5
 
 
 class Sample(NamedTuple):
@@ -75,6 +77,10 @@
         good = len(self.samples) - bad
         return bad >= _LEAST_BAD and bad >= _BAD_FOR_EACH_GOOD * good
 
+    def on_trial(self, now: float) -> bool:
+        """Tell whether its ejection is over and it has not proved itself yet."""
+        return 0.0 <= now - self.ejected_until < _TRIAL_S
+
     def eject(self, now: float) -> None:
         """Eject the server, twice as long as the last time."""
         if now - self.ejected_until > _FORGIVEN_S:
@@ -125,9 +131,15 @@
         work_s = seconds * slots / max(slots, held)
         self._sample(server, self._is_slow(server.backend.service, work_s), now)
 
-    def failed(self, server: Server, now: float) -> None:
-        """Note a request that failed at a server; where too many wait, that is no fault of its."""
-        if server.load(now) <= _CROWDED_TIMES * server.backend.capacity:
+    def failed(self, server: Server, now: float, *, late: bool = False) -> None:
+        """Note a request that failed at a server.
+
+        Args:
+            server: The server.
+            now: Monotonic time, in seconds.
+            late: It was given up for its time; no fault of a server where others wait too.
+        """
+        if not late or server.load(now) <= server.backend.capacity:
             self._sample(server, True, now)
 
     def heard(self, server_id: str, now: float) -> None:
@@ -139,7 +151,11 @@
     def ejected(self, server: Server, now: float) -> bool:
         """Tell whether a server is to get nothing for now."""
         record = self.records.get(server.backend.id)
-        return record is not None and now < record.ejected_until
+        if record is None:
+            return False
+        if record.on_trial(now):
+            return not self.book.comes_first(server)
+        return now < record.ejected_until
 
     def forget(self) -> None:
         """Drop what is known of servers that are gone."""
@@ -172,7 +188,8 @@
         if sample.at < record.ejected_until:
             return record
         record.add(sample)
-        if record.stands_out() and self._may_eject(server.backend.service, sample.at):
+        caught = sample.bad and record.on_trial(sample.at)
+        if (caught or record.stands_out()) and self._may_eject(server.backend.service, sample.at):
             record.eject(sample.at)
             self.note(
                 "server-ejected",
--- a/sprucewinch/gateway/send.py
+++ b/sprucewinch/gateway/send.py
@@ -100,7 +100,7 @@
     def _sample(self, server: Server, send: Send, key: str, now: float) -> None:
         """Note what a send says of its server beside the others of its service."""
         if send.verdict is Verdict.UNKNOWN:
-            self.outliers.failed(server, now)
+            self.outliers.failed(server, now, late=send.why == "timeout")
         elif send.verdict is Verdict.ANSWERED and send.answer is not None:
             if send.answer.status >= _FAILURE:
                 self.outliers.failed(server, now)
--- a/sprucewinch/gateway/servers.py
+++ b/sprucewinch/gateway/servers.py
@@ -74,6 +74,10 @@
         every, left_over = divmod(fleet, self.machines())
         return every + (self._rank(server.backend) < left_over)
 
+    def comes_first(self, server: Server) -> bool:
+        """Tell whether this machine is the one that tries a server before the others do."""
+        return self._rank(server.backend) == 0
+
     def answered(self, server: Server, seconds: float, now: float) -> None:
         """Note an answer of a server's own and the time it took, in seconds."""
         server.succeeded(seconds, now)
--- a/tests/test_gateway_outliers.py
+++ b/tests/test_gateway_outliers.py
@@ -77,6 +77,35 @@
         run_virtual(main)
 
 
+class ShortRegions(unittest.TestCase):
+    def _reply(self, *, short: bool) -> str:
+        """Return the region that runs a request whose near servers have no free slot."""
+
+        async def main(loop: VirtualLoop) -> str:
+            path = Path(loop, servers=12, zones=("east-a", "west-a"))
+            path.world.configure(route())
+            now = loop.time()
+            placement = path.placer.place("rates", "lane-1", (), now)
+            for server in placement.servers[: placement.near]:
+                server.told_load(9, 9, now)
+                server.in_flight = 6
+            if short:
+                lost = placement.servers[placement.near - 1].backend.id
+                for _ in range(4):
+                    path.outliers.heard(lost, now)
+            reply = await path.pipeline.run(path.call("q"))
+            ran = [name for name, server in path.servers.items() if server.runs]
+            return "" if reply.status != 200 else path.world.book.servers[ran[0]].backend.zone
+
+        return run_virtual(main)
+
+    def test_another_region_helps_a_region_that_lacks_a_server(self) -> None:
+        self.assertEqual(self._reply(short=True), "west-a")
+
+    def test_a_push_alone_moves_no_request_to_another_region(self) -> None:
+        self.assertEqual(self._reply(short=False), "")
+
+
 class FailingServers(unittest.TestCase):
     def _world(self, servers: int = _SERVERS) -> tuple[World, Outliers]:
         world = World()
@@ -132,6 +161,25 @@
             lasted.append(round(now - began))
         self.assertEqual(lasted, [2, 4, 8, 8])
 
+    def test_one_machine_tries_an_ejected_server_before_the_others(self) -> None:
+        tries = []
+        for number in range(4):
+            world = World(machines=4, name=f"vm{number}")
+            world.configure(route())
+            for each in range(_SERVERS):
+                backend = Backend(f"s{each}", "rates", f"10.0.0.{each}:80", "east-a", 6)
+                world.say(f"servers/s{each}", backend)
+            outliers = Outliers(world.book)
+            for _ in range(4):
+                outliers.heard("s3", 10.0)
+            server = world.book.servers["s3"]
+            self.assertTrue(outliers.ejected(server, 11.9))
+            self.assertFalse(outliers.ejected(server, 13.1))
+            tries.append(not outliers.ejected(server, 12.5))
+            outliers.heard("s3", 12.5)
+            self.assertTrue(outliers.ejected(server, 16.0))
+        self.assertEqual(sum(tries), 1)
+
     def test_what_is_known_of_a_server_goes_with_it(self) -> None:
         world, outliers = self._world()
         outliers.failed(world.book.servers["s3"], 10.0)
