Send a cold server a few tries only where its like answer too late

Change: each service keeps the part of requests to cold servers that were answered in time; below half, two requests a second of the whole fleet try a cold server. What a cold server does says nothing of it as an outlier.

--- a/sprucewinch/gateway/send.py
+++ b/sprucewinch/gateway/send.py
@@ -69,7 +69,10 @@
         now = self.monotonic()
         send = send._replace(seconds=now - started)
         self._learn(server, send, started, now, call.id)
-        self._sample(server, send, call.key, now)
+        if server.cold(started):
+            self._note_cold(server, send)
+        else:
+            self._sample(server, send, call.key, now)
         return send
 
     async def _exchange(self, call: Call, server: Server, until: float, fresh: bool) -> Send:
@@ -97,6 +100,11 @@
             lines.append(f"content-length: {len(call.body)}")
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + call.body
 
+    def _note_cold(self, server: Server, send: Send) -> None:
+        """Note what became of a send to a cold server; it says nothing of the server itself."""
+        if send.verdict is Verdict.ANSWERED or send.why == "timeout":
+            self.book.tried_cold(server, send.verdict is Verdict.ANSWERED)
+
     def _sample(self, server: Server, send: Send, key: str, now: float) -> None:
         """Note what a send says of its server beside the others of its service."""
         if send.verdict is Verdict.UNKNOWN:
--- a/sprucewinch/gateway/servers.py
+++ b/sprucewinch/gateway/servers.py
@@ -15,6 +15,13 @@
 """How much longer than it says a backend server counts as cold, in seconds."""
 
 _COLD_SAFETY = 0.8
+_COLD_WEIGHT = 0.2
+_COLD_WORTH = 0.5
+"""Part of the requests to a service's cold servers that have to be answered for more to be sent."""
+
+_COLD_TRIALS = 2
+"""Requests a second, all machines together, that try a cold server whose like answer too late."""
+
 _TELL_CROWDED_S = 0.2
 """Pause between telling other machines that the same server is crowded, in seconds."""
 
@@ -45,6 +52,7 @@
         self.outages = outages
         self.generation = 0
         self.times = ServiceTimes()
+        self.cold_answered: dict[str, float] = {}
         self.tell_crowded: Callable[[str, int, int], None] = lambda server_id, running, waiting: (
             None
         )
@@ -71,6 +79,8 @@
             return server.backend.capacity
         bound = rule.cold_per_s * self.bounds.cold_over + self.bounds.cold_slack
         fleet = math.floor(_COLD_SAFETY * bound)
+        if self.cold_answered.get(server.backend.service, 1.0) < _COLD_WORTH:
+            fleet = min(fleet, _COLD_TRIALS)
         every, left_over = divmod(fleet, self.machines())
         return every + (self._rank(server.backend) < left_over)
 
@@ -83,6 +93,16 @@
         server.succeeded(seconds, now)
         self.times.answered(server.backend.service, seconds)
 
+    def tried_cold(self, server: Server, answered: bool) -> None:
+        """Note whether a request that was sent to a cold server was answered in time.
+
+        Where a cold server works longer on a new object than routes hold their requests, whatever
+        is sent there is lost: then a few requests try, and the others go elsewhere.
+        """
+        service = server.backend.service
+        held = self.cold_answered.get(service, 1.0)
+        self.cold_answered[service] = held + _COLD_WEIGHT * (float(answered) - held)
+
     def told_load(self, server: Server, running: int, waiting: int, now: float) -> None:
         """Take over what a server says of its load; others are told when it is crowded."""
         part = self.times.crowded_part(server.backend.service)
--- a/tests/test_gateway_outliers.py
+++ b/tests/test_gateway_outliers.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sprucewinch.gateway.call import Chosen
 from sprucewinch.gateway.model import Backend
 from sprucewinch.gateway.outliers import Outliers
 from standins.consortium_store import StoreStandIn
@@ -77,6 +78,50 @@
         run_virtual(main)
 
 
+class ColdServers(unittest.TestCase):
+    def test_a_cold_server_that_answers_late_is_not_ejected_for_it(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = _path(loop)
+            path.world.configure(route(timeout_s=0.8), version=2)
+            await _serve(path, 2.0)
+            path.world.book.settled = True
+            path.world.book.now = loop.time()
+            cold = path.add("cold", "10.0.1.1:80")
+            cold.work_s = 0.96
+            await _serve(path, 3.0, 1000)
+            self.assertGreater(len(cold.runs), 0)
+            server = path.world.book.servers["cold"]
+            self.assertFalse(path.outliers.ejected(server, loop.time()))
+
+        run_virtual(main)
+
+    def test_where_cold_servers_answer_too_late_only_a_few_requests_try_them(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = _path(loop)
+            path.world.book.settled = True
+            path.world.book.now = loop.time()
+            cold = path.add("cold", "10.0.1.1:80")
+            book = path.world.book
+            server = book.servers["cold"]
+            before = book.cold_allowance(server)
+            path.world.configure(route(timeout_s=0.8), version=2)
+            cold.work_s = 0.96
+            for number in range(4):
+                chosen = Chosen(server, "rates", False)
+                until = loop.time() + 0.8
+                await path.sender.send(path.call(f"q{number}"), chosen, until)
+            self.assertEqual(book.cold_allowance(server), 2)
+            cold.work_s = 0.1
+            for number in range(4):
+                await path.sender.send(
+                    path.call(f"r{number}"), Chosen(server, "rates", False), loop.time() + 0.8
+                )
+            self.assertEqual(book.cold_allowance(server), before)
+            self.assertGreater(before, 2)
+
+        run_virtual(main)
+
+
 class ShortRegions(unittest.TestCase):
     def _reply(self, *, short: bool) -> str:
         """Return the region that runs a request whose near servers have no free slot."""
