--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test bench fuzz prove format proto lock clean
+SEEDS ?= 1:50
+
+.PHONY: demo test bench fuzz soak prove format proto lock clean
 
 demo: $(STAMP)
 	$(BIN)/python -m tools.demo
@@ -20,6 +22,9 @@
 fuzz: $(STAMP)
 	$(BIN)/python -m tools.fuzz
 
+soak: $(STAMP)
+	$(BIN)/python -m tools.soak --seeds=$(SEEDS) --jobs=3
+
 prove: $(STAMP)
 	$(BIN)/python -m tools.wrong_versions
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,202 @@
+"""The soak: its days, and that its promises are really judged."""
+
+import asyncio
+import signal
+import tomllib
+import unittest
+from pathlib import Path
+from types import SimpleNamespace
+
+from standins.scripted_server import Run, ScriptedServer
+from tools.soak.__main__ import SoakError, parse_seeds, run_days
+from tools.soak.day import plan
+from tools.soak.ledger import Attempt, End, Leaving, Ledger, Struck, Version
+from tools.soak.promises import Promises
+from tools.soak.world import BOOK, RATES, SoakServer, body_of
+
+_SEEDS = Path(__file__).with_name("soak_seeds.toml")
+_SERVICES = {RATES: "rates", BOOK: "booking"}
+
+
+class Judged:
+    """A day without processes, written by hand; it ends long after it began."""
+
+    def __init__(self) -> None:
+        loop = asyncio.new_event_loop()
+        self.servers = {}
+        for server_id, service in (("i-1", "rates"), ("i-2", "booking")):
+            stand_in = ScriptedServer(loop, server_id)
+            self.servers[server_id] = SoakServer(stand_in, service, "east-a", None)  # type: ignore[arg-type]
+        loop.close()
+        self.ledger = Ledger()
+        self.ledger.versions.append(Version(1, 0.0, _SERVICES))
+        self.ledger.quiet_from = 0.0
+        self.world = SimpleNamespace(
+            ledger=self.ledger,
+            servers=self.servers,
+            gone_servers={},
+            vms={"vm1": None},
+            loop=SimpleNamespace(time=lambda: 1000.0),
+        )
+        self.promises = Promises(self.world)  # type: ignore[arg-type]
+
+    def attempt(
+        self,
+        request_id: str = "q1",
+        *,
+        route: str = RATES,
+        status: int = 200,
+        sent_at: float = 100.0,
+        took_s: float = 0.1,
+        end: End = End.ANSWERED,
+        ran_at: str = "i-1",
+    ) -> Attempt:
+        """Write one attempt down, and its run."""
+        attempt = Attempt(request_id, route, "vm1", sent_at)
+        attempt.ended_at = sent_at + took_s
+        attempt.end, attempt.status = end, status
+        self.ledger.attempts.append(attempt)
+        if ran_at:
+            self.run(request_id, ran_at, sent_at + 0.01)
+        return attempt
+
+    def run(self, request_id: str, server_id: str, at: float) -> None:
+        """Write one run down."""
+        run = Run(request_id, "GET", "/", b"", {}, at)
+        self.servers[server_id].stand_in.runs.append(run)
+
+    def rules(self) -> set[str]:
+        """Return the promises that are broken."""
+        return {broken.rule for broken in self.promises.judge()}
+
+
+class PromisesAreJudged(unittest.TestCase):
+    def test_a_plain_day_breaks_nothing(self) -> None:
+        day = Judged()
+        day.attempt()
+        day.attempt("q2", route=BOOK, ran_at="i-2")
+        self.assertEqual(day.rules(), set())
+
+    def test_another_requests_answer_is_mixed(self) -> None:
+        day = Judged()
+        attempt = day.attempt()
+        whole = body_of(Run("q1", "", "", b"", {}, 0.0))
+        signed = {"X-Response-Signature": "i-1.q1"}
+        day.promises.answered(attempt, whole, signed)
+        self.assertEqual(day.rules(), set())
+        day.promises.answered(attempt, whole[:-1], signed)
+        self.assertEqual(day.rules(), {"MIXED"})
+
+    def test_own_answers_that_no_configuration_allows(self) -> None:
+        for status, headers, rule in (
+            (404, {}, "DENIED"),
+            (500, {}, "FAULT"),
+            (503, {}, "COME BACK"),
+            (503, {"Retry-After": "0.3"}, None),
+            (500, {"X-Response-Signature": "i-1.q1"}, None),
+        ):
+            day = Judged()
+            day.promises.answered(day.attempt(status=status, ran_at=""), b"", headers)
+            expected = {rule} if rule else set()
+            self.assertEqual({broken.rule for broken in day.ledger.broken}, expected)
+
+    def test_a_second_run_of_a_booking(self) -> None:
+        day = Judged()
+        day.attempt(route=BOOK, ran_at="i-2")
+        day.run("q1", "i-2", 100.5)
+        self.assertEqual(day.rules(), {"TWICE"})
+
+    def test_a_refusal_of_what_ran(self) -> None:
+        day = Judged()
+        day.attempt("q0")
+        for number in range(9):
+            day.attempt(f"p{number}")
+        day.attempt(status=503)
+        self.assertEqual(day.rules(), {"REFUSED"})
+
+    def test_a_run_at_a_service_that_no_version_names(self) -> None:
+        day = Judged()
+        day.attempt(ran_at="i-2")
+        self.assertEqual(day.rules(), {"ROUTE", "CONFIG"})
+
+    def test_an_older_version_in_force_too_late(self) -> None:
+        for sent_at, expected in ((102.0, set()), (103.0, {"CONFIG"})):
+            day = Judged()
+            day.ledger.versions[0] = Version(1, 0.0, {**_SERVICES, "extra": "rates"})
+            day.ledger.versions.append(Version(2, 100.0, _SERVICES))
+            day.attempt("q0")
+            day.attempt(route="extra", sent_at=sent_at)
+            self.assertEqual(day.rules(), expected)
+
+    def test_a_disturbed_machine_is_excused_for_being_late_but_not_for_going_back(self) -> None:
+        day = Judged()
+        day.ledger.versions[0] = Version(1, 0.0, {**_SERVICES, "extra": "rates"})
+        day.ledger.versions.append(Version(2, 100.0, _SERVICES))
+        day.ledger.struck.append(Struck("Pause", "vm1", 99.0, 103.0))
+        day.attempt("q0")
+        day.attempt(route="extra", sent_at=103.0)
+        self.assertEqual(day.rules(), set())
+        day.attempt("q2", route="extra", status=404, sent_at=104.0, ran_at="")
+        day.attempt("q3", route="extra", sent_at=106.0)
+        self.assertEqual(day.rules(), {"REGRESS"})
+
+    def test_a_server_that_leaves_is_left_alone(self) -> None:
+        for sent_at, expected in ((101.5, set()), (103.0, {"DRAIN"})):
+            day = Judged()
+            day.ledger.leavings.append(Leaving("i-1", 100.0, 2.0, float("inf"), "DRAIN"))
+            day.attempt(sent_at=sent_at)
+            self.assertEqual(day.rules(), expected)
+
+    def test_a_planned_stop_cuts_nothing_off(self) -> None:
+        for struck, expected in (([], {"LOST"}), ([Struck("Kill", "vm1", 99, 100)], set())):
+            day = Judged()
+            day.ledger.struck += struck
+            day.ledger.signalled["vm1"].append((99.5, int(signal.SIGTERM)))
+            day.ledger.ends["vm1"].append((101.0, 0))
+            for number in range(9):
+                day.attempt(f"p{number}", sent_at=90.0)
+            day.attempt(end=End.CLOSED, status=0)
+            self.assertEqual(day.rules(), expected)
+
+    def test_an_answer_that_is_held_too_long(self) -> None:
+        day = Judged()
+        day.attempt(took_s=3.1)
+        self.assertEqual(day.rules(), {"HELD"})
+
+    def test_an_end_that_nobody_asked_for_and_a_stop_that_takes_too_long(self) -> None:
+        day = Judged()
+        day.attempt()
+        day.ledger.ends["vm1"].append((50.0, 1))
+        self.assertEqual(day.rules(), {"ENDS"})
+        day = Judged()
+        day.attempt()
+        day.ledger.signalled["vm1"].append((50.0, int(signal.SIGTERM)))
+        day.ledger.ends["vm1"].append((57.0, 0))
+        self.assertEqual(day.rules(), {"GRACE"})
+
+    def test_a_day_that_does_not_recover(self) -> None:
+        day = Judged()
+        day.attempt(status=503, ran_at="")
+        self.assertEqual(day.rules(), {"RECOVER"})
+
+
+class Days(unittest.TestCase):
+    def test_a_seed_always_plans_the_same_day(self) -> None:
+        self.assertEqual(plan(7), plan(7))
+        self.assertNotEqual(plan(7), plan(8))
+
+    def test_seeds_are_read_or_refused_with_a_remedy(self) -> None:
+        self.assertEqual(parse_seeds("3,9"), [3, 9])
+        self.assertEqual(parse_seeds("1:3"), [1, 2, 3])
+        with self.assertRaisesRegex(SoakError, "write 7"):
+            parse_seeds("many")
+
+    def test_days_that_broke_a_promise_once_keep_it(self) -> None:
+        days = tomllib.loads(_SEEDS.read_text(encoding="utf-8"))["day"]
+        outcomes = asyncio.run(run_days([day["seed"] for day in days], jobs=2))
+        broken = {outcome.seed: outcome.broken for outcome in outcomes if outcome.broken}
+        self.assertEqual(broken, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -38,7 +38,7 @@
         raise SoakError(f"no seeds: {text!r}", "write 7, 1:50 or 3,9,12") from None
 
 
-async def run_days(seeds: list[int], jobs: int, troubled_s: float) -> list[Outcome]:
+async def run_days(seeds: list[int], jobs: int, troubled_s: float = TROUBLED_S) -> list[Outcome]:
     """Run several days, some of them at once; prints each as it ends."""
     console = Console()
     left = list(reversed(seeds))
