Let ejections move nothing to another region; take back the help of other regions for short ones

Cause: help from other regions moves requests between regions beside the shift cap that operators set; a region with one or two servers would have moved at once if they were ejected. Change: a third of a region's servers of a service at most is ejected, none where there are one or two.

--- a/sprucewinch/gateway/admit.py
+++ b/sprucewinch/gateway/admit.py
@@ -73,29 +73,16 @@
     def _helper(self, call: Call, placement: Placement, full: Server, now: float) -> Server | None:
         """Return the server after a full one in its object's order, if it has slots to spare.
 
-        It is always the same one, so that it soon keeps the object warm too. While a server of the
-        region is out, the others bear its objects; then the first of another region helps as well.
+        It is always the same one, so that it soon keeps the object warm too.
         """
         at = placement.servers.index(full) + 1
-        choices = [at]
-        if at < placement.near and self._is_short(placement, now):
-            choices.append(placement.near)
-        for place in choices:
-            if place < len(placement.servers) and self._can_help(call, placement, place, now):
-                return placement.servers[place]
-        return None
-
-    def _can_help(self, call: Call, placement: Placement, place: int, now: float) -> bool:
-        server = placement.servers[place]
+        if at >= len(placement.servers):
+            return None
+        server = placement.servers[at]
         if server.backend.id in call.tried() or not self._reachable(server, now):
-            return False
-        part = _FREE_PART if place < placement.near else _IDLE_PART
-        return server.load(now) < server.backend.capacity * part
-
-    def _is_short(self, placement: Placement, now: float) -> bool:
-        """Tell whether a server of an object's region is out."""
-        near = placement.servers[: placement.near]
-        return any(s.paused_until > now or self.outliers.ejected(s, now) for s in near)
+            return None
+        part = _FREE_PART if at < placement.near else _IDLE_PART
+        return server if server.load(now) < server.backend.capacity * part else None
 
     def _is_near(self, server: Server, placement: Placement) -> bool:
         return server in placement.servers[: placement.near]
--- a/sprucewinch/gateway/outliers.py
+++ b/sprucewinch/gateway/outliers.py
@@ -8,7 +8,7 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from .server import Server
@@ -40,6 +40,9 @@
 _MOST_PART = 0.2
 """Largest part of a service's servers that is ejected at once."""
 
+_MOST_PART_OF_REGION = 0.34
+"""The same within a region: ejections move objects to other servers there, not to other regions."""
+
 _TRIAL_S = 1.0
 """How long one machine alone tries a server after its ejection, in seconds."""
 
@@ -189,7 +192,7 @@
             return record
         record.add(sample)
         caught = sample.bad and record.on_trial(sample.at)
-        if (caught or record.stands_out()) and self._may_eject(server.backend.service, sample.at):
+        if (caught or record.stands_out()) and self._may_eject(server, sample.at):
             record.eject(sample.at)
             self.note(
                 "server-ejected",
@@ -199,7 +202,14 @@
             )
         return record
 
-    def _may_eject(self, service: str, now: float) -> bool:
-        servers = self.book.usable(service)
+    def _may_eject(self, server: Server, now: float) -> bool:
+        regions = self.book.regions
+        region = regions.get(server.backend.zone)
+        servers = self.book.usable(server.backend.service)
+        near = [each for each in servers if regions.get(each.backend.zone) == region]
+        return self._fits(servers, _MOST_PART, now) and self._fits(near, _MOST_PART_OF_REGION, now)
+
+    def _fits(self, servers: Sequence[Server], part: float, now: float) -> bool:
+        """Tell whether one more of some servers may be ejected."""
         out = sum(self.ejected(server, now) for server in servers)
-        return out + 1 <= _MOST_PART * len(servers)
+        return out + 1 <= part * len(servers)
