--- a/tools/wrong_versions.py
+++ b/tools/wrong_versions.py
@@ -231,6 +231,65 @@
         "        if not self.beliefs.known:\n",
         ("tests.test_gateway_relay.Outages",),
     ),
+    WrongVersion(
+        "LOST",
+        "a stop ends at once",
+        f"{_GATEWAY}/daemon.py",
+        "        await self._until(lambda: False, min(end, now + _LINGER_S))\n",
+        "        end = now\n",
+        ("tests.test_process_gateway.Requests.test_a_stop_cuts_nothing_off",),
+    ),
+    WrongVersion(
+        "LOST",
+        "a stop does not wait for callers that read slowly",
+        f"{_GATEWAY}/daemon.py",
+        "        await self._until(lambda: self.listening.closed, end)\n",
+        "        await self._until(lambda: self.app.in_flight == 0, end)\n",
+        ("tests.test_process_gateway.Requests.test_a_stop_waits_for_a_caller_that_reads_slowly",),
+    ),
+    WrongVersion(
+        "UNASKED",
+        "a request is sent on without its query",
+        f"{_GATEWAY}/send.py",
+        'lines = [f"{call.method} {call.target} HTTP/1.1"',
+        'lines = [f"{call.method} {call.path} HTTP/1.1"',
+        (
+            "tests.test_process_gateway.Requests"
+            ".test_requests_pass_unchanged_and_lines_tell_of_them",
+        ),
+    ),
+    WrongVersion(
+        "slow servers",
+        "nobody is ejected",
+        f"{_GATEWAY}/outliers.py",
+        "return now < record.ejected_until",
+        "return False",
+        ("tests.test_gateway_outliers.SlowServers",),
+    ),
+    WrongVersion(
+        "slow servers",
+        "objects that are new to a server count",
+        f"{_GATEWAY}/outliers.py",
+        "return now - before <= _WARM_S",
+        "return True",
+        ("tests.test_gateway_outliers.SlowServers",),
+    ),
+    WrongVersion(
+        "SHIFT",
+        "a region's servers are ejected without a bound",
+        f"{_GATEWAY}/outliers.py",
+        "_MOST_PART_OF_REGION = 0.34",
+        "_MOST_PART_OF_REGION = 1.0",
+        ("tests.test_gateway_outliers.FailingServers",),
+    ),
+    WrongVersion(
+        "headroom",
+        "a region whose figures are missing gains callers",
+        f"{_GATEWAY}/shares.py",
+        "age_s=None if self.policies.measured(service) else 0.0",
+        "age_s=0.0",
+        ("tests.test_gateway_measured.PoliciesThatMeasure",),
+    ),
 )
 
 
