--- a/tests/test_plays.py
+++ b/tests/test_plays.py
@@ -3,9 +3,13 @@
 import json
 import tempfile
 import unittest
+from io import StringIO
 from pathlib import Path
 
+from rich.console import Console
+
 from tools.plays import PlayError, days_table, prices_table, read
+from tools.plays_chart import chart, draw
 
 
 def _day(name: str, worth: float, calls: float, rules: dict) -> dict:
@@ -51,3 +55,16 @@
             with self.subTest(entry_id), self.assertRaises(PlayError) as caught:
                 read(entry_id, self.folder)
             self.assertIn(words, str(caught.exception))
+
+    def test_the_chart_draws_a_bar_for_each_entry_and_day_in_common(self) -> None:
+        entries = [read("aaaa", self.folder), read("bbbb", self.folder)]
+        console = Console(width=80, file=StringIO())
+        console.print(chart(entries, ["before", "after"]))
+        drawn = console.file.getvalue()  # type: ignore[attr-defined]
+        self.assertNotIn("quiet-1", drawn)
+        for words in ("scale-1", "before", "0.600", "after", "0.700 broken"):
+            self.assertIn(words, drawn)
+
+    def test_names_that_do_not_fit_the_entries_are_refused(self) -> None:
+        with self.assertRaisesRegex(PlayError, "one name for each id"):
+            draw("", "before")
--- a/tools/plays.py
+++ b/tools/plays.py
@@ -113,7 +113,7 @@
     ids = [entry.id for entry in entries]
     lines = [f"| day | {' | '.join(f'{i}: worth, served, refused, failed' for i in ids)} |"]
     lines.append("| --- |" + " --- |" * len(ids))
-    for name in _common(entries):
+    for name in common_days(entries):
         cells = [_cell(entry.days[name]) for entry in entries]
         lines.append(f"| {name} | {' | '.join(cells)} |")
     return lines
@@ -121,7 +121,7 @@
 
 def prices_table(entries: Sequence[Entry]) -> list[str]:
     """Return a Markdown table of mean prices over the days that all entries have."""
-    names = _common(entries)
+    names = common_days(entries)
     rows: dict[str, list[float]] = {}
     for entry in entries:
         for price in {price for name in names for price in entry.days[name].prices}:
@@ -136,7 +136,8 @@
     return lines
 
 
-def _common(entries: Sequence[Entry]) -> list[str]:
+def common_days(entries: Sequence[Entry]) -> list[str]:
+    """Return the names of the days that all entries have."""
     return [name for name in entries[0].days if all(name in entry.days for entry in entries)]
 
 
