--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -12,9 +12,7 @@
 import fire
 from rich.console import Console
 
-from sprucewinch.errors import SprucewinchError
-
-from .day import TROUBLED_S, Outcome, run_day
+from .day import TROUBLED_S, Outcome, SoakError, run_day
 
 LOGS = Path("out/soak")
 """Where the logs of days with a broken promise are kept."""
@@ -22,12 +20,6 @@
 _MOST_JOBS = 6
 
 
-class SoakError(SprucewinchError):
-    """The soak was asked for something that it cannot do."""
-
-    exit_code = 2
-
-
 def parse_seeds(text: str) -> list[int]:
     """Return the seeds that `7`, `1:50` or `3,9,12` names.
 
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from typing import Any, NamedTuple
 
+from sprucewinch.errors import SprucewinchError
+
 from .callers import Caller
 from .ledger import Broken
 from .promises import Promises
@@ -15,16 +17,25 @@
 """How long troubles strike, in seconds, unless told otherwise."""
 
 _FIRST_S = 0.5
-_SETTLE_S = 6.5
-"""Time after the last trouble until everything has to work again, in seconds: a stop and a start
-may still go on."""
+_SETTLE_S = 5.5
+"""Time after the last trouble until the last change, in seconds, and longer while a process still
+stops or starts."""
 
+_QUIET_FROM_S = 1.5
 _QUIET_S = 3.5
+"""When, after the last change, everything has to work again, and when the day ends, in seconds."""
+
 _CALLERS = 12
 _CLINGING = 6
 _LEAST_TROUBLES, _MOST_TROUBLES = 5, 9
 
 
+class SoakError(SprucewinchError):
+    """The soak was asked for something that it cannot do."""
+
+    exit_code = 2
+
+
 class Planned(NamedTuple):
     """One trouble of a day.
 
@@ -79,7 +90,7 @@
         )
         for _ in range(count)
     ]
-    last = Planned(troubled_s + _SETTLE_S - 1.0, Change, 0.0, rng.randrange(1 << 30))
+    last = Planned(troubled_s + _SETTLE_S, Change, 0.0, rng.randrange(1 << 30))
     return (*sorted(rows, key=lambda row: row.at), last)
 
 
@@ -95,7 +106,8 @@
     planned = plan(seed, troubled_s)
     try:
         await world.start()
-        await world.until_all_ready()
+        if not await world.until_all_ready():
+            raise SoakError("the entry VMs do not start", "look at a log in the folder out/soak")
         promises = Promises(world)
         await _traffic(world, promises, planned, seed)
         broken = tuple(promises.judge())
@@ -116,10 +128,14 @@
         for n in range(_CALLERS)
     ]
     start = world.loop.time()
-    world.ledger.quiet_from = start + planned[-1].at + 1.0
     work = [asyncio.create_task(caller.run()) for caller in callers]
-    troubles = [asyncio.create_task(_strike(world, row, start)) for row in planned]
-    await asyncio.sleep(planned[-1].at + _QUIET_S)
+    troubles = [asyncio.create_task(_strike(world, row, start)) for row in planned[:-1]]
+    await asyncio.sleep(planned[-1].at)
+    if not await world.until_all_ready():
+        world.ledger.breaks("RECOVER", f"ready are only {sorted(world.ready)}")
+    world.ledger.quiet_from = world.loop.time() + _QUIET_FROM_S
+    troubles.append(asyncio.create_task(_strike(world, planned[-1], start)))
+    await asyncio.sleep(_QUIET_S)
     for task in (*work, *troubles):
         task.cancel()
     for result in await asyncio.gather(*work, *troubles, return_exceptions=True):
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -36,9 +36,10 @@
 _START_S = 30.0
 _POLL_S = 0.05
 _LAG_LOOK_S = 0.05
-_LAG_S = 0.25
+_LAG_S = 0.15
 """Pause of the soak's own process from which on nobody counts as undisturbed, in seconds."""
 
+_ENDING = (int(signal.SIGTERM), int(signal.SIGKILL))
 _DRAIN_S = 2.0
 _EVACUATE_S = 5.0
 _LEFT_S = 1.0
@@ -96,6 +97,7 @@
         self.vms: dict[str, EntryVm] = {}
         self.store_links: dict[str, Relay] = {}
         self.services = {RATES: "rates", BOOK: "booking"}
+        self.ready: set[str] = set()
         self._version = 3
         self._numbers = 0
         self._closing = False
@@ -230,6 +232,7 @@
             await vm.start()
             await self._until_ready(vm, started_at)
             status = await vm.ended()
+            self.ready.discard(vm.name)
             self.ledger.ends[vm.name].append((self.loop.time(), status))
             await asyncio.sleep(_RESTART_S)
 
@@ -243,14 +246,28 @@
             with contextlib.suppress(OSError, TimeoutError):
                 async with asyncio.timeout(1.0):
                     if await _says_ready(host, int(port)):
+                        self.ready.add(vm.name)
                         break
         self.ledger.struck.append(Struck("start", vm.name, started_at, self.loop.time()))
 
-    async def until_all_ready(self) -> None:
-        """Wait until every entry VM has been ready once."""
-        async with asyncio.timeout(_START_S):
-            while len({s.scope for s in self.ledger.struck if s.what == "start"}) < len(self.vms):
-                await asyncio.sleep(_POLL_S)
+    async def until_all_ready(self) -> bool:
+        """Wait until every entry VM is ready and none is stopping; False when that takes too long.
+
+        On a busy machine a start may take many times as long as on a quiet one.
+        """
+        try:
+            async with asyncio.timeout(_START_S):
+                while not all(self._is_up(vm) for vm in self.vms.values()):
+                    await asyncio.sleep(_POLL_S)
+        except TimeoutError:
+            return False
+        return True
+
+    def _is_up(self, vm: EntryVm) -> bool:
+        told = [at for at, n in self.ledger.signalled[vm.name] if n in _ENDING]
+        ends = [at for at, _ in self.ledger.ends[vm.name]]
+        stopping = bool(told) and max(told) > max(ends, default=float("-inf"))
+        return vm.name in self.ready and not stopping
 
     async def _watch_own_lag(self) -> None:
         """Note when the soak's own process stands still: it blames nobody for that."""
