--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -140,12 +140,28 @@
         day.attempt("q3", route="extra", sent_at=106.0)
         self.assertEqual(day.rules(), {"REGRESS"})
 
-    def test_a_server_that_leaves_is_left_alone(self) -> None:
-        for sent_at, expected in ((101.5, set()), (103.0, {"DRAIN"})):
-            day = Judged()
-            day.ledger.leavings.append(Leaving("i-1", 100.0, 2.0, float("inf"), "DRAIN"))
-            day.attempt(sent_at=sent_at)
-            self.assertEqual(day.rules(), expected)
+    def test_a_server_that_leaves_or_is_evacuated_is_left_alone(self) -> None:
+        for rule, allowed_s, until in (("DRAIN", 2.0, float("inf")), ("EVAC", 5.0, 110.0)):
+            late_s = allowed_s + 1.0
+            for after_s, expected in ((allowed_s - 0.5, set()), (late_s, {rule})):
+                day = Judged()
+                day.ledger.leavings.append(Leaving("i-1", 100.0, allowed_s, until, rule))
+                day.attempt(sent_at=100.0 + after_s)
+                self.assertEqual(day.rules(), expected)
+
+    def test_a_data_hall_taken_back_gets_requests_again(self) -> None:
+        day = Judged()
+        day.ledger.leavings.append(Leaving("i-1", 100.0, 5.0, 110.0, "EVAC"))
+        day.attempt(sent_at=111.0)
+        self.assertEqual(day.rules(), set())
+
+    def test_a_look_up_that_runs_more_often_than_its_route_allows(self) -> None:
+        day = Judged()
+        day.attempt()
+        day.run("q1", "i-1", 100.2)
+        self.assertEqual(day.rules(), set())
+        day.run("q1", "i-1", 100.4)
+        self.assertEqual(day.rules(), {"BUDGET"})
 
     def test_a_planned_stop_cuts_nothing_off(self) -> None:
         for struck, expected in (([], {"LOST"}), ([Struck("Kill", "vm1", 99, 100)], set())):
