Serve requests that wait at a server in order of rank, then of arrival

Cause: a waiting request looks again every 20 ms and queued anew behind all others of its rank, and a newcomer of the same rank could pass those that waited. Change: its place is (rank, arrival), kept while it looks again, and no request passes one that stands before it. Same queue, same length, same longest wait. Ruled out: waking all waiters (the least urgent would look first).

--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -83,8 +83,8 @@
 
     NO_SERVER = "no-server"
     """No server is allowed, untried and usable."""
-    MORE_URGENT_WAITS = "more-urgent-waits"
-    """A more urgent request waits for room at the server."""
+    OTHER_WAITS = "other-waits"
+    """A request that is more urgent, or as urgent and arrived earlier, waits at the server."""
     CONCURRENCY_LIMIT = "concurrency-limit"
     """This VM has as many requests at the server as it may have."""
     LOAD_LIMIT = "load-limit"
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -20,7 +20,7 @@
 from .outcome.hold_time import hold_time
 from .outcome.retry_decision import RetryDecision, decide_retry, without_budget
 from .retry_budget import WindowRetryBudget
-from .room import LOOK_AGAIN_S, room_wait_s
+from .room import LOOK_AGAIN_S, place_in_queue, room_wait_s
 from .routes import RouteTable
 from .sender import Sender
 from .server_order import Ranking, ServerRanker
@@ -144,7 +144,8 @@
         left_s = room_wait_s(request, route, now)
         if server is None or left_s <= 0:
             return False
-        return await server.wait_for_room(min(left_s, LOOK_AGAIN_S), route.priority)
+        place = place_in_queue(request, route)
+        return await server.wait_for_room(min(left_s, LOOK_AGAIN_S), place)
 
     async def _send(
         self, request: ClientRequest, route: Route, selection: Selection, until: float
--- a/sprucewinch/gateway/requests/room.py
+++ b/sprucewinch/gateway/requests/room.py
@@ -2,17 +2,16 @@
 
 Question: may this VM send one more request to this server now, and if not, how long does the
 request wait? Inputs: the server's counts, the load limit of the route's time, the route's rank, the
-request's times in monotonic seconds. Rule: there is room when no more urgent request waits there,
-this VM's requests are below its concurrency limit there, and the server's load, all VMs together,
-is below what it answers within the route's time. A request waits for a part of its route's latency
-target at most, and only before its first attempt.
+request's times in monotonic seconds. Rule: there is room when no request waits there that is more
+urgent, or as urgent and arrived earlier, this VM's requests are below its concurrency limit there,
+and the server's load, all VMs together, is below what it answers within the route's time. A request
+waits for a part of its route's latency target at most, and only before its first attempt.
 
 Why so: no VM asks another one for a slot, so each bounds itself by what servers report; a refusal
 is useful to a caller only while it comes early, with time left to come back. Requests that wait
-stand in the order of the route's rank (`BackendServer.wait_for_room`), and the first one looks anew
-when a request there is over; when as many wait as the server has slots, the least urgent one is
-refused. Requests of equal rank are not served in the order of arrival: each looks again after
-`LOOK_AGAIN_S` and then stands behind its equals (docs/FINDINGS.md, "Open: behaviour").
+stand in the order of the route's rank, then of arrival (`servers.room_queue`), and the first one
+looks anew when a request there is over; when as many wait as the server has slots, the least urgent
+one is refused.
 
 Constants: `ROOM_WAIT_PART`, `DEFAULT_LATENCY_TARGET_S`, `LOOK_AGAIN_S`; the load limit's are in
 `servers.service_times`. Shows in: event `request`, `outcome` `no-room` and `blocked`. Tests:
@@ -24,6 +23,7 @@
 
 from ..resources import Route
 from ..servers.backend_server import BackendServer
+from ..servers.room_queue import Place
 from ..servers.service_times import ServiceTimes
 from .client_request import BlockedReason, ClientRequest
 
@@ -41,18 +41,19 @@
 
 
 def no_room_reason(
-    server: BackendServer, route: Route, times: ServiceTimes, now: float
+    server: BackendServer, request: ClientRequest, route: Route, times: ServiceTimes, now: float
 ) -> Optional[BlockedReason]:
-    """Return why a server has no room for a request of a route; None when it has room.
+    """Return why a server has no room for a request; None when it has room.
 
     Args:
         server: The server.
-        route: The request's route.
+        request: The request.
+        route: Its route.
         times: Knows the load limit of a route's time at a server.
         now: Monotonic time, in seconds.
     """
-    if server.more_urgent_waits(route.priority):
-        return BlockedReason.MORE_URGENT_WAITS
+    if server.stands_before(place_in_queue(request, route)):
+        return BlockedReason.OTHER_WAITS
     if server.in_flight >= int(server.concurrency_limit):
         return BlockedReason.CONCURRENCY_LIMIT
     limit = times.load_limit(server.backend, server.latency_s, route.timeout_s)
@@ -61,6 +62,11 @@
     return None
 
 
+def place_in_queue(request: ClientRequest, route: Route) -> Place:
+    """Return a request's place among those that wait for room."""
+    return Place(route.priority, request.arrived_at)
+
+
 def room_wait_s(request: ClientRequest, route: Route, now: float) -> float:
     """Return how long a request may still wait for room, in seconds; 0 or less for not at all.
 
--- a/sprucewinch/gateway/requests/server_selection.py
+++ b/sprucewinch/gateway/requests/server_selection.py
@@ -78,7 +78,7 @@
         if server is None:
             request.blocked = Blocked("")
             return RefusalReason.NO_SERVER
-        no_room = no_room_reason(server, route, self.times, now)
+        no_room = no_room_reason(server, request, route, self.times, now)
         if no_room is not None or server.load(now) >= server.backend.capacity:
             helped = self._help(request, ranking, service, server, no_room, now)
             if helped is not None:
--- a/sprucewinch/gateway/servers/backend_server.py
+++ b/sprucewinch/gateway/servers/backend_server.py
@@ -12,7 +12,7 @@
 from .cold_limit import ColdSends
 from .load import ConcurrencyLimit, LoadEstimate
 from .rest import Rest, is_silent
-from .room_queue import RoomQueue
+from .room_queue import Place, RoomQueue
 from .service_times import OVERLOAD_QUEUE_RATIO, is_overloaded
 
 _LATENCY_WEIGHT = 0.2
@@ -132,24 +132,22 @@
         """Send it nothing until some monotonic time, in seconds."""
         self.rest.extend(until)
 
-    async def wait_for_room(self, longest_s: float, rank: int) -> bool:
-        """Wait until a request here is over; the most urgent goes first, then the longest wait.
-
-        A wait counts from this call: a request that waits anew stands behind its equals.
+    async def wait_for_room(self, longest_s: float, place: Place) -> bool:
+        """Wait until a request here is over; the most urgent goes first, then the first to arrive.
 
         Args:
             longest_s: Longest wait, in seconds.
-            rank: The request's rank, 0 the most urgent.
+            place: The request's place among those that wait.
 
         Returns:
             True when the request may look for room again, which it also may when the time is over.
         """
-        end = await self.room.wait(longest_s, rank, self.backend.capacity)
+        end = await self.room.wait(longest_s, place, self.backend.capacity)
         return end.may_look
 
-    def more_urgent_waits(self, rank: int) -> bool:
-        """Return whether a request that is more urgent than a rank waits for room here."""
-        return self.room.more_urgent_waits(rank)
+    def stands_before(self, place: Place) -> bool:
+        """Return whether a request waits for room here that goes before one with a place."""
+        return self.room.stands_before(place)
 
     def cold_allowed(self, now: float, allowance: int) -> bool:
         """Return whether one more request may be sent while it is cold."""
--- a/sprucewinch/gateway/servers/room_queue.py
+++ b/sprucewinch/gateway/servers/room_queue.py
@@ -1,15 +1,16 @@
 """Which requests wait for room at one backend server, and in which order they get it.
 
 Question: which request looks for room next once one at the server is over? Inputs: a request's
-rank (0 the most urgent), its longest wait in seconds, the server's slots.
+rank (0 the most urgent), its arrival in monotonic seconds, its longest wait in seconds, the
+server's slots.
 
-Rule: as many requests wait as the server has slots; the most urgent goes first, then the one whose
-wait began first. A request that waits anew stands behind its equals, and each waits anew after
-`requests.room.LOOK_AGAIN_S`, so equals are not served in the order of arrival. A request that
-finds the queue full takes the place of the last one if that is less urgent, else it does not wait.
-One wakes for each request that ends: to wake all would let the least urgent take the room before
-the others look. The queue's length is the server's slots, as more would wait for longer than one
-round of work (a guess, never measured).
+Rule: as many requests wait as the server has slots; the most urgent goes first, then the one that
+arrived first. Each waits anew after `requests.room.LOOK_AGAIN_S` and then stands where its arrival
+puts it, and no request passes one that stands before it (`stands_before`). A request that finds the
+queue full takes the place of the last one if that is less urgent, else it does not wait. One wakes
+for each request that ends: to wake all would let the least urgent take the room before the others
+look. The queue's length is the server's slots, as more would wait for longer than one round of work
+(a guess, never measured).
 
 The result is a `WaitEnd`, which says why a wait ended. Shows in: `blocked` of the event `request`
 of a refused request. Tests: `test_gateway_usability.WaitsForRoom`,
@@ -36,20 +37,32 @@
         return self in (WaitEnd.WOKEN, WaitEnd.TIMED_OUT)
 
 
+class Place(NamedTuple):
+    """What waiting requests are sorted by.
+
+    Args:
+        rank: The request's rank, 0 the most urgent.
+        arrived_at: Monotonic time of its arrival, in seconds.
+    """
+
+    rank: int
+    arrived_at: float
+
+
 class Waiter(NamedTuple):
     """A request that waits for room.
 
     Args:
-        rank: Its rank, 0 the most urgent.
+        place: Its place among the others.
         turn: Done when it waits no longer, with the cause.
     """
 
-    rank: int
+    place: Place
     turn: "asyncio.Future[WaitEnd]"
 
-    def order(self) -> int:
+    def order(self) -> Place:
         """Return what waiting requests are sorted by."""
-        return self.rank
+        return self.place
 
 
 class RoomQueue:
@@ -60,17 +73,17 @@
     def __init__(self) -> None:
         self.waiters: list[Waiter] = []
 
-    async def wait(self, longest_s: float, rank: int, most: int) -> WaitEnd:
+    async def wait(self, longest_s: float, place: Place, most: int) -> WaitEnd:
         """Wait until a request at the server is over.
 
         Args:
             longest_s: Longest wait, in seconds.
-            rank: The request's rank, 0 the most urgent.
+            place: The request's place among those that wait.
             most: Most requests that wait at once.
         """
-        if len(self.waiters) >= most and not self._displace(rank):
+        if len(self.waiters) >= most and not self._displace(place.rank):
             return WaitEnd.QUEUE_FULL
-        waiter = Waiter(rank, asyncio.get_running_loop().create_future())
+        waiter = Waiter(place, asyncio.get_running_loop().create_future())
         bisect.insort(self.waiters, waiter, key=Waiter.order)
         try:
             async with asyncio.timeout(longest_s):
@@ -90,14 +103,14 @@
                 turn.set_result(WaitEnd.WOKEN)
                 return
 
-    def more_urgent_waits(self, rank: int) -> bool:
-        """Return whether a request that is more urgent than a rank waits."""
-        return bool(self.waiters) and self.waiters[0].rank < rank
+    def stands_before(self, place: Place) -> bool:
+        """Return whether a request waits that is more urgent, or as urgent and arrived earlier."""
+        return bool(self.waiters) and self.waiters[0].place < place
 
     def _displace(self, rank: int) -> bool:
         """End the wait of the last request if it is less urgent; False when it is not."""
         last = self.waiters[-1]
-        if last.rank <= rank:
+        if last.place.rank <= rank:
             return False
         self.waiters.pop()
         if not last.turn.done():
--- a/tests/test_gateway_request_rules.py
+++ b/tests/test_gateway_request_rules.py
@@ -39,7 +39,8 @@
     decide_retry,
     without_budget,
 )
-from sprucewinch.gateway.requests.room import no_room_reason, room_wait_s
+from sprucewinch.gateway.requests.room import no_room_reason, place_in_queue, room_wait_s
+from sprucewinch.gateway.resources import Route
 from sprucewinch.net.connection import Answer
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
@@ -260,18 +261,27 @@
         async def main(loop: VirtualLoop) -> None:
             path = Path(loop, servers=1)
             server, registry = path.world.registry.servers["s0"], path.world.registry
-            urgent = loop.create_task(server.wait_for_room(0.1, 0))
+            first, urgent = path.request("q0"), path.request("q1")
+            waits = loop.create_task(server.wait_for_room(0.1, place_in_queue(urgent, route())))
             await pass_time(0.01)
-            reason = no_room_reason(server, route(priority=1), registry.times, loop.time())
-            self.assertIs(reason, BlockedReason.MORE_URGENT_WAITS)
-            self.assertIsNone(no_room_reason(server, route(), registry.times, loop.time()))
+            self._assert_no_room(path, first, route(priority=1), BlockedReason.OTHER_WAITS)
+            self._assert_no_room(path, path.request("q2"), route(), BlockedReason.OTHER_WAITS)
+            self.assertIsNone(no_room_reason(server, urgent, route(), registry.times, loop.time()))
             server.in_flight = 6
-            reason = no_room_reason(server, route(), registry.times, loop.time())
-            self.assertIs(reason, BlockedReason.CONCURRENCY_LIMIT)
-            await urgent
+            self._assert_no_room(path, urgent, route(), BlockedReason.CONCURRENCY_LIMIT)
+            await waits
 
         run_virtual(main)
 
+    def _assert_no_room(
+        self, path: Path, request: ClientRequest, way: Route, expected: BlockedReason
+    ) -> None:
+        registry = path.world.registry
+        reason = no_room_reason(
+            registry.servers["s0"], request, way, registry.times, path.loop.time()
+        )
+        self.assertIs(reason, expected)
+
     def test_only_a_request_without_attempts_waits_for_room(self) -> None:
         self.assertAlmostEqual(room_wait_s(_request(), route(latency_target_s=0.5), 10.0), 0.1)
         lost = _unanswered(Verdict.UNKNOWN, "reset")
--- a/tests/test_gateway_usability.py
+++ b/tests/test_gateway_usability.py
@@ -8,7 +8,7 @@
 
 from sprucewinch.gateway.resources import BackendEntry
 from sprucewinch.gateway.servers.backend_server import BackendServer
-from sprucewinch.gateway.servers.room_queue import RoomQueue, WaitEnd
+from sprucewinch.gateway.servers.room_queue import Place, RoomQueue, WaitEnd
 from sprucewinch.gateway.servers.usability import (
     UnusableReason,
     unlisted_reason,
@@ -68,7 +68,7 @@
     def test_the_longest_wait_ends_a_wait(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             queue = RoomQueue()
-            end = await queue.wait(0.1, 1, 1)
+            end = await queue.wait(0.1, Place(1, 0.0), 1)
             self.assertIs(end, WaitEnd.TIMED_OUT)
             self.assertTrue(end.may_look)
             self.assertEqual(queue.waiters, [])
@@ -78,10 +78,12 @@
     def test_the_most_urgent_wakes_first_and_takes_the_place_of_the_last(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             queue = RoomQueue()
-            waits = [loop.create_task(queue.wait(1.0, rank, 2)) for rank in (2, 2, 0, 2)]
+            places = [Place(2, 1.0), Place(2, 2.0), Place(0, 3.0), Place(2, 4.0)]
+            waits = [loop.create_task(queue.wait(1.0, place, 2)) for place in places]
             await pass_time(0.01)
-            self.assertTrue(queue.more_urgent_waits(1))
-            self.assertFalse(queue.more_urgent_waits(0))
+            self.assertTrue(queue.stands_before(Place(1, 0.0)))
+            self.assertFalse(queue.stands_before(Place(0, 2.5)))
+            self.assertTrue(queue.stands_before(Place(0, 3.5)))
             queue.wake_next()
             queue.wake_next()
             ends = await asyncio.gather(*waits)
@@ -91,6 +93,24 @@
 
         run_virtual(main)
 
+    def test_a_request_that_waits_anew_stands_where_its_arrival_puts_it(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            queue = RoomQueue()
+            order: list[float] = []
+
+            async def wait(arrived_at: float) -> None:
+                await queue.wait(1.0, Place(1, arrived_at), 3)
+                order.append(arrived_at)
+
+            waits = [loop.create_task(wait(arrived_at)) for arrived_at in (2.0, 3.0, 1.0)]
+            await pass_time(0.01)
+            for _ in waits:
+                queue.wake_next()
+                await pass_time(0.01)
+            self.assertEqual(order, [1.0, 2.0, 3.0])
+
+        run_virtual(main)
+
 
 if __name__ == "__main__":
     unittest.main()
