End an outage of the store only by an answer given after its start; look again after a refusal

A VM that the store alone refuses now stands for no election meanwhile. Ruled out: writing up=true from notices alone: at a refused VM it says what is not so. Left: outages of 3 to 4.7 s at VMs that rely on peers (FINDINGS).

--- a/sprucewinch/gateway/following/follow_role.py
+++ b/sprucewinch/gateway/following/follow_role.py
@@ -31,7 +31,7 @@
 from ..._hash import hash64
 from ..membership.gossip import Gossip
 from ..resources import Member
-from ..state.outages import StoreOutages
+from ..state.outages import ANSWER_MAX_AGE_S, StoreOutages
 from ..state.store_view import StoreView
 
 NOTICE_S = 0.3
@@ -43,9 +43,8 @@
 by itself; changes stay within 2 s with it when all store followers are killed
 (`test_gateway_following`)."""
 
-NOTICE_MAX_AGE_S = 3.2
-"""Age of the store's answer beyond which a notice is ignored, in seconds: a watch of 2 s and the
-store client's margin of 0.9 s, with 0.3 s to spare."""
+NOTICE_MAX_AGE_S = ANSWER_MAX_AGE_S
+"""Age of the store's answer beyond which a notice is ignored, in seconds."""
 
 _MIN_STORE_FOLLOWERS = 3
 """Store followers of the whole fleet at the least, so that the loss of one leaves two. The count is
--- a/sprucewinch/gateway/following/store_follower.py
+++ b/sprucewinch/gateway/following/store_follower.py
@@ -3,8 +3,10 @@
 Owns the loop that calls the store, its pauses and the events `follows`, `store` and
 `store-history-gone`. Relies on `follow_role` for whether this VM calls the store, and on
 `state.outages` and `state.store_view`, to which it passes each result. A VM without a configuration
-always calls the store, whatever its role. Failed calls are repeated after a random pause that
-doubles with each failure up to a bound. Tests: `test_platform_store`, `test_gateway_following`.
+always calls the store, whatever its role. One that relies on peers after a failed call looks
+every `_REJOIN_S` whether the store answers it again. Failed calls are repeated after a random pause
+that doubles with each failure up to a bound. Tests: `test_platform_store`,
+`test_gateway_following`.
 """
 
 import asyncio
@@ -36,8 +38,8 @@
 never measured."""
 
 _REJOIN_S = 10.0
-"""Time after a failed call for which a VM cannot be elected, in seconds, unless the store
-answers it. A guess, never measured."""
+"""Time after a failed call at which a VM that relies on peers looks whether the store answers it
+again, in seconds; it cannot be elected before. A guess, never measured."""
 
 _MIN_BACKOFF_S = 0.05
 """Part of the pause after a failed call that is not random, in seconds. A guess, never measured."""
@@ -86,6 +88,7 @@
         self.notices = notices
         self.up = False
         self.follows = True
+        self._relied_on_peers = False
         self._list_first = True
         self._failures = 0
         self._failed_at = float("-inf")
@@ -96,8 +99,7 @@
             if self._must_follow():
                 await self._try_step()
             else:
-                self._rely_on_peers()
-                await asyncio.sleep(_ROLE_POLL_S)
+                await self._rely_on_peers()
 
     def _must_follow(self) -> bool:
         now = self.timing.monotonic()
@@ -108,21 +110,32 @@
             self.events.state("follows", source=source, at=self.store_view.replica.at)
         return must
 
-    def _rely_on_peers(self) -> None:
-        """End an outage: fresh notices of store followers prove that the store answers."""
-        now = self.timing.monotonic()
-        self.outages.regained(now)
-        if now - self._failed_at > _REJOIN_S:
-            self.follow_role.set_store_reachable(True)
+    async def _rely_on_peers(self) -> None:
+        """Call the store no more, but to see whether it answers this VM again."""
+        self._relied_on_peers = True
+        refused = not self.up
+        if refused and self.timing.monotonic() - self._failed_at > _REJOIN_S:
+            await self._look_again()
+        await asyncio.sleep(_ROLE_POLL_S)
+
+    async def _look_again(self) -> None:
+        """Watch the store once. A failure is no outage: peers have answers of the store."""
+        try:
+            await self._step()
+        except HistoryGoneError:
+            self._note_history_gone()
+        except StoreUnavailableError:
+            # The line of the first failure still holds; `store` tells when an answer comes.
+            self._failed_at = self.timing.monotonic()
+        else:
+            self._note_answer()
 
     async def _try_step(self) -> None:
         try:
             await self._step()
-            self._failures = 0
-            self._set_up(True, "")
+            self._note_answer()
         except HistoryGoneError:
-            self._list_first = True
-            self.events.state("store-history-gone", after=self.store_view.replica.at)
+            self._note_history_gone()
         except StoreUnavailableError as error:
             self._note_failure(str(error))
             await asyncio.sleep(self._backoff_s())
@@ -148,10 +161,20 @@
         self._list_first = False
         return delta
 
+    def _note_answer(self) -> None:
+        self._failures = 0
+        self._relied_on_peers = False
+        self._set_up(True, "")
+
+    def _note_history_gone(self) -> None:
+        self._list_first = True
+        self.events.state("store-history-gone", after=self.store_view.replica.at)
+
     def _note_failure(self, problem: str) -> None:
         self._failures += 1
         self._failed_at = self.timing.monotonic()
-        self.outages.lost(self._failed_at)
+        self.outages.lost(self._failed_at, relied_on_peers=self._relied_on_peers)
+        self._relied_on_peers = False
         self._set_up(False, problem)
 
     def _backoff_s(self) -> float:
--- a/sprucewinch/gateway/servers/lapsed_entries.py
+++ b/sprucewinch/gateway/servers/lapsed_entries.py
@@ -7,8 +7,7 @@
 During an outage, and shortly after it, a living server's entry may have lapsed as it could not
 renew it; then the server is kept for `LAPSED_ENTRY_GRACE_S`, in which the entry returns. Kept, as a
 server that is dropped and found again would count as new and cold (docs/FINDINGS.md: worth 0.721,
-then 0.795, journal f1ad7c86). The figure stands in `state.outages`, with what does not hold yet: in
-a fleet, such servers are dropped after outages of 5 to 8 s (by trials).
+then 0.795, journal f1ad7c86). The figure stands in `state.outages`.
 
 Shows in: the `probe` event of servers that appear meanwhile. Tests: `test_gateway_outages`. Owns
 nothing; relies on `state.outages`.
--- a/sprucewinch/gateway/state/outages.py
+++ b/sprucewinch/gateway/state/outages.py
@@ -7,11 +7,10 @@
 
 Rule: during an outage of at least one heartbeat interval, and for `LAPSED_ENTRY_GRACE_S` after it,
 a missing entry may belong to a server that runs but could not renew its lease. An outage ends with
-an answered call of this VM, or when another VM announces that the store answered it since.
-
-Does not hold yet: in a fleet, entries of living servers are dropped after outages of 5 to 8 s (by
-trials). The cause is inferred: a notice up to 3.2 s old passes for an answer meanwhile, and a VM
-that relies on peers ends its outage by it (docs/FINDINGS.md, "Open: behaviour").
+an answered call of this VM, or when another VM announces an answer that the store gave after the
+outage began here; an older answer proves nothing. A VM that relied on other VMs learns of an outage
+only when their notices stay away: then the outage began `ANSWER_MAX_AGE_S` after the last answer
+that is known.
 
 Why: without the grace, servers that ran were dropped and taken for cold when their entries were
 back, and half of the requests were late for 4 s after each return (docs/FINDINGS.md, journal
@@ -29,6 +28,12 @@
 2.2 s were played first (docs/FINDINGS.md), bb3c71b set 2 s; not measured against other values."""
 
 
+ANSWER_MAX_AGE_S = 3.2
+"""Age beyond which an answer of the store to some VM no longer shows that it answers, in seconds: a
+watch of 2 s and the store client's margin of 0.9 s, with 0.3 s to spare. Older notices of store
+followers are ignored (`following.follow_role`)."""
+
+
 class StoreOutages:
     """Since when the store is out of reach, or until when its last outage matters.
 
@@ -37,21 +42,26 @@
             outage none can run out.
     """
 
-    __slots__ = ("_lost_at", "_grace_until", "heartbeat_s")
+    __slots__ = ("_answered_at", "_grace_until", "_lost_at", "heartbeat_s")
 
     def __init__(self, heartbeat_s: float) -> None:
         self.heartbeat_s = heartbeat_s
+        self._answered_at: Optional[float] = None
         self._lost_at: Optional[float] = None
         self._grace_until = float("-inf")
 
-    def lost(self, now: float) -> None:
+    def lost(self, now: float, *, relied_on_peers: bool = False) -> None:
         """Start an outage, unless one lasts, as a call failed.
 
         Args:
             now: Monotonic time, in seconds.
+            relied_on_peers: True when this VM made no calls before, and so learns of it late.
         """
-        if self._lost_at is None:
-            self._lost_at = now
+        if self._lost_at is not None:
+            return
+        self._lost_at = now
+        if relied_on_peers and self._answered_at is not None:
+            self._lost_at = min(now, self._answered_at + ANSWER_MAX_AGE_S)
 
     def regained(self, now: float) -> None:
         """End the outage, if any, as a call was answered.
@@ -59,9 +69,8 @@
         Args:
             now: Monotonic time, in seconds.
         """
-        if self._is_long(now):
-            self._grace_until = now + LAPSED_ENTRY_GRACE_S
-        self._lost_at = None
+        self._answered_at = now
+        self._end(now)
 
     def answered_peer(self, at: float, now: float) -> None:
         """End the outage when the store answered another VM after its start.
@@ -73,8 +82,9 @@
             at: When the store answered it, as monotonic time here, in seconds.
             now: Monotonic time, in seconds.
         """
+        self._answered_at = at if self._answered_at is None else max(self._answered_at, at)
         if self._lost_at is not None and at > self._lost_at:
-            self.regained(now)
+            self._end(now)
 
     def entries_may_have_lapsed(self, now: float) -> bool:
         """Return whether an entry that is missing now may belong to a server that runs.
@@ -84,5 +94,10 @@
         """
         return self._is_long(now) or now < self._grace_until
 
+    def _end(self, now: float) -> None:
+        if self._is_long(now):
+            self._grace_until = now + LAPSED_ENTRY_GRACE_S
+        self._lost_at = None
+
     def _is_long(self, now: float) -> bool:
         return self._lost_at is not None and now - self._lost_at >= self.heartbeat_s
--- a/tests/test_gateway_following.py
+++ b/tests/test_gateway_following.py
@@ -287,10 +287,34 @@
             others |= {(fault.name, name): ups for name, ups in lines.items() if ups != expected}
         self.assertEqual(others, {})
 
+    def test_a_vm_that_the_store_alone_refuses_writes_one_line_until_it_answers(self) -> None:
+        """It looks every 10 s, is refused again each time, and stands for no election meanwhile."""
+
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _fleet(loop)
+            refused = fleet.store_followers()[0]
+            fleet.store.faults_by_machine[refused.name] = Fault.BUSY
+            await pass_time(60.0)
+            others = {tuple(self._store_lines(vm)) for vm in fleet.vms if vm is not refused}
+            self.assertEqual(self._store_lines(refused), [True, False])
+            self.assertEqual(others, {(True,)})
+            self.assertNotIn(refused, fleet.store_followers())
+            del fleet.store.faults_by_machine[refused.name]
+            await pass_time(12.0)
+            self.assertEqual(self._store_lines(refused), [True, False, True])
+            sources = [row["source"] for row in self._rows(refused, "follows")]
+            self.assertEqual(sources[:2], ["neighbours", "store"])
+
+        run_virtual(main)
+
     def _store_lines(self, vm: FleetVm) -> list[bool]:
         """Return `up` of each line of the event `store` that a VM wrote."""
+        return [row["up"] for row in self._rows(vm, "store")]
+
+    def _rows(self, vm: FleetVm, event: str) -> list[dict]:
+        """Return the lines of an event that a VM wrote."""
         rows = [json.loads(line) for line in vm.lines]
-        return [row["up"] for row in rows if row["event"] == "store"]
+        return [row for row in rows if row["event"] == event]
 
 
 if __name__ == "__main__":
--- a/tests/test_gateway_outages.py
+++ b/tests/test_gateway_outages.py
@@ -4,7 +4,7 @@
 import unittest
 
 from sprucewinch.gateway.servers.backend_registry import BackendRegistry
-from sprucewinch.gateway.state.outages import LAPSED_ENTRY_GRACE_S, StoreOutages
+from sprucewinch.gateway.state.outages import ANSWER_MAX_AGE_S, LAPSED_ENTRY_GRACE_S, StoreOutages
 from standins.consortium_store import Fault, StoreStandIn
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
@@ -124,3 +124,20 @@
         outages.lost(20.0)
         outages.regained(20.5)
         self.assertFalse(outages.entries_may_have_lapsed(20.6))
+
+    def test_a_vm_that_relied_on_others_counts_from_the_last_answer_that_it_knows_of(self) -> None:
+        outages = StoreOutages(_HEARTBEAT_S)
+        outages.answered_peer(10.0, 10.1)
+        outages.lost(14.2, relied_on_peers=True)
+        lost_at = 10.0 + ANSWER_MAX_AGE_S
+        self.assertFalse(outages.entries_may_have_lapsed(lost_at + _HEARTBEAT_S - 0.01))
+        self.assertTrue(outages.entries_may_have_lapsed(lost_at + _HEARTBEAT_S))
+
+    def test_an_answer_from_before_an_outage_does_not_end_it(self) -> None:
+        outages = StoreOutages(_HEARTBEAT_S)
+        outages.lost(10.0)
+        outages.answered_peer(9.9, 20.0)
+        self.assertTrue(outages.entries_may_have_lapsed(20.0 + 2 * LAPSED_ENTRY_GRACE_S))
+        outages.answered_peer(19.9, 20.0)
+        self.assertTrue(outages.entries_may_have_lapsed(20.0))
+        self.assertFalse(outages.entries_may_have_lapsed(20.0 + LAPSED_ENTRY_GRACE_S))
