Send requests that must not run twice over kept connections that have just answered

Cause: each such request opened a connection of its own, for fear of a kept one that died unnoticed.

--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -16,6 +16,7 @@
 from ..settings import Bounds
 from ..state.store_view import Change, StoreView
 from .client_request import Attempt, ClientRequest, RefusalReason, Reply, Selection
+from .connection_age import most_rest_s
 from .outcome import final_answer
 from .outcome.hold_time import hold_time
 from .outcome.retry_decision import RetryDecision, decide_retry, without_budget
@@ -151,8 +152,8 @@
         self, request: ClientRequest, route: Route, selection: Selection, until: float
     ) -> Attempt:
         """Send a request, on a new connection where a stale one could cost it a run."""
-        fresh = bool(request.attempts) or not route.repeatable
-        attempt = await self.sender.send(request, selection, until, fresh=fresh)
+        rest_s = most_rest_s(request, route)
+        attempt = await self.sender.send(request, selection, until, most_rest_s=rest_s)
         request.attempts.append(attempt)
         return attempt
 
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -78,7 +78,12 @@
         self.events = events or NoEvents()
 
     async def send(
-        self, request: ClientRequest, selection: Selection, until: float, *, fresh: bool = False
+        self,
+        request: ClientRequest,
+        selection: Selection,
+        until: float,
+        *,
+        most_rest_s: float = float("inf"),
     ) -> Attempt:
         """Send a request to the chosen server.
 
@@ -86,14 +91,14 @@
             request: The request.
             selection: The chosen server.
             until: Monotonic time at which the attempt is given up, in seconds.
-            fresh: Open a new connection for it.
+            most_rest_s: Longest rest of a kept connection that carries it, in seconds.
         """
         server = selection.server
         started = self.monotonic()
         self.registry.take(server, started)
         try:
             async with asyncio.timeout(until - started):
-                attempt = await self._exchange(request, server, until, fresh)
+                attempt = await self._exchange(request, server, until, most_rest_s)
         except TimeoutError:
             attempt = Attempt(server.backend.id, Verdict.UNKNOWN, True, TIMED_OUT)
         finally:
@@ -109,11 +114,11 @@
         return attempt
 
     async def _exchange(
-        self, request: ClientRequest, server: BackendServer, until: float, fresh: bool
+        self, request: ClientRequest, server: BackendServer, until: float, most_rest_s: float
     ) -> Attempt:
         backend = server.backend
         try:
-            connection = await self.pool.take(backend.address, fresh=fresh)
+            connection = await self.pool.take(backend.address, most_rest_s=most_rest_s)
         except ConnectFailedError:
             return Attempt(backend.id, Verdict.NOT_RUN, False, UNREACHABLE)
         left_ms = max(MIN_DEADLINE_MS, int((until - self.monotonic()) * MS_PER_S))
--- a/sprucewinch/gateway/servers/pool.py
+++ b/sprucewinch/gateway/servers/pool.py
@@ -51,20 +51,23 @@
         self.max_idle = MAX_IDLE
         self._idle: dict[str, deque[Connection]] = {}
 
-    async def take(self, address: str, *, fresh: bool = False) -> Connection:
+    async def take(self, address: str, *, most_rest_s: float = _IDLE_S) -> Connection:
         """Return a connection that no request uses.
 
         Args:
             address: `IP:PORT`.
-            fresh: Open a new one in any case.
+            most_rest_s: Longest rest of a kept one that is used, in seconds; 0 to open a new one.
 
         Raises:
             ConnectFailedError: When no connection could be opened.
         """
+        now = self.monotonic()
         idle = self._idle.get(address)
-        while idle and not fresh:
+        while idle:
+            if now - idle[-1].idle_since >= most_rest_s:
+                break
             connection = idle.pop()
-            if connection.alive and connection.idle_until > self.monotonic():
+            if connection.alive and connection.idle_until > now:
                 return connection
             connection.close()
         self.opened += 1
@@ -81,7 +84,8 @@
         if not connection.alive:
             connection.close()
             return
-        connection.idle_until = self.monotonic() + min(_IDLE_S, keep_s * _IDLE_PART)
+        connection.idle_since = self.monotonic()
+        connection.idle_until = connection.idle_since + min(_IDLE_S, keep_s * _IDLE_PART)
         idle = self._idle.setdefault(address, deque())
         idle.append(connection)
         while len(idle) > self.max_idle:
--- a/sprucewinch/net/connection.py
+++ b/sprucewinch/net/connection.py
@@ -68,6 +68,7 @@
 
     Attributes:
         usable: False once the connection must carry no further request.
+        idle_since: Monotonic time since which the connection rests, in seconds.
         idle_until: Monotonic time until which the connection may rest, in seconds.
     """
 
@@ -76,6 +77,7 @@
         self.id_header = id_header
         self.transport: Optional[asyncio.Transport] = None
         self.usable = True
+        self.idle_since = float("-inf")
         self.idle_until = float("inf")
         self._reader = AnswerReader(self._received, self._fail)
         self._waiting: Optional[asyncio.Future[Answer]] = None
--- a/tests/test_gateway_pool.py
+++ b/tests/test_gateway_pool.py
@@ -30,6 +30,20 @@
 
         run_virtual(main)
 
+    def test_one_that_rested_longer_than_a_request_allows_stays_for_others(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            pool, _ = _started(loop)
+            first = await pool.take(ADDRESS)
+            pool.give_back(ADDRESS, first)
+            loop.instant.skipped_s += 2.0
+            second = await pool.take(ADDRESS, most_rest_s=2.0)
+            self.assertIsNot(second, first)
+            self.assertTrue(first.alive)
+            self.assertIs(await pool.take(ADDRESS, most_rest_s=2.1), first)
+            self.assertIsNot(await pool.take(ADDRESS, most_rest_s=0.0), second)
+
+        run_virtual(main)
+
     def test_a_closed_connection_is_not_given_out(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             pool, server = _started(loop)
--- a/tests/test_gateway_request_rules.py
+++ b/tests/test_gateway_request_rules.py
@@ -24,6 +24,7 @@
     SelectionReason,
     Verdict,
 )
+from sprucewinch.gateway.requests.connection_age import ONCE_REST_S, most_rest_s
 from sprucewinch.gateway.requests.outcome import final_answer
 from sprucewinch.gateway.requests.outcome.hold_time import (
     ANSWER_MARGIN_S,
@@ -288,6 +289,30 @@
         self.assertEqual(room_wait_s(_request(lost), route(), 10.0), 0.0)
 
 
+class KeptConnections(unittest.TestCase):
+    def test_what_must_not_run_twice_needs_a_connection_that_has_just_answered(self) -> None:
+        lost = _unanswered(Verdict.UNKNOWN, "reset")
+        once = route(repeatable=False)
+        self.assertEqual(most_rest_s(_request(), route()), float("inf"))
+        self.assertEqual(most_rest_s(_request(), once), ONCE_REST_S)
+        self.assertEqual(most_rest_s(_request(lost), route()), 0.0)
+        self.assertEqual(most_rest_s(_request(lost), once), 0.0)
+
+    def test_a_booking_takes_a_new_connection_after_a_rest(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=1)
+            path.world.configure(route(repeatable=False))
+            opened = []
+            for number, pause_s in enumerate((0.0, ONCE_REST_S / 2, ONCE_REST_S + 0.1)):
+                await pass_time(pause_s)
+                reply = await path.pipeline.run(path.request(f"q{number}"))
+                self.assertEqual(reply.status, 200)
+                opened.append(path.pool.opened)
+            self.assertEqual(opened, [1, 1, 2])
+
+        run_virtual(main)
+
+
 class CallersSide(unittest.TestCase):
     def test_an_unreadable_deadline_is_counted_and_a_missing_one_is_not(self) -> None:
         async def main(loop: VirtualLoop) -> tuple[str, str]:
