--- a/sprucewinch/gateway/requests/connection_age.py
+++ b/sprucewinch/gateway/requests/connection_age.py
@@ -19,9 +19,9 @@
 from .client_request import ClientRequest
 
 ONCE_REST_S = 3.0
-"""Longest rest of a connection that carries a request that must not run twice, in seconds: well under
-the time for which any kept connection may rest (`servers.pool`). Against a new one for each such
-request, 8 plays of cymoedd-rounds: worth 0.778 to 0.792, more on each (docs/CYMOEDD.md); other
+"""Longest rest of a connection that carries a request that must not run twice, in seconds: well
+under the time for which any kept connection may rest (`servers.pool`). Against a new one for each
+such request, 8 plays of cymoedd-rounds: worth 0.778 to 0.792, more on each (docs/CYMOEDD.md); other
 values were not played."""
 
 
