--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -95,14 +95,7 @@
         """
         server = selection.server
         started = self.monotonic()
-        self.registry.take(server, started)
-        try:
-            async with asyncio.timeout(until - started):
-                attempt = await self._exchange(request, server, until, most_rest_s)
-        except TimeoutError:
-            attempt = Attempt(server.backend.id, Verdict.UNKNOWN, True, TIMED_OUT)
-        finally:
-            self.registry.release(server, started)
+        attempt = await self._attempt(request, server, started, until, most_rest_s)
         request.at_server = False
         now = self.monotonic()
         attempt = attempt._replace(seconds=now - started)
@@ -113,6 +106,24 @@
             self._sample(server, attempt, request.key, now)
         return attempt
 
+    async def _attempt(
+        self,
+        request: ClientRequest,
+        server: BackendServer,
+        started: float,
+        until: float,
+        most_rest_s: float,
+    ) -> Attempt:
+        """Make one attempt within its time, counted at the server while it lasts."""
+        self.registry.take(server, started)
+        try:
+            async with asyncio.timeout(until - started):
+                return await self._exchange(request, server, until, most_rest_s)
+        except TimeoutError:
+            return Attempt(server.backend.id, Verdict.UNKNOWN, True, TIMED_OUT)
+        finally:
+            self.registry.release(server, started)
+
     async def _exchange(
         self, request: ClientRequest, server: BackendServer, until: float, most_rest_s: float
     ) -> Attempt:
--- a/sprucewinch/hall/peers/membership.py
+++ b/sprucewinch/hall/peers/membership.py
@@ -94,8 +94,7 @@
         if member.incarnation <= self.own.incarnation:
             return
         if self.own.state == JOINING:
-            self.own.incarnation = member.incarnation + 1
-            self.own.version = 1
+            _start_incarnation(self.own, member.incarnation + 1)
         else:
             self.superseded = True
 
@@ -160,3 +159,9 @@
 def version_of(member: Member) -> tuple[int, int]:
     """Return what orders the entries of one member: incarnation, then version."""
     return (member.incarnation, member.version)
+
+
+def _start_incarnation(member: Member, incarnation: int) -> None:
+    """Give an entry a higher incarnation, whose versions start anew."""
+    member.incarnation = incarnation
+    member.version = 1
--- a/sprucewinch/operators/story.py
+++ b/sprucewinch/operators/story.py
@@ -23,8 +23,8 @@
     "answered": "a backend server's own answer was passed on",
     "no-room": "not run: its server had no room, and it was not sent",
     "no-server": "not run: no server of its service could be used",
-    "stopping": "not run: its machine stopped before it was sent",
-    "no-configuration": "not run: the machine knew no configuration yet",
+    "stopping": "not run: its VM stopped before it was sent",
+    "no-configuration": "not run: the VM knew no configuration yet",
     "no-route": "no route of the configuration in force takes it",
     "too-large": "its body is larger than the configuration allows",
     "malformed": "its target is no path",
@@ -197,7 +197,7 @@
     if not blocked.get("server_id"):
         return ["no server could be used"]
     return [
-        f"{blocked['server_id']} had {blocked.get('in_flight')} of this machine's requests "
+        f"{blocked['server_id']} had {blocked.get('in_flight')} of this VM's requests "
         f"({blocked.get('window')} allowed) and a load of {blocked.get('load')}, as it said "
         f"{blocked.get('told_s')} s before"
     ]
--- a/tools/soak_vm.py
+++ b/tools/soak_vm.py
@@ -20,26 +20,21 @@
 import contextlib  # noqa: E402
 import time  # noqa: E402
 from pathlib import Path  # noqa: E402
+from typing import TYPE_CHECKING  # noqa: E402
+
+if TYPE_CHECKING:
+    from sprucewinch.clock import Clock
 
 CLOCK_SUFFIX = ".clock"
 """Suffix of the file that holds the shift of the time of day, in seconds."""
 
 
-def main() -> None:
-    """Run until a signal stops the process."""
-    from consortium import ConsortiumAdapter
-    from main import SETTINGS_VARIABLE
-    from node_settings import SettingsFile
-
-    from sprucewinch import log
+def shifted_clock(offset_file: Path) -> "Clock":
+    """Return the system's clocks with the time of day shifted as a file says."""
     from sprucewinch.clock import SystemClock
-    from sprucewinch.gateway.daemon import Gateway
 
-    path = Path(os.environ[SETTINGS_VARIABLE])
-    offset_file = path.with_suffix(CLOCK_SUFFIX)
-
-    class OffsetClock(SystemClock):
-        """The system's clocks, with the time of day shifted as the file says."""
+    class ShiftedClock(SystemClock):
+        """The system's clocks, but for the time of day."""
 
         def wall(self) -> float:
             """Return the time of day, in seconds since the epoch."""
@@ -49,6 +44,19 @@
                 offset = float(offset_file.read_text(encoding="utf-8"))
             return time.time() + offset
 
+    return ShiftedClock()
+
+
+def main() -> None:
+    """Run until a signal stops the process."""
+    from consortium import ConsortiumAdapter
+    from main import SETTINGS_VARIABLE
+    from node_settings import SettingsFile
+
+    from sprucewinch import log
+    from sprucewinch.gateway.daemon import Gateway
+
+    path = Path(os.environ[SETTINGS_VARIABLE])
     log.configure_lines()
     file = SettingsFile(path)
     gateway = Gateway(
@@ -56,7 +64,7 @@
         ConsortiumAdapter(),
         reread=file.reread,
         stop_asked=SIGNALS.stop_asked,
-        clock=OffsetClock(),
+        clock=shifted_clock(path.with_suffix(CLOCK_SUFFIX)),
     )
     asyncio.run(gateway.run())
 
