Do not take a server that refuses with free slots for a full one

Limits fell to 1, so that requests were refused here, or sent to servers that do not know their objects. Change: only a refusal of a server that reports no free slot, or no load at all, shrinks and pauses.

--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -33,7 +33,10 @@
 from .verdict import judge_answer, load_report
 
 SHED_PAUSE_S = 0.05
-"""Pause of a server that refused to run a request, in seconds. A guess, never measured."""
+"""Pause of a server that refused to run a request as it is full, or as it may be, in seconds. One
+that refuses and reports free slots fails for another reason: less load would not help it, and its
+pause sends objects to servers that do not know them (docs/CYMOEDD.md, round 5). A guess, never
+measured."""
 
 MISDIRECTED_PAUSE_S = 60.0
 """Pause of a server whose address now belongs to another server, in seconds. A guess, never
@@ -176,17 +179,17 @@
     def _learn(
         self, server: BackendServer, attempt: Attempt, started: float, now: float, request_id: str
     ) -> None:
-        if attempt.answer is not None:
-            load = load_report(attempt.answer, self.names)
-            if load is not None:
-                self.registry.record_load(server, load.running, load.waiting, now)
+        load = load_report(attempt.answer, self.names) if attempt.answer is not None else None
+        if load is not None:
+            self.registry.record_load(server, load.running, load.waiting, now)
         if attempt.verdict is Verdict.ANSWERED:
             self.registry.record_success(server, attempt.seconds, now)
         elif attempt.why == MISDIRECTED:
             server.pause(now + MISDIRECTED_PAUSE_S)
         elif attempt.why.startswith(SHED):
-            server.pause(now + SHED_PAUSE_S)
-            server.limit.decrease(now)
+            if load is None or load.running + load.waiting >= server.backend.capacity:
+                server.pause(now + SHED_PAUSE_S)
+                server.limit.decrease(now)
         elif attempt.why != TIMED_OUT or server.answered_at < started:
             server.record_failure(now)
             self.events.state(
--- a/tests/test_gateway_server_selection.py
+++ b/tests/test_gateway_server_selection.py
@@ -3,12 +3,14 @@
 import asyncio
 import unittest
 
+from sprucewinch.gateway.requests.client_request import SHED, Attempt, Verdict
 from sprucewinch.gateway.resources import BackendEntry
 from sprucewinch.gateway.servers.backend_server import BackendServer
+from sprucewinch.net.connection import Answer
 from standins.scripted_server import Spoil
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
-from .gateway_fakes import Path, World, route
+from .gateway_fakes import NAMES, Path, World, route
 from .test_platform_store import configuration, standin
 from .virtual_fleet import VirtualFleet
 
@@ -134,6 +136,23 @@
             server.record_load(3, 0, 10.0 + number * 0.1)
         self.assertEqual(server.concurrency_limit, 6.0)
 
+    def test_a_server_that_refuses_with_free_slots_is_not_taken_for_full(self) -> None:
+        for load, limit in (("2,0,6", 6.0), ("6,3,6", 4.2), ("", 4.2)):
+            with self.subTest(load=load):
+                self.assertAlmostEqual(run_virtual(lambda loop, x=load: self._shed(loop, x)), limit)
+
+    async def _shed(self, loop: VirtualLoop, load: str) -> float:
+        """Return a server's limit after it refused one request and reported a load."""
+        path = Path(loop, servers=1)
+        path.world.configure(route(repeatable=False))
+        server = path.world.registry.servers["s0"]
+        headers = ((NAMES.load, load),) if load else ()
+        answer = Answer(503, headers, b"")
+        attempt = Attempt("s0", Verdict.NOT_RUN, True, f"{SHED}-503", answer)
+        path.sender._learn(server, attempt, loop.time(), loop.time(), "q")
+        self.assertEqual(server.paused_until > loop.time(), load != "2,0,6")
+        return server.limit.value
+
     def test_beyond_all_room_requests_are_refused_early_as_not_run(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             path = Path(loop, servers=2)
