Refuse at once what has less time left than any answer of its service takes

Change: requests/time_left; the least time of a service is learnt from its answers (one in 50 is shorter). Never sent: 503 no-time at once, a new outcome; may have run: 504 at once. Tests: the rule, one that is sent nowhere, one that gets no promise, the least time (Hypothesis). One expectation changed with the word: what ran nowhere and is out of time is no-time, was no-room; the status and the promise are as before.

--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -162,6 +162,7 @@
     TOO_LARGE = "too-large"
     NO_SERVER = "no-server"
     NO_ROOM = "no-room"
+    NO_TIME = "no-time"
     STOPPING = "stopping"
     TIMEOUT = "timeout"
     FAILED = "failed"
--- a/sprucewinch/gateway/requests/outcome/final_answer.py
+++ b/sprucewinch/gateway/requests/outcome/final_answer.py
@@ -19,9 +19,8 @@
 - No server is allowed, or all servers are cold past this VM's allowance: 503 `no-server` at once,
   with a Retry-After from the range, which does not look at when the allowance allows one more.
 - No server has room: 503 `no-room` after the wait of `room`, with a Retry-After from the range.
-- The deadline is over on arrival: 503 `no-room` at once, as nothing was sent.
-- The deadline is shorter than any usual work: not recognised; once sent, 504 `timeout` at the end
-  of `hold_time`.
+- The deadline is over, or less of it is left than any answer takes (`requests.time_left`): 503
+  `no-time` at once when nothing was sent, else 504 `timeout` at once.
 - No configuration yet: 503 `no-configuration` at once, with a fixed Retry-After.
 - No memory for its body: 503 `no-room` at once, with a fixed Retry-After.
 """
@@ -112,10 +111,10 @@
 
 def _true_reason(request: ClientRequest, refusal: RefusalReason) -> RefusalReason:
     """Return a reason whose status promises no more than is certain."""
-    timed_out = refusal is RefusalReason.TIMEOUT
+    timed_out = refusal in (RefusalReason.TIMEOUT, RefusalReason.NO_TIME)
     if request.possible_runs():
         return RefusalReason.TIMEOUT if timed_out else RefusalReason.FAILED
-    return RefusalReason.NO_ROOM if timed_out else refusal
+    return RefusalReason.NO_TIME if timed_out else refusal
 
 
 def _retry_after_s(refusal: RefusalReason, rng: random.Random) -> float:
--- a/sprucewinch/gateway/requests/outcome/hold_time.py
+++ b/sprucewinch/gateway/requests/outcome/hold_time.py
@@ -8,7 +8,7 @@
 a route's time is kept to the end.
 
 Constants: `ANSWER_MARGIN_S`, `DEFAULT_WAIT_S`, `MAX_WAIT_S`, each with its ground below it.
-Shows in: event `request`, `outcome` `timeout` or `no-room` and `ms`; counter
+Shows in: event `request`, `outcome` `timeout` or `no-time` and `ms`; counter
 `requests_with_unreadable_deadline`. Tests: tests/test_gateway_request_rules.py,
 tests/test_gateway_pipeline.py (`Ends`).
 
@@ -22,9 +22,8 @@
   is tried all the same; it is not refused.
 - All servers are cold, and those with an allowance left rest, are silent or ejected: refused at
   once with `no-server`.
-- The deadline is shorter than any usual work: not recognised. It is sent if a server has room, and
-  is held until the time of this module, then gets `timeout`. Only a deadline that is over on
-  arrival, margin included, is refused at once, as `no-room`.
+- The deadline is over, margin included, or less of it is left than any answer of the service takes
+  (`requests.time_left`): refused at once with `no-time`.
 - The server is full and stays full: held for `room.ROOM_WAIT_PART` of the route's latency target
   at most, then refused with `no-room`.
 """
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -1,7 +1,7 @@
-"""The order of the steps that a request passes: route, split, hold time, select, send, retry.
+"""The order of the steps that a request passes: route, split, time, select, send, retry.
 
 Owns the order and the state that steps share: the route table, split balances, retry budgets. Each
-rule is a module of its own: `routes`, `split`, `outcome.hold_time`, `server_order`,
+rule is a module of its own: `routes`, `split`, `outcome.hold_time`, `time_left`, `server_order`,
 `server_selection`, `room`, `outcome.retry_decision`, `retry_budget`, `outcome.final_answer`. A
 request that waited for room, or whose attempt brought no answer, passes all steps again, so that it
 meets the newest configuration and servers. Relies on the rules, the registry and the sender.
@@ -27,6 +27,7 @@
 from .server_order import Ranking, ServerRanker
 from .server_selection import ServerSelector
 from .split import Splits
+from .time_left import has_time
 
 
 class Pipeline:
@@ -82,8 +83,8 @@
                 return final_answer.refused(route, self.rng)
             service = self._service(request, route, service, now)
             until = hold_time(request, route).until
-            if now >= until:
-                return self._not_served(request, route, RefusalReason.TIMEOUT)
+            if not has_time(until, now, self.registry.times.least_s(service)):
+                return self._not_served(request, route, RefusalReason.NO_TIME)
             selection = await self._choose_or_wait(request, route, service, now)
             if selection is None:
                 continue
--- a/sprucewinch/gateway/servers/service_times.py
+++ b/sprucewinch/gateway/servers/service_times.py
@@ -39,6 +39,17 @@
 _WEIGHT = 0.2
 """Weight of the last answer in a service's usual time. A guess, never measured."""
 
+_LEAST_SAMPLES = 20
+"""Answers of a service before its least time is used. A guess, never measured."""
+
+_LEAST_FALL = 0.95
+"""Factor on a service's least time at an answer that took less: it falls fast, as a least time that
+is too long refuses what could be served. A guess, never measured."""
+
+_LEAST_GROWTH = 1.001
+"""Factor on it at any other answer. With `_LEAST_FALL` it settles where one answer in 50 takes
+less. A guess, never measured."""
+
 
 class ServiceTimes:
     """Times of requests by service."""
@@ -46,6 +57,8 @@
     def __init__(self) -> None:
         self.typical_s: dict[str, float] = {}
         self.latency_target_s: dict[str, float] = {}
+        self._least_s: dict[str, float] = {}
+        self._answers: dict[str, int] = {}
 
     def set_latency_targets(self, configuration: RouteConfiguration) -> None:
         """Use the shortest latency target of each service's routes."""
@@ -60,6 +73,14 @@
         """Note an answer and the time it took, waiting included, in seconds."""
         held = self.typical_s.get(service, seconds)
         self.typical_s[service] = held + _WEIGHT * (seconds - held)
+        least = self._least_s.get(service, seconds)
+        self._least_s[service] = least * (_LEAST_GROWTH if seconds >= least else _LEAST_FALL)
+        self._answers[service] = self._answers.get(service, 0) + 1
+
+    def least_s(self, service: str) -> float:
+        """Return what nearly all answers of a service take at least, in seconds; 0 if not known."""
+        known = self._answers.get(service, 0) >= _LEAST_SAMPLES
+        return self._least_s[service] if known else 0.0
 
     def overload_queue_ratio(self, service: str) -> float:
         """Return how many requests may wait for each slot before a server is overloaded."""
--- a/sprucewinch/operators/deciding_rule.py
+++ b/sprucewinch/operators/deciding_rule.py
@@ -3,9 +3,6 @@
 Question: which module of `sprucewinch/gateway` does an engineer on call read to see why a request
 ended as it did? Input: the fields of an event `request`. Rule: the outcome names the module; where
 one outcome has several rules, whether the request was sent and whether a server is named decides.
-One case may be named wrongly: of a `no-room` that was not sent and has no `blocked`, the line does
-not show whether memory was short (`body_admission`, which is named) or the caller's deadline was
-over on arrival (`requests/outcome/hold_time.py`).
 
 Owns the table. Relies on the names of outcomes and fields, which `tests.test_formats_lines` holds,
 and on module paths, which `tests.test_story` checks. Imports nothing of the gateway: logs may come
@@ -22,6 +19,7 @@
     "malformed": "requests/callers/request_reader.py",
     "stopping": "requests/outcome/final_answer.py",
     "timeout": "requests/outcome/hold_time.py",
+    "no-time": "requests/time_left.py",
     "failed": "requests/outcome/retry_decision.py",
     "left": "requests/app.py",
 }
--- a/tests/test_formats_gateway.py
+++ b/tests/test_formats_gateway.py
@@ -41,6 +41,7 @@
     "too-large",
     "no-server",
     "no-room",
+    "no-time",
     "stopping",
     "timeout",
     "failed",
--- a/tests/test_gateway_request_rules.py
+++ b/tests/test_gateway_request_rules.py
@@ -41,8 +41,10 @@
     without_budget,
 )
 from sprucewinch.gateway.requests.room import no_room_reason, place_in_queue, room_wait_s
+from sprucewinch.gateway.requests.time_left import has_time
 from sprucewinch.gateway.resources import Route
 from sprucewinch.net.connection import Answer
+from standins.scripted_server import Spoil
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .formats_gateway import VirtualGateway
@@ -145,7 +147,12 @@
         lost = _unanswered(Verdict.UNKNOWN, "reset")
         shed = _unanswered(Verdict.NOT_RUN, "shed-503")
         for refusal, attempts in itertools.product(
-            (RefusalReason.TIMEOUT, RefusalReason.NO_ROOM, RefusalReason.NO_SERVER),
+            (
+                RefusalReason.TIMEOUT,
+                RefusalReason.NO_TIME,
+                RefusalReason.NO_ROOM,
+                RefusalReason.NO_SERVER,
+            ),
             ((lost,), (lost, shed), (shed, lost)),
         ):
             request = _request(*attempts)
@@ -156,7 +163,7 @@
     def test_a_request_that_ran_nowhere_gets_a_promise_and_a_time(self) -> None:
         request = _request(_unanswered(Verdict.NOT_RUN, "shed-503"))
         reply = final_answer.not_served(request, route(), RefusalReason.TIMEOUT, random.Random(1))
-        self.assertEqual((reply.status, reply.refusal), (503, RefusalReason.NO_ROOM))
+        self.assertEqual((reply.status, reply.refusal), (503, RefusalReason.NO_TIME))
         low, high = final_answer.RETRY_AFTER_RANGE_S
         self.assertTrue(low <= reply.retry_after_s <= high)
 
@@ -215,13 +222,14 @@
     """Why a server is selected, or why none is."""
 
     def _choose(
-        self, *loads: int, tried: int = 0, halls: tuple[str, ...] = ("east-a",)
+        self, *loads: int, tried: int = 0, warm: int = 0, halls: tuple[str, ...] = ("east-a",)
     ) -> tuple[int, Union[SelectionReason, BlockedReason]]:
         """Return the place of the selected server in the ranking, or -1, and the reason.
 
         Args:
             *loads: Requests that each server holds, in the order of the ranking.
             tried: How many servers could not be reached before.
+            warm: Place of the server that got the object lately.
             halls: Data halls of the servers, in turn.
         """
 
@@ -233,6 +241,8 @@
             ids = [server.backend.id for server in ranking.servers]
             dark = [Attempt(i, Verdict.NOT_RUN, False, "unreachable") for i in ids[:tried]]
             request = _request(*dark)
+            request.key = "lane-1"
+            path.outliers.sent_objects.record(ids[warm], request.key, loop.time())
             chosen = path.pipeline.selector.choose(
                 request, ranking, "rates", loop.time(), route(timeout_s=None)
             )
@@ -289,6 +299,46 @@
         self.assertEqual(room_wait_s(_request(lost), route(), 10.0), 0.0)
 
 
+class TimeLeft(unittest.TestCase):
+    def test_a_request_needs_the_least_time_of_its_service(self) -> None:
+        self.assertTrue(has_time(10.0, 9.9, 0.0))
+        self.assertTrue(has_time(10.0, 9.9, 0.05))
+        self.assertFalse(has_time(10.0, 9.9, 0.2))
+        self.assertFalse(has_time(10.0, 10.0, 0.0))
+
+    def test_one_without_it_is_refused_at_once_and_sent_nowhere(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=2)
+            path.world.configure(route(repeatable=False))
+            for server in path.servers.values():
+                server.work_s = 0.3
+            for number in range(30):
+                await path.pipeline.run(path.request(f"q{number}"))
+            before = loop.time()
+            short = path.request("short", deadline=before + 0.2)
+            reply = await path.pipeline.run(short)
+            self.assertEqual((reply.status, reply.refusal), (503, RefusalReason.NO_TIME))
+            self.assertIsNotNone(reply.retry_after_s)
+            self.assertEqual((loop.time(), short.attempts), (before, []))
+
+        run_virtual(main)
+
+    def test_one_that_may_have_run_gets_no_promise_for_it(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=2)
+            path.world.configure(route())
+            for server in path.servers.values():
+                server.work_s = 0.3
+            for number in range(30):
+                await path.pipeline.run(path.request(f"q{number}"))
+            path.first().spoils = [Spoil.LOST]
+            request = path.request("short", deadline=loop.time() + 0.5)
+            reply = await path.pipeline.run(request)
+            self.assertEqual((reply.status, len(request.attempts)), (504, 1))
+
+        run_virtual(main)
+
+
 class KeptConnections(unittest.TestCase):
     def test_what_must_not_run_twice_needs_a_connection_that_has_just_answered(self) -> None:
         lost = _unanswered(Verdict.UNKNOWN, "reset")
--- a/tests/test_gateway_service_times.py
+++ b/tests/test_gateway_service_times.py
@@ -1,5 +1,6 @@
 """How much may wait at a server, from what its service's requests take and may take."""
 
+import random
 import unittest
 
 from hypothesis import given
@@ -23,6 +24,26 @@
     return times
 
 
+class LeastTimes(unittest.TestCase):
+    def test_it_is_not_known_before_some_answers(self) -> None:
+        times = ServiceTimes()
+        self.assertEqual(times.least_s("rates"), 0.0)
+        for _ in range(19):
+            times.record_success("rates", 0.1)
+        self.assertEqual(times.least_s("rates"), 0.0)
+
+    @given(st.integers(0, 2**32))
+    def test_nearly_all_answers_take_longer(self, seed) -> None:
+        rng = random.Random(seed)
+        times = ServiceTimes()
+        taken = [rng.uniform(0.1, 0.4) for _ in range(2_000)]
+        for seconds in taken:
+            times.record_success("rates", seconds)
+        shorter = sum(seconds < times.least_s("rates") for seconds in taken)
+        self.assertLess(shorter, 0.1 * len(taken))
+        self.assertGreater(times.least_s("rates"), 0.08)
+
+
 class Turns(unittest.TestCase):
     @given(_SECONDS, _SECONDS)
     def test_a_queue_fits_the_routes_time_and_never_costs_a_slot(
