--- a/sprucewinch/gateway/requests/server_selection.py
+++ b/sprucewinch/gateway/requests/server_selection.py
@@ -4,17 +4,18 @@
 its ranking, its route, time in monotonic seconds. Rule: the first untried server that can be used;
 one that rests, is silent, ejected or cold past its allowance gives its objects to the next. When
 none can be used, the first untried one that is not cold is tried all the same; when all are
-cold, none. A server without room, or of the same region without a free slot, shares its objects
-with the next in their order, always the same one, as long as that one has slots to spare. Otherwise
-the request is refused, or waits (`room`).
+cold, none. A server without room shares its objects with the next in their order, always the same
+one, as long as that one has slots to spare. One with room but no free slot does so only where the
+next is of the same region and keeps the object warm, or half as many wait as there are slots.
+Otherwise the request is refused, or waits (`room`).
 
 Why so: work at a server that has not seen its object takes three times as long and pushes out what
 that server keeps warm, which makes still more requests slow (2e5e43d, trials: to second 20
 balance-lookup earned 0.609 of its credit with the soonest free server, 0.748 with two servers an
 object, 0.768 with one). The helper is one fixed server, so that it soon keeps the object warm too.
 
-Constants: `HELPER_FREE_PART`, `HELPER_IDLE_PART`, each with its ground below it. Shows in: event
-`request`, `sends`, and `blocked` of a request that was never sent. Tests:
+Constants: `HELPER_FREE_PART`, `HELPER_IDLE_PART`, `SHARE_COLD_TURNS`, each with its ground below
+it. Shows in: event `request`, `sends`, and `blocked` of a request that was never sent. Tests:
 tests/test_gateway_request_rules.py (`Selections`), tests/test_gateway_server_selection.py
 (`SilentServers`, `Overload`), tests/test_gateway_outliers.py.
 """
@@ -46,6 +47,11 @@
 """Part of its slots below which it helps a server of another region that has no room at all. Set in
 829d7ef (kovacs trouble-1 0.686 to 0.705, one play each; one half was no better on trouble-3)."""
 
+SHARE_COLD_TURNS = 1.5
+"""Requests for each slot of a busy server from which a helper shares an object that is new to it.
+Below that the wait for a slot is shorter than what a new object takes longer (docs/CYMOEDD.md,
+round 9). Other values were not played."""
+
 
 class ServerSelector:
     """Selects servers from what this VM knows, without a call to another VM.
@@ -58,6 +64,7 @@
     def __init__(self, registry: BackendRegistry, outliers: OutlierDetector) -> None:
         self.times = registry.times
         self.ejected = outliers.ejected
+        self.keeps_warm = outliers.sent_objects.is_warm
         self.cold_allowance = registry.cold_limit.allowance
 
     def choose(
@@ -118,7 +125,17 @@
         if no_room is not None:
             return Selection(helper, service, SelectionReason.HELPS_FULL)
         near = helper in ranking.servers[: ranking.near]
-        return Selection(helper, service, SelectionReason.SHARES_BUSY) if near else None
+        if near and self._is_sooner_at(helper, busy, request, now):
+            return Selection(helper, service, SelectionReason.SHARES_BUSY)
+        return None
+
+    def _is_sooner_at(
+        self, helper: BackendServer, busy: BackendServer, request: ClientRequest, now: float
+    ) -> bool:
+        """Return whether a helper answers sooner than a busy server that still has room."""
+        if not request.key or self.keeps_warm(helper.backend.id, request.key, now):
+            return True
+        return busy.load(now) >= SHARE_COLD_TURNS * busy.backend.capacity
 
     def _helper(
         self, request: ClientRequest, ranking: Ranking, busy: BackendServer, now: float
--- a/sprucewinch/gateway/servers/outliers.py
+++ b/sprucewinch/gateway/servers/outliers.py
@@ -189,6 +189,16 @@
             self._sent.popitem(last=False)
         return now - before <= _WARM_S
 
+    def is_warm(self, server_id: str, key: str, now: float) -> bool:
+        """Return whether a server got an object lately, so that it keeps it warm.
+
+        Args:
+            server_id: Id of the server.
+            key: The object.
+            now: Monotonic time, in seconds.
+        """
+        return now - self._sent.get((server_id, key), float("-inf")) <= _WARM_S
+
 
 class OutlierDetector:
     """Judges the servers of the registry.
