Tell callers that met no room when the server frees it for them

Change: requests/return_times: this VM's limit at the server divided by its recent time is the rate at which room comes; each refused caller gets the next such moment, in the order of the refusals, 0.1 to 1 s from now, by the schedule of the own interface. Elsewhere the range stands. Tests: rate and bounds (Hypothesis), order, a server that is gone, a refusal on the path.

--- a/sprucewinch/gateway/requests/outcome/final_answer.py
+++ b/sprucewinch/gateway/requests/outcome/final_answer.py
@@ -7,8 +7,8 @@
 run it, it gets 504 or 502, which promise nothing. A reason stands for one status.
 
 Why so: callers repeat requests that must not run twice after a promise only, so a false promise
-runs them twice. Retry-After is spread at random so that callers that are refused together do not
-return together; it knows neither how long room will take nor who came first.
+runs them twice. Retry-After is spread at random here, so that callers that are refused together do
+not return together; where a server had no room, `return_times` says when it has.
 
 Constants: `RETRY_AFTER_RANGE_S`, `STARTING_RETRY_AFTER_S`, `NO_MEMORY_RETRY_AFTER_S`, the statuses.
 Shows in: event `request`, `outcome` and `status`; counters `requests_…`. Tests:
@@ -18,7 +18,8 @@
 
 - No server is allowed, or all servers are cold past this VM's allowance: 503 `no-server` at once,
   with a Retry-After from the range, which does not look at when the allowance allows one more.
-- No server has room: 503 `no-room` after the wait of `room`, with a Retry-After from the range.
+- No server has room: 503 `no-room` after the wait of `room`, with the Retry-After of
+  `return_times`, or from the range where nothing is known of the server's times.
 - The deadline is over, or less of it is left than any answer takes (`requests.time_left`): 503
   `no-time` at once when nothing was sent, else 504 `timeout` at once.
 - No configuration yet: 503 `no-configuration` at once, with a fixed Retry-After.
@@ -32,9 +33,10 @@
 from ..client_request import Attempt, ClientRequest, RefusalReason, Reply, Verdict
 
 RETRY_AFTER_RANGE_S = (0.25, 0.75)
-"""Range of Retry-After when no server has room, in seconds: spread, so that callers refused
-together do not return together, and late enough that there may be room. Set in 2e5e43d among other
-changes (kovacs trouble-3 0.611 to 0.706 with all of them); never measured by itself."""
+"""Range of Retry-After when nothing says when there will be room, in seconds: spread, so that
+callers refused together do not return together, and late enough that there may be room. Set in
+2e5e43d among other changes (kovacs trouble-3 0.611 to 0.706 with all of them); never measured by
+itself."""
 
 STARTING_RETRY_AFTER_S = 0.3
 """Retry-After of a VM that has no configuration yet, in seconds. A guess, never measured."""
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -2,7 +2,8 @@
 
 Owns the order and the state that steps share: the route table, split balances, retry budgets. Each
 rule is a module of its own: `routes`, `split`, `outcome.hold_time`, `time_left`, `server_order`,
-`server_selection`, `room`, `outcome.retry_decision`, `retry_budget`, `outcome.final_answer`. A
+`server_selection`, `room`, `outcome.retry_decision`, `retry_budget`, `outcome.final_answer`,
+`return_times`. A
 request that waited for room, or whose attempt brought no answer, passes all steps again, so that it
 meets the newest configuration and servers. Relies on the rules, the registry and the sender.
 """
@@ -21,6 +22,7 @@
 from .outcome.hold_time import hold_time
 from .outcome.retry_decision import RetryDecision, decide_retry, without_budget
 from .retry_budget import WindowRetryBudget
+from .return_times import ReturnTimes
 from .room import LOOK_AGAIN_S, place_in_queue, room_wait_s
 from .routes import RouteTable
 from .sender import Sender
@@ -62,6 +64,7 @@
         self.monotonic = monotonic
         self.rng = rng
         self.selector = ServerSelector(registry, sender.outliers)
+        self.return_times = ReturnTimes(registry, rng)
         self.splits = Splits()
         self.budgets: dict[str, WindowRetryBudget] = {}
         self.table: Optional[RouteTable] = None
@@ -169,7 +172,11 @@
         return decision if taken else without_budget(attempt)
 
     def _not_served(self, request: ClientRequest, route: Route, refusal: RefusalReason) -> Reply:
-        return final_answer.not_served(request, route, refusal, self.rng)
+        reply = final_answer.not_served(request, route, refusal, self.rng)
+        if reply.refusal is not RefusalReason.NO_ROOM or request.blocked is None:
+            return reply
+        room_s = self.return_times.retry_after_s(request.blocked.server_id, self.monotonic())
+        return reply if room_s is None else reply._replace(retry_after_s=room_s)
 
     def _budget(self, service: str) -> WindowRetryBudget:
         budget = self.budgets.get(service)
--- /dev/null
+++ b/sprucewinch/gateway/requests/return_times.py
@@ -0,0 +1,77 @@
+"""Rule: when a caller that met no room may return.
+
+Question: what does the Retry-After of a refused request say? Inputs: the server that had no room,
+this VM's concurrency limit there, the recent mean time of a request there in seconds, the refusals
+before this one. Rule: limit divided by time is the rate at which the server frees room for this VM;
+each refused caller gets the next moment at that rate, in the order of the refusals, at least
+`LEAST_RETURN_S` and at most `MOST_RETURN_S` from now. Nothing is said of a server whose times are
+not known; then the range of `outcome.final_answer` holds.
+
+Why so: one time for all brings them back together, and a random one is later than needed for most
+and too soon for the last. The own interface has the same schedule (`sprucewinch.retry`).
+
+Constants: `LEAST_RETURN_S`, `MOST_RETURN_S`. Shows in: the header; no line. Tests:
+tests/test_gateway_return_times.py.
+"""
+
+import random
+from typing import Optional
+
+from ...retry import ReturnSchedule
+from ..servers.backend_registry import BackendRegistry
+from .outcome.hold_time import MS_PER_S
+
+LEAST_RETURN_S = 0.1
+"""Shortest time until a refused caller returns, in seconds, and the spread of each return. That of
+the own interface; a guess, never measured against others."""
+
+MOST_RETURN_S = 1.0
+"""Longest time until a refused caller returns, in seconds: callers wait a third of their time at
+most, so a later moment would be lost on them. A guess, never measured against others."""
+
+
+class ReturnTimes:
+    """Gives callers refused for one server the moments at which it frees room.
+
+    Args:
+        registry: Backend servers.
+        rng: Spreads the returns.
+    """
+
+    def __init__(self, registry: BackendRegistry, rng: random.Random) -> None:
+        self.registry = registry
+        self.rng = rng
+        self.schedules: dict[str, ReturnSchedule] = {}
+        self._generation = -1
+
+    def retry_after_s(self, server_id: str, now: float) -> Optional[float]:
+        """Return when the next caller refused for a server may return; None when not known.
+
+        Args:
+            server_id: The server that had no room.
+            now: Monotonic time, in seconds.
+
+        Returns:
+            Time from now, in seconds.
+        """
+        self._drop_gone()
+        server = self.registry.servers.get(server_id)
+        if server is None or not server.latency_s:
+            return None
+        rate_per_s = max(1, int(server.concurrency_limit)) / server.latency_s
+        return self._schedule(server_id).retry_after_ms(now, rate_per_s) / MS_PER_S
+
+    def _schedule(self, server_id: str) -> ReturnSchedule:
+        schedule = self.schedules.get(server_id)
+        if schedule is None:
+            schedule = self.schedules[server_id] = ReturnSchedule(
+                self.rng, least_ms=LEAST_RETURN_S * MS_PER_S, most_ms=MOST_RETURN_S * MS_PER_S
+            )
+        return schedule
+
+    def _drop_gone(self) -> None:
+        """Drop the schedules of servers that are gone, so that memory is bounded."""
+        if self._generation != self.registry.generation:
+            self._generation = self.registry.generation
+            held = self.registry.servers
+            self.schedules = {name: s for name, s in self.schedules.items() if name in held}
--- /dev/null
+++ b/tests/test_gateway_return_times.py
@@ -0,0 +1,81 @@
+"""When callers that met no room are told to return."""
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sprucewinch.gateway.requests.client_request import RefusalReason
+from sprucewinch.gateway.requests.return_times import (
+    LEAST_RETURN_S,
+    MOST_RETURN_S,
+    ReturnTimes,
+)
+from standins.virtual import VirtualLoop, run_virtual
+
+from .gateway_fakes import Path, route
+
+
+def _times(loop: VirtualLoop, latency_s: float) -> ReturnTimes:
+    registry = Path(loop, servers=1).world.registry
+    registry.record_success(registry.servers["s0"], latency_s, loop.time())
+    return ReturnTimes(registry, random.Random(1))
+
+
+class ReturnsOfRefusedCallers(unittest.TestCase):
+    @given(st.floats(0.01, 2.0), st.integers(1, 200))
+    def test_they_are_bounded_and_as_many_a_second_as_the_server_frees(
+        self, latency_s, callers
+    ) -> None:
+        async def main(loop: VirtualLoop) -> list[float]:
+            times = _times(loop, latency_s)
+            return [times.retry_after_s("s0", 10.0) for _ in range(callers)]
+
+        returns = run_virtual(main)
+        least, most = min(returns), max(returns)
+        self.assertTrue(LEAST_RETURN_S <= least <= most <= MOST_RETURN_S + LEAST_RETURN_S)
+        room_per_s = 6 / latency_s
+        for end in (0.3, 0.5):
+            back = sum(after_s < end for after_s in returns)
+            self.assertLessEqual(back, room_per_s * end + 1)
+
+    def test_those_refused_first_return_about_first(self) -> None:
+        async def main(loop: VirtualLoop) -> list[float]:
+            times = _times(loop, 0.6)
+            return [times.retry_after_s("s0", 10.0) for _ in range(6)]
+
+        returns = run_virtual(main)
+        for earlier, later in zip(returns, returns[2:], strict=False):
+            self.assertLess(earlier, later)
+
+    def test_nothing_is_said_of_a_server_that_is_gone_or_never_answered(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=1)
+            times = ReturnTimes(path.world.registry, random.Random(1))
+            self.assertIsNone(times.retry_after_s("s0", 10.0))
+            path.world.registry.record_success(path.world.registry.servers["s0"], 0.1, 10.0)
+            self.assertIsNotNone(times.retry_after_s("s0", 10.0))
+            path.world.drop("servers/s0", 10.0)
+            self.assertIsNone(times.retry_after_s("s0", 10.0))
+            self.assertEqual(times.schedules, {})
+
+        run_virtual(main)
+
+    def test_a_refusal_for_lack_of_room_says_it(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=1)
+            path.world.configure(route(latency_target_s=0.1))
+            registry = path.world.registry
+            server = registry.servers["s0"]
+            registry.record_success(server, 0.06, loop.time())
+            server.record_load(14, 0, loop.time())
+            reply = await path.pipeline.run(path.request("q"))
+            self.assertIs(reply.refusal, RefusalReason.NO_ROOM)
+            self.assertLessEqual(reply.retry_after_s, 2 * LEAST_RETURN_S)
+
+        run_virtual(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
