Let callers that return go before those that came after their first try

Cause: a caller that had been refused and came back queued behind all that had come meanwhile; a second refusal is its last. Change: requests that wait stand by rank, then by their caller's deadline, which a returning caller carries on; a full queue gives up its last request for one that goes before it (before: only for a more urgent one). Tests: one that returns to a full queue runs first and the newest is refused.

--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -84,7 +84,7 @@
     NO_SERVER = "no-server"
     """No server is allowed, untried and usable."""
     OTHER_WAITS = "other-waits"
-    """A request that is more urgent, or as urgent and arrived earlier, waits at the server."""
+    """A request that is more urgent, or as urgent with an earlier deadline, waits there."""
     CONCURRENCY_LIMIT = "concurrency-limit"
     """This VM has as many requests at the server as it may have."""
     LOAD_LIMIT = "load-limit"
--- a/sprucewinch/gateway/servers/backend_server.py
+++ b/sprucewinch/gateway/servers/backend_server.py
@@ -133,7 +133,7 @@
         self.rest.extend(until)
 
     async def wait_for_room(self, longest_s: float, place: Place) -> bool:
-        """Wait until a request here is over; the most urgent goes first, then the first to arrive.
+        """Wait until a request here is over; the most urgent goes first, then the first deadline.
 
         Args:
             longest_s: Longest wait, in seconds.
--- a/sprucewinch/gateway/servers/room_queue.py
+++ b/sprucewinch/gateway/servers/room_queue.py
@@ -1,14 +1,16 @@
 """Which requests wait for room at one backend server, and in which order they get it.
 
 Question: which request looks for room next once one at the server is over? Inputs: a request's
-rank (0 the most urgent), its arrival in monotonic seconds, its longest wait in seconds, the
-server's slots.
-
-Rule: as many requests wait as the server has slots; the most urgent goes first, then the one that
-arrived first. Each waits anew after `requests.room.LOOK_AGAIN_S` and then stands where its arrival
-puts it, and no request passes one that stands before it (`stands_before`). A request that finds the
-queue full takes the place of the last one if that is less urgent, else it does not wait. One wakes
-for each request that ends: to wake all would let the least urgent take the room before the others
+rank (0 the most urgent), its caller's deadline in monotonic seconds, its longest wait in seconds,
+the server's slots.
+
+Rule: as many requests wait as the server has slots; the most urgent goes first, then the one whose
+caller gives up first. Callers of a route state the same time when they first try and what is left
+of it when they return, so this is the order in which they first came: one that was refused before
+stands before those that came after it. Each waits anew after `requests.room.LOOK_AGAIN_S` and keeps
+its place, and no request passes one that stands before it (`stands_before`). A request that finds
+the queue full takes the place of the last one if that stands behind it, else it does not wait. One
+wakes for each request that ends: to wake all would let the last take the room before the others
 look. The queue's length is the server's slots, as more would wait for longer than one round of work
 (a guess, never measured).
 
@@ -28,8 +30,8 @@
 
     WOKEN = "a request at the server is over"
     TIMED_OUT = "the longest wait is over"
-    DISPLACED = "a more urgent request took the place"
-    QUEUE_FULL = "as many wait as the server has slots, none of them less urgent"
+    DISPLACED = "a request that goes before it took the place"
+    QUEUE_FULL = "as many wait as the server has slots, and all go before it"
 
     @property
     def may_look(self) -> bool:
@@ -42,11 +44,11 @@
 
     Args:
         rank: The request's rank, 0 the most urgent.
-        arrived_at: Monotonic time of its arrival, in seconds.
+        deadline: Monotonic time until which its caller waits, in seconds.
     """
 
     rank: int
-    arrived_at: float
+    deadline: float
 
 
 class Waiter(NamedTuple):
@@ -81,7 +83,7 @@
             place: The request's place among those that wait.
             most: Most requests that wait at once.
         """
-        if len(self.waiters) >= most and not self._displace(place.rank):
+        if len(self.waiters) >= most and not self._displace(place):
             return WaitEnd.QUEUE_FULL
         waiter = Waiter(place, asyncio.get_running_loop().create_future())
         bisect.insort(self.waiters, waiter, key=Waiter.order)
@@ -104,13 +106,13 @@
                 return
 
     def stands_before(self, place: Place) -> bool:
-        """Return whether a request waits that is more urgent, or as urgent and arrived earlier."""
+        """Return whether a request waits that is more urgent, or as urgent and given up earlier."""
         return bool(self.waiters) and self.waiters[0].place < place
 
-    def _displace(self, rank: int) -> bool:
-        """End the wait of the last request if it is less urgent; False when it is not."""
+    def _displace(self, place: Place) -> bool:
+        """End the wait of the last request if it stands behind a place; False when it does not."""
         last = self.waiters[-1]
-        if last.place.rank <= rank:
+        if last.place <= place:
             return False
         self.waiters.pop()
         if not last.turn.done():
--- a/tests/test_gateway_server_selection.py
+++ b/tests/test_gateway_server_selection.py
@@ -229,6 +229,34 @@
 
         run_virtual(main)
 
+    def test_a_caller_that_returns_goes_before_those_that_came_after_its_first_try(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=1)
+            path.world.configure(route(latency_target_s=4.0))
+            server = path.first()
+            server.work_s = 0.3
+            tasks = []
+            for number in range(6):
+                tasks.append(loop.create_task(path.pipeline.run(path.request(f"r{number}"))))
+                await pass_time(0.03)
+            for number in range(6):
+                tasks.append(loop.create_task(path.pipeline.run(path.request(f"w{number}"))))
+                await pass_time(0.003)
+            returned = path.request("again", deadline=loop.time() + 1.5)
+            reply = await path.pipeline.run(returned)
+            self.assertEqual(reply.status, 200)
+            replies = await asyncio.gather(*tasks)
+            ran = [run.request_id for run in server.runs[6:]]
+            self.assertEqual(ran[0], "again")
+            refused = (
+                [r.status for r in replies].index(503)
+                if 503 in {r.status for r in replies}
+                else None
+            )
+            self.assertEqual(refused, 11)
+
+        run_virtual(main)
+
 
 class QueuesThatFit(unittest.TestCase):
     """How much may wait at a server depends on what its requests take and may take."""
