--- a/tests/test_gateway_server_selection.py
+++ b/tests/test_gateway_server_selection.py
@@ -207,24 +207,26 @@
 
         run_virtual(main)
 
-    def test_waiting_requests_of_equal_rank_get_room_in_order_of_arrival(self) -> None:
-        """Six requests run and end one by one, while six more wait that came 3 ms apart."""
+    async def _six_run_and_six_wait(self, path: Path) -> list[asyncio.Task]:
+        """Send a server of six slots six requests that end one by one, then six 3 ms apart."""
+        path.world.configure(route(latency_target_s=4.0))
+        server = path.first()
+        server.work_s = 0.3
+        tasks = []
+        for name, pause_s in (("r", 0.03), ("w", 0.003)):
+            for number in range(6):
+                request = path.request(f"{name}{number}")
+                tasks.append(path.loop.create_task(path.pipeline.run(request)))
+                await pass_time(pause_s)
+        self.assertEqual(len(server.runs), 6)
+        return tasks
 
+    def test_waiting_requests_of_equal_rank_get_room_in_order_of_arrival(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             path = Path(loop, servers=1)
-            path.world.configure(route(latency_target_s=4.0))
-            server = path.first()
-            server.work_s = 0.3
-            tasks = []
-            for name, pause_s in (("r", 0.03), ("w", 0.003)):
-                for number in range(6):
-                    request = path.request(f"{name}{number}")
-                    tasks.append(loop.create_task(path.pipeline.run(request)))
-                    await pass_time(pause_s)
-            self.assertEqual(len(server.runs), 6)
-            replies = await asyncio.gather(*tasks)
+            replies = await asyncio.gather(*await self._six_run_and_six_wait(path))
             self.assertEqual([reply.status for reply in replies], [200] * 12)
-            waited = [run.request_id for run in server.runs[6:]]
+            waited = [run.request_id for run in path.first().runs[6:]]
             self.assertEqual(waited, [f"w{number}" for number in range(6)])
 
         run_virtual(main)
@@ -232,23 +234,12 @@
     def test_a_caller_that_returns_goes_before_those_that_came_after_its_first_try(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             path = Path(loop, servers=1)
-            path.world.configure(route(latency_target_s=4.0))
-            server = path.first()
-            server.work_s = 0.3
-            tasks = []
-            for number in range(6):
-                tasks.append(loop.create_task(path.pipeline.run(path.request(f"r{number}"))))
-                await pass_time(0.03)
-            for number in range(6):
-                tasks.append(loop.create_task(path.pipeline.run(path.request(f"w{number}"))))
-                await pass_time(0.003)
+            tasks = await self._six_run_and_six_wait(path)
             returned = path.request("again", deadline=loop.time() + 1.5)
-            reply = await path.pipeline.run(returned)
-            self.assertEqual(reply.status, 200)
+            self.assertEqual((await path.pipeline.run(returned)).status, 200)
             replies = await asyncio.gather(*tasks)
-            ran = [run.request_id for run in server.runs[6:]]
-            self.assertEqual(ran[0], "again")
             self.assertEqual([reply.status for reply in replies], [200] * 11 + [503])
+            self.assertEqual(path.first().runs[6].request_id, "again")
 
         run_virtual(main)
 
