Close all resting connections to a server after a time-out

Change: after a time-out at a server its resting connections are closed, so the next request opens one. Not after a reset: that has shown itself, and servers that reset answers would cost a connection each. Test: a request after a time-out opens a new connection, though one rests.

--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -123,6 +123,7 @@
             async with asyncio.timeout(until - started):
                 return await self._exchange(request, server, until, most_rest_s)
         except TimeoutError:
+            self.pool.drop(server.backend.address)
             return Attempt(server.backend.id, Verdict.UNKNOWN, True, TIMED_OUT)
         finally:
             self.registry.release(server, started)
--- a/sprucewinch/gateway/servers/pool.py
+++ b/sprucewinch/gateway/servers/pool.py
@@ -4,9 +4,11 @@
 the server says that it keeps a connection (seconds), how many it accepts, the number of VMs.
 
 Rule: the connection that rested least is used first, unless the server may close it soon; a
-connection whose answer was not whole is closed. A VM keeps at most its part of what a server
-accepts, as 24 resting connections from each of 89 VMs are more than the 1,770 that one accepts
-(f9faf7c). Least rested first, so that the surplus grows old and is closed.
+connection whose answer was not whole is closed. After a time-out all resting ones to that server
+are closed too: connections can go silent for good without a sign, and each would cost a request. A
+VM keeps at most its part of what a server accepts, as 24 resting connections from each of 89 VMs
+are more than the 1,770 that one accepts (f9faf7c). Least rested first, so that the surplus grows
+old and is closed.
 
 Shows in: the metric `backend_connections_opened`. Tests: `test_gateway_pool`. Owns the resting
 connections; relies on `net.connection`, whose `ConnectFailedError` it passes on.
@@ -91,6 +93,15 @@
         while len(idle) > self.max_idle:
             idle.popleft().close()
 
+    def drop(self, address: str) -> None:
+        """Close all resting connections to a server, as one of its connections fell silent.
+
+        Args:
+            address: `IP:PORT`.
+        """
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
     def share(self, connections: int, vm_count: int) -> None:
         """Divide the connections that servers accept among the VMs.
 
--- a/tests/test_gateway_pool.py
+++ b/tests/test_gateway_pool.py
@@ -1,11 +1,14 @@
 """Kept connections: how many, how long, and none in doubt."""
 
+import asyncio
 import unittest
 
 from sprucewinch.gateway.servers.pool import MAX_IDLE, ConnectionPool
-from standins.scripted_server import ScriptedServer
+from standins.scripted_server import ScriptedServer, Spoil
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
+from .gateway_fakes import Path, route
+
 ADDRESS = "10.0.0.1:80"
 _REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\nx-request-id: q\r\n\r\n"
 
@@ -57,6 +60,19 @@
 
         run_virtual(main)
 
+    def test_after_a_time_out_a_request_that_must_not_run_twice_gets_a_new_connection(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=1)
+            path.world.configure(route(repeatable=False))
+            both = [path.pipeline.run(path.request(f"q{number}")) for number in range(2)]
+            self.assertEqual([reply.status for reply in await asyncio.gather(*both)], [200, 200])
+            path.first().spoils = [Spoil.SILENT]
+            silent = await path.pipeline.run(path.request("silent"))
+            after = await path.pipeline.run(path.request("after"))
+            self.assertEqual((silent.status, after.status, path.pool.opened), (504, 200, 3))
+
+        run_virtual(main)
+
     def test_vms_share_what_a_server_accepts(self) -> None:
         for vms in (12, 89, 2800):
             with self.subTest(vms=vms):
