--- a/sprucewinch/gateway/requests/connection_age.py
+++ b/sprucewinch/gateway/requests/connection_age.py
@@ -11,8 +11,7 @@
 distant regions.
 
 Constants: `ONCE_REST_S`. Shows in: the metric `backend_connections_opened`. Tests:
-tests/test_gateway_pool.py,
-tests/test_gateway_request_rules.py (`KeptConnections`).
+tests/test_gateway_pool.py, tests/test_gateway_request_rules.py (`KeptConnections`).
 """
 
 from ..resources import Route
@@ -21,7 +20,7 @@
 ONCE_REST_S = 3.0
 """Longest rest of a connection that carries a request that must not run twice, in seconds: well
 under the time for which any kept connection may rest (`servers.pool`). Against a new one for each
-such request, 8 plays of cymoedd-rounds: worth 0.778 to 0.792, more on each (docs/CYMOEDD.md); other
+such request, 15 plays of cymoedd-rounds: worth 0.774 to 0.792 (docs/CYMOEDD.md, round 1); other
 values were not played."""
 
 
