--- a/sprucewinch/gateway/requests/outcome/final_answer.py
+++ b/sprucewinch/gateway/requests/outcome/final_answer.py
@@ -20,7 +20,7 @@
   with a Retry-After from the range, which does not look at when the allowance allows one more.
 - No server has room: 503 `no-room` after the wait of `room`, with the Retry-After of
   `return_times`, or from the range where nothing is known of the server's times.
-- The deadline is over, or less of it is left than any answer takes (`requests.time_left`): 503
+- The deadline is over, or less of it is left than any answer takes (`time_left`): 503
   `no-time` at once when nothing was sent, else 504 `timeout` at once.
 - No configuration yet: 503 `no-configuration` at once, with a fixed Retry-After.
 - No memory for its body: 503 `no-room` at once, with a fixed Retry-After.
--- a/sprucewinch/gateway/requests/outcome/hold_time.py
+++ b/sprucewinch/gateway/requests/outcome/hold_time.py
@@ -23,7 +23,7 @@
 - All servers are cold, and those with an allowance left rest, are silent or ejected: refused at
   once with `no-server`.
 - The deadline is over, margin included, or less of it is left than any answer of the service takes
-  (`requests.time_left`): refused at once with `no-time`.
+  (`time_left`): refused at once with `no-time`.
 - The server is full and stays full: held for `room.ROOM_WAIT_PART` of the route's latency target
   at most, then refused with `no-room`.
 """
--- a/sprucewinch/gateway/requests/return_times.py
+++ b/sprucewinch/gateway/requests/outcome/return_times.py
@@ -5,7 +5,7 @@
 before this one. Rule: limit divided by time is the rate at which the server frees room for this VM;
 each refused caller gets the next moment at that rate, in the order of the refusals, at least
 `LEAST_RETURN_S` and at most `MOST_RETURN_S` from now. Nothing is said of a server whose times are
-not known; then the range of `outcome.final_answer` holds.
+not known; then the range of `final_answer` holds.
 
 Why so: one time for all brings them back together, and a random one is later than needed for most
 and too soon for the last. The own interface has the same schedule (`sprucewinch.retry`).
@@ -17,9 +17,9 @@
 import random
 from typing import Optional
 
-from ...retry import ReturnSchedule
-from ..servers.backend_registry import BackendRegistry
-from .outcome.hold_time import MS_PER_S
+from ....retry import ReturnSchedule
+from ...servers.backend_registry import BackendRegistry
+from .hold_time import MS_PER_S
 
 LEAST_RETURN_S = 0.1
 """Shortest time until a refused caller returns, in seconds, and the spread of each return. That of
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -1,11 +1,11 @@
 """The order of the steps that a request passes: route, split, time, select, send, retry.
 
 Owns the order and the state that steps share: the route table, split balances, retry budgets. Each
-rule is a module of its own: `routes`, `split`, `outcome.hold_time`, `time_left`, `server_order`,
-`server_selection`, `room`, `outcome.retry_decision`, `retry_budget`, `outcome.final_answer`,
-`return_times`. A request that waited for room, or whose attempt brought no answer, passes all steps
-again, so that it meets the newest configuration and servers. Relies on the rules, the registry and
-the sender.
+rule is a module of its own: `routes`, `split`, `outcome.hold_time`, `outcome.time_left`,
+`server_order`, `server_selection`, `room`, `outcome.retry_decision`, `retry_budget`,
+`outcome.final_answer`, `outcome.return_times`. A request that waited for room, or whose attempt
+brought no answer, passes all steps again, so that it meets the newest configuration and servers.
+Relies on the rules, the registry and the sender.
 """
 
 import random
@@ -21,15 +21,15 @@
 from .outcome import final_answer
 from .outcome.hold_time import hold_time
 from .outcome.retry_decision import RetryDecision, decide_retry, without_budget
+from .outcome.return_times import ReturnTimes
+from .outcome.time_left import has_time
 from .retry_budget import WindowRetryBudget
-from .return_times import ReturnTimes
 from .room import LOOK_AGAIN_S, place_in_queue, room_wait_s
 from .routes import RouteTable
 from .sender import Sender
 from .server_order import Ranking, ServerRanker
 from .server_selection import ServerSelector
 from .split import Splits
-from .time_left import has_time
 
 
 class Pipeline:
--- a/tests/test_gateway_request_rules.py
+++ b/tests/test_gateway_request_rules.py
@@ -40,8 +40,8 @@
     decide_retry,
     without_budget,
 )
+from sprucewinch.gateway.requests.outcome.time_left import has_time
 from sprucewinch.gateway.requests.room import no_room_reason, place_in_queue, room_wait_s
-from sprucewinch.gateway.requests.time_left import has_time
 from sprucewinch.gateway.resources import Route
 from sprucewinch.net.connection import Answer
 from standins.scripted_server import Spoil
--- a/tests/test_gateway_return_times.py
+++ b/tests/test_gateway_return_times.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from sprucewinch.gateway.requests.client_request import RefusalReason
-from sprucewinch.gateway.requests.return_times import (
+from sprucewinch.gateway.requests.outcome.return_times import (
     LEAST_RETURN_S,
     MOST_RETURN_S,
     ReturnTimes,
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -91,7 +91,7 @@
             ("no-server", [], {"server_id": ""}, "servers/usability.py"),
             ("no-server", [["s1", "not-run", "unreachable", 1]], None, RETRY_DECISION),
             ("timeout", [["s1", "unknown", "timeout", 9]], None, "requests/outcome/hold_time.py"),
-            ("no-time", [], None, "requests/time_left.py"),
+            ("no-time", [], None, "requests/outcome/time_left.py"),
             ("of-another-version", [], None, ""),
         )
         for outcome, sends, blocked, rule in cases:
