--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Optional, TypeVar
 
+from .virtual_link import Link, current_link
+
 T = TypeVar("T")
 
 Factory = Callable[[], asyncio.Protocol]
@@ -20,6 +22,9 @@
 _SILENT_S = 3600
 """Seconds for which a silent listener leaves a connection unanswered, longer than any test."""
 
+_PIECE_BYTES = 16_384
+"""Bytes that one connection puts on a link at a time, so that connections share it in turn."""
+
 
 class _InstantSelector(selectors.DefaultSelector):
     """Never waits; counts how long it would have waited."""
@@ -42,10 +47,12 @@
 
     Args:
         factory: Makes the protocol of an accepted connection.
+        link: Link of the machine that listens; None for one without a limit.
     """
 
-    def __init__(self, factory: Factory) -> None:
+    def __init__(self, factory: Factory, link: Optional[Link] = None) -> None:
         self.factory = factory
+        self.link = link
         self.silent = False
 
 
@@ -55,12 +62,16 @@
     Args:
         loop: The loop.
         delay_s: Time that bytes take to the other end, in seconds.
+        link: Link of this end's machine; None for one without a limit.
     """
 
-    def __init__(self, loop: "VirtualLoop", delay_s: float) -> None:
+    def __init__(self, loop: "VirtualLoop", delay_s: float, link: Optional[Link] = None) -> None:
         super().__init__()
         self.loop = loop
         self.delay_s = delay_s
+        self.link = link
+        self.unsent = bytearray()
+        self.sending = False
         self.peer: Optional[MemoryTransport] = None
         self.protocol: Optional[asyncio.Protocol] = None
         self.closing = False
@@ -68,15 +79,21 @@
 
     def write(self, data: Any) -> None:
         """Send bytes to the other end."""
-        if not self.closing:
+        if self.closing:
+            return
+        if not self.limited:
             self._later(self._peer_receives, bytes(data))
+            return
+        self.unsent += data
+        self._send_piece()
 
     def close(self) -> None:
         """End in order: the other end reads everything first."""
         self._end(None)
 
     def abort(self) -> None:
-        """Reset: the other end gets an error."""
+        """Reset: the other end gets an error, and what is not yet sent is lost."""
+        self.unsent.clear()
         self._end(ConnectionResetError("reset by peer"))
 
     def is_closing(self) -> bool:
@@ -84,8 +101,8 @@
         return self.closing
 
     def get_write_buffer_size(self) -> int:
-        """Return 0: everything is sent at once."""
-        return 0
+        """Return the bytes that wait for a link; 0 without links."""
+        return len(self.unsent)
 
     def get_extra_info(self, _name: str, default: Any = None) -> Any:
         """Return the default: there is no socket."""
@@ -100,6 +117,36 @@
     def _later(self, action: Callable, *arguments: Any) -> None:
         self.loop.call_later(self.delay_s, action, *arguments)
 
+    @property
+    def limited(self) -> bool:
+        """True when a link limits what this end sends."""
+        return self.link is not None or (self.peer is not None and self.peer.link is not None)
+
+    def _send_piece(self) -> None:
+        """Put the next piece on the links, unless one is on its way."""
+        if self.sending or not self.unsent:
+            return
+        piece = bytes(self.unsent[:_PIECE_BYTES])
+        del self.unsent[:_PIECE_BYTES]
+        self.sending = True
+        self.loop.call_at(self._passes_links(len(piece)), self._piece_sent, piece)
+
+    def _passes_links(self, size: int) -> float:
+        """Return the time at which a piece has passed both machines' links."""
+        at = self.loop.time()
+        if self.link is not None:
+            at = self.link.up.pass_through(size, at)
+        if self.peer is not None and self.peer.link is not None:
+            at = self.peer.link.down.pass_through(size, at)
+        return at
+
+    def _piece_sent(self, piece: bytes) -> None:
+        self.sending = False
+        self._later(self._peer_receives, piece)
+        self._send_piece()
+        if self.closing and not self.unsent:
+            self._later(self._peer_ends, None)
+
     def _peer_receives(self, data: bytes) -> None:
         peer = self.peer
         if peer is not None and not peer.closing and peer.protocol and not self.held:
@@ -110,12 +157,14 @@
             return
         self.closing = True
         self.loop.call_soon(self._lost, None)
-        self._later(self._peer_ends, error)
+        if not self.sending and not self.unsent:
+            self._later(self._peer_ends, error)
 
     def _peer_ends(self, error: Optional[Exception]) -> None:
         peer = self.peer
         if peer is None or peer.closing or self.held:
             return
+        peer.unsent.clear()
         if error is None and peer.protocol is not None:
             peer.protocol.eof_received()
         peer.closing = True
@@ -144,9 +193,9 @@
         """Return the virtual time, in seconds."""
         return _START_S + self.instant.skipped_s
 
-    def listen(self, address: str, factory: Factory) -> Listener:
-        """Accept connections at `IP:PORT`."""
-        listener = self.listeners[address] = Listener(factory)
+    def listen(self, address: str, factory: Factory, link: Optional[Link] = None) -> Listener:
+        """Accept connections at `IP:PORT`, on a machine with a link."""
+        listener = self.listeners[address] = Listener(factory, link)
         return listener
 
     async def create_connection(  # type: ignore[override]
@@ -159,7 +208,8 @@
             raise ConnectionRefusedError(f"{host}:{port}")
         if listener.silent:
             await asyncio.sleep(_SILENT_S)
-        near, far = MemoryTransport(self, self.delay_s), MemoryTransport(self, self.delay_s)
+        near = MemoryTransport(self, self.delay_s, current_link.get())
+        far = MemoryTransport(self, self.delay_s, listener.link)
         near.peer, far.peer = far, near
         near.protocol, far.protocol = protocol_factory(), listener.factory()
         far.protocol.connection_made(far)
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -2,16 +2,18 @@
 
 import asyncio
 import random
-import re
+from contextvars import copy_context
 from typing import Any, Optional
 
+import httptools
+
 from sprucewinch.gateway.datagrams import Datagrams
 from sprucewinch.gateway.decision_log import DecisionLog
-from sprucewinch.gateway.following.deltas import encode_delta
 from sprucewinch.gateway.following.follow_role import FollowRole
 from sprucewinch.gateway.following.notices import ProgressNotices
 from sprucewinch.gateway.following.peer_follower import PeerFollower
 from sprucewinch.gateway.following.store_follower import StoreFollower
+from sprucewinch.gateway.internal_apps import DeltaApp
 from sprucewinch.gateway.membership.gossip import Gossip
 from sprucewinch.gateway.membership.heartbeats import Heartbeats
 from sprucewinch.gateway.membership.registrar import Registrar
@@ -22,11 +24,11 @@
 from sprucewinch.gateway.servers.outliers import OutlierDetector
 from sprucewinch.gateway.servers.peer_reports import FailureReport, OverloadReport, PeerReports
 from sprucewinch.gateway.state.outages import StoreOutages
-from sprucewinch.gateway.state.replica import Delta
 from sprucewinch.gateway.state.store_view import StoreView
 from sprucewinch.gateway.timing import Timing
 from standins.consortium_store import StoreStandIn
 from standins.virtual import VirtualLoop
+from standins.virtual_link import Link, current_link
 
 from .gateway_fakes import BOUNDS  # isort: skip
 from . import adapter  # noqa: F401 - makes the next imports possible
@@ -58,7 +60,9 @@
         rng = random.Random(fleet.seed * 1000 + number)
         timing = Timing(loop.time, rng)
         self.store_view = StoreView(StoreItems())
-        self.gossip = Gossip(self.name, incarnation, rng)
+        link_mbps = fleet.link_mbps[number % len(fleet.link_mbps)] if fleet.link_mbps else 0
+        self.link = Link(link_mbps) if link_mbps else None
+        self.gossip = Gossip(self.name, incarnation, rng, link_mbps=link_mbps)
         outages = StoreOutages(1.5)
         self.follow_role = FollowRole(
             self.name, self.region, self.gossip, self.store_view, outages, regions=len(REGIONS)
@@ -113,7 +117,7 @@
         )
         registrar = Registrar(own, self.store_view, self.gossip, store, timing)
         loop.listen(self.store_address, lambda: fleet.store.accept(self.name))
-        loop.listen(self.address, lambda: _Deltas(self))
+        loop.listen(self.address, lambda: _Deltas(self), self.link)
         loops = (
             follower.run,
             peer_follower.run,
@@ -123,7 +127,9 @@
             reporter.run,
             self._tick,
         )
-        self.tasks = [loop.create_task(run()) for run in loops]
+        machine = copy_context()
+        machine.run(current_link.set, self.link)
+        self.tasks = [loop.create_task(run(), context=machine) for run in loops]
 
     async def _tick(self) -> None:
         """Drop lapsed entries as the daemon does."""
@@ -159,14 +165,22 @@
         store: The store.
         count: How many VMs.
         seed: Seed of the VMs' randomness.
+        link_mbps: Widths of the VMs' links in turn, in Mbit/s; none for links without a limit.
     """
 
     def __init__(
-        self, loop: VirtualLoop, store: StoreStandIn, count: int, *, seed: int = 1
+        self,
+        loop: VirtualLoop,
+        store: StoreStandIn,
+        count: int,
+        *,
+        seed: int = 1,
+        link_mbps: tuple[int, ...] = (),
     ) -> None:
         self.loop = loop
         self.store = store
         self.seed = seed
+        self.link_mbps = link_mbps
         self.gone: set[str] = set()
         self.cut: set[str] = set()
         self.empty_deltas = False
@@ -217,20 +231,46 @@
 
 
 class _Deltas(asyncio.Protocol):
-    """Answers requests for deltas as a VM's peer listener does."""
+    """A VM's peer listener: its application, served in memory."""
 
     def __init__(self, vm: FleetVm) -> None:
         self.vm = vm
+        self.parser = httptools.HttpRequestParser(self)
+        self.url = b""
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.head = b""
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
-        found = re.search(rb"after=(\d+)", data)
-        assert found is not None
-        delta = self.vm.store_view.replica.since(int(found[1]))
-        if self.vm.fleet.empty_deltas:
-            delta = Delta((), (), 0)
-        body = encode_delta(delta)
-        head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n"
-        self.transport.write(head.encode() + body)
+        self.parser.feed_data(data)
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers.append((name.lower(), value))
+
+    def on_message_complete(self) -> None:
+        url = httptools.parse_url(self.url)
+        view = StoreView(StoreItems()) if self.vm.fleet.empty_deltas else self.vm.store_view
+        scope = {
+            "path": url.path.decode(),
+            "query_string": url.query or b"",
+            "headers": tuple(self.headers),
+        }
+        self.url, self.headers = b"", []
+        self.vm.fleet.loop.create_task(DeltaApp(view)(scope, self._receive, self._send))
+
+    async def _receive(self) -> dict[str, Any]:
+        return {"type": "http.request", "body": b"", "more_body": False}
+
+    async def _send(self, message: dict[str, Any]) -> None:
+        """Write head and body at once: the virtual loop keeps no order within one moment."""
+        if message["type"] == "http.response.start":
+            lines = [f"HTTP/1.1 {message['status']} x".encode()]
+            lines += [name + b": " + value for name, value in message["headers"]]
+            self.head = b"\r\n".join([*lines, b"", b""])
+            return
+        self.transport.write(self.head + message["body"])
