--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -12,7 +12,9 @@
 from ..clock import Clock
 from .datagrams import Datagrams
 from .decision_log import DecisionLog
+from .following.fetch_failures import FetchFailures
 from .following.follow_role import FollowRole
+from .following.large_items import LargeItems
 from .following.notices import ProgressNotices
 from .following.peer_follower import PeerFollower
 from .following.store_follower import StoreFollower
@@ -91,6 +93,7 @@
     follow_role: FollowRole
     notices: ProgressNotices
     store_follower: StoreFollower
+    large_items: LargeItems
     peer_follower: PeerFollower
 
 
@@ -177,6 +180,8 @@
     gossip = Gossip(settings.name, incarnation, context.rng, link_mbps=settings.link_mbps)
     role = _follow_role(settings, state, gossip)
     notices = ProgressNotices(role, datagrams, timing)
+    failures = FetchFailures(context.events, context.monotonic)
+    large_items = LargeItems(state.view, role, notices, failures, context.events, timing)
     return Fleet(
         datagrams=datagrams,
         gossip=gossip,
@@ -188,8 +193,9 @@
         store_follower=StoreFollower(
             state.view, state.store, role, state.outages, context.events, timing, notices
         ),
+        large_items=large_items,
         peer_follower=PeerFollower(
-            state.view, gossip, role, notices, datagrams, timing, context.events
+            state.view, role, notices, datagrams, timing, large_items, failures
         ),
     )
 
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -164,6 +164,7 @@
         for loop in (
             self.fleet.store_follower.run,
             self.fleet.peer_follower.run,
+            self.fleet.large_items.run,
             self.fleet.registrar.run,
             self.servers.prober.run,
             self.fleet.heartbeats.run,
--- a/sprucewinch/gateway/following/follow_role.py
+++ b/sprucewinch/gateway/following/follow_role.py
@@ -9,13 +9,15 @@
 Rule: in each region the first VMs by link width, then by hash of the name, are elected, among those
 that are in touch, accept callers and reach the store. Every other VM relies on their notices and
 fetches deltas from them. It falls back to the store when no fresh notice arrives for
-`NOTICE_SILENCE_S`, when it stays behind an announced revision for more than `_CATCH_UP_S`, and for
-`_DISTRUST_S` after a peer failed to give a delta.
+`NOTICE_SILENCE_S`, when it stays behind an announced revision for more than `_CATCH_UP_S` while no
+large item arrives from a peer, and for `_DISTRUST_S` after a peer failed to give what it asked for.
 
 Why: calls to the store are limited and priced. One follower in each region cut the calls on one day
 from 1,302 to 308 at 12 VMs (1fb4c16). Fewer and longer watches brought changes late; a lease for
 the follower costs a call more and does not help when its holder is paused (1fb4c16). The fallback
 makes freshness independent of the election: two VMs that elect differently only cost more calls.
+A large item on its way from a peer is no reason to ask the store for the same bytes over the same
+link.
 
 Result: `FollowReason`; it shows in the event `follows` (`source` is `store` or `neighbours`).
 Tests: `test_gateway_follow_role`, `test_gateway_following`, `test_platform_store`.
@@ -121,8 +123,9 @@
         self.followers_per_region = math.ceil(_MIN_STORE_FOLLOWERS / max(1, regions))
         self.peer_ahead: Optional[str] = None
         self._notice_received_at = float("-inf")
-        self._announced_revision = 0
+        self.announced_revision = 0
         self._behind_since: Optional[float] = None
+        self._progress_at = float("-inf")
         self._distrust_until = float("-inf")
 
     def notice(self, now: float) -> Optional[ProgressNotice]:
@@ -153,7 +156,7 @@
             return False
         self._notice_received_at = now
         self.outages.answered_peer(now - age_s, now)
-        self._announced_revision = max(self._announced_revision, notice.revision)
+        self.announced_revision = max(self.announced_revision, notice.revision)
         if notice.revision > self.store_view.replica.at:
             self.peer_ahead = notice.sender
             if self._behind_since is None:
@@ -165,7 +168,7 @@
 
     def check_caught_up(self) -> None:
         """End the state of being behind once the newest announced revision is held."""
-        if self.store_view.replica.at >= self._announced_revision:
+        if self.store_view.replica.at >= self.announced_revision:
             self.peer_ahead = None
             self._behind_since = None
 
@@ -177,6 +180,14 @@
         """
         self._distrust_until = now + _DISTRUST_S
 
+    def note_progress(self, now: float) -> None:
+        """Note that bytes of a large item have arrived from a peer.
+
+        Args:
+            now: Monotonic time, in seconds.
+        """
+        self._progress_at = now
+
     def set_store_reachable(self, reachable: bool) -> None:
         """Announce in heartbeats whether the store answers this VM; elections depend on it."""
         self.gossip.set_store_reachable(reachable)
@@ -191,7 +202,7 @@
             return FollowReason.DISTRUST
         if now - self._notice_received_at > NOTICE_SILENCE_S:
             return FollowReason.NO_NOTICE
-        if self._behind_since is not None and now - self._behind_since > _CATCH_UP_S:
+        if self._is_stuck(now):
             return FollowReason.BEHIND
         return FollowReason.ELECTED if self.is_elected(now) else FollowReason.PEERS_CURRENT
 
@@ -220,6 +231,12 @@
         far = [member for member in members if member.region != self.region]
         return near + self.gossip.sample(far, _OTHER_REGIONS)
 
+    def _is_stuck(self, now: float) -> bool:
+        """Return whether this VM is behind, and nothing has come for `_CATCH_UP_S`."""
+        if self._behind_since is None:
+            return False
+        return now - max(self._behind_since, self._progress_at) > _CATCH_UP_S
+
     def _ranks_first(self, now: float, eligible: Callable[[str, float], bool]) -> bool:
         own = self._rank(self.name)
         better = sum(
--- a/sprucewinch/gateway/following/notices.py
+++ b/sprucewinch/gateway/following/notices.py
@@ -60,6 +60,10 @@
             pass
         self._behind.clear()
 
+    def wake(self) -> None:
+        """Let this VM look at once what it still lacks."""
+        self._behind.set()
+
     def _receive(self, notice: ProgressNotice, now: float) -> None:
         if self.follow_role.receive(notice, now):
             self._behind.set()
--- a/sprucewinch/gateway/following/peer_follower.py
+++ b/sprucewinch/gateway/following/peer_follower.py
@@ -1,7 +1,8 @@
 """Follows peers: fetches deltas from VMs that hold a newer revision than this one.
 
 Owns which peer is asked, and when. Relies on `follow_role` and `gossip` for the revisions of other
-VMs, on `deltas` for the call and on `state.store_view`, to which each delta is applied.
+VMs, on `deltas` for the call, on `state.store_view`, to which each delta is applied, and on
+`large_items` for what a delta leaves out.
 
 Rule: a VM that announced a newer revision in a notice is asked at once. A newer revision in a
 heartbeat alone is followed at the second look, as a notice is probably on its way; then a random VM
@@ -10,21 +11,21 @@
 heartbeats, so it starts during an outage of the store (fe4ff0e). A peer that fails makes this VM
 follow the store for a while.
 
-Result: metric `neighbour_deltas`; failures in the metric `deltas_failed` and the event
-`delta-failed`. Tests: `test_gateway_following`, `test_gateway_peer_follower`.
+Result: metric `neighbour_deltas`; failures as in `fetch_failures`. Tests: `test_gateway_following`,
+`test_gateway_peer_follower`.
 """
 
 import asyncio
 from typing import Optional
 
 from ..datagrams import Datagrams
-from ..events import EventLog
-from ..membership.gossip import Gossip
 from ..state.replica import Delta
 from ..state.store_view import StoreView
 from ..timing import Timing
 from .deltas import DeltaUnavailableError, fetch_delta
+from .fetch_failures import FetchFailures
 from .follow_role import FollowRole
+from .large_items import LargeItems
 from .notices import ProgressNotices
 
 _PEER_POLL_S = 0.3
@@ -40,45 +41,40 @@
 """Pause after a delta, in seconds, so that the next one brings several changes. A guess, never
 measured."""
 
-_FAILURE_LINE_S = 5.0
-"""Shortest time between two lines on failed deltas, in seconds; the counter counts all. A guess,
-never measured."""
-
 
 class PeerFollower:
     """Applies deltas of peers that hold a newer revision.
 
     Args:
         store_view: What this VM holds of the store.
-        gossip: VMs in touch and the revisions they hold.
-        follow_role: This VM's part in following the store.
+        follow_role: This VM's part in following the store, with the heartbeats of others.
         notices: Wake this VM when a store follower has a newer revision.
         datagrams: Names the sender of the last datagram.
         timing: Sources of time and randomness.
-        events: Takes failures to fetch a delta.
+        large_items: Fetches what a delta leaves out.
+        failures: Takes failures to fetch a delta.
     """
 
     def __init__(
         self,
         store_view: StoreView,
-        gossip: Gossip,
         follow_role: FollowRole,
         notices: ProgressNotices,
         datagrams: Datagrams,
         timing: Timing,
-        events: EventLog,
+        large_items: LargeItems,
+        failures: FetchFailures,
     ) -> None:
         self.store_view = store_view
-        self.gossip = gossip
         self.follow_role = follow_role
         self.notices = notices
         self.datagrams = datagrams
         self.timing = timing
-        self.events = events
+        self.large_items = large_items
+        self.failures = failures
         self.deltas_applied = 0
         self._seen_behind = False
         self._started_at = timing.monotonic()
-        self._failure_logged_at = float("-inf")
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -104,28 +100,28 @@
 
     def _registered_ahead(self) -> list[str]:
         """Return the registered VMs whose heartbeats show a newer revision."""
-        ahead = self.gossip.ahead(self.store_view.replica.at, self.timing.monotonic())
+        ahead = self.follow_role.gossip.ahead(self.store_view.replica.at, self.timing.monotonic())
         return [name for name in ahead if name in self.store_view.members]
 
     async def _start_from_peer(self) -> None:
         """Fetch everything from the sender of the last datagram when the store is late."""
         address = self.datagrams.last_sender
-        if address is None or not self._store_is_late():
+        if address is None or self.large_items.fetching or not self._store_is_late():
             return
         delta = await self._fetch(address, 0)
         if delta is not None and not self.store_view.has_configuration:
-            self._apply(delta)
+            self._apply(address, delta)
 
     def _store_is_late(self) -> bool:
         return self.timing.monotonic() - self._started_at >= _STORE_FIRST_S
 
     async def _ask(self, name: str) -> None:
-        member = self.store_view.members[name]
-        delta = await self._fetch(member.peer_address, self.store_view.replica.at)
+        address = self.store_view.members[name].peer_address
+        delta = await self._fetch(address, self.store_view.replica.at)
         if delta is None:
             self.follow_role.distrust_peers(self.timing.monotonic())
             return
-        self._apply(delta)
+        self._apply(address, delta)
         self.follow_role.check_caught_up()
         await asyncio.sleep(_BATCH_PAUSE_S)
 
@@ -134,16 +130,10 @@
         try:
             return await fetch_delta(address, after)
         except DeltaUnavailableError as error:
-            self._note_failure(address, str(error))
+            self.failures.record(address, str(error))
             return None
 
-    def _apply(self, delta: Delta) -> None:
+    def _apply(self, address: str, delta: Delta) -> None:
         self.deltas_applied += 1
         self.store_view.apply(delta, self.timing.monotonic())
-
-    def _note_failure(self, address: str, problem: str) -> None:
-        self.events.count("deltas_failed")
-        now = self.timing.monotonic()
-        if now - self._failure_logged_at >= _FAILURE_LINE_S:
-            self._failure_logged_at = now
-            self.events.state("delta-failed", peer=address, problem=problem)
+        self.large_items.want(address, delta.deferred)
--- a/sprucewinch/gateway/internal_apps.py
+++ b/sprucewinch/gateway/internal_apps.py
@@ -1,18 +1,24 @@
 """Small ASGI applications for other VMs and operators: changes of the store, metrics, state.
 
-Owns what is answered on the ports between VMs and for metrics. Relies on the replica for the
-changes and on the functions it is given for texts. An adapter's own applications use `send_bytes`.
+Owns what is answered on the ports between VMs and for metrics, and the encoded form of the large
+items that peers ask for. Relies on the replica for the changes and on the functions it is given for
+texts. An adapter's own applications use `send_bytes`.
 """
 
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
-from typing import Any
-from urllib.parse import parse_qs
+from typing import Any, Optional
+from urllib.parse import parse_qsl
 
 from ..net.asgi import Receive, Send
-from .following.deltas import DELTA_PATH, encode_delta
+from .following.deltas import DELTA_PATH, ITEM_PATH, encode_delta, encode_item
+from .state.replica import Item
 from .state.store_view import StoreView
 
+_MAX_ENCODED = 4
+"""Encoded items kept for peers at the most. Large ones are configurations and policies, of which
+peers ask for the newest. A guess, never measured."""
+
 
 async def send_bytes(send: Send, status: int, body: bytes, kind: str = "text/plain") -> None:
     """Send a whole answer.
@@ -31,8 +37,27 @@
     await send({"type": "http.response.body", "body": body})
 
 
+class EncodedItems:
+    """Items as they are sent to peers, each encoded once: all VMs of a region ask for the same."""
+
+    def __init__(self) -> None:
+        self._kept: dict[str, tuple[int, bytes]] = {}
+
+    def encode(self, item: Item) -> bytes:
+        """Return an item's bytes for a peer."""
+        revision, data = self._kept.get(item.key, (0, b""))
+        if revision == item.revision:
+            return data
+        data = encode_item(item)
+        self._kept.pop(item.key, None)
+        self._kept[item.key] = (item.revision, data)
+        if len(self._kept) > _MAX_ENCODED:
+            del self._kept[next(iter(self._kept))]
+        return data
+
+
 class DeltaApp:
-    """Sends other VMs the changes of the store after a revision that they name.
+    """Sends other VMs the changes of the store after a revision that they name, and large items.
 
     Args:
         store_view: What this VM holds of the store.
@@ -40,15 +65,37 @@
 
     def __init__(self, store_view: StoreView) -> None:
         self.store_view = store_view
+        self.encoded = EncodedItems()
 
     async def __call__(self, scope: dict[str, Any], _receive: Receive, send: Send) -> None:
         """Serve one request."""
-        after = parse_qs(scope["query_string"].decode("latin-1")).get("after", ["0"])[0]
-        if scope["path"] != DELTA_PATH or not after.isdigit():
+        query = dict(parse_qsl(scope["query_string"].decode("latin-1")))
+        body = self._answer(scope["path"], query)
+        if body is None:
             await send_bytes(send, HTTPStatus.NOT_FOUND, b"")
             return
-        delta = self.store_view.replica.since(int(after))
-        await send_bytes(send, HTTPStatus.OK, encode_delta(delta), "application/msgpack")
+        await send_bytes(send, HTTPStatus.OK, body, "application/msgpack")
+
+    def _answer(self, path: str, query: Mapping[str, str]) -> Optional[bytes]:
+        """Return the answer's body; None when there is no such thing here."""
+        if path == DELTA_PATH:
+            return self._delta(query.get("after", "0"), query.get("most"))
+        if path == ITEM_PATH:
+            return self._item(query.get("key", ""), query.get("revision", "0"))
+        return None
+
+    def _delta(self, after: str, most: Optional[str]) -> Optional[bytes]:
+        if not after.isdigit() or (most is not None and not most.isdigit()):
+            return None
+        most_bytes = None if most is None else int(most)
+        return encode_delta(self.store_view.replica.since(int(after), most_bytes=most_bytes))
+
+    def _item(self, key: str, revision: str) -> Optional[bytes]:
+        """Return an item of a revision or a newer one."""
+        item = self.store_view.replica.items.get(key)
+        if item is None or not revision.isdigit() or item.revision < int(revision):
+            return None
+        return self.encoded.encode(item)
 
 
 class TextApp:
--- a/sprucewinch/gateway/servers/probe.py
+++ b/sprucewinch/gateway/servers/probe.py
@@ -18,7 +18,7 @@
 from http import HTTPStatus
 from typing import NamedTuple, Optional, Union
 
-from ...net.connection import Answer, NoAnswer, get
+from ...net.connection import Answer, NoAnswer, Patience, get
 from ..events import EventLog
 from ..header_names import HeaderNames
 from .backend_registry import BackendRegistry
@@ -87,12 +87,15 @@
         if rule is None or not rule.health_path:
             return
         self.events.count("probes")
-        found = self._read(await get(server.backend.address, rule.health_path, _TIMEOUT_S), server)
+        found = self._read(await self._get(server, rule.health_path), server)
         left_s = found.cold_left_s
         if left_s is not None:
             server.cold_until = self.monotonic() + left_s + COLD_MARGIN_S if left_s else 0.0
         self.events.state("probe", server=server.backend.id, status=found.status, cold_s=left_s)
 
+    async def _get(self, server: BackendServer, path: str) -> Union[Answer, NoAnswer]:
+        return await get(server.backend.address, path, Patience.in_all(_TIMEOUT_S))
+
     def _read(self, answer: Union[Answer, NoAnswer], server: BackendServer) -> ProbeResult:
         if isinstance(answer, NoAnswer):
             return ProbeResult(_NO_ANSWER, None)
--- a/sprucewinch/gateway/state/store_view.py
+++ b/sprucewinch/gateway/state/store_view.py
@@ -101,10 +101,18 @@
             now: Monotonic time, in seconds.
         """
         changed = self.replica.apply(delta)
-        self.confirmed_at = now
-        changes = [change for key in sorted(changed) for change in self._decode(key, now)]
-        if changes:
-            self._report(changes)
+        if self.replica.at >= delta.at:
+            self.confirmed_at = now
+        self._decode_changed(changed, now)
+
+    def apply_item(self, item: Item, now: float) -> None:
+        """Apply an item that a delta had left out; it proves nothing of the others.
+
+        Args:
+            item: The item.
+            now: Monotonic time, in seconds.
+        """
+        self._decode_changed(self.replica.apply(Delta((item,), (), 0)), now)
 
     def confirm(self, at: float) -> None:
         """Record that a store follower holds no more than this VM.
@@ -122,6 +130,11 @@
         """
         self.store_answered_at = now
 
+    def _decode_changed(self, keys: set[str], now: float) -> None:
+        changes = [change for key in sorted(keys) for change in self._decode(key, now)]
+        if changes:
+            self._report(changes)
+
     def _report(self, changes: list[Change]) -> None:
         self.generation += 1
         self.evacuated = frozenset(e.hall for e in self._of(Evacuation))
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -19,6 +19,7 @@
         "backend_connections_opened": servers.pool.opened,
         "store_calls": state.store.calls,
         "store_revision": view.replica.at,
+        "announced_revision": fleet.follow_role.announced_revision,
         "store_age_s": now - view.confirmed_at,
         "configuration_version": context.events.configuration_version,
         "members": len(view.members),
--- a/sprucewinch/net/connection.py
+++ b/sprucewinch/net/connection.py
@@ -10,9 +10,11 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable, Mapping
 from typing import NamedTuple, Optional, Union
 
 from ._answer_reader import FIRST_FINAL_STATUS, Answer, AnswerReader
+from ._progress_timeout import Patience, run_while_progress
 from ._stall_timeout import run_within
 from .address import parse_address
 
@@ -22,8 +24,10 @@
     "Connection",
     "ExchangeFailedError",
     "NoAnswer",
+    "Patience",
     "connect",
     "get",
+    "run_while_progress",
 ]
 
 _ANSWERED_EARLY_BYTES = 65_536
@@ -70,6 +74,10 @@
         usable: False once the connection must carry no further request.
         idle_since: Monotonic time since which the connection rests, in seconds.
         idle_until: Monotonic time until which the connection may rest, in seconds.
+        last_byte_at: Time of the loop at which the last byte of the answer that is awaited
+            arrived, in seconds; None before its first byte.
+        received_bytes: Bytes of that answer so far.
+        on_bytes: Called whenever some arrive.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, *, id_header: Optional[str] = None) -> None:
@@ -79,6 +87,9 @@
         self.usable = True
         self.idle_since = float("-inf")
         self.idle_until = float("inf")
+        self.last_byte_at: Optional[float] = None
+        self.received_bytes = 0
+        self.on_bytes: Callable[[], None] = _ignore
         self._reader = AnswerReader(self._received, self._fail)
         self._waiting: Optional[asyncio.Future[Answer]] = None
         self._request_id = ""
@@ -101,6 +112,8 @@
         assert self.transport is not None
         self._request_id = request_id
         self._body_length = body_length
+        self.last_byte_at = None
+        self.received_bytes = 0
         self._waiting = self.loop.create_future()
         try:
             self.transport.write(data)
@@ -132,6 +145,9 @@
         if self._waiting is None or self._waiting.done():
             self.close()
             return
+        self.last_byte_at = self.loop.time()
+        self.received_bytes += len(data)
+        self.on_bytes()
         self._reader.feed(data)
 
     def eof_received(self) -> bool:
@@ -215,24 +231,73 @@
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _SILENT_PEER_MS)
 
 
-async def get(address: str, target: str, timeout_s: float) -> Union[Answer, NoAnswer]:
+async def get(
+    address: str,
+    target: str,
+    patience: Patience,
+    *,
+    headers: Optional[Mapping[str, str]] = None,
+    on_bytes: Optional[Callable[[], None]] = None,
+) -> Union[Answer, NoAnswer]:
     """Make one GET on a connection of its own.
 
     Args:
         address: `IP:PORT`.
         target: Path and query.
-        timeout_s: Longest time for all of it, in seconds.
+        patience: How long the answer may take.
+        headers: Headers besides the host's.
+        on_bytes: Called whenever bytes of the answer arrive.
 
     Returns:
         The answer, of any status; `NoAnswer` when no whole one came in time.
     """
+    lines = [f"GET {target} HTTP/1.1", f"host: {address}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    call = _SingleCall(address, "\r\n".join([*lines, "", ""]).encode(), on_bytes or _ignore)
     try:
-        async with asyncio.timeout(timeout_s):
-            connection = await connect(address, timeout_s)
-            try:
-                request = f"GET {target} HTTP/1.1\r\nhost: {address}\r\n\r\n"
-                return await connection.exchange(request.encode())
-            finally:
-                connection.close()
+        return await run_while_progress(call.run(patience.first_s), call.last_byte_at, patience)
     except (ConnectFailedError, ExchangeFailedError, TimeoutError) as error:
-        return NoAnswer(f"{type(error).__name__}: {error}")
+        return NoAnswer(f"{type(error).__name__}: {error} ({call.received_bytes()} bytes came)")
+
+
+class _SingleCall:
+    """One request on a connection of its own.
+
+    Args:
+        address: `IP:PORT`.
+        data: The request's bytes.
+        on_bytes: Called whenever bytes of the answer arrive.
+    """
+
+    __slots__ = ("address", "connection", "data", "on_bytes")
+
+    def __init__(self, address: str, data: bytes, on_bytes: Callable[[], None]) -> None:
+        self.address = address
+        self.data = data
+        self.on_bytes = on_bytes
+        self.connection: Optional[Connection] = None
+
+    async def run(self, connect_s: float) -> Answer:
+        """Connect, send the request, and return the whole answer.
+
+        Args:
+            connect_s: Longest time for the connection, in seconds.
+        """
+        self.connection = await connect(self.address, connect_s)
+        self.connection.on_bytes = self.on_bytes
+        try:
+            return await self.connection.exchange(self.data)
+        finally:
+            self.connection.close()
+
+    def last_byte_at(self) -> Optional[float]:
+        """Return when the last byte of the answer arrived; None before the first."""
+        return self.connection.last_byte_at if self.connection else None
+
+    def received_bytes(self) -> int:
+        """Return how many bytes of the answer have arrived."""
+        return self.connection.received_bytes if self.connection else 0
+
+
+def _ignore() -> None:
+    """Do nothing: nobody follows the bytes of this answer."""
--- a/tests/test_formats_gateway.py
+++ b/tests/test_formats_gateway.py
@@ -210,6 +210,7 @@
 requests_answered 1
 requests_left 1
 requests_no-route 1
+announced_revision 0
 backend_connections_opened 1
 backend_servers 2
 body_bytes 0
--- a/tests/test_gateway_peer_follower.py
+++ b/tests/test_gateway_peer_follower.py
@@ -9,7 +9,9 @@
 from sprucewinch.gateway.datagrams import Datagrams
 from sprucewinch.gateway.events import EventLog
 from sprucewinch.gateway.following.deltas import DeltaUnavailableError, encode_delta, fetch_delta
+from sprucewinch.gateway.following.fetch_failures import FetchFailures
 from sprucewinch.gateway.following.follow_role import FollowRole
+from sprucewinch.gateway.following.large_items import LargeItems
 from sprucewinch.gateway.following.notices import ProgressNotices
 from sprucewinch.gateway.following.peer_follower import PeerFollower
 from sprucewinch.gateway.membership.gossip import Gossip
@@ -127,4 +129,6 @@
         datagrams = Datagrams(timing.monotonic)
         role = FollowRole("vm0", "r", gossip, view, StoreOutages(1.5), regions=1)
         notices = ProgressNotices(role, datagrams, timing)
-        return PeerFollower(view, gossip, role, notices, datagrams, timing, events)
+        failures = FetchFailures(events, timing.monotonic)
+        large_items = LargeItems(view, role, notices, failures, events, timing)
+        return PeerFollower(view, role, notices, datagrams, timing, large_items, failures)
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -9,7 +9,9 @@
 
 from sprucewinch.gateway.datagrams import Datagrams
 from sprucewinch.gateway.decision_log import DecisionLog
+from sprucewinch.gateway.following.fetch_failures import FetchFailures
 from sprucewinch.gateway.following.follow_role import FollowRole
+from sprucewinch.gateway.following.large_items import LargeItems
 from sprucewinch.gateway.following.notices import ProgressNotices
 from sprucewinch.gateway.following.peer_follower import PeerFollower
 from sprucewinch.gateway.following.store_follower import StoreFollower
@@ -106,14 +108,18 @@
             timing,
             notices,
         )
+        failures = FetchFailures(events, loop.time)
+        large_items = LargeItems(
+            self.store_view, self.follow_role, notices, failures, events, timing
+        )
         peer_follower = PeerFollower(
             self.store_view,
-            self.gossip,
             self.follow_role,
             notices,
             self.datagrams,
             timing,
-            events,
+            large_items,
+            failures,
         )
         registrar = Registrar(own, self.store_view, self.gossip, store, timing)
         loop.listen(self.store_address, lambda: fleet.store.accept(self.name))
@@ -121,6 +127,7 @@
         loops = (
             follower.run,
             peer_follower.run,
+            large_items.run,
             registrar.run,
             self.heartbeats.run,
             notices.run,
--- a/tools/wrong_versions.py
+++ b/tools/wrong_versions.py
@@ -163,7 +163,7 @@
         "CONFIG",
         "a VM that cannot catch up trusts its peers",
         f"{_GATEWAY}/following/follow_role.py",
-        "if self._behind_since is not None and now - self._behind_since > _CATCH_UP_S:",
+        "if self._is_stuck(now):",
         "if False:",
         (
             "tests.test_gateway_following.InForce."
