--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -42,11 +42,16 @@
 
     Args:
         factory: Makes the protocol of an accepted connection.
+
+    Attributes:
+        silent: True while connections stay unanswered.
+        late_s: How much later than others a connection comes up, in seconds.
     """
 
     def __init__(self, factory: Factory) -> None:
         self.factory = factory
         self.silent = False
+        self.late_s = 0.0
 
 
 class MemoryTransport(asyncio.Transport):
@@ -159,6 +164,8 @@
             raise ConnectionRefusedError(f"{host}:{port}")
         if listener.silent:
             await asyncio.sleep(_SILENT_S)
+        if listener.late_s:
+            await asyncio.sleep(listener.late_s)
         near, far = MemoryTransport(self, self.delay_s), MemoryTransport(self, self.delay_s)
         near.peer, far.peer = far, near
         near.protocol, far.protocol = protocol_factory(), listener.factory()
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -210,6 +210,10 @@
         """Let new connections to a backend server hang."""
         self.loop.listeners[self.addresses[server.server_id]].silent = True
 
+    def delay(self, server: ScriptedServer, seconds: float) -> None:
+        """Let new connections to a backend server come up later, by some seconds."""
+        self.loop.listeners[self.addresses[server.server_id]].late_s = seconds
+
     def runs(self, request_id: str) -> int:
         """Return how often a request has run."""
         return sum(r.request_id == request_id for s in self.servers.values() for r in s.runs)
--- a/tests/test_gateway_pipeline.py
+++ b/tests/test_gateway_pipeline.py
@@ -1,8 +1,12 @@
 """What callers get and what backend servers see, for every way in which a send can end."""
 
 import unittest
+from collections.abc import Callable
+from typing import NamedTuple
 
-from sprucewinch.gateway.requests.client_request import RefusalReason
+from sprucewinch.gateway.requests.client_request import RefusalReason, Verdict
+from sprucewinch.gateway.resources import Evacuation
+from sprucewinch.gateway.servers.backend_server import BackendServer
 from standins.scripted_server import Spoil
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
@@ -270,3 +274,121 @@
                     self.assertEqual(server.arrivals, [])
 
         run_virtual(main)
+
+
+_LATE_S = 0.1
+"""Seconds after which a late connection comes up: below the time that a connection has."""
+
+
+def _drain(path: Path, server: BackendServer) -> None:
+    entry = server.backend._replace(draining=True)
+    path.world.say(f"servers/{entry.id}", entry, path.loop.time())
+
+
+def _remove(path: Path, server: BackendServer) -> None:
+    path.world.drop(f"servers/{server.backend.id}", path.loop.time())
+
+
+def _evacuate(path: Path, server: BackendServer) -> None:
+    hall = server.backend.hall
+    path.world.say(f"evacuations/{hall}", Evacuation(hall), path.loop.time())
+
+
+class _Kept(NamedTuple):
+    """What a VM keeps of a server after a request that it was chosen for.
+
+    Args:
+        retries: Retries taken from the budget of its service.
+        failures: Failures in a row.
+        resting: True when it gets no request for a while.
+        ejected: True when it is ejected.
+        samples: True when the outlier detector holds a record of it.
+        in_flight: Requests that count as at work there.
+        started: Times of these requests, in monotonic seconds.
+        cold_sends: Times of sends that count towards its cold limit, in monotonic seconds.
+        connections: Connections that are open there.
+    """
+
+    retries: int
+    failures: int
+    resting: bool
+    ejected: bool
+    samples: bool
+    in_flight: int
+    started: list[float]
+    cold_sends: list[float]
+    connections: int
+
+
+_NOTHING_KEPT = _Kept(0, 0, False, False, False, 0, [], [], 0)
+
+
+def _kept(path: Path, server: BackendServer) -> _Kept:
+    now = path.loop.time()
+    return _Kept(
+        path.pipeline.budgets["rates"].retries.count(now),
+        server.rest.failures,
+        server.rest.until > now,
+        path.outliers.ejected(server, now),
+        server.backend.id in path.outliers.records,
+        server.in_flight,
+        list(server.started),
+        list(server.cold_sends.sent_at),
+        len(path.servers[server.backend.id].open),
+    )
+
+
+class Departures(unittest.TestCase):
+    """A connection may take long to come up, and its server may leave meanwhile.
+
+    Operators saw requests reach backend servers that had left before. A request chose its server,
+    then waited for a connection; the VM learnt in that time that the server drains, is gone or
+    stands in an evacuated data hall, and sent the request all the same, as nothing looked at the
+    server again. The request got no byte out, so it has not run: it belongs to another server, and
+    nothing of this is the fault of the server that left.
+    """
+
+    def test_a_server_that_leaves_while_its_connection_comes_up_gets_no_request(self) -> None:
+        ways = (_drain, _remove, _evacuate)
+        ends = {way.__name__: run_virtual(lambda loop, w=way: _one_leaves(loop, w)) for way in ways}
+        elsewhere = _End(200, 1, 0, [(Verdict.NOT_RUN, False)], _NOTHING_KEPT)
+        self.assertEqual(ends, {way.__name__: elsewhere for way in ways})
+
+
+class _End(NamedTuple):
+    """The end of a request whose first server leaves while its connection comes up.
+
+    Args:
+        status: HTTP status.
+        runs: How often it ran, at all servers.
+        arrivals: How often it reached the server that left.
+        spent: Verdicts of its attempts there, and whether a byte may have arrived.
+        kept: What the VM keeps of that server.
+    """
+
+    status: int
+    runs: int
+    arrivals: int
+    spent: list[tuple[Verdict, bool]]
+    kept: _Kept
+
+
+async def _one_leaves(loop: VirtualLoop, leave: Callable[[Path, BackendServer], None]) -> _End:
+    """Run a request whose server leaves half-way through the wait for its connection."""
+    path = Path(loop, servers=4, halls=("east-a", "east-b"))
+    path.world.configure(route(repeatable=False, max_attempts=1))
+    left = path.ranker.place("rates", "lane-1", (), loop.time()).servers[0]
+    scripted = path.servers[left.backend.id]
+    path.delay(scripted, _LATE_S)
+    request = path.request("q")
+    task = loop.create_task(path.pipeline.run(request))
+    await pass_time(_LATE_S / 2)
+    leave(path, left)
+    reply = await task
+    await pass_time(2 * loop.delay_s)
+    spent = [
+        (attempt.verdict, attempt.arrived)
+        for attempt in request.attempts
+        if attempt.server_id == left.backend.id
+    ]
+    return _End(reply.status, path.runs("q"), len(scripted.arrivals), spent, _kept(path, left))
