--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -25,6 +25,9 @@
 UNREACHABLE = "unreachable"
 """Cause of an attempt whose server could not be reached."""
 
+NOT_OFFERED = "not-offered"
+"""Cause of an attempt whose server was no longer offered once its connection had come up."""
+
 _LOAD_DIGITS = 1
 """Digits after the point of loads and limits in a request's line: enough to compare them."""
 
--- a/sprucewinch/gateway/requests/outcome/retry_decision.py
+++ b/sprucewinch/gateway/requests/outcome/retry_decision.py
@@ -5,7 +5,8 @@
 server failed and the route is repeatable. A request that may have run is sent again only where its
 route is repeatable and allows one more run; one that was not run may be sent again on any route. A
 retry after bytes were sent costs one of the retry budget; a server that could not be reached costs
-none, as it got no work, but only a few are tried.
+none, as it got no work, but only a few are tried. One that left before it got a byte costs nothing
+and is not counted: it is offered no more, so there are as many of these as servers at most.
 
 Why so: a repeat of a request that must not run twice is worse than a failure, and retries that grow
 with failures bring a loaded fleet down. The budget is asked last, so that it is spent on retries
@@ -15,14 +16,22 @@
 Constants: `MAX_UNREACHABLE`, `SERVER_FAILED_STATUS`, each with its ground below it.
 Shows in: event `request`, `sends` and `outcome`; counters `repeats_after_…`. Tests:
 tests/test_gateway_request_rules.py, tests/test_gateway_pipeline.py (`SpoiltAnswers`, `Repeats`,
-`OwnFailures`).
+`OwnFailures`, `Departures`).
 """
 
 import enum
 from typing import NamedTuple, Optional
 
 from ...resources import Route
-from ..client_request import TIMED_OUT, Attempt, ClientRequest, RefusalReason, Verdict
+from ..client_request import (
+    NOT_OFFERED,
+    TIMED_OUT,
+    UNREACHABLE,
+    Attempt,
+    ClientRequest,
+    RefusalReason,
+    Verdict,
+)
 
 MAX_UNREACHABLE = 3
 """How many servers that cannot be reached one request tries. A guess, never measured."""
@@ -44,6 +53,8 @@
     """The attempt ended at the time until which the request is held."""
     MAY_HAVE_RUN = "may-have-run"
     """It may have run, and the route is not repeatable or it has run often enough."""
+    NOT_OFFERED = "not-offered"
+    """The server left before a byte was sent, and another one may be offered."""
     UNREACHABLE = "unreachable"
     """The server could not be reached, and another one may be."""
     TOO_MANY_UNREACHABLE = "too-many-unreachable"
@@ -78,6 +89,7 @@
 _AFTER_FAILURE = RetryDecision(True, RetryReason.SERVER_FAILED, costs_retry=True)
 _TIME_IS_UP = RetryDecision(False, RetryReason.TIME_IS_UP, RefusalReason.TIMEOUT)
 _MAY_HAVE_RUN = RetryDecision(False, RetryReason.MAY_HAVE_RUN, RefusalReason.FAILED)
+_NOT_OFFERED = RetryDecision(True, RetryReason.NOT_OFFERED)
 _UNREACHABLE = RetryDecision(True, RetryReason.UNREACHABLE)
 _TOO_MANY_UNREACHABLE = RetryDecision(
     False, RetryReason.TOO_MANY_UNREACHABLE, RefusalReason.NO_SERVER
@@ -108,9 +120,8 @@
         if not _may_run_again(request, route):
             return _MAY_HAVE_RUN
     if not attempt.arrived:
-        unreached = sum(not earlier.arrived for earlier in request.attempts)
-        return _UNREACHABLE if unreached < MAX_UNREACHABLE else _TOO_MANY_UNREACHABLE
-    if len(request.attempts) > route.max_attempts:
+        return _after_no_byte(request, attempt)
+    if sum(earlier.arrived for earlier in request.attempts) > route.max_attempts:
         return _TOO_MANY_ATTEMPTS
     return _NOT_ANSWERED
 
@@ -127,5 +138,12 @@
     return _AFTER_FAILURE if _may_run_again(request, route) else _PASS_FAILURE_ON
 
 
+def _after_no_byte(request: ClientRequest, attempt: Attempt) -> RetryDecision:
+    if attempt.why == NOT_OFFERED:
+        return _NOT_OFFERED
+    unreached = sum(earlier.why == UNREACHABLE for earlier in request.attempts)
+    return _UNREACHABLE if unreached < MAX_UNREACHABLE else _TOO_MANY_UNREACHABLE
+
+
 def _may_run_again(request: ClientRequest, route: Route) -> bool:
     return route.repeatable and request.possible_runs() < route.max_attempts
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -1,10 +1,12 @@
 """Sends a request to one backend server and returns the attempt.
 
 Owns one attempt: its connection, its encoding, its time, and what the VM learns of the server from
-it (load, latency, rest, outlier samples). Relies on `verdict` for what an answer proves, on the
-registry and the outlier detector to keep what is learnt, and on the connection pool. Decides on no
-retry. Shows in: event `server-rests`. Tests: tests/test_gateway_pipeline.py,
-tests/test_gateway_outliers.py, tests/test_formats_gateway.py.
+it (load, latency, rest, outlier samples). Once a connection is there it asks the registry whether
+the server is still offered; from there to the first byte it waits for nothing. Relies on `verdict`
+for what an answer proves, on the registry and the outlier detector to keep what is learnt, and on
+the connection pool. Decides on no retry. Shows in: event `server-rests`; `not-offered` in `sends`
+of the event `request`. Tests: tests/test_gateway_pipeline.py, tests/test_gateway_outliers.py,
+tests/test_formats_gateway.py.
 """
 
 import asyncio
@@ -20,6 +22,7 @@
 from ..servers.pool import ConnectionPool
 from .client_request import (
     MISDIRECTED,
+    NOT_OFFERED,
     SHED,
     TIMED_OUT,
     UNREACHABLE,
@@ -88,7 +91,7 @@
         *,
         most_rest_s: float = float("inf"),
     ) -> Attempt:
-        """Send a request to the chosen server.
+        """Send a request to the chosen server, unless it leaves before the first byte is sent.
 
         Args:
             request: The request.
@@ -98,10 +101,14 @@
         """
         server = selection.server
         started = self.monotonic()
-        attempt = await self._attempt(request, server, started, until, most_rest_s)
+        attempt = await self._attempt(request, selection, started, until, most_rest_s)
         request.at_server = False
         now = self.monotonic()
         attempt = attempt._replace(seconds=now - started)
+        if attempt.why == NOT_OFFERED:
+            # No byte was sent: this tells nothing of the server and is no send to a cold one.
+            server.cold_sends.take_back(started)
+            return attempt
         self._learn(server, attempt, started, now, request.id)
         if server.cold(started):
             self._note_cold(server, attempt)
@@ -112,16 +119,17 @@
     async def _attempt(
         self,
         request: ClientRequest,
-        server: BackendServer,
+        selection: Selection,
         started: float,
         until: float,
         most_rest_s: float,
     ) -> Attempt:
         """Make one attempt within its time, counted at the server while it lasts."""
+        server = selection.server
         self.registry.take(server, started)
         try:
             async with asyncio.timeout(until - started):
-                return await self._exchange(request, server, until, most_rest_s)
+                return await self._exchange(request, selection, until, most_rest_s)
         except TimeoutError:
             self.pool.drop(server.backend.address)
             return Attempt(server.backend.id, Verdict.UNKNOWN, True, TIMED_OUT)
@@ -129,13 +137,17 @@
             self.registry.release(server, started)
 
     async def _exchange(
-        self, request: ClientRequest, server: BackendServer, until: float, most_rest_s: float
+        self, request: ClientRequest, selection: Selection, until: float, most_rest_s: float
     ) -> Attempt:
-        backend = server.backend
+        backend = selection.server.backend
         try:
             connection = await self.pool.take(backend.address, most_rest_s=most_rest_s)
         except ConnectFailedError:
             return Attempt(backend.id, Verdict.NOT_RUN, False, UNREACHABLE)
+        # While the connection came up, the server may have left or its data hall been evacuated.
+        if not self.registry.offers(selection.server, selection.service):
+            connection.close()
+            return Attempt(backend.id, Verdict.NOT_RUN, False, NOT_OFFERED)
         left_ms = max(MIN_DEADLINE_MS, int((until - self.monotonic()) * MS_PER_S))
         data = self._encode(request, backend.id, backend.address, left_ms)
         request.at_server = True
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -67,6 +67,15 @@
         """Return the servers of a service that may get new requests, paused ones included."""
         return self.by_service.get(service, ())
 
+    def offers(self, server: BackendServer, service: str) -> bool:
+        """Return whether a server of a service may still get new requests, a paused one included.
+
+        Args:
+            server: The server.
+            service: Service that it was chosen for.
+        """
+        return server in self.usable(service)
+
     def vm_count(self) -> int:
         """Return how many VMs may share the fleet's limits, rather too many than too few."""
         return self.cold_limit.vm_count()
--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -81,6 +81,11 @@
         if len(self.sent_at) > _COLD_KEPT:
             self.sent_at.popleft()
 
+    def take_back(self, at: float) -> None:
+        """Count a request no longer that was recorded at a monotonic time, in seconds."""
+        if at in self.sent_at:
+            self.sent_at.remove(at)
+
     def allowed(self, now: float, allowance: int) -> bool:
         """Return whether one more request may be sent.
 
--- a/sprucewinch/gateway/servers/usability.py
+++ b/sprucewinch/gateway/servers/usability.py
@@ -7,15 +7,17 @@
 Rule, in two steps. When the store's items change: a server that drains, or whose data hall is
 evacuated, is not offered at all. For each request: a server that rests, is silent, is ejected, or
 is cold and has had its allowance, is skipped. The first reason that holds is the answer. Two
-steps, as the first changes with the store only and the second with each request; room is a question
-of its own, as a request may wait for room but not for a server to come back. When every server of
+steps, as the first changes with the store only and the second with each request. The first is asked
+again before a request's first byte (`requests.sender`); the second is not, as the request itself
+counts there, and a server that is skipped may have been tried all the same. Room is a question of
+its own, as a request may wait for room but not for a server to come back. When every server of
 a request is skipped, `server_selection` tries the first that is not cold all the same.
 
 Constants: none here; those of `rest`, `outliers` and `cold_limit`. Shows in: the outcome
-`no-server` of the event `request`, `paused` and `cold` of a VM's state. Tests:
-`test_gateway_usability`, `test_gateway_cold_limit.WhatIsCold`,
-`test_gateway_server_selection.SilentServers`. Owns nothing; relies on what
-`BackendServer` holds and on two functions that it is given.
+`no-server` and `not-offered` in `sends` of the event `request`, `paused` and `cold` of a VM's
+state. Tests: `test_gateway_usability`, `test_gateway_cold_limit.WhatIsCold`,
+`test_gateway_server_selection.SilentServers`, `test_gateway_pipeline.Departures`. Owns nothing;
+relies on what `BackendServer` holds and on two functions that it is given.
 """
 
 import enum
--- a/sprucewinch/operators/deciding_rule.py
+++ b/sprucewinch/operators/deciding_rule.py
@@ -25,6 +25,13 @@
 }
 """The deciding module of each outcome that has one."""
 
+_WHY = 2
+"""Place of the cause in one of the `sends`."""
+
+_NOT_OFFERED = "not-offered"
+"""Cause of a send whose server left before it got a byte: it is always sent again, so that the
+selection after it decides."""
+
 RETRY_DECISION = "requests/outcome/retry_decision.py"
 ROOM = "requests/room.py"
 BODY_ADMISSION = "requests/callers/body_admission.py"
@@ -46,8 +53,9 @@
     outcome = str(fields.get("outcome", ""))
     if outcome not in ("no-room", "no-server"):
         return _BY_OUTCOME.get(outcome, "")
-    if fields.get("sends"):
+    sends = fields.get("sends")
+    if sends and sends[-1][_WHY] != _NOT_OFFERED:
         return RETRY_DECISION
     if outcome == "no-server":
         return USABILITY
-    return ROOM if fields.get("blocked") else BODY_ADMISSION
+    return ROOM if sends or fields.get("blocked") else BODY_ADMISSION
--- a/tests/test_gateway_cold_limit.py
+++ b/tests/test_gateway_cold_limit.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from sprucewinch.gateway.resources import BackendEntry, Evacuation
+from sprucewinch.gateway.servers.cold_limit import ColdSends
 
 from .gateway_fakes import BOUNDS, RULE, World, route
 
@@ -81,6 +82,19 @@
         self.assertTrue(server.cold_allowed(101.2, 1))
 
 
+class Sends(unittest.TestCase):
+    def test_one_that_is_taken_back_counts_no_more_and_may_have_dropped_out(self) -> None:
+        sends = ColdSends()
+        for at in (10.0, 10.1, 10.1):
+            sends.record(at)
+        sends.take_back(10.1)
+        sends.take_back(9.0)
+        self.assertEqual(list(sends.sent_at), [10.0, 10.1])
+        self.assertFalse(sends.allowed(10.2, 2))
+        sends.take_back(10.0)
+        self.assertTrue(sends.allowed(10.2, 2))
+
+
 class WhatIsCold(unittest.TestCase):
     def test_a_new_server_is_cold_also_when_its_entry_says_nothing(self) -> None:
         server = _fleet(1, 1)[0].registry.servers["new"]
--- a/tests/test_gateway_pipeline.py
+++ b/tests/test_gateway_pipeline.py
@@ -4,7 +4,12 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from sprucewinch.gateway.requests.client_request import RefusalReason, Verdict
+from sprucewinch.gateway.requests.client_request import (
+    ClientRequest,
+    RefusalReason,
+    Reply,
+    Verdict,
+)
 from sprucewinch.gateway.resources import Evacuation
 from sprucewinch.gateway.servers.backend_server import BackendServer
 from standins.scripted_server import Spoil
@@ -294,6 +299,25 @@
     path.world.say(f"evacuations/{hall}", Evacuation(hall), path.loop.time())
 
 
+def _keep(_path: Path, _server: BackendServer) -> None:
+    pass
+
+
+def _rest(path: Path, server: BackendServer) -> None:
+    server.record_failure(path.loop.time())
+
+
+def _turn_cold(path: Path, server: BackendServer) -> None:
+    entry = server.backend._replace(cold_for_s=3.0)
+    path.world.say(f"servers/{entry.id}", entry, path.loop.time())
+
+
+def _lapse(path: Path, server: BackendServer) -> None:
+    """Let a server's entry go in an outage, in which a server that runs may lose its entry."""
+    path.world.outages.lost(path.loop.time() - 2 * path.world.outages.heartbeat_s)
+    _remove(path, server)
+
+
 class _Kept(NamedTuple):
     """What a VM keeps of a server after a request that it was chosen for.
 
@@ -354,6 +378,54 @@
         elsewhere = _End(200, 1, 0, [(Verdict.NOT_RUN, False)], _NOTHING_KEPT)
         self.assertEqual(ends, {way.__name__: elsewhere for way in ways})
 
+    def test_a_server_that_left_takes_none_of_the_routes_attempts(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=3)
+            path.world.configure(route(repeatable=False, max_attempts=1))
+            left, full, last = path.ranker.place("rates", "lane-1", (), loop.time()).servers
+            path.servers[full.backend.id].slots = 0
+            request = path.request("q")
+            reply = await _run_while_leaving(path, request, [left])
+            whys = [attempt.why for attempt in request.attempts]
+            self.assertEqual((reply.status, path.runs("q")), (200, 1))
+            self.assertEqual(whys, ["not-offered", "shed-503", "answered"])
+            self.assertEqual(len(path.servers[last.backend.id].runs), 1)
+            self.assertEqual(_kept(path, left).retries, 1)
+
+        run_virtual(main)
+
+    def test_the_last_server_answers_when_all_others_leave_one_by_one(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=5)
+            path.world.configure(route(repeatable=False, max_attempts=1))
+            *leaving, last = path.ranker.place("rates", "lane-1", (), loop.time()).servers
+            reply = await _run_while_leaving(path, path.request("q"), leaving)
+            self.assertEqual((reply.status, path.runs("q")), (200, 1))
+            self.assertEqual(len(path.servers[last.backend.id].runs), 1)
+            self.assertEqual([_kept(path, server) for server in leaving], [_NOTHING_KEPT] * 4)
+
+        run_virtual(main)
+
+    def test_a_request_whose_servers_all_leave_ends_with_a_promise(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=5)
+            path.world.configure(route(repeatable=False, max_attempts=1))
+            leaving = path.ranker.place("rates", "lane-1", (), loop.time()).servers
+            request = path.request("q")
+            reply = await _run_while_leaving(path, request, list(leaving))
+            self.assertEqual((reply.refusal, reply.status), (RefusalReason.NO_SERVER, 503))
+            self.assertIsNotNone(reply.retry_after_s)
+            self.assertEqual([attempt.why for attempt in request.attempts], ["not-offered"] * 5)
+            self.assertEqual(path.runs("q"), 0)
+
+        run_virtual(main)
+
+    def test_a_server_that_is_still_offered_gets_the_request_of_a_late_connection(self) -> None:
+        for change in (_keep, _rest, _turn_cold, _lapse):
+            with self.subTest(change=change.__name__):
+                end = run_virtual(lambda loop, change=change: _one_leaves(loop, change))
+                self.assertEqual((end.status, end.runs, end.arrivals), (200, 1, 1))
+
 
 class _End(NamedTuple):
     """The end of a request whose first server leaves while its connection comes up.
@@ -373,6 +445,22 @@
     kept: _Kept
 
 
+async def _run_while_leaving(
+    path: Path, request: ClientRequest, leaving: list[BackendServer]
+) -> Reply:
+    """Run a request; its servers leave in turn, each half-way through the wait for a connection."""
+    for server in leaving:
+        path.delay(path.servers[server.backend.id], _LATE_S)
+    task = path.loop.create_task(path.pipeline.run(request))
+    for server in leaving:
+        await pass_time(_LATE_S / 2)
+        _drain(path, server)
+        await pass_time(_LATE_S / 2 + 2 * path.loop.delay_s)
+    reply = await task
+    await pass_time(2 * path.loop.delay_s)
+    return reply
+
+
 async def _one_leaves(loop: VirtualLoop, leave: Callable[[Path, BackendServer], None]) -> _End:
     """Run a request whose server leaves half-way through the wait for its connection."""
     path = Path(loop, servers=4, halls=("east-a", "east-b"))
--- a/tests/test_gateway_request_rules.py
+++ b/tests/test_gateway_request_rules.py
@@ -125,9 +125,21 @@
         self.assertIs(self._reason(dark, dark), RetryReason.UNREACHABLE)
         self.assertIs(self._reason(dark, dark, dark), RetryReason.TOO_MANY_UNREACHABLE)
 
+    def test_a_server_that_got_no_byte_takes_no_attempt(self) -> None:
+        shed = _unanswered(Verdict.NOT_RUN, "shed-503")
+        dark = _unanswered(Verdict.NOT_RUN, "unreachable", arrived=False)
+        gone = _unanswered(Verdict.NOT_RUN, "not-offered", arrived=False)
+        for unsent in (dark, gone):
+            self.assertIs(self._reason(unsent, shed, shed), RetryReason.NOT_ANSWERED)
+            self.assertIs(self._reason(unsent, shed, shed, shed), RetryReason.TOO_MANY_ATTEMPTS)
+        self.assertIs(self._reason(gone, gone, gone, gone), RetryReason.NOT_OFFERED)
+        self.assertIs(self._reason(gone, gone, dark, dark), RetryReason.UNREACHABLE)
+
     def test_only_a_server_that_got_nothing_costs_no_retry(self) -> None:
         dark = _unanswered(Verdict.NOT_RUN, "unreachable", arrived=False)
+        gone = _unanswered(Verdict.NOT_RUN, "not-offered", arrived=False)
         self.assertFalse(decide_retry(_request(dark), route(), dark).costs_retry)
+        self.assertFalse(decide_retry(_request(gone), route(), gone).costs_retry)
         for attempt in (_answered(500), _unanswered(Verdict.NOT_RUN, "shed-503")):
             self.assertTrue(decide_retry(_request(attempt), route(), attempt).costs_retry)
 
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -90,6 +90,8 @@
             ("no-room", [["s1", "not-run", "shed-503", 1]], None, RETRY_DECISION),
             ("no-server", [], {"server_id": ""}, "servers/usability.py"),
             ("no-server", [["s1", "not-run", "unreachable", 1]], None, RETRY_DECISION),
+            ("no-server", [["s1", "not-run", "not-offered", 1]], None, "servers/usability.py"),
+            ("no-room", [["s1", "not-run", "not-offered", 1]], None, "requests/room.py"),
             ("timeout", [["s1", "unknown", "timeout", 9]], None, "requests/outcome/hold_time.py"),
             ("no-time", [], None, "requests/outcome/time_left.py"),
             ("of-another-version", [], None, ""),
--- a/tools/wrong_versions.py
+++ b/tools/wrong_versions.py
@@ -186,6 +186,14 @@
         "    if False:\n",
         ("tests.test_gateway_cold_limit.WhatIsCold",),
     ),
+    WrongVersion(
+        "DRAIN",
+        "a request is sent though its server left while its connection came up",
+        f"{_GATEWAY}/servers/backend_registry.py",
+        "return server in self.usable(service)",
+        "return True",
+        ("tests.test_gateway_pipeline.Departures",),
+    ),
     WrongVersion(
         "DRAIN",
         "every entry that goes is held for a while",
