--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -48,12 +48,17 @@
     Args:
         factory: Makes the protocol of an accepted connection.
         link: Link of the machine that listens; None for one without a limit.
+
+    Attributes:
+        silent: True while connections stay unanswered.
+        late_s: How much later than others a connection comes up, in seconds.
     """
 
     def __init__(self, factory: Factory, link: Optional[Link] = None) -> None:
         self.factory = factory
         self.link = link
         self.silent = False
+        self.late_s = 0.0
 
 
 class MemoryTransport(asyncio.Transport):
@@ -208,6 +213,8 @@
             raise ConnectionRefusedError(f"{host}:{port}")
         if listener.silent:
             await asyncio.sleep(_SILENT_S)
+        if listener.late_s:
+            await asyncio.sleep(listener.late_s)
         near = MemoryTransport(self, self.delay_s, current_link.get())
         far = MemoryTransport(self, self.delay_s, listener.link)
         near.peer, far.peer = far, near
