--- a/tests/test_platform_known_routes.py
+++ b/tests/test_platform_known_routes.py
@@ -152,6 +152,11 @@
         self.assertEqual(new.name, "route – 3")
         self.assertEqual((split.parts[0].weight, changed.parts[0].weight), (90, 80))
 
+    def test_a_configuration_that_names_its_base_is_no_exception(self) -> None:
+        (first,) = self._routes(_configuration(PLAIN, BaseVersion="r5"))
+        (again,) = self._routes(_configuration(PLAIN, BaseVersion="r6"))
+        self.assertIs(again, first)
+
     def test_the_same_text_at_another_host_is_another_route(self) -> None:
         self._routes(_configuration(PLAIN))
         (other,) = self._routes(_configuration(PLAIN, host="Two.example"))
