--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -134,16 +134,17 @@
         piece = bytes(self.unsent[:_PIECE_BYTES])
         del self.unsent[:_PIECE_BYTES]
         self.sending = True
-        self.loop.call_at(self._passes_links(len(piece)), self._piece_sent, piece)
-
-    def _passes_links(self, size: int) -> float:
-        """Return the time at which a piece has passed both machines' links."""
         at = self.loop.time()
         if self.link is not None:
-            at = self.link.up.pass_through(size, at)
+            at = self.link.up.pass_through(len(piece), at)
+        self.loop.call_at(at, self._piece_left, piece)
+
+    def _piece_left(self, piece: bytes) -> None:
+        """Take the other machine's link once a piece has left this one's, and not before."""
+        at = self.loop.time()
         if self.peer is not None and self.peer.link is not None:
-            at = self.peer.link.down.pass_through(size, at)
-        return at
+            at = self.peer.link.down.pass_through(len(piece), at)
+        self.loop.call_at(at, self._piece_sent, piece)
 
     def _piece_sent(self, piece: bytes) -> None:
         self.sending = False
--- a/tests/test_gateway_large_items.py
+++ b/tests/test_gateway_large_items.py
@@ -13,6 +13,7 @@
 import random
 import unittest
 
+from standins.consortium_store import Fault
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .test_platform_store import standin
@@ -127,6 +128,36 @@
         late = {s: run_virtual(lambda loop, s=s: self._alone(loop, s)) for s in _PHASES_S}
         self.assertEqual(late, dict.fromkeys(late, {}))
 
+    def test_a_vm_that_missed_many_versions_catches_up(self) -> None:
+        """A watch brings each of them: 12 take 30 s of its link, longer than any call may."""
+
+        async def main(loop: VirtualLoop) -> set[int]:
+            fleet = self._fleet(loop, (_NARROWEST,), _MORE_ROUTES)
+            await pass_time(8.0)
+            fleet.store.fault = Fault.BUSY
+            for version in range(10, 22):
+                fleet.store.put("op/config", large_configuration(version, 3 * _MORE_ROUTES))
+                await pass_time(0.8)
+            fleet.store.fault = Fault.NONE
+            await pass_time(15.0)
+            return fleet.versions()
+
+        self.assertEqual(run_virtual(main), {21})
+
+    def test_one_narrow_vm_serves_all_others_while_the_store_is_away(self) -> None:
+        async def main(loop: VirtualLoop) -> set[int]:
+            fleet = self._fleet(loop, (_NARROW,) * 24, 100)
+            await pass_time(8.0)
+            fleet.store.fault = Fault.BUSY
+            for vm in fleet.vms[1:]:
+                fleet.store.faults_by_machine[vm.name] = Fault.BUSY
+            fleet.store.put("blobs/1", random.Random(3).randbytes(700_000))
+            fleet.store.faults_by_machine[fleet.vms[0].name] = Fault.NONE
+            await pass_time(30.0)
+            return {len(vm.store_view.replica.items["blobs/1"].value) for vm in fleet.vms}
+
+        self.assertEqual(run_virtual(main), {700_000})
+
     async def _start(self, loop: VirtualLoop) -> set[int]:
         fleet = self._fleet(loop, (_NARROWEST,) * 3, 3 * _MORE_ROUTES)
         await pass_time(8.0)
--- a/tests/test_gateway_replica.py
+++ b/tests/test_gateway_replica.py
@@ -48,6 +48,18 @@
 _HISTORIES = st.lists(st.tuples(st.integers(0, 3), st.booleans()), min_size=1, max_size=30)
 
 
+class Listings(unittest.TestCase):
+    def test_a_removal_that_a_listing_hid_reaches_a_peer_that_holds_the_key(self) -> None:
+        """A VM that lost the history lists, and has no record of what went meanwhile."""
+        listed, behind = Replica(), Replica()
+        behind.apply(Delta((Item("servers/x", b"", 43),), (), 43))
+        listed.apply(Delta((), (), 42))
+        listed.apply(Delta((), (), 46, whole=True))
+        behind.apply(listed.since(behind.at))
+        self.assertEqual(behind.items, {})
+        self.assertEqual(behind.at, 46)
+
+
 class AnyOrder(unittest.TestCase):
     @given(_HISTORIES, st.randoms(use_true_random=False))
     def test_events_in_any_order_and_twice_end_in_the_newest_state(self, choices, rng) -> None:
