--- a/sprucewinch/gateway/following/deltas.py
+++ b/sprucewinch/gateway/following/deltas.py
@@ -31,9 +31,15 @@
 5 Mbit/s. A guess, not measured against others; backend servers' entries are under 1 kB."""
 
 _PATIENCE = Patience(first_s=0.6, silence_s=0.6, most_s=10.0)
-"""How long an answer of a peer may take, in seconds. Until the first byte, and in silence: guesses,
+"""How long a delta of a peer may take, in seconds. Until the first byte, and in silence: guesses,
 never measured; with 0.6 s a change is in force within 2 s beside peers that fail
-(`test_gateway_following`). In all: 1 MB at under 1 Mbit/s, less than any VM's link has."""
+(`test_gateway_following`). In all: a whole delta of a VM of an older version, 1 MB at 1 Mbit/s."""
+
+_ITEM_PATIENCE = Patience(first_s=2.0, silence_s=2.0, most_s=60.0)
+"""How long a large item may take, in seconds. Longer than a delta, as all VMs may fetch it from
+one: cut off together, they would all begin anew. 700 kB that do not compress reach 23 VMs from one
+link of 10 Mbit/s within 30 s (`test_gateway_large_items`), with 10 s in all none of them ever. A VM
+that can ask the store does so long before (`follow_role`)."""
 
 _COMPRESSION_LEVEL = 1
 """Level of zlib: 0.95 MB of routes become 80 kB in 4.7 ms of a core, at level 6 72 kB in 9.0 ms
@@ -45,11 +51,18 @@
 _OK = 200
 """HTTP status of an answer that holds what was asked for."""
 
+_NOT_FOUND = 404
+"""HTTP status of an answer to a request for an item that the peer does not hold."""
+
 
 class DeltaUnavailableError(Exception):
     """A peer gave no delta or item; the message says why and what to look at."""
 
 
+class ItemNotHeldError(DeltaUnavailableError):
+    """A peer no longer holds an item that it named: the item went; ask for the next delta."""
+
+
 class _DeltaMessage(msgspec.Struct, array_like=True):
     """A delta on the wire; a VM of an older version sends no deferred items."""
 
@@ -71,7 +84,7 @@
         DeltaUnavailableError: When it does not answer in time, or not with a delta.
     """
     query = urlencode({"after": after, "most": LARGE_ITEM_BYTES})
-    answer = await _fetch(address, f"{DELTA_PATH}?{query}")
+    answer = await _fetch(address, f"{DELTA_PATH}?{query}", _PATIENCE)
     try:
         return decode_delta(answer.body)
     except msgspec.MsgspecError as error:
@@ -91,10 +104,11 @@
         on_bytes: Called whenever bytes of it arrive.
 
     Raises:
-        DeltaUnavailableError: When the peer does not answer in time, or not with the item.
+        ItemNotHeldError: When the peer does not hold it any more.
+        DeltaUnavailableError: When the peer does not answer in time, or not with an item.
     """
     query = urlencode({"key": deferred.key, "revision": deferred.revision})
-    answer = await _fetch(address, f"{ITEM_PATH}?{query}", on_bytes)
+    answer = await _fetch(address, f"{ITEM_PATH}?{query}", _ITEM_PATIENCE, on_bytes)
     try:
         return decode_item(answer.body)
     except (zlib.error, msgspec.MsgspecError) as error:
@@ -104,11 +118,16 @@
 
 
 async def _fetch(
-    address: str, target: str, on_bytes: Optional[Callable[[], None]] = None
+    address: str,
+    target: str,
+    patience: Patience,
+    on_bytes: Optional[Callable[[], None]] = None,
 ) -> Answer:
-    answer = await get(address, target, _PATIENCE, on_bytes=on_bytes)
+    answer = await get(address, target, patience, on_bytes=on_bytes)
     if isinstance(answer, NoAnswer):
         raise DeltaUnavailableError(f"{answer.reason}: check that the VM runs and that TCP passes")
+    if answer.status == _NOT_FOUND:
+        raise ItemNotHeldError(f"status {_NOT_FOUND}: it went meanwhile, nothing to do")
     if answer.status != _OK:
         raise DeltaUnavailableError(f"status {answer.status}, not {_OK}: read that VM's own lines")
     return answer
@@ -133,8 +152,8 @@
 def encode_item(item: Item) -> bytes:
     """Return an item as compressed bytes for a peer.
 
-    Compressed, as each VM of a region fetches it over the sender's link at once: 24 VMs take 2 MB
-    instead of 23 MB of a link of 200 Mbit/s, 0.1 s instead of 0.9 s (worked out from the sizes at
+    Compressed, as all VMs may fetch it over the sender's link at once: 74 VMs take 6 MB instead of
+    70 MB of a link of 200 Mbit/s, 0.2 s instead of 2.8 s (worked out from the sizes at
     `_COMPRESSION_LEVEL`).
     """
     return zlib.compress(msgspec.msgpack.encode(item), _COMPRESSION_LEVEL)
--- a/sprucewinch/gateway/following/follow_role.py
+++ b/sprucewinch/gateway/following/follow_role.py
@@ -16,8 +16,8 @@
 from 1,302 to 308 at 12 VMs (1fb4c16). Fewer and longer watches brought changes late; a lease for
 the follower costs a call more and does not help when its holder is paused (1fb4c16). The fallback
 makes freshness independent of the election: two VMs that elect differently only cost more calls.
-A large item on its way from a peer is no reason to ask the store for the same bytes over the same
-link.
+A large item on its way from a peer is no reason to ask the store at once for the same bytes over
+the same link.
 
 Result: `FollowReason`; it shows in the event `follows` (`source` is `store` or `neighbours`).
 Tests: `test_gateway_follow_role`, `test_gateway_following`, `test_platform_store`.
@@ -57,6 +57,11 @@
 seconds. Never measured by itself; changes stay within 2 s with it when peers give empty deltas
 (`test_gateway_following`)."""
 
+_TRANSFER_S = 0.7
+"""Time since it is behind for which progress of a large item keeps a VM from asking the store, in
+seconds: with `_CATCH_UP_S` it asks after 1.5 s, half the operators' bound, though a slow peer still
+sends. A large item of 80 kB takes 0.13 s of a link of 5 Mbit/s. Worked out, never measured."""
+
 _DISTRUST_S = 3.0
 """Time for which a VM follows the store itself after a peer failed to give a delta, in seconds. A
 guess, never measured."""
@@ -235,7 +240,8 @@
         """Return whether this VM is behind, and nothing has come for `_CATCH_UP_S`."""
         if self._behind_since is None:
             return False
-        return now - max(self._behind_since, self._progress_at) > _CATCH_UP_S
+        last_progress_at = min(self._progress_at, self._behind_since + _TRANSFER_S)
+        return now - max(self._behind_since, last_progress_at) > _CATCH_UP_S
 
     def _ranks_first(self, now: float, eligible: Callable[[str, float], bool]) -> bool:
         own = self._rank(self.name)
--- a/sprucewinch/gateway/following/large_items.py
+++ b/sprucewinch/gateway/following/large_items.py
@@ -19,7 +19,7 @@
 from ..state.replica import DeferredItem
 from ..state.store_view import StoreView
 from ..timing import Timing
-from .deltas import DeltaUnavailableError, fetch_item
+from .deltas import DeltaUnavailableError, ItemNotHeldError, fetch_item
 from .fetch_failures import FetchFailures
 from .follow_role import FollowRole
 from .notices import ProgressNotices
@@ -105,6 +105,9 @@
         started = self.timing.monotonic()
         try:
             item = await fetch_item(wanted.address, wanted.deferred, self._note_progress)
+        except ItemNotHeldError:
+            # No failure of the peer: its next delta no longer names the item.
+            return
         except DeltaUnavailableError as error:
             self.failures.record(wanted.address, str(error))
             self.follow_role.distrust_peers(self.timing.monotonic())
--- a/sprucewinch/gateway/following/store_follower.py
+++ b/sprucewinch/gateway/following/store_follower.py
@@ -5,7 +5,8 @@
 `state.outages` and `state.store_view`, to which it passes each result. A VM without a configuration
 always calls the store, whatever its role. One that relies on peers after a failed call looks
 every `_REJOIN_S` whether the store answers it again. Failed calls are repeated after a random pause
-that doubles with each failure up to a bound. Tests: `test_platform_store`,
+that doubles with each failure up to a bound. After a watch that was cut off within its answer the
+next call is a listing, as it does not grow with the versions missed. Tests: `test_platform_store`,
 `test_gateway_following`.
 """
 
@@ -15,7 +16,12 @@
 from ..events import EventLog
 from ..state.outages import StoreOutages
 from ..state.replica import Delta
-from ..state.store import HistoryGoneError, Store, StoreUnavailableError
+from ..state.store import (
+    AnswerCutShortError,
+    HistoryGoneError,
+    Store,
+    StoreUnavailableError,
+)
 from ..state.store_view import StoreView
 from ..timing import Timing
 from .follow_role import FollowRole
@@ -156,11 +162,19 @@
     async def _call(self, first: bool) -> Delta:
         """List or watch the store; a listing that fails is due again."""
         if not first:
-            return await self.store.watch(self.store_view.replica.at, WATCH_S)
+            return await self._watch()
         delta = await self.store.listing()
         self._list_first = False
         return delta
 
+    async def _watch(self) -> Delta:
+        """Watch the store; a listing is due after a watch that was cut off within its answer."""
+        try:
+            return await self.store.watch(self.store_view.replica.at, WATCH_S)
+        except AnswerCutShortError:
+            self._list_first = True
+            raise
+
     def _note_answer(self) -> None:
         self._failures = 0
         self._relied_on_peers = False
--- a/sprucewinch/gateway/state/replica.py
+++ b/sprucewinch/gateway/state/replica.py
@@ -85,7 +85,7 @@
     """The newest received state of some prefixes of the store.
 
     `at` is the revision up to which changes were received. `floor` is the newest revision of a
-    removal that was dropped: a delta after an older revision has to be whole.
+    removal that may not be recorded here: a delta after an older revision has to be whole.
     """
 
     def __init__(self) -> None:
@@ -107,6 +107,9 @@
         changed |= {r.key for r in delta.removals if self._remove(r.key, r.revision)}
         if delta.whole:
             changed |= self._remove_missing(delta)
+            # What went before a listing is not recorded here: a peer behind it needs a whole delta,
+            # or it keeps a removed key for good (`test_gateway_replica.Listings`).
+            self.floor = max(self.floor, delta.at)
         missing = [item.revision - 1 for item in delta.deferred if self.lacks(item)]
         self.at = max(self.at, min([delta.at, *missing]))
         return changed
--- a/sprucewinch/gateway/state/store.py
+++ b/sprucewinch/gateway/state/store.py
@@ -17,6 +17,10 @@
     """The store did not answer, or refused the call: repeat it; a write may have taken effect."""
 
 
+class AnswerCutShortError(StoreUnavailableError):
+    """A part of an answer came, and not the rest in time: what is asked for may be too much."""
+
+
 class Store(abc.ABC):
     """Values with revisions, listings and watches."""
 
@@ -49,6 +53,8 @@
 
         Raises:
             HistoryGoneError: When that history is gone.
+            AnswerCutShortError: When a part of the answer came and not the rest: it holds each
+                version of a key since the revision, so that a listing may be shorter.
             StoreUnavailableError: When the store did not answer.
         """
 
--- a/sprucewinch/net/_progress_timeout.py
+++ b/sprucewinch/net/_progress_timeout.py
@@ -20,7 +20,8 @@
 
     Args:
         first_s: Until its first byte, with the connection.
-        silence_s: From one byte to the next.
+        silence_s: From one byte to the next; not looked at before `first_s` is over, so that a
+            peer that sends its headers early has that time for the body too.
         most_s: In all, so that a peer that trickles holds nobody up without end.
     """
 
--- a/tests/test_gateway_large_items.py
+++ b/tests/test_gateway_large_items.py
@@ -17,7 +17,7 @@
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .test_platform_store import standin
-from .virtual_fleet import VirtualFleet
+from .virtual_fleet import FleetVm, VirtualFleet
 
 _IN_FORCE_S = 3.0
 """Time within which a change is in force at each VM, in seconds: the operators' bound."""
@@ -72,6 +72,12 @@
     return "".join(rng.choices("abcdefghijklmnopqrstuvwxyz0123456789", k=8))
 
 
+def _size(vm: FleetVm, key: str) -> int:
+    """Return the length of a value at a VM, in bytes; 0 where it is not held."""
+    item = vm.store_view.replica.items.get(key)
+    return len(item.value) if item else 0
+
+
 class LargeConfigurations(unittest.TestCase):
     def _fleet(self, loop: VirtualLoop, links: tuple[int, ...], routes: int) -> VirtualFleet:
         store = standin(loop)
@@ -154,7 +160,7 @@
             fleet.store.put("blobs/1", random.Random(3).randbytes(700_000))
             fleet.store.faults_by_machine[fleet.vms[0].name] = Fault.NONE
             await pass_time(30.0)
-            return {len(vm.store_view.replica.items["blobs/1"].value) for vm in fleet.vms}
+            return {_size(vm, "blobs/1") for vm in fleet.vms}
 
         self.assertEqual(run_virtual(main), {700_000})
 
