--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -12,7 +12,7 @@
 
 from standins.consortium_store import StoreStandIn
 from standins.scripted_server import ScriptedServer
-from tools.entry_vm import ROOT, EntryVm, free_port
+from tools.entry_vm import ROOT, EntryVm, free_port, own_address
 
 __all__ = ["CONFIGURATION", "HOST", "ROOT", "GatewayCase"]
 
@@ -20,7 +20,6 @@
 _START_S = 30.0
 _POLL_S = 0.02
 _TOLD_LINES = 5
-_FIRST_IP = 20
 
 CONFIGURATION: dict[str, Any] = {
     "Version": "r3",
@@ -79,7 +78,7 @@
         for number in range(1, self.vm_count + 1):
             accept = functools.partial(self.store.accept, f"vm{number}")
             store = await self._listen(accept)
-            ip = f"127.0.0.{_FIRST_IP + number}"
+            ip = self.enterContext(own_address())
             folder = Path(self.folder.name)
             self.vms.append(EntryVm(f"vm{number}", ip, store, port, folder))
         self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=20))
@@ -114,8 +113,11 @@
                 while not await condition():
                     await asyncio.sleep(_POLL_S)
         except TimeoutError:
-            told = {vm.name: vm.lines[-_TOLD_LINES:] for vm in self.vms}
-            self.fail(f"waited in vain for {what}; last lines: {told}")
+            told = "".join(
+                f"\n{vm.name} at {vm.ip}: {vm.fate}; last lines: {vm.lines[-_TOLD_LINES:]}"
+                for vm in self.vms
+            )
+            self.fail(f"waited in vain for {what}{told}")
 
     async def ready(self, vm: EntryVm) -> bool:
         """Return whether a VM says that it is ready."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,13 +1,21 @@
-"""The soak: its days, and that its promises are really judged."""
+"""The soak: its days, that its promises are really judged, and the entry VMs that it starts."""
 
 import asyncio
 import signal
+import socket
+import subprocess
+import sys
+import tempfile
 import tomllib
 import unittest
 from pathlib import Path
 from types import SimpleNamespace
+from unittest import mock
 
 from standins.scripted_server import Run, ScriptedServer
+from tests import gateway_process
+from tools.entry_vm import METRICS_PORT, ROOT, EntryVm, free_port, own_address
+from tools.ports import RUN_START
 from tools.soak.__main__ import SoakError, parse_seeds, run_days
 from tools.soak.day import plan
 from tools.soak.ledger import Attempt, End, Leaving, Ledger, Struck, Version
@@ -214,5 +222,78 @@
         self.assertEqual(broken, {})
 
 
+_OTHER_RUN = """
+import sys
+from tools.entry_vm import METRICS_PORT
+from tools.ports import claimed_address
+with claimed_address(METRICS_PORT, int(sys.argv[1])) as ip:
+    print(ip, flush=True)
+    sys.stdin.read()
+"""
+"""Another run of the tests: it holds an address until its input ends."""
+
+
+class EntryVms(unittest.IsolatedAsyncioTestCase):
+    def other_run(self) -> str:
+        """Start a process that begins to look where this one does; returns its address."""
+        process = subprocess.Popen(
+            [sys.executable, "-c", _OTHER_RUN, str(RUN_START)],
+            cwd=ROOT,
+            env={"PYTHONPATH": str(ROOT)},
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(process.communicate)
+        assert process.stdout is not None
+        return process.stdout.readline().strip()
+
+    def vm(self, ip: str) -> EntryVm:
+        """Return an entry VM whose store nobody is."""
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        return EntryVm("vm1", ip, f"{ip}:{free_port(ip)}", free_port(ip), folder)
+
+    def test_vms_of_two_runs_at_once_get_different_addresses(self) -> None:
+        others = self.other_run(), self.other_run()
+        own = self.enterContext(own_address()), self.enterContext(own_address())
+        self.assertTrue(all(others), others)
+        self.assertEqual(len({*others, *own}), 4, (others, own))
+
+    def test_an_address_is_free_again_after_its_use(self) -> None:
+        with own_address() as first:
+            pass
+        with own_address() as second:
+            self.assertEqual(first, second)
+
+    def test_an_address_on_which_somebody_listens_is_not_given(self) -> None:
+        with own_address() as taken:
+            pass
+        with socket.create_server((taken, METRICS_PORT)), own_address() as ip:
+            self.assertNotEqual(ip, taken)
+
+    async def test_waiting_in_vain_tells_of_a_vm_that_has_ended(self) -> None:
+        ip = self.enterContext(own_address())
+        case = gateway_process.GatewayCase()
+        case.vms = [self.vm(ip)]
+        with socket.create_server((ip, METRICS_PORT)):
+            await case.vms[0].start()
+            self.addAsyncCleanup(case.vms[0].kill)
+            status = await case.vms[0].ended()
+        self.assertNotEqual(status, 0)
+
+        async def never() -> bool:
+            return False
+
+        told = f"vm1 at {ip}: ended with exit status {status}; last lines: "
+        with (
+            mock.patch.object(gateway_process, "_START_S", 0.0),
+            self.assertRaisesRegex(AssertionError, told),
+        ):
+            await case.until(never, "what never comes")
+
+    def test_a_vm_that_was_not_started_says_so(self) -> None:
+        self.assertEqual(self.vm(self.enterContext(own_address())).fate, "not started")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/entry_vm.py
+++ b/tools/entry_vm.py
@@ -1,8 +1,9 @@
 """One entry VM on the consortium's platform as a real process, controlled by signals and files.
 
-Owns the process, its settings file and the lines that it writes; used by the process tests and by
-the soak. The settings have the platform's names, since the process reads them as the platform
-writes them. Nothing restarts the process: callers do.
+Owns the process, its settings file and the lines that it writes; used by the process tests, by
+the soak and by the trial of a rolling upgrade. Its metrics are on a fixed port, so each VM needs a
+loopback address of its own: `own_address`. The settings have the platform's names, since the
+process reads them as the platform writes them. Nothing restarts the process: callers do.
 """
 
 import asyncio
@@ -11,10 +12,11 @@
 import signal
 import sys
 from collections.abc import Mapping
+from contextlib import AbstractContextManager
 from pathlib import Path
 from typing import Any, NamedTuple, Optional
 
-from .ports import free_ports
+from .ports import claimed_address, free_ports
 
 ROOT = Path(__file__).resolve().parent.parent
 """Root of the repository, in which processes start."""
@@ -55,12 +57,17 @@
     return free_ports(1, ip)[0]
 
 
+def own_address() -> AbstractContextManager[str]:
+    """Give a loopback address for one VM, which no other run has until the context ends."""
+    return claimed_address(METRICS_PORT)
+
+
 class EntryVm:
     """One entry VM.
 
     Args:
         name: Its name.
-        ip: Loopback address of its own.
+        ip: Loopback address of its own, as `own_address` gives it.
         store: Address of the store.
         peer_port: Port between entry VMs.
         folder: Folder of its settings file.
@@ -126,6 +133,15 @@
         """True while its process runs."""
         return self.process is not None and self.process.returncode is None
 
+    @property
+    def fate(self) -> str:
+        """What became of its process, in words for a failure message."""
+        if self.process is None:
+            return "not started"
+        if self.running:
+            return "running"
+        return f"ended with exit status {self.process.returncode}"
+
     async def start(self) -> None:
         """Start the process."""
         self.process = await asyncio.create_subprocess_exec(
--- a/tools/rolling_upgrade.py
+++ b/tools/rolling_upgrade.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import contextlib
 import functools
 import json
 import sys
@@ -24,10 +25,7 @@
 from standins.consortium_store import StoreStandIn
 from standins.scripted_server import ScriptedServer
 
-from .entry_vm import METRICS_PORT, ROOT, EntryVm, free_port
-
-_FIRST_IP = 101
-"""Last number of the first VM's loopback address; no test uses these."""
+from .entry_vm import METRICS_PORT, ROOT, EntryVm, free_port, own_address
 
 _WAIT_S = 30.0
 """Longest wait for a check to hold, in seconds: ten times what a start takes beside other work."""
@@ -97,9 +95,11 @@
         self.store.put("op/config", _configuration(1, "/rates/"))
         await self._serve(loop)
         timeout = aiohttp.ClientTimeout(total=5)
-        async with aiohttp.ClientSession(timeout=timeout) as self.session:
+        session = aiohttp.ClientSession(timeout=timeout)
+        async with contextlib.AsyncExitStack() as stack:
+            self.session = await stack.enter_async_context(session)
             try:
-                await self._start()
+                await self._start(stack)
                 await self._judge()
             finally:
                 await asyncio.gather(*(vm.kill() for vm in self.vms))
@@ -118,13 +118,13 @@
         }
         self.store.put("servers/i-0", json.dumps(row).encode())
 
-    async def _start(self) -> None:
+    async def _start(self, stack: contextlib.AsyncExitStack) -> None:
         port = free_port("127.0.0.1")
         roots = [self.other, ROOT] * self.count
         for number, root in enumerate(roots):
             name = f"vm{number}"
             store = await _listen(functools.partial(self.store.accept, name))
-            ip = f"127.0.0.{_FIRST_IP + number}"
+            ip = stack.enter_context(own_address())
             self.vms.append(VersionedVm(root, name, ip, store, port, self.folder))
         for vm in self.vms:
             await vm.start()
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -45,13 +45,13 @@
     left = list(reversed(seeds))
     outcomes: list[Outcome] = []
 
-    async def worker(group: int) -> None:
+    async def worker() -> None:
         while left:
-            outcome = await run_day(left.pop(), group=group, troubled_s=troubled_s)
+            outcome = await run_day(left.pop(), troubled_s=troubled_s)
             outcomes.append(outcome)
             tell(console, outcome)
 
-    await asyncio.gather(*(worker(group + 1) for group in range(jobs)))
+    await asyncio.gather(*(worker() for _ in range(jobs)))
     return outcomes
 
 
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -119,15 +119,14 @@
     return (*sorted(rows, key=lambda row: row.at), last)
 
 
-async def run_day(seed: int, *, group: int = 1, troubled_s: float = TROUBLED_S) -> Outcome:
+async def run_day(seed: int, *, troubled_s: float = TROUBLED_S) -> Outcome:
     """Run one day.
 
     Args:
         seed: Its seed.
-        group: Number of its own loopback addresses, 1 to 200; days that run at once need others.
         troubled_s: How long troubles strike, in seconds.
     """
-    world = World(group)
+    world = World()
     planned = plan(seed, troubled_s)
     try:
         await world.start()
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -9,7 +9,6 @@
 import contextlib
 import functools
 import json
-import os
 import signal
 import tempfile
 from pathlib import Path
@@ -18,7 +17,7 @@
 from standins.consortium_store import StoreStandIn
 from standins.relay import Relay
 from standins.scripted_server import HEALTH_PATH, Run, ScriptedServer
-from tools.entry_vm import EntryVm, Place, free_port
+from tools.entry_vm import EntryVm, Place, free_port, own_address
 
 from .ledger import EVERYBODY, Leaving, Ledger, Struck, Version
 
@@ -30,12 +29,6 @@
 """Timeout of every route, in seconds. A guess, never measured."""
 
 _PROGRAM = "tools/soak_vm.py"
-_FIRST_NETWORK = 64
-"""Lowest second number of the loopback addresses of entry VMs; others use the lower ones."""
-
-_NETWORKS = 128
-"""Second numbers of the loopback addresses: two soaks at once seldom meet (commit 41f685f)."""
-
 _VMS_PER_ZONE = 1
 """Entry VMs of a data hall. A guess, never measured."""
 
@@ -127,15 +120,10 @@
 
 
 class World:
-    """All of one day.
-
-    Args:
-        group: Number of the day's own loopback addresses, 1 to 200, within this process.
-    """
+    """All of one day."""
 
-    def __init__(self, group: int) -> None:
+    def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
-        self.group = group
         self.ledger = Ledger()
         self.store = StoreStandIn(self.loop)
         self.servers: dict[str, SoakServer] = {}
@@ -159,11 +147,8 @@
                     await self.add_server(service, zone)
         self.configure()
         port = free_port("127.0.0.1")
-        network = _FIRST_NETWORK + os.getpid() % _NETWORKS
         for number, zone in enumerate(z for z in ZONES for _ in range(_VMS_PER_ZONE)):
-            await self._add_vm(
-                f"vm{number}", f"127.{network}.{self.group}.{number + 1}", zone, port
-            )
+            await self._add_vm(f"vm{number}", zone, port)
         self._tasks.append(self.loop.create_task(self._watch_own_lag()))
         self._tasks += [self.loop.create_task(self._supervise(vm)) for vm in self.vms.values()]
 
@@ -188,12 +173,12 @@
         self._stack.push_async_callback(relay.stop)
         return relay
 
-    async def _add_vm(self, name: str, ip: str, zone: str, peer_port: int) -> None:
+    async def _add_vm(self, name: str, zone: str, peer_port: int) -> None:
         link = await self._relay(await self._listen(functools.partial(self.store.accept, name)))
         self.store_links[name] = link
         self.vms[name] = EntryVm(
             name,
-            ip,
+            self._stack.enter_context(own_address()),
             f"127.0.0.1:{link.port}",
             peer_port,
             self.folder,
