--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,10 +17,11 @@
 from tools.entry_vm import METRICS_PORT, ROOT, EntryVm, free_port, own_address
 from tools.ports import RUN_START
 from tools.soak.__main__ import SoakError, parse_seeds, run_days
+from tools.soak.backend_servers import SoakServer, body_of
+from tools.soak.configuration import BOOK, RATES
 from tools.soak.day import plan
 from tools.soak.ledger import Attempt, End, Leaving, Ledger, Struck, Version
 from tools.soak.promises import Promises
-from tools.soak.world import BOOK, RATES, SoakServer, body_of
 
 _SEEDS = Path(__file__).with_name("soak_seeds.toml")
 _SERVICES = {RATES: "rates", BOOK: "booking"}
@@ -41,8 +42,7 @@
         self.ledger.quiet_from = 0.0
         self.world = SimpleNamespace(
             ledger=self.ledger,
-            servers=self.servers,
-            gone_servers={},
+            backends=SimpleNamespace(ever=self.servers.values),
             vms={"vm1": None},
             loop=SimpleNamespace(time=lambda: 1000.0),
         )
@@ -209,6 +209,19 @@
         self.assertEqual(plan(7), plan(7))
         self.assertNotEqual(plan(7), plan(8))
 
+    def test_kept_seeds_plan_the_troubles_that_they_are_kept_for(self) -> None:
+        kept = {
+            11: "CutFromStore SpoilAnswers Reload ServerLink StoreSlow SpoilAnswers Crash Leave "
+            "Change",
+            34: "StoreFaulty SlowServers TurnedAway Stop CutFromStore Change RollingStop "
+            "KillInStop StoreFaulty Change",
+        }
+        for seed, names in kept.items():
+            planned = [row.kind.__name__ for row in plan(seed)]
+            self.assertEqual(planned, names.split(), seed)
+        seeds = [day["seed"] for day in tomllib.loads(_SEEDS.read_text(encoding="utf-8"))["day"]]
+        self.assertEqual(seeds, list(kept))
+
     def test_seeds_are_read_or_refused_with_a_remedy(self) -> None:
         self.assertEqual(parse_seeds("3,9"), [3, 9])
         self.assertEqual(parse_seeds("1:3"), [1, 2, 3])
--- /dev/null
+++ b/tools/soak/backend_servers.py
@@ -0,0 +1,142 @@
+"""The backend servers of one day of the soak, and how they come and go.
+
+Owns the stand-ins, their entries in the store, and the planned work on them: draining a server,
+evacuating a data hall. Servers that have gone are kept, since `promises` judges what ran at them.
+When a server has to be left alone is recorded in the ledger.
+"""
+
+import asyncio
+import json
+from collections.abc import Iterator
+
+from standins.consortium_store import StoreStandIn
+from standins.relay import Relay
+from standins.scripted_server import Run, ScriptedServer
+
+from .ledger import Leaving, Ledger
+from .wiring import Wiring
+
+_WORK_S = 0.06
+"""Seconds that a backend server works on a request. A guess, never measured."""
+
+_SLOTS = 8
+"""Requests that a backend server works on at once. A guess, never measured."""
+
+_DRAIN_S = 2.0
+"""Seconds until a draining server gets no more work. Bound `Drain` of the platform's example."""
+
+_EVACUATE_S = 5.0
+"""Seconds until an evacuated data hall gets no more work. Bound `Evacuate`, likewise."""
+
+_LEFT_S = 1.0
+"""Seconds that a drained server still serves beyond its bound. A guess, never measured."""
+
+_MS_PER_S = 1000
+"""Milliseconds in a second."""
+
+
+def body_of(run: Run) -> bytes:
+    """Return the body that only one request may get."""
+    return f"answer to {run.request_id} ".encode() * (1 + len(run.request_id) % 7)
+
+
+class SoakServer:
+    """One backend server behind a relay.
+
+    Args:
+        stand_in: The server.
+        service: Its service.
+        zone: Its data hall.
+        link: The relay before it.
+    """
+
+    def __init__(self, stand_in: ScriptedServer, service: str, zone: str, link: Relay) -> None:
+        self.stand_in = stand_in
+        self.service = service
+        self.zone = zone
+        self.link = link
+
+    def entry(self, state: str = "ready", warm_in_s: float = 0.0) -> bytes:
+        """Return its entry in the store."""
+        row = {
+            "Service": self.service,
+            "Address": f"127.0.0.1:{self.link.port}",
+            "Zone": self.zone,
+            "Capacity": _SLOTS,
+            "State": state,
+            "WarmupLeft": f"{warm_in_s * _MS_PER_S:g}ms",
+            "Sequence": 1,
+        }
+        return json.dumps(row).encode()
+
+
+class BackendServers:
+    """All backend servers of a day; `running` holds those that have not left, by their ids.
+
+    Args:
+        store: The store that lists them.
+        wiring: Makes the way to each.
+        ledger: Record of the day.
+    """
+
+    def __init__(self, store: StoreStandIn, wiring: Wiring, ledger: Ledger) -> None:
+        self.running: dict[str, SoakServer] = {}
+        self._gone: list[SoakServer] = []
+        self._numbers = 0
+        self._store = store
+        self._wiring = wiring
+        self._ledger = ledger
+
+    def ever(self) -> Iterator[SoakServer]:
+        """Return all that have run in the day."""
+        yield from self.running.values()
+        yield from self._gone
+
+    async def add(self, service: str, zone: str, *, cold_s: float = 0.0) -> SoakServer:
+        """Add a backend server, cold for some seconds."""
+        loop = asyncio.get_running_loop()
+        self._numbers += 1
+        stand_in = ScriptedServer(loop, f"i-{self._numbers}", work_s=_WORK_S, slots=_SLOTS)
+        stand_in.answer_of = body_of
+        stand_in.turn_cold(cold_s)
+        link = await self._wiring.behind_relay(stand_in.accept)
+        server = self.running[stand_in.server_id] = SoakServer(stand_in, service, zone, link)
+        self._store.put(_key(server), server.entry(warm_in_s=cold_s))
+        return server
+
+    async def drain(self, server: SoakServer) -> None:
+        """Let a backend server leave: it says so, serves on for a while, and ends."""
+        self._goes(server)
+        self._store.put(_key(server), server.entry(state="draining"))
+        self._leave_alone(server, _DRAIN_S, float("inf"), "DRAIN")
+        await asyncio.sleep(_DRAIN_S + _LEFT_S)
+        self._store.remove(_key(server))
+        server.link.cut()
+
+    def crash(self, server: SoakServer) -> None:
+        """Let a backend server end without draining; its entry goes."""
+        self._goes(server)
+        server.link.cut()
+        self._store.remove(_key(server))
+
+    async def evacuate(self, zone: str, for_s: float) -> None:
+        """Send nothing to a data hall's backend servers for some time."""
+        self._store.put(f"op/evacuate/{zone}", b"{}")
+        until = asyncio.get_running_loop().time() + for_s
+        for server in self.running.values():
+            if server.zone == zone:
+                self._leave_alone(server, _EVACUATE_S, until, "EVAC")
+        await asyncio.sleep(for_s)
+        self._store.remove(f"op/evacuate/{zone}")
+
+    def _goes(self, server: SoakServer) -> None:
+        self._gone.append(self.running.pop(server.stand_in.server_id))
+
+    def _leave_alone(self, server: SoakServer, allowed_s: float, until: float, rule: str) -> None:
+        now = asyncio.get_running_loop().time()
+        leaving = Leaving(server.stand_in.server_id, now, allowed_s, until, rule)
+        self._ledger.leavings.append(leaving)
+
+
+def _key(server: SoakServer) -> str:
+    return f"servers/{server.stand_in.server_id}"
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -11,9 +11,10 @@
 
 import aiohttp
 
+from .configuration import BOOK, HOST, RATES, ROUTE_TIMEOUT_S
 from .ledger import Attempt, End
 from .promises import Promises
-from .world import BOOK, HOST, RATES, ROUTE_TIMEOUT_S, World
+from .world import World
 
 RATE_PER_S = 8.0
 """Mean requests a second of one caller. A guess, never measured."""
@@ -112,7 +113,7 @@
 
     def _route(self) -> str:
         draw = self.rng.random()
-        others = [name for name in self.world.services if name not in (RATES, BOOK)]
+        others = [name for name in self.world.configuration.services if name not in (RATES, BOOK)]
         if others and draw < _OTHER_PART:
             return self.rng.choice(others)
         return BOOK if draw < _BOOKED_PART else RATES
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -15,7 +15,9 @@
 from .callers import Caller
 from .ledger import Broken
 from .promises import Promises
-from .troubles import KINDS, Change, Trouble
+from .troubles.kinds import KINDS
+from .troubles.operators import Change
+from .troubles.trouble import Trouble
 from .world import World
 
 TROUBLED_S = 9.0
@@ -130,7 +132,7 @@
     planned = plan(seed, troubled_s)
     try:
         await world.start()
-        if not await world.until_all_ready():
+        if not await world.keeper.until_all_ready():
             raise SoakError("the entry VMs do not start", "look at a log in the folder out/soak")
         promises = Promises(world)
         await _traffic(world, promises, planned, seed)
@@ -155,8 +157,8 @@
     work = [asyncio.create_task(caller.run()) for caller in callers]
     troubles = [asyncio.create_task(_strike(world, row, start)) for row in planned[:-1]]
     await asyncio.sleep(planned[-1].at)
-    if not await world.until_all_ready():
-        world.ledger.breaks("RECOVER", f"ready are only {sorted(world.ready)}")
+    if not await world.keeper.until_all_ready():
+        world.ledger.breaks("RECOVER", f"ready are only {sorted(world.keeper.ready)}")
     world.ledger.quiet_from = world.loop.time() + _QUIET_FROM_S
     troubles.append(asyncio.create_task(_strike(world, planned[-1], start)))
     await asyncio.sleep(_QUIET_S)
--- a/tools/soak/ledger.py
+++ b/tools/soak/ledger.py
@@ -12,6 +12,12 @@
 STORE = "store"
 """Scope of a trouble that strikes the store for all entry VMs."""
 
+SERVERS = "backend servers"
+"""Scope of a trouble that strikes backend servers; the entry VMs stay bound by everything."""
+
+OPERATORS = "operators"
+"""Scope of operators' work, by which the entry VMs stay bound as well."""
+
 EVERYBODY = "everybody"
 """Scope of a trouble that strikes all entry VMs, such as a pause of the soak's own process."""
 
@@ -52,7 +58,7 @@
 
     Args:
         what: What it was.
-        scope: Entry VM that it struck, or `STORE`, or `EVERYBODY`.
+        scope: Entry VM that it struck, or `STORE`, `SERVERS`, `OPERATORS` or `EVERYBODY`.
         start: When it began, as monotonic time in seconds.
         end: When it was over, likewise.
         planned: True for work that is planned and must cut nothing off.
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -14,8 +14,10 @@
 
 from standins.scripted_server import Run
 
+from .backend_servers import body_of
+from .configuration import BOOK, RATES, ROUTE_TIMEOUT_S
 from .ledger import EVERYBODY, Attempt, Broken, End, Ledger, Version
-from .world import BOOK, RATES, ROUTE_TIMEOUT_S, World, body_of
+from .world import World
 
 NOT_RUN = (408, 421, 429, 503)
 """Statuses that promise that a request has not run and will not run."""
@@ -121,7 +123,7 @@
 
     def _gather_runs(self) -> dict[str, list[Seen]]:
         runs: dict[str, list[Seen]] = defaultdict(list)
-        for server in (*self.world.servers.values(), *self.world.gone_servers.values()):
+        for server in self.world.backends.ever():
             for run in server.stand_in.runs:
                 seen = Seen(server.stand_in.server_id, server.service, run.at)
                 runs[run.request_id].append(seen)
--- /dev/null
+++ b/tools/soak/troubles/processes.py
@@ -0,0 +1,124 @@
+"""Troubles of the entry VMs' own processes: stops, kills, pauses, settings and the time of day.
+
+Owns one class a kind. Relies on the world's keeper to start a process again, and on
+`tools/soak_vm.py` for the time of day. Durations are guesses, never measured: they only have to
+vary.
+"""
+
+import asyncio
+import random
+import signal
+
+from tools.entry_vm import EntryVm
+from tools.soak_vm import CLOCK_SUFFIX
+
+from ..world import World
+from .trouble import DAZED_S, EVEN, Trouble
+
+
+class VmTrouble(Trouble):
+    """Strikes one entry VM."""
+
+    def __init__(self, world: World, rng: random.Random, for_s: float) -> None:
+        super().__init__(world, rng, for_s)
+        self.vm: EntryVm = world.vms[rng.choice(tuple(world.vms))]
+        self.scope = self.vm.name
+
+
+class Stop(VmTrouble):
+    """The process gets SIGTERM, and is started again when it has ended."""
+
+    planned = True
+
+    async def _happen(self) -> None:
+        self.world.keeper.signal(self.vm, signal.SIGTERM)
+        await asyncio.sleep(self.for_s)
+
+
+class StopTwice(VmTrouble):
+    """The process gets SIGTERM, and once more while it stops."""
+
+    planned = True
+
+    async def _happen(self) -> None:
+        self.world.keeper.signal(self.vm, signal.SIGTERM)
+        await asyncio.sleep(self.rng.uniform(0.05, 1.5))
+        self.world.keeper.signal(self.vm, signal.SIGTERM)
+
+
+class RollingStop(Trouble):
+    """All processes get SIGTERM, one after the other, faster than one takes to end."""
+
+    planned = True
+
+    async def _happen(self) -> None:
+        for vm in self.rng.sample(tuple(self.world.vms.values()), len(self.world.vms)):
+            self.world.keeper.signal(vm, signal.SIGTERM)
+            await asyncio.sleep(self.rng.uniform(0.3, 1.5))
+
+
+class Kill(VmTrouble):
+    """The process is killed."""
+
+    async def _happen(self) -> None:
+        self.world.keeper.signal(self.vm, signal.SIGKILL)
+        await asyncio.sleep(DAZED_S)
+
+
+class KillAll(Trouble):
+    """All processes are killed at once."""
+
+    async def _happen(self) -> None:
+        for vm in self.world.vms.values():
+            self.world.keeper.signal(vm, signal.SIGKILL)
+        await asyncio.sleep(DAZED_S)
+
+
+class KillInStop(VmTrouble):
+    """The process is killed while it stops."""
+
+    async def _happen(self) -> None:
+        self.world.keeper.signal(self.vm, signal.SIGTERM)
+        await asyncio.sleep(self.rng.uniform(0.05, 2.5))
+        self.world.keeper.signal(self.vm, signal.SIGKILL)
+
+
+class Pause(VmTrouble):
+    """The process is paused by SIGSTOP and continues later."""
+
+    async def _happen(self) -> None:
+        process = self.vm.process
+        self.world.keeper.signal(self.vm, signal.SIGSTOP)
+        try:
+            await asyncio.sleep(self.for_s)
+        finally:
+            if process is not None and process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+
+
+class Reload(VmTrouble):
+    """The settings change, with and without a signal, to something good or to nonsense."""
+
+    planned = True
+
+    async def _happen(self) -> None:
+        table = {**self.vm.table, "Unknown": self.rng.random()}
+        good = self.rng.random() < EVEN
+        if good:
+            self.vm.lay_settings(table)
+        else:
+            self.vm.settings.write_text("{ broken", encoding="utf-8")
+        if self.rng.random() < EVEN:
+            self.world.keeper.signal(self.vm, signal.SIGHUP)
+        await asyncio.sleep(min(self.for_s, 0.2))
+        self.vm.lay_settings(self.vm.table)
+
+
+class ClockStep(VmTrouble):
+    """The time of day jumps by seconds and back."""
+
+    async def _happen(self) -> None:
+        clock = self.vm.settings.with_suffix(CLOCK_SUFFIX)
+        clock.write_text(str(self.rng.uniform(-4, 4)), encoding="utf-8")
+        await asyncio.sleep(self.for_s)
+        clock.unlink()
--- /dev/null
+++ b/tools/soak/troubles/servers.py
@@ -0,0 +1,73 @@
+"""Troubles of the backend servers: they leave, end, spoil answers, get slow or out of reach.
+
+Owns one class a kind. Relies on the stand-ins for what a server does. Durations are guesses, never
+measured: they only have to vary.
+"""
+
+import asyncio
+
+from standins.scripted_server import Spoil
+
+from ..backend_servers import SoakServer
+from ..ledger import SERVERS
+from .links import spoil_link
+from .trouble import Trouble
+
+
+class ServerTrouble(Trouble):
+    """Strikes a backend server; the entry VMs stay bound by everything."""
+
+    scope = SERVERS
+
+    def any_server(self) -> SoakServer:
+        """Return a backend server whose service has others."""
+        return self.rng.choice(tuple(self.world.backends.running.values()))
+
+
+class Leave(ServerTrouble):
+    """A backend server leaves; another comes, cold."""
+
+    async def _happen(self) -> None:
+        server = self.any_server()
+        await self.world.backends.add(server.service, server.zone, cold_s=1.0)
+        await self.world.backends.drain(server)
+
+
+class Crash(ServerTrouble):
+    """A backend server ends without draining; another comes later, cold."""
+
+    async def _happen(self) -> None:
+        server = self.any_server()
+        self.world.backends.crash(server)
+        await asyncio.sleep(self.for_s)
+        await self.world.backends.add(server.service, server.zone, cold_s=1.0)
+
+
+class SpoilAnswers(ServerTrouble):
+    """Backend servers spoil some of their answers."""
+
+    async def _happen(self) -> None:
+        spoils = [spoil for spoil in Spoil if spoil is not Spoil.NONE]
+        for server in self.rng.sample(tuple(self.world.backends.running.values()), 3):
+            server.stand_in.spoils += self.rng.choices(spoils, k=4)
+        await asyncio.sleep(self.for_s)
+
+
+class SlowServers(ServerTrouble):
+    """Some backend servers work much longer."""
+
+    async def _happen(self) -> None:
+        chosen = self.rng.sample(tuple(self.world.backends.running.values()), 2)
+        usual = [server.stand_in.work_s for server in chosen]
+        for server in chosen:
+            server.stand_in.work_s = self.rng.uniform(0.3, 1.0)
+        await asyncio.sleep(self.for_s)
+        for server, work_s in zip(chosen, usual, strict=True):
+            server.stand_in.work_s = work_s
+
+
+class ServerLink(ServerTrouble):
+    """The link to a backend server is cut, silent, one-way, or slow."""
+
+    async def _happen(self) -> None:
+        await spoil_link(self.any_server().link, self.rng, self.for_s)
--- /dev/null
+++ b/tools/soak/troubles/store.py
@@ -0,0 +1,66 @@
+"""Troubles of the store and of the ways to it: down, slow, forgetful, or shut to one entry VM.
+
+Owns one class a kind. Relies on the stand-in of the store for its faults. Durations are guesses,
+never measured: they only have to vary.
+"""
+
+import asyncio
+
+from standins.consortium_store import Fault
+
+from ..ledger import STORE
+from .links import spoil_link
+from .processes import VmTrouble
+from .trouble import Trouble
+
+
+class CutFromStore(VmTrouble):
+    """One entry VM's link to the store is cut, silent, one-way, or slow."""
+
+    async def _happen(self) -> None:
+        await spoil_link(self.world.store_links[self.vm.name], self.rng, self.for_s)
+
+
+class TurnedAway(VmTrouble):
+    """The store refuses one entry VM's calls and serves the others."""
+
+    async def _happen(self) -> None:
+        faults = self.world.store.faults_by_machine
+        faults[self.vm.name] = self.rng.choice((Fault.BUSY, Fault.MANY, Fault.RESET, Fault.SILENT))
+        await asyncio.sleep(self.for_s)
+        faults.pop(self.vm.name, None)
+
+
+class StoreTrouble(Trouble):
+    """Strikes the store."""
+
+    scope = STORE
+
+
+class StoreFaulty(StoreTrouble):
+    """The store is down, or loses answers, or carries writes out late."""
+
+    async def _happen(self) -> None:
+        store = self.world.store
+        store.fault = self.rng.choice([fault for fault in Fault if fault is not Fault.NONE])
+        await asyncio.sleep(self.for_s)
+        store.fault = Fault.NONE
+
+
+class StoreSlow(StoreTrouble):
+    """The store takes long to answer."""
+
+    async def _happen(self) -> None:
+        self.world.store.slow_s = self.rng.uniform(0.1, 0.4)
+        await asyncio.sleep(self.for_s)
+        self.world.store.slow_s = 0.0
+
+
+class StoreForgets(StoreTrouble):
+    """The store forgets its history in the middle of a storm of changes."""
+
+    async def _happen(self) -> None:
+        for _ in range(3):
+            self.world.configuration.write()
+            await asyncio.sleep(0.08)
+        self.world.store.forget()
--- /dev/null
+++ b/tools/soak/vm_keeper.py
@@ -0,0 +1,119 @@
+"""Keeps the entry VMs of one day running, and says which of them are ready.
+
+Owns their processes: starts each again whenever it has ended, as the platform would, and sends the
+signals that troubles ask for. Starts, ends and signals are recorded in the ledger with their times;
+`promises` judges by them. Relies on `tools.entry_vm` for one process.
+"""
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import Mapping
+
+from tools.entry_vm import EntryVm
+
+from .ledger import Ledger, Struck
+
+_RESTART_S = 0.3
+"""Seconds from the end of a process to its next start. A guess, never measured."""
+
+_START_S = 30.0
+"""Seconds for all entry VMs to become ready on a busy machine. A guess, never measured."""
+
+_POLL_S = 0.05
+"""Seconds between looks at a process's readiness."""
+
+_READY_CHECK_S = 1.0
+"""Seconds for one look at a process's readiness. A guess, never measured."""
+
+_ENDING = (int(signal.SIGTERM), int(signal.SIGKILL))
+"""Signals that end a process."""
+
+
+class VmKeeper:
+    """Keeps entry VMs running.
+
+    Args:
+        vms: The entry VMs, by name.
+        ledger: Record of the day.
+    """
+
+    def __init__(self, vms: Mapping[str, EntryVm], ledger: Ledger) -> None:
+        self.ready: set[str] = set()
+        self._vms = vms
+        self._ledger = ledger
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Start all, and keep them running from now on."""
+        self._tasks += [asyncio.create_task(self._keep(vm)) for vm in self._vms.values()]
+
+    async def stop(self) -> None:
+        """Start none again, and end all."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for vm in self._vms.values():
+            await vm.kill()
+
+    async def until_all_ready(self) -> bool:
+        """Wait until every entry VM is ready and none is stopping; False when that takes too long.
+
+        On a busy machine a start may take many times as long as on a quiet one.
+        """
+        try:
+            async with asyncio.timeout(_START_S):
+                while not all(self._is_up(vm) for vm in self._vms.values()):
+                    await asyncio.sleep(_POLL_S)
+        except TimeoutError:
+            return False
+        return True
+
+    def signal(self, vm: EntryVm, number: signal.Signals) -> None:
+        """Send a signal to an entry VM's process, if it runs."""
+        if vm.running:
+            now = asyncio.get_running_loop().time()
+            self._ledger.signalled[vm.name].append((now, int(number)))
+            vm.signal(number)
+
+    async def _keep(self, vm: EntryVm) -> None:
+        """Start an entry VM again whenever it has ended."""
+        loop = asyncio.get_running_loop()
+        while True:
+            started_at = loop.time()
+            await vm.start()
+            await self._until_ready(vm, started_at)
+            status = await vm.ended()
+            self.ready.discard(vm.name)
+            self._ledger.ends[vm.name].append((loop.time(), status))
+            await asyncio.sleep(_RESTART_S)
+
+    async def _until_ready(self, vm: EntryVm, started_at: float) -> None:
+        """Count a start as a trouble until the entry VM is ready."""
+        host, port = vm.addresses["Ready"].split(":")
+        while vm.running:
+            await asyncio.sleep(_POLL_S)
+            if not vm.running:
+                break
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(_READY_CHECK_S):
+                    if await _says_ready(host, int(port)):
+                        self.ready.add(vm.name)
+                        break
+        now = asyncio.get_running_loop().time()
+        self._ledger.struck.append(Struck("start", vm.name, started_at, now))
+
+    def _is_up(self, vm: EntryVm) -> bool:
+        signals = [at for at, n in self._ledger.signalled[vm.name] if n in _ENDING]
+        ends = [at for at, _ in self._ledger.ends[vm.name]]
+        stopping = bool(signals) and max(signals) > max(ends, default=float("-inf"))
+        return vm.name in self.ready and not stopping
+
+
+async def _says_ready(host: str, port: int) -> bool:
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        writer.write(b"GET /sprucewinch/readyz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        return b" 200 " in await reader.readline()
+    finally:
+        writer.close()
