--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,6 @@
 import tomllib
 import unittest
 from pathlib import Path
-from types import SimpleNamespace
 from unittest import mock
 
 from standins.scripted_server import Run, ScriptedServer
@@ -21,7 +20,9 @@
 from tools.soak.configuration import BOOK, RATES
 from tools.soak.day import plan
 from tools.soak.ledger import Attempt, End, Leaving, Ledger, Struck, Version
-from tools.soak.promises import Promises
+from tools.soak.promises.answers import judge_answer
+from tools.soak.promises.evidence import Evidence, gather_runs
+from tools.soak.promises.judge import judge
 
 _SEEDS = Path(__file__).with_name("soak_seeds.toml")
 _SERVICES = {RATES: "rates", BOOK: "booking"}
@@ -40,13 +41,6 @@
         self.ledger = Ledger()
         self.ledger.versions.append(Version(1, 0.0, _SERVICES))
         self.ledger.quiet_from = 0.0
-        self.world = SimpleNamespace(
-            ledger=self.ledger,
-            backends=SimpleNamespace(ever=self.servers.values),
-            vms={"vm1": None},
-            loop=SimpleNamespace(time=lambda: 1000.0),
-        )
-        self.promises = Promises(self.world)  # type: ignore[arg-type]
 
     def attempt(
         self,
@@ -75,7 +69,8 @@
 
     def rules(self) -> set[str]:
         """Return the promises that are broken."""
-        return {broken.rule for broken in self.promises.judge()}
+        evidence = Evidence(self.ledger, gather_runs(self.servers.values()), ended_at=1000.0)
+        return {broken.rule for broken in judge(evidence)}
 
 
 class PromisesAreJudged(unittest.TestCase):
@@ -90,9 +85,9 @@
         attempt = day.attempt()
         whole = body_of(Run("q1", "", "", b"", {}, 0.0))
         signed = {"X-Response-Signature": "i-1.q1"}
-        day.promises.answered(attempt, whole, signed)
+        judge_answer(day.ledger, attempt, whole, signed)
         self.assertEqual(day.rules(), set())
-        day.promises.answered(attempt, whole[:-1], signed)
+        judge_answer(day.ledger, attempt, whole[:-1], signed)
         self.assertEqual(day.rules(), {"MIXED"})
 
     def test_own_answers_that_no_configuration_allows(self) -> None:
@@ -104,7 +99,7 @@
             (500, {"X-Response-Signature": "i-1.q1"}, None),
         ):
             day = Judged()
-            day.promises.answered(day.attempt(status=status, ran_at=""), b"", headers)
+            judge_answer(day.ledger, day.attempt(status=status, ran_at=""), b"", headers)
             expected = {rule} if rule else set()
             self.assertEqual({broken.rule for broken in day.ledger.broken}, expected)
 
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -1,7 +1,7 @@
 """Callers of the soak: some follow the look-up, some keep one entry VM until its connection ends.
 
 Owns how callers choose an entry VM, what they send and what they record of each attempt. Relies on
-`world` for addresses and the ledger, and hands answers to `promises`.
+`world` for addresses and the ledger, and hands answers to `promises.answers`.
 """
 
 import asyncio
@@ -11,9 +11,9 @@
 
 import aiohttp
 
-from .configuration import BOOK, HOST, RATES, ROUTE_TIMEOUT_S
+from .configuration import BOOK, HOST, RATES, ROUTE_TIMEOUT_S, STANDING_ROUTES
 from .ledger import Attempt, End
-from .promises import Promises
+from .promises.answers import judge_answer
 from .world import World
 
 RATE_PER_S = 8.0
@@ -52,7 +52,6 @@
 
     Args:
         world: The day.
-        promises: Judges every answer.
         number: Its number.
         rng: Source of randomness.
         clings: Uses one entry VM until its connection ends.
@@ -61,14 +60,12 @@
     def __init__(
         self,
         world: World,
-        promises: Promises,
         number: int,
         rng: random.Random,
         *,
         clings: bool,
     ) -> None:
         self.world = world
-        self.promises = promises
         self.number = number
         self.rng = rng
         self.clings = clings
@@ -113,7 +110,7 @@
 
     def _route(self) -> str:
         draw = self.rng.random()
-        others = [name for name in self.world.configuration.services if name not in (RATES, BOOK)]
+        others = [name for name in self.world.configuration.services if name not in STANDING_ROUTES]
         if others and draw < _OTHER_PART:
             return self.rng.choice(others)
         return BOOK if draw < _BOOKED_PART else RATES
@@ -136,7 +133,7 @@
             async with session.request(method, url, headers=headers, data=data) as response:
                 body = await response.read()
             attempt.end, attempt.status = End.ANSWERED, response.status
-            self.promises.answered(attempt, body, response.headers)
+            judge_answer(self.world.ledger, attempt, body, response.headers)
         except TimeoutError:
             attempt.end = End.LATE
         except aiohttp.ClientConnectorError:
--- a/tools/soak/configuration.py
+++ b/tools/soak/configuration.py
@@ -17,7 +17,10 @@
 HOST = "quotes.example"
 SERVICES = ("rates", "booking")
 RATES, BOOK = "rates", "book"
-"""Routes that every version has: one may run twice, one must not."""
+"""Routes that every version has: requests of the first may run twice, those of the second not."""
+
+STANDING_ROUTES = (RATES, BOOK)
+"""All routes that never come or go."""
 
 ROUTE_TIMEOUT_S = 2.0
 """Timeout of every route, in seconds. A guess, never measured."""
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -14,7 +14,8 @@
 
 from .callers import Caller
 from .ledger import Broken
-from .promises import Promises
+from .promises.evidence import Evidence, gather_runs
+from .promises.judge import judge
 from .troubles.kinds import KINDS
 from .troubles.operators import Change
 from .troubles.trouble import Trouble
@@ -134,9 +135,9 @@
         await world.start()
         if not await world.keeper.until_all_ready():
             raise SoakError("the entry VMs do not start", "look at a log in the folder out/soak")
-        promises = Promises(world)
-        await _traffic(world, promises, planned, seed)
-        broken = tuple(promises.judge())
+        await _traffic(world, planned, seed)
+        runs = gather_runs(world.backends.ever())
+        broken = tuple(judge(Evidence(world.ledger, runs, world.loop.time())))
     finally:
         await world.stop()
     attempts = world.ledger.attempts
@@ -145,13 +146,10 @@
     return Outcome(seed, planned, len(attempts), dict(statuses), broken, lines)
 
 
-async def _traffic(
-    world: World, promises: Promises, planned: tuple[Planned, ...], seed: int
-) -> None:
+async def _traffic(world: World, planned: tuple[Planned, ...], seed: int) -> None:
     rng = random.Random(seed ^ _TRAFFIC_SALT)
     callers = [
-        Caller(world, promises, n, random.Random(rng.random()), clings=n < _CLINGING)
-        for n in range(_CALLERS)
+        Caller(world, n, random.Random(rng.random()), clings=n < _CLINGING) for n in range(_CALLERS)
     ]
     start = world.loop.time()
     work = [asyncio.create_task(caller.run()) for caller in callers]
--- a/tools/soak/ledger.py
+++ b/tools/soak/ledger.py
@@ -7,6 +7,7 @@
 
 import enum
 from collections import defaultdict
+from collections.abc import Iterator
 from typing import NamedTuple, Optional
 
 STORE = "store"
@@ -21,6 +22,9 @@
 EVERYBODY = "everybody"
 """Scope of a trouble that strikes all entry VMs, such as a pause of the soak's own process."""
 
+START = "start"
+"""What strikes an entry VM from its start until it is ready."""
+
 
 class End(enum.Enum):
     """How an attempt ended for its caller."""
@@ -132,20 +136,32 @@
         """Record a broken promise."""
         self.broken.append(Broken(rule, what))
 
-    def undisturbed(self, vm: str, start: float, end: float, *, planned: bool = False) -> bool:
-        """Return whether nothing struck an entry VM in a span of time.
+    def undisturbed(self, vm: str, start: float, end: float) -> bool:
+        """Return whether nothing struck an entry VM or the store in a span of time.
 
         Args:
             vm: The entry VM.
             start: Start, as monotonic time in seconds.
             end: End, likewise.
-            planned: Leave planned work out.
         """
-        scopes = (vm, STORE, EVERYBODY)
+        return not any(self._strikes(start, end, (vm, STORE, EVERYBODY)))
+
+    def unstruck_itself(self, vm: str, start: float, end: float) -> bool:
+        """Return whether nothing but planned work and starts struck an entry VM in a span of time.
+
+        Args:
+            vm: The entry VM; the store may fail meanwhile.
+            start: Start, as monotonic time in seconds.
+            end: End, likewise.
+        """
         return not any(
-            struck.scope in scopes
-            and struck.start <= end
-            and struck.end >= start
-            and not (planned and struck.planned)
+            not struck.planned and struck.what != START
+            for struck in self._strikes(start, end, (vm, EVERYBODY))
+        )
+
+    def _strikes(self, start: float, end: float, scopes: tuple[str, ...]) -> Iterator[Struck]:
+        return (
+            struck
             for struck in self.struck
+            if struck.scope in scopes and struck.start <= end and struck.end >= start
         )
--- /dev/null
+++ b/tools/soak/promises/answers.py
@@ -0,0 +1,42 @@
+"""Judges an answer as a caller gets it: that it is its own, whole, and one that may be given.
+
+Owns the promises MIXED, DENIED, FAULT and COME BACK. Relies on `backend_servers` for the body that
+only one request may get.
+"""
+
+from collections.abc import Mapping
+from http import HTTPStatus
+
+from standins.scripted_server import Run
+
+from ..backend_servers import body_of
+from ..configuration import STANDING_ROUTES
+from ..ledger import Attempt, Ledger
+
+_FAULT = HTTPStatus.INTERNAL_SERVER_ERROR
+"""Status that no part of the system gives of its own."""
+
+_FORBIDDEN = (400, 401, 403, 404, 413, 431)
+"""Statuses that the requests of these callers never deserve on routes that always exist."""
+
+_SIGNATURE = "X-Response-Signature"
+"""Header by which a backend server's own answers are known."""
+
+
+def judge_answer(ledger: Ledger, attempt: Attempt, body: bytes, headers: Mapping[str, str]) -> None:
+    """Judge one answer, and record the promise that it breaks."""
+    request_id, status = attempt.request_id, attempt.status
+    if status == HTTPStatus.OK:
+        if not _is_own(request_id, body, headers):
+            ledger.breaks("MIXED", f"{request_id} got {body[:60]!r}")
+    elif status in _FORBIDDEN and attempt.route in STANDING_ROUTES:
+        ledger.breaks("DENIED", f"{request_id} got {status}")
+    elif status == _FAULT and _SIGNATURE not in headers:
+        ledger.breaks("FAULT", f"{request_id} at {attempt.vm} got {_FAULT:d}")
+    elif status == HTTPStatus.SERVICE_UNAVAILABLE and "Retry-After" not in headers:
+        ledger.breaks("COME BACK", f"{request_id} is not told when to come back")
+
+
+def _is_own(request_id: str, body: bytes, headers: Mapping[str, str]) -> bool:
+    run = Run(request_id, "", "", b"", {}, 0.0)
+    return body == body_of(run) and headers.get(_SIGNATURE, "").endswith(f".{request_id}")
--- /dev/null
+++ b/tools/soak/promises/configuration.py
@@ -0,0 +1,84 @@
+"""Judges which version of the configuration decided a request.
+
+Owns the promises CONFIG, a version is in force in time at entry VMs in touch with the store, and
+REGRESS, no process shows an older version after a newer one, which excuses nobody.
+"""
+
+from collections.abc import Iterable
+from http import HTTPStatus
+
+from ..ledger import Attempt, End, Version
+from .evidence import SLACK_S, Evidence
+
+_CONFIGURED_S = 2.0
+"""Seconds until a configuration is in force. Bound `ConfigApply` of the platform's example."""
+
+_REGRESS_S = 0.3
+"""Seconds after which an older version must not show again.
+
+Bound `Downgrade` of the platform's example, 0.25 s, and a margin of 0.05 s, which is a guess, never
+measured.
+"""
+
+
+def in_force(evidence: Evidence) -> None:
+    """Judge that entry VMs in touch decide by a version that may be in force."""
+    for attempt in evidence.ledger.attempts:
+        if not evidence.in_touch(attempt.vm, attempt.sent_at, attempt.sent_at):
+            continue
+        versions = _may_be_in_force(evidence.ledger.versions, attempt)
+        allowed = [version.services.get(attempt.route) for version in versions]
+        for seen in evidence.runs_of(attempt):
+            if seen.service not in allowed:
+                what = f"{attempt.request_id} of {attempt.route} ran at {seen.service}"
+                evidence.ledger.breaks("CONFIG", f"{what}, allowed {allowed}")
+        if attempt.status == HTTPStatus.NOT_FOUND and None not in allowed:
+            evidence.ledger.breaks("CONFIG", f"{attempt.request_id} got 404, allowed {allowed}")
+
+
+def _may_be_in_force(versions: list[Version], attempt: Attempt) -> Iterable[Version]:
+    """Return the versions that may decide an attempt at an entry VM in touch."""
+    ends = [later.acknowledged_at for later in versions[1:]] + [float("inf")]
+    late = _CONFIGURED_S + SLACK_S
+    return [
+        version
+        for version, end in zip(versions, ends, strict=True)
+        if attempt.sent_at <= end + late and version.acknowledged_at <= attempt.ended_at
+    ]
+
+
+def never_older(evidence: Evidence) -> None:
+    """Judge that no process goes back to an older version."""
+    answered = [a for a in evidence.ledger.attempts if a.end is End.ANSWERED]
+    for vm in {attempt.vm: None for attempt in answered}:
+        start = float("-inf")
+        for end in [at for at, _ in evidence.ledger.ends[vm]] + [float("inf")]:
+            life = [a for a in answered if a.vm == vm and a.sent_at > start and a.ended_at < end]
+            _grows(evidence, sorted(life, key=lambda attempt: attempt.ended_at))
+            start = end
+
+
+def _grows(evidence: Evidence, life: list[Attempt]) -> None:
+    """Judge the attempts of one process, in the order in which they ended."""
+    shown: list[tuple[float, int]] = []
+    for attempt in life:
+        floor = max((n for at, n in shown if at + _REGRESS_S < attempt.sent_at), default=0)
+        fitting = _fitting(evidence, attempt)
+        if fitting and max(fitting) < floor:
+            what = f"{attempt.request_id} fits {max(fitting)}, shown {floor}"
+            evidence.ledger.breaks("REGRESS", what)
+        if fitting:
+            shown.append((attempt.ended_at, min(fitting)))
+
+
+def _fitting(evidence: Evidence, attempt: Attempt) -> list[int]:
+    """Return the numbers of the versions that would handle an attempt as it was."""
+    seen = evidence.runs_of(attempt)
+    service = seen[0].service if seen else None
+    if not seen and attempt.status != HTTPStatus.NOT_FOUND:
+        return []
+    return [
+        version.number
+        for version in evidence.ledger.versions
+        if version.services.get(attempt.route) == service
+    ]
--- /dev/null
+++ b/tools/soak/promises/evidence.py
@@ -0,0 +1,68 @@
+"""What the checks read of a day: its ledger, and the runs at its backend servers.
+
+Owns the runs by request, and the spans without a fault after which time bounds hold. Bounds that
+several checks need stand here.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from ..backend_servers import SoakServer
+from ..ledger import Attempt, Ledger
+
+CONTACT_S = 3.0
+"""Seconds without a fault until time bounds hold. Bound `Contact` of the platform's example."""
+
+OUTER_S = 5.0
+"""Seconds by which a fault of the store stretches bounds. Bound `Outer` of the same example."""
+
+GRACE_S = 6.0
+"""Seconds from SIGTERM to the kill. Bound `Grace` of the platform's example."""
+
+SLACK_S = 0.4
+"""Seconds added to bounds for late readings of the soak's own clock. A guess, never measured."""
+
+
+class Seen(NamedTuple):
+    """One run of a request at a backend server."""
+
+    server_id: str
+    service: str
+    at: float
+
+
+class Evidence(NamedTuple):
+    """All that is known of a day at its end.
+
+    Args:
+        ledger: Record of the day.
+        runs: Runs at backend servers, by request id, for those that ran.
+        ended_at: End of the day, as monotonic time in seconds.
+    """
+
+    ledger: Ledger
+    runs: Mapping[str, list[Seen]]
+    ended_at: float
+
+    def runs_of(self, attempt: Attempt) -> list[Seen]:
+        """Return the runs of an attempt's request; empty for none."""
+        return self.runs.get(attempt.request_id, [])
+
+    def in_touch(self, vm: str, since: float, until: float) -> bool:
+        """Return whether nothing struck an entry VM or the store long enough before some time."""
+        return self.ledger.undisturbed(vm, since - CONTACT_S - OUTER_S, until)
+
+    def unstruck(self, vm: str, since: float, until: float) -> bool:
+        """Return whether nothing but planned work struck an entry VM itself; the store may fail."""
+        return self.ledger.unstruck_itself(vm, since - CONTACT_S, until)
+
+
+def gather_runs(servers: Iterable[SoakServer]) -> dict[str, list[Seen]]:
+    """Return the runs at some backend servers by request id."""
+    runs: dict[str, list[Seen]] = defaultdict(list)
+    for server in servers:
+        for run in server.stand_in.runs:
+            seen = Seen(server.stand_in.server_id, server.service, run.at)
+            runs[run.request_id].append(seen)
+    return dict(runs)
--- /dev/null
+++ b/tools/soak/promises/judge.py
@@ -0,0 +1,36 @@
+"""All promises that are judged at the end of a day.
+
+Owns the list of checks; answers are judged as they come, by `answers`.
+"""
+
+from collections.abc import Callable
+
+from ..ledger import Broken
+from .configuration import in_force, never_older
+from .evidence import Evidence
+from .leavings import left_alone
+from .recovery import recovers
+from .runs import at_most_once, refused_never_ran, right_service
+from .stops import no_end_of_its_own, nothing_cut_off, stops_in_time
+from .waiting import held_no_longer
+
+_CHECKS: tuple[Callable[[Evidence], None], ...] = (
+    at_most_once,
+    refused_never_ran,
+    right_service,
+    in_force,
+    never_older,
+    left_alone,
+    nothing_cut_off,
+    held_no_longer,
+    no_end_of_its_own,
+    stops_in_time,
+    recovers,
+)
+
+
+def judge(evidence: Evidence) -> list[Broken]:
+    """Judge the whole day; returns all promises that were broken, answers included."""
+    for check in _CHECKS:
+        check(evidence)
+    return evidence.ledger.broken
--- /dev/null
+++ b/tools/soak/promises/stops.py
@@ -0,0 +1,69 @@
+"""Judges how processes end: only when told to, in time, and without cutting requests off.
+
+Owns the promises LOST, ENDS and GRACE. They count from the signals in the ledger.
+"""
+
+import signal
+
+from ..ledger import START, Attempt, End, Ledger
+from .evidence import GRACE_S, SLACK_S, Evidence
+
+_LOST_S = 0.2
+"""Seconds after which a stop must not cut a request off. Bound `Lost` of the platform's example."""
+
+_STOP_MARGIN_S = 1.0
+"""Seconds beyond the grace that still belong to a stop. Bound of the platform's rules."""
+
+_EXPECTED_ENDS = {int(signal.SIGTERM): 0, int(signal.SIGKILL): -int(signal.SIGKILL)}
+"""Exit status of a process by the signal that ended it."""
+
+
+def nothing_cut_off(evidence: Evidence) -> None:
+    """Judge planned stops: an entry VM that has read a request answers it."""
+    for attempt in evidence.ledger.attempts:
+        if attempt.end is not End.CLOSED or not _stopping(evidence.ledger, attempt):
+            continue
+        if not evidence.unstruck(attempt.vm, attempt.sent_at, attempt.ended_at):
+            continue
+        ran = bool(evidence.runs_of(attempt))
+        took = attempt.ended_at - attempt.sent_at
+        if ran or took > _LOST_S + SLACK_S:
+            what = f"{attempt.request_id} at {attempt.vm}: closed after {took:.2f} s, ran {ran}"
+            evidence.ledger.breaks("LOST", what)
+
+
+def _stopping(ledger: Ledger, attempt: Attempt) -> bool:
+    """Return whether an attempt ended while its entry VM stopped as planned."""
+    stops = (at for at, number in ledger.signalled[attempt.vm] if number == signal.SIGTERM)
+    return any(attempt.ended_at >= at > attempt.sent_at - GRACE_S - _STOP_MARGIN_S for at in stops)
+
+
+def no_end_of_its_own(evidence: Evidence) -> None:
+    """Judge that each process ended by a signal that it got, with the status that it asks for."""
+    ledger = evidence.ledger
+    for vm, ends in ledger.ends.items():
+        for at, status in ends:
+            if status == -signal.SIGTERM and _starting(ledger, vm, at):
+                continue
+            signals = [number for sent_at, number in ledger.signalled[vm] if sent_at <= at]
+            if status not in [_EXPECTED_ENDS[n] for n in signals if n in _EXPECTED_ENDS]:
+                ledger.breaks("ENDS", f"{vm} ended by itself with status {status}")
+
+
+def _starting(ledger: Ledger, vm: str, at: float) -> bool:
+    """Return whether an entry VM was starting: signal handlers are not set from the start."""
+    starts = (s for s in ledger.struck if s.what == START and s.scope == vm)
+    return any(s.start <= at <= s.end + SLACK_S for s in starts)
+
+
+def stops_in_time(evidence: Evidence) -> None:
+    """Judge that a process told to stop has ended when its grace is over."""
+    ledger = evidence.ledger
+    for vm, signalled in ledger.signalled.items():
+        for sent_at, number in signalled:
+            late = sent_at + GRACE_S + SLACK_S
+            if number != signal.SIGTERM or not evidence.unstruck(vm, sent_at, late):
+                continue
+            after = [at for at, _ in ledger.ends[vm] if at >= sent_at]
+            if late < evidence.ended_at and (not after or after[0] > late):
+                ledger.breaks("GRACE", f"{vm} was still there {GRACE_S} s after SIGTERM")
--- /dev/null
+++ b/tools/soak/promises/waiting.py
@@ -0,0 +1,22 @@
+"""Judges how long callers are held.
+
+Owns the promise HELD, whose bound follows the timeout of the routes.
+"""
+
+from ..configuration import ROUTE_TIMEOUT_S
+from .evidence import SLACK_S, Evidence
+
+_HELD_S = 0.5
+"""Seconds beyond a route's timeout until an answer is late. Bound of the platform's rules."""
+
+
+def held_no_longer(evidence: Evidence) -> None:
+    """Judge that no caller waits much longer than its route's timeout."""
+    limit = ROUTE_TIMEOUT_S + _HELD_S + SLACK_S
+    for attempt in evidence.ledger.attempts:
+        if attempt.end is None:
+            continue
+        took = attempt.ended_at - attempt.sent_at
+        if took > limit and evidence.unstruck(attempt.vm, attempt.sent_at, attempt.sent_at + limit):
+            what = f"{attempt.request_id} at {attempt.vm} took {took:.2f} s"
+            evidence.ledger.breaks("HELD", what)
--- a/tools/soak/troubles/operators.py
+++ b/tools/soak/troubles/operators.py
@@ -5,7 +5,7 @@
 
 import asyncio
 
-from ..configuration import BOOK, RATES
+from ..configuration import STANDING_ROUTES
 from ..ledger import OPERATORS
 from ..world import ZONES
 from .trouble import Trouble
@@ -28,7 +28,7 @@
 
     def _change(self) -> None:
         services = self.world.configuration.services
-        extra = [name for name in services if name not in (RATES, BOOK)]
+        extra = [name for name in services if name not in STANDING_ROUTES]
         kind = self.rng.choice(("add", "add", "drop", "move"))
         if kind == "add" or not extra:
             taken = len(self.world.ledger.versions)
