--- a/tools/demo.py
+++ b/tools/demo.py
@@ -20,7 +20,9 @@
 from sprucewinch.config.configuration import Configuration, Service
 from sprucewinch.config.loading import load_configuration
 from tools.fleet import Fleet, Operator, wait_until
-from tools.load import Flow, Load, Result, broken_promises, quantile, runs_at_servers
+from tools.load.checks import broken_promises, runs_at_servers
+from tools.load.load import Load
+from tools.load.results import Flow, Result, quantile
 
 _LONG_DEADLINE_MS = 60_000
 """Deadline from which a service counts as one of large files, in milliseconds. A guess."""
