--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -116,24 +116,13 @@
         return BOOK if draw < _BOOKED_PART else RATES
 
     async def _send(self, session: aiohttp.ClientSession, name: str) -> None:
+        """Send one request to an entry VM, and record what came of it."""
         self.sent += 1
         route = self._route()
         attempt = Attempt(f"c{self.number}-{self.sent}", route, name, self.world.loop.time())
         self.world.ledger.attempts.append(attempt)
-        headers = {
-            "Host": HOST,
-            "X-Request-Id": attempt.request_id,
-            "X-Request-Deadline-Ms": str(int(_LONGEST_S * _MS_PER_S)),
-            "Cookie": f"X-Affinity-Key={self.rng.randrange(_OBJECTS)}",
-        }
-        method = "POST" if route == BOOK else "GET"
-        data = b"x" * self.rng.choice(_BODY_SIZES) if route == BOOK else None
-        url = self.world.vms[name].url("Front", f"/{route}/{self.sent}")
         try:
-            async with session.request(method, url, headers=headers, data=data) as response:
-                body = await response.read()
-            attempt.end, attempt.status = End.ANSWERED, response.status
-            judge_answer(self.world.ledger, attempt, body, response.headers)
+            await self._exchange(session, attempt)
         except TimeoutError:
             attempt.end = End.LATE
         except aiohttp.ClientConnectorError:
@@ -144,3 +133,20 @@
         if attempt.end in (End.UNREACHED, End.CLOSED):
             self._vm = None
             self._kept_until = float("-inf")
+
+    async def _exchange(self, session: aiohttp.ClientSession, attempt: Attempt) -> None:
+        """Send an attempt's request, read the answer and have it judged."""
+        books = attempt.route == BOOK
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": attempt.request_id,
+            "X-Request-Deadline-Ms": str(int(_LONGEST_S * _MS_PER_S)),
+            "Cookie": f"X-Affinity-Key={self.rng.randrange(_OBJECTS)}",
+        }
+        method = "POST" if books else "GET"
+        data = b"x" * self.rng.choice(_BODY_SIZES) if books else None
+        url = self.world.vms[attempt.vm].url("Front", f"/{attempt.route}/{self.sent}")
+        async with session.request(method, url, headers=headers, data=data) as response:
+            body = await response.read()
+        attempt.end, attempt.status = End.ANSWERED, response.status
+        judge_answer(self.world.ledger, attempt, body, response.headers)
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -61,8 +61,8 @@
         peer_port = free_port("127.0.0.1")
         for number, zone in enumerate(z for z in ZONES for _ in range(_VMS_PER_ZONE)):
             await self._add_vm(f"vm{number}", zone, peer_port, folder)
-        self._watch = asyncio.create_task(watch_own_lag(self.ledger))
-        self._stack.callback(self._watch.cancel)
+        watch = asyncio.create_task(watch_own_lag(self.ledger))
+        self._stack.callback(watch.cancel)
         self.keeper.start()
 
     async def stop(self) -> None:
