--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,18 +1,28 @@
-"""The soak: its days, and that its promises are really judged."""
+"""The soak: its days, that its promises are really judged, and the entry VMs that it starts."""
 
 import asyncio
 import signal
+import socket
+import subprocess
+import sys
+import tempfile
 import tomllib
 import unittest
 from pathlib import Path
-from types import SimpleNamespace
+from unittest import mock
 
 from standins.scripted_server import Run, ScriptedServer
+from tests import gateway_process
+from tools.entry_vm import METRICS_PORT, ROOT, EntryVm, free_port, own_address
+from tools.ports import RUN_START
 from tools.soak.__main__ import SoakError, parse_seeds, run_days
+from tools.soak.backend_servers import SoakServer, body_of
+from tools.soak.configuration import BOOK, RATES
 from tools.soak.day import plan
 from tools.soak.ledger import Attempt, End, Leaving, Ledger, Struck, Version
-from tools.soak.promises import Promises
-from tools.soak.world import BOOK, RATES, SoakServer, body_of
+from tools.soak.promises.answers import judge_answer
+from tools.soak.promises.evidence import Evidence, gather_runs
+from tools.soak.promises.judge import judge
 
 _SEEDS = Path(__file__).with_name("soak_seeds.toml")
 _SERVICES = {RATES: "rates", BOOK: "booking"}
@@ -31,14 +41,6 @@
         self.ledger = Ledger()
         self.ledger.versions.append(Version(1, 0.0, _SERVICES))
         self.ledger.quiet_from = 0.0
-        self.world = SimpleNamespace(
-            ledger=self.ledger,
-            servers=self.servers,
-            gone_servers={},
-            vms={"vm1": None},
-            loop=SimpleNamespace(time=lambda: 1000.0),
-        )
-        self.promises = Promises(self.world)  # type: ignore[arg-type]
 
     def attempt(
         self,
@@ -67,7 +69,8 @@
 
     def rules(self) -> set[str]:
         """Return the promises that are broken."""
-        return {broken.rule for broken in self.promises.judge()}
+        evidence = Evidence(self.ledger, gather_runs(self.servers.values()), ended_at=1000.0)
+        return {broken.rule for broken in judge(evidence)}
 
 
 class PromisesAreJudged(unittest.TestCase):
@@ -82,9 +85,9 @@
         attempt = day.attempt()
         whole = body_of(Run("q1", "", "", b"", {}, 0.0))
         signed = {"X-Response-Signature": "i-1.q1"}
-        day.promises.answered(attempt, whole, signed)
+        judge_answer(day.ledger, attempt, whole, signed)
         self.assertEqual(day.rules(), set())
-        day.promises.answered(attempt, whole[:-1], signed)
+        judge_answer(day.ledger, attempt, whole[:-1], signed)
         self.assertEqual(day.rules(), {"MIXED"})
 
     def test_own_answers_that_no_configuration_allows(self) -> None:
@@ -96,7 +99,7 @@
             (500, {"X-Response-Signature": "i-1.q1"}, None),
         ):
             day = Judged()
-            day.promises.answered(day.attempt(status=status, ran_at=""), b"", headers)
+            judge_answer(day.ledger, day.attempt(status=status, ran_at=""), b"", headers)
             expected = {rule} if rule else set()
             self.assertEqual({broken.rule for broken in day.ledger.broken}, expected)
 
@@ -201,6 +204,19 @@
         self.assertEqual(plan(7), plan(7))
         self.assertNotEqual(plan(7), plan(8))
 
+    def test_kept_seeds_plan_the_troubles_that_they_are_kept_for(self) -> None:
+        kept = {
+            11: "CutFromStore SpoilAnswers Reload ServerLink StoreSlow SpoilAnswers Crash Leave "
+            "Change",
+            34: "StoreFaulty SlowServers TurnedAway Stop CutFromStore Change RollingStop "
+            "KillInStop StoreFaulty Change",
+        }
+        for seed, names in kept.items():
+            planned = [row.kind.__name__ for row in plan(seed)]
+            self.assertEqual(planned, names.split(), seed)
+        seeds = [day["seed"] for day in tomllib.loads(_SEEDS.read_text(encoding="utf-8"))["day"]]
+        self.assertEqual(seeds, list(kept))
+
     def test_seeds_are_read_or_refused_with_a_remedy(self) -> None:
         self.assertEqual(parse_seeds("3,9"), [3, 9])
         self.assertEqual(parse_seeds("1:3"), [1, 2, 3])
@@ -214,5 +230,78 @@
         self.assertEqual(broken, {})
 
 
+_OTHER_RUN = """
+import sys
+from tools.entry_vm import METRICS_PORT
+from tools.ports import claimed_address
+with claimed_address(METRICS_PORT, int(sys.argv[1])) as ip:
+    print(ip, flush=True)
+    sys.stdin.read()
+"""
+"""Another run of the tests: it holds an address until its input ends."""
+
+
+class EntryVms(unittest.IsolatedAsyncioTestCase):
+    def other_run(self) -> str:
+        """Start a process that begins to look where this one does; returns its address."""
+        process = subprocess.Popen(
+            [sys.executable, "-c", _OTHER_RUN, str(RUN_START)],
+            cwd=ROOT,
+            env={"PYTHONPATH": str(ROOT)},
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(process.communicate)
+        assert process.stdout is not None
+        return process.stdout.readline().strip()
+
+    def vm(self, ip: str) -> EntryVm:
+        """Return an entry VM whose store nobody is."""
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        return EntryVm("vm1", ip, f"{ip}:{free_port(ip)}", free_port(ip), folder)
+
+    def test_vms_of_two_runs_at_once_get_different_addresses(self) -> None:
+        others = self.other_run(), self.other_run()
+        own = self.enterContext(own_address()), self.enterContext(own_address())
+        self.assertTrue(all(others), others)
+        self.assertEqual(len({*others, *own}), 4, (others, own))
+
+    def test_an_address_is_free_again_after_its_use(self) -> None:
+        with own_address() as first:
+            pass
+        with own_address() as second:
+            self.assertEqual(first, second)
+
+    def test_an_address_on_which_somebody_listens_is_not_given(self) -> None:
+        with own_address() as taken:
+            pass
+        with socket.create_server((taken, METRICS_PORT)), own_address() as ip:
+            self.assertNotEqual(ip, taken)
+
+    async def test_waiting_in_vain_tells_of_a_vm_that_has_ended(self) -> None:
+        ip = self.enterContext(own_address())
+        case = gateway_process.GatewayCase()
+        case.vms = [self.vm(ip)]
+        with socket.create_server((ip, METRICS_PORT)):
+            await case.vms[0].start()
+            self.addAsyncCleanup(case.vms[0].kill)
+            status = await case.vms[0].ended()
+        self.assertNotEqual(status, 0)
+
+        async def never() -> bool:
+            return False
+
+        told = f"vm1 at {ip}: ended with exit status {status}; last lines: "
+        with (
+            mock.patch.object(gateway_process, "_START_S", 0.0),
+            self.assertRaisesRegex(AssertionError, told),
+        ):
+            await case.until(never, "what never comes")
+
+    def test_a_vm_that_was_not_started_says_so(self) -> None:
+        self.assertEqual(self.vm(self.enterContext(own_address())).fate, "not started")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -1,7 +1,7 @@
 """Callers of the soak: some follow the look-up, some keep one entry VM until its connection ends.
 
 Owns how callers choose an entry VM, what they send and what they record of each attempt. Relies on
-`world` for addresses and the ledger, and hands answers to `promises`.
+`world` for addresses and the ledger, and hands answers to `promises.answers`.
 """
 
 import asyncio
@@ -11,9 +11,10 @@
 
 import aiohttp
 
+from .configuration import BOOK, HOST, RATES, ROUTE_TIMEOUT_S, STANDING_ROUTES
 from .ledger import Attempt, End
-from .promises import Promises
-from .world import BOOK, HOST, RATES, ROUTE_TIMEOUT_S, World
+from .promises.answers import judge_answer
+from .world import World
 
 RATE_PER_S = 8.0
 """Mean requests a second of one caller. A guess, never measured."""
@@ -51,7 +52,6 @@
 
     Args:
         world: The day.
-        promises: Judges every answer.
         number: Its number.
         rng: Source of randomness.
         clings: Uses one entry VM until its connection ends.
@@ -60,14 +60,12 @@
     def __init__(
         self,
         world: World,
-        promises: Promises,
         number: int,
         rng: random.Random,
         *,
         clings: bool,
     ) -> None:
         self.world = world
-        self.promises = promises
         self.number = number
         self.rng = rng
         self.clings = clings
@@ -112,30 +110,19 @@
 
     def _route(self) -> str:
         draw = self.rng.random()
-        others = [name for name in self.world.services if name not in (RATES, BOOK)]
+        others = [name for name in self.world.configuration.services if name not in STANDING_ROUTES]
         if others and draw < _OTHER_PART:
             return self.rng.choice(others)
         return BOOK if draw < _BOOKED_PART else RATES
 
     async def _send(self, session: aiohttp.ClientSession, name: str) -> None:
+        """Send one request to an entry VM, and record what came of it."""
         self.sent += 1
         route = self._route()
         attempt = Attempt(f"c{self.number}-{self.sent}", route, name, self.world.loop.time())
         self.world.ledger.attempts.append(attempt)
-        headers = {
-            "Host": HOST,
-            "X-Request-Id": attempt.request_id,
-            "X-Request-Deadline-Ms": str(int(_LONGEST_S * _MS_PER_S)),
-            "Cookie": f"X-Affinity-Key={self.rng.randrange(_OBJECTS)}",
-        }
-        method = "POST" if route == BOOK else "GET"
-        data = b"x" * self.rng.choice(_BODY_SIZES) if route == BOOK else None
-        url = self.world.vms[name].url("Front", f"/{route}/{self.sent}")
         try:
-            async with session.request(method, url, headers=headers, data=data) as response:
-                body = await response.read()
-            attempt.end, attempt.status = End.ANSWERED, response.status
-            self.promises.answered(attempt, body, response.headers)
+            await self._exchange(session, attempt)
         except TimeoutError:
             attempt.end = End.LATE
         except aiohttp.ClientConnectorError:
@@ -146,3 +133,20 @@
         if attempt.end in (End.UNREACHED, End.CLOSED):
             self._vm = None
             self._kept_until = float("-inf")
+
+    async def _exchange(self, session: aiohttp.ClientSession, attempt: Attempt) -> None:
+        """Send an attempt's request, read the answer and have it judged."""
+        books = attempt.route == BOOK
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": attempt.request_id,
+            "X-Request-Deadline-Ms": str(int(_LONGEST_S * _MS_PER_S)),
+            "Cookie": f"X-Affinity-Key={self.rng.randrange(_OBJECTS)}",
+        }
+        method = "POST" if books else "GET"
+        data = b"x" * self.rng.choice(_BODY_SIZES) if books else None
+        url = self.world.vms[attempt.vm].url("Front", f"/{attempt.route}/{self.sent}")
+        async with session.request(method, url, headers=headers, data=data) as response:
+            body = await response.read()
+        attempt.end, attempt.status = End.ANSWERED, response.status
+        judge_answer(self.world.ledger, attempt, body, response.headers)
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -14,8 +14,11 @@
 
 from .callers import Caller
 from .ledger import Broken
-from .promises import Promises
-from .troubles import KINDS, Change, Trouble
+from .promises.evidence import Evidence, gather_runs
+from .promises.judge import judge
+from .troubles.kinds import KINDS
+from .troubles.operators import Change
+from .troubles.trouble import Trouble
 from .world import World
 
 TROUBLED_S = 9.0
@@ -119,23 +122,22 @@
     return (*sorted(rows, key=lambda row: row.at), last)
 
 
-async def run_day(seed: int, *, group: int = 1, troubled_s: float = TROUBLED_S) -> Outcome:
+async def run_day(seed: int, *, troubled_s: float = TROUBLED_S) -> Outcome:
     """Run one day.
 
     Args:
         seed: Its seed.
-        group: Number of its own loopback addresses, 1 to 200; days that run at once need others.
         troubled_s: How long troubles strike, in seconds.
     """
-    world = World(group)
+    world = World()
     planned = plan(seed, troubled_s)
     try:
         await world.start()
-        if not await world.until_all_ready():
+        if not await world.keeper.until_all_ready():
             raise SoakError("the entry VMs do not start", "look at a log in the folder out/soak")
-        promises = Promises(world)
-        await _traffic(world, promises, planned, seed)
-        broken = tuple(promises.judge())
+        await _traffic(world, planned, seed)
+        runs = gather_runs(world.backends.ever())
+        broken = tuple(judge(Evidence(world.ledger, runs, world.loop.time())))
     finally:
         await world.stop()
     attempts = world.ledger.attempts
@@ -144,20 +146,17 @@
     return Outcome(seed, planned, len(attempts), dict(statuses), broken, lines)
 
 
-async def _traffic(
-    world: World, promises: Promises, planned: tuple[Planned, ...], seed: int
-) -> None:
+async def _traffic(world: World, planned: tuple[Planned, ...], seed: int) -> None:
     rng = random.Random(seed ^ _TRAFFIC_SALT)
     callers = [
-        Caller(world, promises, n, random.Random(rng.random()), clings=n < _CLINGING)
-        for n in range(_CALLERS)
+        Caller(world, n, random.Random(rng.random()), clings=n < _CLINGING) for n in range(_CALLERS)
     ]
     start = world.loop.time()
     work = [asyncio.create_task(caller.run()) for caller in callers]
     troubles = [asyncio.create_task(_strike(world, row, start)) for row in planned[:-1]]
     await asyncio.sleep(planned[-1].at)
-    if not await world.until_all_ready():
-        world.ledger.breaks("RECOVER", f"ready are only {sorted(world.ready)}")
+    if not await world.keeper.until_all_ready():
+        world.ledger.breaks("RECOVER", f"ready are only {sorted(world.keeper.ready)}")
     world.ledger.quiet_from = world.loop.time() + _QUIET_FROM_S
     troubles.append(asyncio.create_task(_strike(world, planned[-1], start)))
     await asyncio.sleep(_QUIET_S)
