--- /dev/null
+++ b/tests/test_gateway_large_items_rule.py
@@ -0,0 +1,378 @@
+"""Which large item is fetched when, by itself on the virtual loop, with a peer that plays a script.
+
+One transfer at a time; a newer version waits for the one that runs; a failure is left to the next
+delta; and the store is left alone for as long as bytes arrive.
+"""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+from sprucewinch.gateway.datagrams import Datagrams
+from sprucewinch.gateway.following.deltas import encode_item
+from sprucewinch.gateway.following.fetch_failures import FetchFailures
+from sprucewinch.gateway.following.follow_role import FollowReason, FollowRole, ProgressNotice
+from sprucewinch.gateway.following.large_items import LargeItems
+from sprucewinch.gateway.following.notices import ProgressNotices
+from sprucewinch.gateway.membership.gossip import Gossip
+from sprucewinch.gateway.state.outages import StoreOutages
+from sprucewinch.gateway.state.replica import DeferredItem, Delta, Item, Removal
+from sprucewinch.gateway.state.store_view import StoreView
+from sprucewinch.gateway.timing import Timing
+from standins.virtual import MemoryTransport, VirtualLoop, pass_time, run_virtual
+
+from .gateway_fakes import FactsByKey
+from .test_gateway_peer_follower import Events
+
+_ADDRESS = "10.0.0.1:70"
+_PIECES = 5
+_PAUSE_S = 0.4
+_TRANSFER_S = _PIECES * _PAUSE_S
+"""An answer comes in pieces at pauses that are shorter than the silence that gives it up."""
+
+_CATCH_UP_S = 0.8
+"""Time behind an announced revision after which the store is followed, in seconds."""
+
+
+class ScriptedPeer:
+    """A peer listener that sends its items slowly, and keeps what it was asked for.
+
+    Args:
+        loop: The loop.
+
+    Attributes:
+        items: What it holds, by key.
+        stops_after: Pieces after which it sends no more.
+        asked: Key and revision of each request.
+        running: Transfers that run now.
+        most_running: Most transfers that ran at once.
+    """
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        self.items: dict[str, Item] = {}
+        self.stops_after = _PIECES
+        self.asked: list[tuple[str, int]] = []
+        self.running = 0
+        self.most_running = 0
+        loop.listen(_ADDRESS, lambda: _Caller(self))
+
+    def hold(self, key: str, revision: int) -> DeferredItem:
+        """Hold an item, and return how a delta names it."""
+        item = self.items[key] = Item(key, b"%d" % revision * 20_000, revision)
+        return DeferredItem(key, revision, len(item.value))
+
+    async def answer(self, transport: MemoryTransport, target: str) -> None:
+        """Answer a request piece by piece."""
+        query = dict(parse_qsl(urlsplit(target).query))
+        self.asked.append((query["key"], int(query["revision"])))
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        await self._send(transport, self.items.get(query["key"]))
+        self.running -= 1
+
+    async def _send(self, transport: MemoryTransport, item: Item | None) -> None:
+        if item is None:
+            transport.write(b"HTTP/1.1 404 x\r\ncontent-length: 0\r\n\r\n")
+            return
+        body = encode_item(item)
+        size = -(-len(body) // _PIECES)
+        transport.write(b"HTTP/1.1 200 x\r\ncontent-length: %d\r\n\r\n" % len(body))
+        for number in range(self.stops_after):
+            await pass_time(_PAUSE_S)
+            transport.write(body[number * size : (number + 1) * size])
+
+
+class _Caller(asyncio.Protocol):
+    """The peer's end of one connection."""
+
+    def __init__(self, peer: ScriptedPeer) -> None:
+        self.peer = peer
+        self.tasks: list[asyncio.Task] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, MemoryTransport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        target = data.split()[1].decode()
+        self.tasks.append(self.peer.loop.create_task(self.peer.answer(self.transport, target)))
+
+
+class Vm:
+    """The parts of a VM that fetch large items."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        rng = random.Random(1)
+        timing = Timing(loop.time, rng)
+        self.loop = loop
+        self.events = Events()
+        self.view = StoreView(FactsByKey())
+        gossip = Gossip("vm0", 1, rng)
+        self.role = FollowRole("vm0", "r", gossip, self.view, StoreOutages(1.5), regions=1)
+        self.notices = ProgressNotices(self.role, Datagrams(loop.time), timing)
+        failures = FetchFailures(self.events, loop.time)
+        self.large_items = LargeItems(
+            self.view, self.role, self.notices, failures, self.events, timing
+        )
+        self.task = loop.create_task(self.large_items.run())
+
+    def want(self, *deferred: DeferredItem) -> None:
+        """Take what a delta of the peer names."""
+        self.large_items.want(_ADDRESS, deferred)
+
+    def held(self) -> dict[str, int]:
+        """Return the revisions of the keys that are held."""
+        return {key: item.revision for key, item in self.view.replica.items.items()}
+
+    def decide(self, announced: int) -> FollowReason:
+        """Take a fresh notice of a revision, and return whether the store is followed."""
+        now = self.loop.time()
+        self.role.receive(ProgressNotice("vm1", announced, 0), now)
+        return self.role.decide(now)
+
+
+Play = Callable[[ScriptedPeer, Vm], Coroutine[Any, Any, None]]
+
+
+def _play(play: Play) -> tuple[ScriptedPeer, Vm]:
+    """Run a play with a fresh peer and VM on the virtual loop, and return both."""
+
+    async def main(loop: VirtualLoop) -> tuple[ScriptedPeer, Vm]:
+        peer, vm = ScriptedPeer(loop), Vm(loop)
+        await play(peer, vm)
+        return peer, vm
+
+    return run_virtual(main)
+
+
+class Transfers(unittest.TestCase):
+    def test_one_runs_at_a_time(self) -> None:
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            vm.want(*(peer.hold(key, number) for number, key in enumerate("abc", start=1)))
+            await pass_time(4 * _TRANSFER_S)
+
+        peer, vm = _play(play)
+        self.assertEqual(vm.held(), {"a": 1, "b": 2, "c": 3})
+        self.assertEqual(len(peer.asked), 3)
+        self.assertEqual(peer.most_running, 1)
+
+    def test_one_that_is_named_again_while_it_comes_is_fetched_once(self) -> None:
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            named = peer.hold("a", 5)
+            vm.want(named)
+            await pass_time(_TRANSFER_S / 2)
+            vm.want(named)
+            await pass_time(3 * _TRANSFER_S)
+
+        peer, vm = _play(play)
+        self.assertEqual(peer.asked, [("a", 5)])
+        self.assertEqual(vm.held(), {"a": 5})
+
+    def test_a_newer_version_is_fetched_after_the_transfer_that_runs(self) -> None:
+        held_between: list[dict[str, int]] = []
+
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            vm.want(peer.hold("a", 5))
+            await pass_time(_TRANSFER_S / 2)
+            vm.want(peer.hold("a", 9))
+            await pass_time(_TRANSFER_S)
+            held_between.append(vm.held())
+            await pass_time(2 * _TRANSFER_S)
+
+        peer, vm = _play(play)
+        self.assertEqual(peer.asked, [("a", 5), ("a", 9)])
+        self.assertEqual(peer.most_running, 1)
+        self.assertEqual(held_between, [{"a": 5}])
+        self.assertEqual(vm.held(), {"a": 9})
+
+    def test_of_several_newer_versions_only_the_newest_is_fetched(self) -> None:
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            vm.want(peer.hold("a", 5))
+            await pass_time(_TRANSFER_S / 2)
+            vm.want(peer.hold("a", 9))
+            vm.want(peer.hold("a", 12))
+            await pass_time(4 * _TRANSFER_S)
+
+        peer, vm = _play(play)
+        self.assertEqual(peer.asked, [("a", 5), ("a", 12)])
+        self.assertEqual(vm.held(), {"a": 12})
+
+    def test_one_that_came_otherwise_meanwhile_is_not_fetched(self) -> None:
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            vm.want(peer.hold("a", 5))
+            await pass_time(_TRANSFER_S / 2)
+            vm.want(peer.hold("b", 6))
+            vm.view.apply_item(peer.items["b"], vm.loop.time())
+            await pass_time(3 * _TRANSFER_S)
+
+        peer, _ = _play(play)
+        self.assertEqual(peer.asked, [("a", 5)])
+
+    def test_one_that_was_removed_meanwhile_is_not_fetched(self) -> None:
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            vm.want(peer.hold("a", 5))
+            await pass_time(_TRANSFER_S / 2)
+            vm.want(peer.hold("b", 6))
+            vm.view.apply(Delta((), (Removal("b", 7),), 0), vm.loop.time())
+            await pass_time(3 * _TRANSFER_S)
+
+        peer, vm = _play(play)
+        self.assertEqual(peer.asked, [("a", 5)])
+        self.assertEqual(vm.held(), {"a": 5})
+
+    def test_one_that_is_removed_while_it_comes_stays_removed(self) -> None:
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            vm.want(peer.hold("a", 5))
+            await pass_time(_TRANSFER_S / 2)
+            vm.view.apply(Delta((), (Removal("a", 7),), 7), vm.loop.time())
+            await pass_time(2 * _TRANSFER_S)
+
+        _, vm = _play(play)
+        self.assertEqual(vm.held(), {})
+
+    def test_one_that_is_held_is_not_wanted(self) -> None:
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            named = peer.hold("a", 5)
+            vm.view.apply_item(peer.items["a"], vm.loop.time())
+            vm.want(named)
+            await pass_time(_TRANSFER_S)
+
+        peer, _ = _play(play)
+        self.assertEqual(peer.asked, [])
+
+    def test_it_shows_that_a_transfer_runs(self) -> None:
+        shown: list[bool] = []
+
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            shown.append(vm.large_items.fetching)
+            vm.want(peer.hold("a", 5))
+            await pass_time(_TRANSFER_S / 2)
+            shown.append(vm.large_items.fetching)
+            await pass_time(_TRANSFER_S)
+            shown.append(vm.large_items.fetching)
+
+        _play(play)
+        self.assertEqual(shown, [False, True, False])
+
+    def test_each_has_a_line_and_lets_this_vm_look_what_it_lacks(self) -> None:
+        waited_s: list[float] = []
+
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            vm.want(peer.hold("a", 5))
+            started = vm.loop.time()
+            await vm.notices.wait_behind(60.0)
+            waited_s.append(vm.loop.time() - started)
+
+        peer, vm = _play(play)
+        self.assertAlmostEqual(waited_s[0], _TRANSFER_S, delta=0.1)
+        ((event, fields),) = vm.events.lines
+        took_ms = fields.pop("ms")
+        size = len(peer.items["a"].value)
+        self.assertEqual(event, "large-item")
+        self.assertEqual(fields, {"key": "a", "revision": 5, "bytes": size, "peer": _ADDRESS})
+        self.assertAlmostEqual(took_ms, 1000 * _TRANSFER_S, delta=100)
+        self.assertEqual(vm.events.counted, [])
+
+
+class Failures(unittest.TestCase):
+    def test_one_is_counted_and_distrusts_peers_and_is_left_to_the_next_delta(self) -> None:
+        reasons: list[FollowReason] = []
+
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            vm.want(DeferredItem("gone", 5, 99_999))
+            await pass_time(0.1)
+            reasons.append(vm.role.decide(vm.loop.time()))
+            await pass_time(30.0)
+
+        peer, vm = _play(play)
+        self.assertEqual(peer.asked, [("gone", 5)])
+        self.assertEqual(reasons, [FollowReason.DISTRUST])
+        self.assertEqual(vm.events.counted, ["deltas_failed"])
+        ((event, fields),) = vm.events.lines
+        self.assertEqual((event, fields["peer"]), ("delta-failed", _ADDRESS))
+        self.assertIn("status 404", fields["problem"])
+
+    def test_the_next_delta_lets_it_be_fetched(self) -> None:
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            vm.want(DeferredItem("a", 5, 99_999))
+            await pass_time(1.0)
+            vm.want(peer.hold("a", 5))
+            await pass_time(2 * _TRANSFER_S)
+
+        peer, vm = _play(play)
+        self.assertEqual(peer.asked, [("a", 5), ("a", 5)])
+        self.assertEqual(vm.held(), {"a": 5})
+
+    def test_a_failure_does_not_keep_others_from_being_fetched(self) -> None:
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            gone = DeferredItem("gone", 5, 99_999)
+            vm.want(peer.hold("a", 4), gone, peer.hold("b", 6))
+            await pass_time(4 * _TRANSFER_S)
+
+        _, vm = _play(play)
+        self.assertEqual(vm.held(), {"a": 4, "b": 6})
+
+    def test_a_peer_that_falls_silent_is_a_failure(self) -> None:
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            peer.stops_after = 2
+            vm.want(peer.hold("a", 5))
+            await pass_time(2 * _TRANSFER_S)
+
+        _, vm = _play(play)
+        self.assertEqual(vm.held(), {})
+        self.assertEqual(vm.events.counted, ["deltas_failed"])
+        self.assertFalse(vm.large_items.fetching)
+
+
+class StoreLeftAlone(unittest.TestCase):
+    def test_while_bytes_come_being_behind_is_no_reason_to_ask_the_store(self) -> None:
+        reasons: list[FollowReason] = []
+
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            vm.decide(5)
+            vm.want(peer.hold("a", 5))
+            for _ in range(9):
+                await pass_time(_TRANSFER_S / 10)
+                reasons.append(vm.decide(5))
+
+        _play(play)
+        self.assertEqual(len(reasons), 9)
+        self.assertNotIn(FollowReason.BEHIND, reasons)
+
+    def test_without_a_transfer_it_is(self) -> None:
+        reasons: list[FollowReason] = []
+
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            vm.decide(5)
+            for pause_s in (_CATCH_UP_S - 0.01, 0.02):
+                await pass_time(pause_s)
+                reasons.append(vm.decide(5))
+
+        _play(play)
+        self.assertIsNot(reasons[0], FollowReason.BEHIND)
+        self.assertIs(reasons[1], FollowReason.BEHIND)
+
+    def test_it_is_again_some_time_after_the_last_byte(self) -> None:
+        """The item came and was not enough: the announced revision is still missing."""
+        reasons: list[FollowReason] = []
+
+        async def play(peer: ScriptedPeer, vm: Vm) -> None:
+            vm.decide(9)
+            vm.want(peer.hold("a", 5))
+            await vm.notices.wait_behind(60.0)
+            for pause_s in (_CATCH_UP_S - 0.01, 0.02):
+                await pass_time(pause_s)
+                reasons.append(vm.decide(9))
+
+        _, vm = _play(play)
+        self.assertEqual(vm.held(), {"a": 5})
+        self.assertIsNot(reasons[0], FollowReason.BEHIND)
+        self.assertIs(reasons[1], FollowReason.BEHIND)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_gateway_replica.py
+++ b/tests/test_gateway_replica.py
@@ -1,12 +1,18 @@
-"""The replica against a log of writes: any order, any repetition, never older."""
+"""The replica against a log of writes: any order, any repetition, never older.
 
+The same when deltas leave large items out, and for a third VM behind one that lacks some of them.
+"""
+
+import random
 import unittest
+from unittest.mock import patch
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from sprucewinch.gateway.following.deltas import decode_delta, encode_delta
-from sprucewinch.gateway.state.replica import Delta, Item, Removal, Replica
+from sprucewinch.gateway.state import replica as replica_module
+from sprucewinch.gateway.state.replica import DeferredItem, Delta, Item, Removal, Replica
 
 _KEYS = ("op/config", "servers/a", "servers/b", "op/evacuate/z")
 
@@ -99,3 +105,218 @@
             replica.apply(Delta((), (Removal(f"k{revision}", revision),), revision))
         self.assertTrue(replica.since(1).whole)
         self.assertFalse(replica.since(5990).whole)
+
+
+_SIZED = st.lists(
+    st.tuples(st.integers(0, 3), st.booleans(), st.integers(0, 9)), min_size=1, max_size=25
+)
+"""A key's number, whether it is removed, and the length of its value in bytes."""
+
+
+_MANY = 300
+"""Histories of a test that draws them by seed."""
+
+
+@st.composite
+def _cut_histories(draw: st.DrawFn) -> tuple[list[Item | Removal], tuple[int, int, int]]:
+    """Return a history and three places in it."""
+    log = _sized_log(draw(_SIZED))
+    place = st.integers(0, len(log))
+    return log, (draw(place), draw(place), draw(place))
+
+
+def _drawn_history(rng: random.Random) -> tuple[list[Item | Removal], tuple[int, int, int]]:
+    """Return a history with many removals, and three places in it in order."""
+    length = rng.randint(1, 25)
+    choices = [(rng.randrange(4), rng.random() < 0.5, rng.randrange(10)) for _ in range(length)]
+    first, second, third = sorted(rng.randint(0, length) for _ in range(3))
+    return _sized_log(choices), (first, second, third)
+
+
+def _sized_log(choices: list[tuple[int, bool, int]]) -> list[Item | Removal]:
+    """Return a history whose values have the given lengths, or the revision's if that is longer."""
+    log = _log([(number, removes) for number, removes, _ in choices])
+    sizes = [size for _, _, size in choices]
+    return [
+        entry._replace(value=entry.value.rjust(size, b"-")) if isinstance(entry, Item) else entry
+        for entry, size in zip(log, sizes, strict=True)
+    ]
+
+
+def _replica_of(log: list[Item | Removal]) -> Replica:
+    """Return a replica that received a history in order, one change at a time."""
+    replica = Replica()
+    for entry in log:
+        replica.apply(_delta([entry], entry.revision))
+    return replica
+
+
+def _sent(ahead: Replica, after: int, most_bytes: int) -> Delta:
+    """Return a delta as it arrives at another VM."""
+    return decode_delta(encode_delta(ahead.since(after, most_bytes=most_bytes)))
+
+
+def _left_out(ahead: Replica, delta: Delta) -> list[Item]:
+    """Return the items that a delta of a replica names without sending them."""
+    return [ahead.items[item.key] for item in delta.deferred]
+
+
+def _missed(
+    replica: Replica, known: list[Item | Removal], log: list[Item | Removal]
+) -> list[Item | Removal]:
+    """Return the newest known changes of keys up to a replica's `at` that it does not hold."""
+    newest = {entry.key: entry for entry in known}
+    claimed = [entry for entry in newest.values() if entry.revision <= replica.at]
+    return [entry for entry in claimed if not _accounts_for(replica, entry, log)]
+
+
+def _accounts_for(replica: Replica, entry: Item | Removal, log: list[Item | Removal]) -> bool:
+    held = replica.items.get(entry.key)
+    if held is not None:
+        return held.revision >= entry.revision
+    later = (e for e in log if e.key == entry.key and e.revision >= entry.revision)
+    return any(isinstance(e, Removal) for e in later)
+
+
+class Watched:
+    """A replica that is checked after each change that it takes.
+
+    Args:
+        case: The test.
+        log: The whole history.
+        seen: How many changes of it the replica starts with.
+    """
+
+    def __init__(self, case: unittest.TestCase, log: list[Item | Removal], seen: int) -> None:
+        self.case = case
+        self.log = log
+        self.replica = _replica_of(log[:seen])
+        self.newest = self._revisions()
+
+    def apply(self, delta: Delta, known: list[Item | Removal]) -> None:
+        """Apply a delta; no key and no `at` goes back, and `at` claims nothing that is missing.
+
+        Args:
+            delta: The delta.
+            known: The history up to what the VM held that was asked first.
+        """
+        before = self.replica.at
+        self.replica.apply(delta)
+        self.case.assertGreaterEqual(self.replica.at, before)
+        for key, revision in self._revisions().items():
+            self.case.assertGreaterEqual(revision, self.newest.get(key, 0), key)
+            self.newest[key] = revision
+        self.case.assertEqual(_missed(self.replica, known, self.log), [])
+
+    def apply_entry(self, entry: Item | Removal) -> None:
+        """Apply one change that came by itself and proves nothing of the others."""
+        self.apply(_delta([entry], 0), self.log)
+
+    def _revisions(self) -> dict[str, int]:
+        held = {key: item.revision for key, item in self.replica.items.items()}
+        return {**self.replica.removed, **held}
+
+
+class Deferral(unittest.TestCase):
+    @given(_cut_histories(), st.integers(0, 9), st.randoms(use_true_random=False))
+    def test_deferred_items_in_any_order_beside_newer_changes_end_in_the_newest_state(
+        self, history, most_bytes, rng
+    ) -> None:
+        log, cuts = history
+        seen, sent, _ = sorted(cuts)
+        known = log[:sent]
+        ahead = _replica_of(known)
+        behind = Watched(self, log, seen)
+        delta = _sent(ahead, behind.replica.at, most_bytes)
+        behind.apply(delta, known)
+        later = [*_left_out(ahead, delta), *log[sent:]]
+        rng.shuffle(later)
+        for entry in later:
+            behind.apply_entry(entry)
+        self.assertEqual(_values(behind.replica), _state(log))
+
+    @given(_SIZED, st.integers(0, 25), st.integers(0, 9))
+    def test_at_comes_up_to_the_peers_once_nothing_is_missing(
+        self, choices, seen, most_bytes
+    ) -> None:
+        log = _sized_log(choices)
+        ahead = _replica_of(log)
+        behind = Watched(self, log, min(seen, len(log)))
+        delta = _sent(ahead, behind.replica.at, most_bytes)
+        behind.apply(delta, log)
+        self.assertEqual(behind.replica.at == ahead.at, not delta.deferred)
+        for item in _left_out(ahead, delta):
+            behind.apply_entry(item)
+        behind.apply(_sent(ahead, behind.replica.at, most_bytes), log)
+        self.assertEqual(behind.replica.at, ahead.at)
+
+    @given(_SIZED, st.integers(0, 9))
+    def test_only_longer_values_are_left_out(self, choices, most_bytes) -> None:
+        ahead = _replica_of(_sized_log(choices))
+        delta = ahead.since(0, most_bytes=most_bytes)
+        self.assertTrue(all(len(item.value) <= most_bytes for item in delta.items))
+        self.assertTrue(all(item.size > most_bytes for item in delta.deferred))
+        named = {(i.key, i.revision, len(i.value)) for i in ahead.items.values()}
+        sent = {(i.key, i.revision, len(i.value)) for i in delta.items}
+        self.assertEqual(sent | set(map(tuple, delta.deferred)), named)
+        self.assertEqual(ahead.since(0).deferred, ())
+
+    @given(_cut_histories(), st.integers(0, 9), st.randoms(use_true_random=False))
+    def test_a_third_vm_behind_one_that_lacks_items_ends_in_the_newest_state(
+        self, history, most_bytes, rng
+    ) -> None:
+        self._relay(*history, most_bytes, rng)
+
+    def test_a_third_vm_ends_in_the_newest_state_when_removals_were_dropped(self) -> None:
+        """Few histories reach this, so they are many and drawn evenly, by seed."""
+        for seed in range(_MANY):
+            rng = random.Random(seed)
+            log, cuts = _drawn_history(rng)
+            with patch.object(replica_module, "MAX_REMOVED", rng.randrange(3)):
+                self._relay(log, cuts, rng.randrange(10), rng)
+
+    def _relay(
+        self,
+        log: list[Item | Removal],
+        cuts: tuple[int, int, int],
+        most_bytes: int,
+        rng: random.Random,
+    ) -> None:
+        """Let a VM take some of what one ahead holds, and a third take deltas from both."""
+        half_seen, third_seen, sent = cuts
+        known = log[: max(sent, half_seen)]
+        ahead = _replica_of(known)
+        half = Watched(self, log, half_seen)
+        third = Watched(self, log, third_seen)
+        delta = _sent(ahead, half.replica.at, most_bytes)
+        half.apply(delta, known)
+        for item in _left_out(ahead, delta):
+            if rng.random() < 0.5:
+                half.apply_entry(item)
+        third.apply(half.replica.since(third.replica.at), known)
+        third.apply(_replica_of(log).since(third.replica.at), log)
+        self.assertEqual(_values(third.replica), _state(log))
+
+    def test_a_vm_that_took_a_listing_passes_on_what_was_removed_before_it(self) -> None:
+        """A VM that starts knows no removal before its listing; one that is behind holds such."""
+        gone, kept = Item("servers/a", b"a", 1), Item("servers/b", b"b", 2)
+        behind = _replica_of([gone, kept])
+        started = Replica()
+        started.apply(Delta((kept,), (), 3, whole=True))
+        behind.apply(started.since(behind.at))
+        self.assertEqual(_values(behind), {"servers/b": b"b"})
+
+    def test_a_whole_delta_leaves_out_longer_values_too(self) -> None:
+        small, large = Item("servers/a", b"a", 1), Item("op/config", b"long", 2)
+        with patch.object(replica_module, "MAX_REMOVED", 0):
+            ahead = _replica_of([small, large, Removal("servers/b", 3)])
+        delta = _sent(ahead, 0, 3)
+        self.assertEqual(delta, Delta((small,), (), 3, True, (DeferredItem("op/config", 2, 4),)))
+
+    def test_a_whole_delta_keeps_what_it_only_names(self) -> None:
+        held = Replica()
+        held.apply(Delta((Item("op/config", b"old", 1),), (), 1))
+        named = DeferredItem("op/config", 5, 99_999)
+        held.apply(Delta((), (), 6, whole=True, deferred=(named,)))
+        self.assertEqual(_values(held), {"op/config": b"old"})
+        self.assertEqual(held.at, 4)
