--- a/sprucewinch/gateway/following/deltas.py
+++ b/sprucewinch/gateway/following/deltas.py
@@ -110,11 +110,16 @@
     query = urlencode({"key": deferred.key, "revision": deferred.revision})
     answer = await _fetch(address, f"{ITEM_PATH}?{query}", _ITEM_PATIENCE, on_bytes)
     try:
-        return decode_item(answer.body)
+        item = decode_item(answer.body)
     except (zlib.error, msgspec.MsgspecError) as error:
         raise DeltaUnavailableError(
             f"not an item ({error}): check which version that VM runs"
         ) from None
+    if item.key != deferred.key or item.revision < deferred.revision:
+        raise DeltaUnavailableError(
+            f"{item.key} of revision {item.revision}, not what was asked for: restart that VM"
+        )
+    return item
 
 
 async def _fetch(
--- a/sprucewinch/gateway/internal_apps.py
+++ b/sprucewinch/gateway/internal_apps.py
@@ -37,6 +37,10 @@
     await send({"type": "http.response.body", "body": body})
 
 
+_MOST_DIGITS = 19
+"""Digits of the largest revision that the store can count, a signed number of 64 bits."""
+
+
 class EncodedItems:
     """Items as they are sent to peers, each encoded once: all VMs of a region ask for the same."""
 
@@ -85,19 +89,28 @@
         return None
 
     def _delta(self, after: str, most: Optional[str]) -> Optional[bytes]:
-        if not after.isdigit() or (most is not None and not most.isdigit()):
+        revision = _whole_number(after)
+        most_bytes = None if most is None else _whole_number(most)
+        if revision is None or (most is not None and most_bytes is None):
             return None
-        most_bytes = None if most is None else int(most)
-        return encode_delta(self.store_view.replica.since(int(after), most_bytes=most_bytes))
+        return encode_delta(self.store_view.replica.since(revision, most_bytes=most_bytes))
 
     def _item(self, key: str, revision: str) -> Optional[bytes]:
         """Return an item of a revision or a newer one."""
         item = self.store_view.replica.items.get(key)
-        if item is None or not revision.isdigit() or item.revision < int(revision):
+        least = _whole_number(revision)
+        if item is None or least is None or item.revision < least:
             return None
         return self.encoded.encode(item)
 
 
+def _whole_number(text: str) -> Optional[int]:
+    """Return a number of a query; None when it is none, or too long for any revision."""
+    if not text.isascii() or not text.isdigit() or len(text) > _MOST_DIGITS:
+        return None
+    return int(text)
+
+
 class TextApp:
     """Shows texts that are made for each request.
 
--- a/sprucewinch/net/_progress_timeout.py
+++ b/sprucewinch/net/_progress_timeout.py
@@ -1,11 +1,11 @@
 """Timeouts on silence instead of size: work goes on while bytes arrive.
 
-Question: has a peer failed to answer in time? Rule: it has `first_s` until its first byte, then
-`silence_s` from each byte to the next, and `most_s` in all. Reason: a limit on the whole time fails
-each answer that is larger than the link carries in that time, also when it is asked for again. With
-such limits a configuration of 0.95 MB never reached VMs with links of 5 Mbit/s; with this rule it
-does within 3 s (`tests/test_gateway_large_items.py`, virtual links). Relies on the event loop's
-clock alone; used by `connection` and by clients that keep a connection.
+Question: has a peer failed to answer in time? Rule: it has `first_s` until its first byte, after
+that `silence_s` from each byte to the next, and `most_s` in all. Reason: a limit on the whole time
+fails each answer that is larger than the link carries in that time, also when it is asked for
+again. With such limits a configuration of 0.95 MB never reached VMs with links of 5 Mbit/s; with
+this rule it does within 3 s (`tests/test_gateway_large_items.py`, virtual links). Relies on the
+event loop's clock alone; used by `connection` and by clients that keep a connection.
 """
 
 import asyncio
@@ -20,8 +20,8 @@
 
     Args:
         first_s: Until its first byte, with the connection.
-        silence_s: From one byte to the next; not looked at before `first_s` is over, so that a
-            peer that sends its headers early has that time for the body too.
+        silence_s: From one byte to the next. It counts from `first_s` on, so that a peer that
+            sends its headers at once, and then waits for something to tell, has that time too.
         most_s: In all, so that a peer that trickles holds nobody up without end.
     """
 
@@ -42,9 +42,10 @@
             last_byte_at: When the last byte arrived; None before the first. One that came before
                 the start belongs to an earlier answer on the same connection.
         """
-        if last_byte_at is None or last_byte_at < started:
-            return started + min(self.first_s, self.most_s)
-        return min(last_byte_at + self.silence_s, started + self.most_s)
+        due = started + self.first_s
+        if last_byte_at is not None and last_byte_at >= started:
+            due = max(due, last_byte_at + self.silence_s)
+        return min(due, started + self.most_s)
 
 
 async def run_while_progress(
