--- a/sprucewinch/net/connection.py
+++ b/sprucewinch/net/connection.py
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import NamedTuple, Optional, Union
 
 from ._answer_reader import FIRST_FINAL_STATUS, Answer, AnswerReader
@@ -76,7 +76,7 @@
         idle_until: Monotonic time until which the connection may rest, in seconds.
         last_byte_at: Time of the loop at which the last byte of the answer that is awaited
             arrived, in seconds; None before its first byte.
-        received_bytes: Bytes of that answer so far.
+        received_bytes: Bytes of that answer so far; 0 once it is whole.
         on_bytes: Called whenever some arrive.
     """
 
@@ -189,6 +189,7 @@
         answered_early = long_body and self.transport.get_write_buffer_size()
         if answered_early or not self._reader.keeps_connection:
             self.usable = False
+        self.received_bytes = 0
         self._waiting.set_result(answer)
 
     def _fail(self, problem: str) -> None:
@@ -236,7 +237,6 @@
     target: str,
     patience: Patience,
     *,
-    headers: Optional[Mapping[str, str]] = None,
     on_bytes: Optional[Callable[[], None]] = None,
 ) -> Union[Answer, NoAnswer]:
     """Make one GET on a connection of its own.
@@ -245,15 +245,13 @@
         address: `IP:PORT`.
         target: Path and query.
         patience: How long the answer may take.
-        headers: Headers besides the host's.
         on_bytes: Called whenever bytes of the answer arrive.
 
     Returns:
         The answer, of any status; `NoAnswer` when no whole one came in time.
     """
-    lines = [f"GET {target} HTTP/1.1", f"host: {address}"]
-    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
-    call = _SingleCall(address, "\r\n".join([*lines, "", ""]).encode(), on_bytes or _ignore)
+    request = f"GET {target} HTTP/1.1\r\nhost: {address}\r\n\r\n"
+    call = _SingleCall(address, request.encode(), on_bytes or _ignore)
     try:
         return await run_while_progress(call.run(patience.first_s), call.last_byte_at, patience)
     except (ConnectFailedError, ExchangeFailedError, TimeoutError) as error:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -14,7 +14,7 @@
 from sprucewinch.gateway.membership.registrar import Registrar
 from sprucewinch.gateway.resources import Member
 from sprucewinch.gateway.state.outages import StoreOutages
-from sprucewinch.gateway.state.store import StoreUnavailableError
+from sprucewinch.gateway.state.store import AnswerCutShortError, StoreUnavailableError
 from sprucewinch.gateway.state.store_view import StoreView
 from sprucewinch.gateway.timing import Timing
 from standins.consortium_store import LATE_S, Fault, StoreStandIn
@@ -122,6 +122,40 @@
         await pass_time(CONTACT_S)
         self.assertEqual(vm.version(), 9)
 
+    def test_an_outage_needs_no_listing(self) -> None:
+        """A failed connection must not be taken for an answer that was cut short."""
+
+        async def main(loop: VirtualLoop, fault: Fault) -> int:
+            store, vm = await started(loop)
+            store.fault = fault
+            loop.listeners[ADDRESS].silent = fault is Fault.SILENT
+            await pass_time(8.0)
+            loop.listeners[ADDRESS].silent = False
+            store.fault = Fault.NONE
+            store.put("op/config", configuration(9))
+            await pass_time(CONTACT_S)
+            self.assertEqual(vm.version(), 9)
+            return [path for path, _ in store.calls].count("/sprucewinch/kv-range")
+
+        faults = (Fault.BUSY, Fault.MANY, Fault.RESET, Fault.SILENT)
+        listings = {f.name: run_virtual(lambda loop, f=f: main(loop, f)) for f in faults}
+        self.assertEqual(listings, dict.fromkeys(listings, 1))
+
+    def test_a_connection_that_fails_is_no_answer_that_was_cut_short(self) -> None:
+        """What had come on the connection before belongs to another answer."""
+
+        async def main(loop: VirtualLoop) -> None:
+            store = standin(loop)
+            store.put("op/config", configuration(3))
+            client = KvStore(ADDRESS, loop.time)
+            await client.listing()
+            client.move("10.200.1.8:8541")
+            with self.assertRaises(StoreUnavailableError) as failed:
+                await client.watch(0, 1.0)
+            self.assertNotIsInstance(failed.exception, AnswerCutShortError)
+
+        run_virtual(main)
+
     def test_a_slow_store_does_not_keep_changes_back(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             store, vm = await started(loop)
