--- a/tools/soak/backend_servers.py
+++ b/tools/soak/backend_servers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+from collections import Counter
 from collections.abc import Iterator
 
 from standins.consortium_store import StoreStandIn
@@ -82,6 +83,7 @@
     def __init__(self, store: StoreStandIn, wiring: Wiring, ledger: Ledger) -> None:
         self.running: dict[str, SoakServer] = {}
         self._gone: list[SoakServer] = []
+        self._evacuations: Counter[str] = Counter()
         self._numbers = 0
         self._store = store
         self._wiring = wiring
@@ -120,14 +122,20 @@
         self._store.remove(_key(server))
 
     async def evacuate(self, zone: str, for_s: float) -> None:
-        """Send nothing to a data hall's backend servers for some time."""
+        """Send nothing to a data hall's backend servers for some time.
+
+        Evacuations of one hall may overlap; the last one takes it back.
+        """
+        self._evacuations[zone] += 1
         self._store.put(f"op/evacuate/{zone}", b"{}")
         until = asyncio.get_running_loop().time() + for_s
         for server in self.running.values():
             if server.zone == zone:
                 self._leave_alone(server, _EVACUATE_S, until, "EVAC")
         await asyncio.sleep(for_s)
-        self._store.remove(f"op/evacuate/{zone}")
+        self._evacuations[zone] -= 1
+        if not self._evacuations[zone]:
+            self._store.remove(f"op/evacuate/{zone}")
 
     def _goes(self, server: SoakServer) -> None:
         self._gone.append(self.running.pop(server.stand_in.server_id))
