--- a/sprucewinch/gateway/following/deltas.py
+++ b/sprucewinch/gateway/following/deltas.py
@@ -38,7 +38,7 @@
 _ITEM_PATIENCE = Patience(first_s=2.0, silence_s=2.0, most_s=60.0)
 """How long a large item may take, in seconds. Longer than a delta, as all VMs may fetch it from
 one: cut off together, they would all begin anew. 700 kB that do not compress reach 23 VMs from one
-link of 10 Mbit/s within 30 s (`test_gateway_large_items`), with 10 s in all none of them ever. A VM
+link of 10 Mbit/s within 30 s (`test_gateway_large_items`), with 10 s in all none in 90 s. A VM
 that can ask the store does so long before (`follow_role`)."""
 
 _COMPRESSION_LEVEL = 1
