--- a/sprucewinch/gateway/requests/verdict.py
+++ b/sprucewinch/gateway/requests/verdict.py
@@ -61,12 +61,14 @@
         names: Names of headers.
         request_id: The request's id.
     """
+    if answer.status == MISDIRECTED_STATUS:
+        # Before the statement that it did not run: this server's address belongs to another one,
+        # so a short pause, as for a full server, would ask there again every 50 ms.
+        return AnswerJudgement(Verdict.NOT_RUN, MISDIRECTED)
     if answer.header(names.not_run) is not None and answer.status == BAD_REQUEST_STATUS:
         return AnswerJudgement(Verdict.ANSWERED, "malformed")
     if answer.header(names.not_run) is not None:
         return AnswerJudgement(Verdict.NOT_RUN, f"{SHED}-{answer.status}")
-    if answer.status == MISDIRECTED_STATUS:
-        return AnswerJudgement(Verdict.NOT_RUN, MISDIRECTED)
     if request_id and answer.header(names.request_id) != request_id:
         return AnswerJudgement(Verdict.UNKNOWN, "answer-to-another")
     if answer.status in SUCCESS_STATUSES and not answer.header(names.signature):
