--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -28,6 +28,12 @@
 NOT_OFFERED = "not-offered"
 """Cause of an attempt whose server was no longer offered once its connection had come up."""
 
+ENDED = "the connection ended"
+"""Cause of an attempt whose connection ended before the whole answer, but for a crash."""
+
+CRASHED = "server-crashed"
+"""Cause of an attempt whose connection ended because its server's process did."""
+
 RESTARTED = "server-restarted"
 """Cause of an attempt whose server's process ended before it answered."""
 
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -13,7 +13,15 @@
 from collections.abc import Callable
 from typing import Optional
 
-from ...net.connection import Answer, ConnectFailedError, Connection, ExchangeFailedError
+from ...net.connection import (
+    Answer,
+    ConnectFailedError,
+    Connection,
+    ConnectionEndedError,
+    ExchangeFailedError,
+)
+from ..crashes.crash_check import CrashCheck
+from ..crashes.fingerprint import fingerprint
 from ..events import EventLog, NoEvents
 from ..header_names import HeaderNames
 from ..servers.backend_registry import BackendRegistry
@@ -21,6 +29,8 @@
 from ..servers.outliers import OutlierDetector
 from ..servers.pool import ConnectionPool
 from .client_request import (
+    CRASHED,
+    ENDED,
     MISDIRECTED,
     NOT_OFFERED,
     RESTARTED,
@@ -82,6 +92,7 @@
         self.names = names
         self.monotonic = monotonic
         self.events = events or NoEvents()
+        self.crash_check = CrashCheck(pool)
         self._at_work: dict[BackendServer, set[Connection]] = {}
         registry.on_restart.append(self._end_attempts)
 
@@ -105,8 +116,9 @@
         started = self.monotonic()
         attempt = await self._attempt(request, selection, started, until, most_rest_s)
         request.at_server = False
+        attempt = attempt._replace(seconds=self.monotonic() - started)
+        attempt = await self._look_for_crash(request, selection, attempt)
         now = self.monotonic()
-        attempt = attempt._replace(seconds=now - started)
         if attempt.why == NOT_OFFERED:
             # No byte was sent: this tells nothing of the server and is no send to a cold one.
             server.cold_sends.take_back(started)
@@ -158,12 +170,46 @@
         request.at_server = True
         try:
             answer = await self._answer(selection.server, connection, request, data)
+        except ConnectionEndedError:
+            return Attempt(backend.id, Verdict.UNKNOWN, True, ENDED)
         except ExchangeFailedError as error:
             return Attempt(backend.id, Verdict.UNKNOWN, True, str(error))
         self.pool.give_back(backend.address, connection, _keep_alive_s(answer))
         judged = judge_answer(answer, self.names, request.id)
         return Attempt(backend.id, judged.verdict, True, judged.why, answer)
 
+    async def _look_for_crash(
+        self, request: ClientRequest, selection: Selection, attempt: Attempt
+    ) -> Attempt:
+        """Return an attempt, with the cause `CRASHED` where its server's process has ended.
+
+        A server that is offered no more ends as was planned.
+        """
+        server = selection.server
+        if attempt.why != ENDED or not self.registry.offers(server, selection.service):
+            return attempt
+        if not await self.crash_check.has_ended(server.backend.address):
+            return attempt
+        self.events.count("attempts_ended_by_crashes")
+        self.events.state(
+            "server-crashed",
+            server=server.backend.id,
+            id=request.id,
+            fingerprint=self._fingerprint(request).hex(),
+            ms=round(attempt.seconds * MS_PER_S, 1),
+        )
+        return attempt._replace(why=CRASHED)
+
+    def _fingerprint(self, request: ClientRequest) -> bytes:
+        return fingerprint(
+            request.method,
+            request.host,
+            request.target,
+            request.headers,
+            request.body,
+            id_header=self.names.request_id,
+        )
+
     async def _answer(
         self, server: BackendServer, connection: Connection, request: ClientRequest, data: bytes
     ) -> Answer:
--- a/sprucewinch/net/connection.py
+++ b/sprucewinch/net/connection.py
@@ -21,7 +21,9 @@
 __all__ = [
     "Answer",
     "ConnectFailedError",
+    "ConnectRefusedError",
     "Connection",
+    "ConnectionEndedError",
     "ExchangeFailedError",
     "NoAnswer",
     "Patience",
@@ -58,10 +60,18 @@
     """No connection came up, so no byte was sent; another server or a later try may do."""
 
 
+class ConnectRefusedError(ConnectFailedError):
+    """Nobody listens there: the process has ended, or has not started yet."""
+
+
 class ExchangeFailedError(Exception):
     """A connection carried no proper answer; the request may have run if it was sent."""
 
 
+class ConnectionEndedError(ExchangeFailedError):
+    """The connection ended before the whole answer had come."""
+
+
 class Connection(asyncio.Protocol):
     """A connection that carries one request at a time.
 
@@ -163,7 +173,7 @@
         if exc is None and self._clean_end and self._reader.ends_with_connection:
             self._reader.on_message_complete()
         if not self._waiting.done():
-            self._waiting.set_exception(ExchangeFailedError("the connection ended"))
+            self._waiting.set_exception(ConnectionEndedError("the connection ended"))
 
     def _received(self, answer: Answer) -> None:
         """Hand over an answer, unless it announces one or belongs to another request."""
@@ -212,13 +222,16 @@
         id_header: See `Connection`.
 
     Raises:
-        ConnectFailedError: When none came up in time.
+        ConnectRefusedError: When nobody listens there.
+        ConnectFailedError: When none came up in time for another reason.
     """
     loop = asyncio.get_running_loop()
     host, port = parse_address(address)
     try:
         opening = loop.create_connection(lambda: Connection(loop, id_header=id_header), host, port)
         _, connection = await run_within(opening, timeout_s)
+    except ConnectionRefusedError as error:
+        raise ConnectRefusedError(f"{address}: {type(error).__name__}") from None
     except (OSError, TimeoutError) as error:
         raise ConnectFailedError(f"{address}: {type(error).__name__}") from None
     _limit_silence(connection)
