--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -88,6 +88,7 @@
         self.cancelled = 0
         self.answer_bytes = b"the whole answer"
         self.answer_of: Optional[Callable[[Run], bytes]] = None
+        self.on_run: Callable[[Run], None] = _nothing
         self.cold_ms: Optional[int] = None
         self.cold_until = 0.0
         self.cold_factor = 2.0
@@ -127,6 +128,10 @@
             reset(transport)
 
 
+def _nothing(_run: Run) -> None:
+    """Do nothing when a run begins."""
+
+
 class _Served(asyncio.Protocol):
     """One connection at a scripted server."""
 
@@ -207,6 +212,7 @@
     async def _work(self, run: Run) -> None:
         server = self.server
         server.runs.append(run)
+        server.on_run(run)
         server.running += 1
         try:
             await asyncio.sleep(server.work_now_s())
