Refuse a request that crashes the servers that run it, at all VMs, until it is tried again or let go

Cause: nothing outlived one attempt. Each VM took each copy of the request for a new one and sent it on; rests and ejections named the servers, each in turn.

Change (sprucewinch/gateway/crashes): an attempt whose server's process has certainly ended (a new connection is refused, none is open) makes its request a suspect, by a digest of caller, method, target and body. VMs tell each other crashes and good ends; a good end clears. Refused is what crashed three servers one after the other, one more for deaths without it or a companion at all of them, two at most. The quarantine is an item of the store, tried again after 1, 10 and 60 minutes, once in the fleet each (conditional write), and let go by a good end or `operate.py release`. Suspects go to servers by their own order; one try ends two servers at most; what waits for a connection is looked at again before the first byte. Monotonic time and asyncio's timers count suspensions now (CLOCK_BOOTTIME), so that one is a freeze to all that judges by age.

Ruled out: judging at each report (a request that was there by chance was known for one crash more, and refused: seen in a test), servers' loss of answers as evidence (only a refused connection is).

Tests of formats got the new reason, gauge and field; the literals before are unchanged.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -10,6 +10,9 @@
 from typing import NamedTuple
 
 from ..clock import Clock
+from .crashes.crash_reports import CrashReport, CrashReporter, GoodEndReport
+from .crashes.quarantine import Quarantine
+from .crashes.quarantine_store import QuarantineStore
 from .datagrams import Datagrams
 from .decision_log import DecisionLog
 from .following.fetch_failures import FetchFailures
@@ -106,6 +109,14 @@
     prober: Prober
 
 
+class Crashes(NamedTuple):
+    """Requests that crash backend servers."""
+
+    quarantine: Quarantine
+    reporter: CrashReporter
+    store: QuarantineStore
+
+
 class Regions(NamedTuple):
     """Steering between regions."""
 
@@ -127,6 +138,7 @@
     state: State
     fleet: Fleet
     servers: Servers
+    crashes: Crashes
     regions: Regions
     requests: Requests
     reporter: RegionReporter
@@ -146,10 +158,11 @@
     state = make_state(context, unreadable)
     fleet = make_fleet(context, state, incarnation)
     servers = make_servers(context, state, fleet)
+    crashes = make_crashes(context, state, fleet)
     regions = make_regions(context, state, servers, unreadable)
-    requests = make_requests(context, state, servers, regions)
+    requests = make_requests(context, state, servers, crashes, regions)
     reporter = make_reporter(context, state, fleet, regions, requests)
-    return Parts(state, fleet, servers, regions, requests, reporter)
+    return Parts(state, fleet, servers, crashes, regions, requests, reporter)
 
 
 def make_state(context: Context, unreadable: Callable[[str, str], None]) -> State:
@@ -250,6 +263,39 @@
     )
 
 
+def make_crashes(context: Context, state: State, fleet: Fleet) -> Crashes:
+    """Return the parts that deal with requests that crash servers.
+
+    Args:
+        context: What every part may need.
+        state: The parts that hold the store's items.
+        fleet: The other VMs.
+    """
+    name = context.settings.name
+    quarantine = Quarantine(
+        state.view,
+        name,
+        context.adapter.names.request_id,
+        monotonic=context.monotonic,
+        wall=context.clock.wall,
+        events=context.events,
+    )
+    quarantine.reporter = reporter = CrashReporter(
+        name,
+        fleet.datagrams,
+        fleet.follow_role,
+        context.timing,
+        is_repeated=quarantine.is_repeated,
+    )
+    fleet.datagrams.register(CrashReport, quarantine.on_crash_report)
+    fleet.datagrams.register(GoodEndReport, quarantine.on_good_end_report)
+    store = QuarantineStore(
+        quarantine, state.store, state.view, fleet.follow_role, context.timing, context.events
+    )
+    quarantine.take_trial = store.take_trial
+    return Crashes(quarantine, reporter, store)
+
+
 def make_regions(
     context: Context, state: State, servers: Servers, unreadable: Callable[[str, str], None]
 ) -> Regions:
@@ -278,13 +324,16 @@
     return Regions(policies, reports, shares)
 
 
-def make_requests(context: Context, state: State, servers: Servers, regions: Regions) -> Requests:
+def make_requests(
+    context: Context, state: State, servers: Servers, crashes: Crashes, regions: Regions
+) -> Requests:
     """Return the parts that a request passes.
 
     Args:
         context: What every part may need.
         state: The parts that hold the store's items.
         servers: Backend servers.
+        crashes: Requests that crash servers.
         regions: Steering between regions.
     """
     settings = context.settings
@@ -292,7 +341,7 @@
         state.view,
         servers.registry,
         ServerRanker(servers.registry, regions.shares, settings.regions),
-        _sender(context, servers),
+        _sender(context, servers, crashes),
         bounds=settings.bounds,
         monotonic=context.monotonic,
         rng=context.rng,
@@ -309,7 +358,7 @@
     return Requests(pipeline, app)
 
 
-def _sender(context: Context, servers: Servers) -> Sender:
+def _sender(context: Context, servers: Servers, crashes: Crashes) -> Sender:
     return Sender(
         servers.registry,
         servers.outliers,
@@ -317,6 +366,7 @@
         context.adapter.names,
         context.monotonic,
         context.events,
+        crashes.quarantine,
     )
 
 
--- a/sprucewinch/gateway/crashes/crash_check.py
+++ b/sprucewinch/gateway/crashes/crash_check.py
@@ -1,9 +1,10 @@
 """Rule: whether a connection that ended without an answer ended with its server's process.
 
 Question: did the process end, or only the connection? Input: a new connection to the same address,
-tried at once. Rule: only a refusal proves that nobody listens there any more. A connection that
-comes up proves that the process lives (a lost answer, a reset); none within `CHECK_S` proves
-nothing (a cut, a full queue of new connections). Reason: the end of a connection alone is no
+tried at once. Rule: only a refusal proves that nobody listens there any more, and not while another
+connection is open: a server that has too many refuses too. A connection that comes up proves that
+the process lives (a lost answer, a reset); none within `CHECK_S` proves nothing (a cut, a full
+queue of new connections). Reason: the end of a connection alone is no
 evidence; with it, each answer that a server loses would make suspects of requests that did nothing.
 
 One check answers all requests that lost their connections together, and a connection that came up
@@ -48,8 +49,7 @@
         try:
             connection = await connect(address, CHECK_S, id_header=self.pool.id_header)
         except ConnectRefusedError:
-            self.pool.drop(address)
-            return True
+            return not self.pool.has_open(address)
         except ConnectFailedError:
             # Not refused: a cut or a full queue, which tells nothing of the process.
             return False
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -73,7 +73,9 @@
             settings, adapter, self.clock, rng or random.Random(), self.events, self.ready
         )
         parts = make_parts(self.context, self.incarnation, self._unreadable)
-        self.state, self.fleet, self.servers, self.regions, self.requests, self.reporter = parts
+        self.state, self.fleet, self.servers = parts.state, parts.fleet, parts.servers
+        self.crashes, self.regions = parts.crashes, parts.regions
+        self.requests, self.reporter = parts.requests, parts.reporter
         self.listeners = Listeners(settings.max_files)
         self.state.view.listeners.append(self.events.learned)
         self.state.view.listeners.append(self.listeners.on_change)
@@ -169,6 +171,8 @@
             self.fleet.heartbeats.run,
             self.fleet.notices.run,
             self.reporter.run,
+            self.crashes.reporter.run,
+            self.crashes.store.run,
             self._tick_loop,
         ):
             supervised = forever(loop, self._loop_failed, pause_s=_TICK_S)
@@ -184,7 +188,12 @@
         self.events.state("fault", loop=loop.__qualname__, error=repr(error))
 
     def _state(self) -> str:
-        return vm_state(self.context, self.state, self.fleet, self.servers, self.regions).to_json()
+        shown = vm_state(
+            self.context, self.state, self.fleet, self.servers, self.crashes, self.regions
+        )
+        return shown.to_json()
 
     def _report(self) -> str:
-        return vm_metrics(self.context, self.state, self.fleet, self.servers, self.requests)
+        return vm_metrics(
+            self.context, self.state, self.fleet, self.servers, self.crashes, self.requests
+        )
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -28,6 +28,9 @@
 NOT_OFFERED = "not-offered"
 """Cause of an attempt whose server was no longer offered once its connection had come up."""
 
+QUARANTINED = "quarantined"
+"""Cause of an attempt whose request was known to crash servers once its connection had come up."""
+
 ENDED = "the connection ended"
 """Cause of an attempt whose connection ended before the whole answer, but for a crash."""
 
@@ -65,6 +68,9 @@
         attempts: Its attempts so far.
         blocked: Why no server could be selected, the last time that this happened; None if never.
         at_server: True while a backend server may work on it.
+        target_hash: See `crashes.fingerprint`; None until it is needed.
+        fingerprint: What names it and all equal requests; None until it is needed.
+        on_trial: True when it is sent although equal ones have crashed servers.
     """
 
     id: str
@@ -80,6 +86,9 @@
     attempts: list["Attempt"] = field(default_factory=list)
     blocked: Optional["Blocked"] = None
     at_server: bool = False
+    target_hash: Optional[int] = None
+    fingerprint: Optional[bytes] = None
+    on_trial: bool = False
 
     def tried_servers(self) -> set[str]:
         """Return the backend servers that were tried."""
@@ -175,6 +184,7 @@
     NO_SERVER = "no-server"
     NO_ROOM = "no-room"
     NO_TIME = "no-time"
+    CRASHES_SERVERS = "crashes-servers"
     STOPPING = "stopping"
     TIMEOUT = "timeout"
     FAILED = "failed"
--- a/sprucewinch/gateway/requests/outcome/final_answer.py
+++ b/sprucewinch/gateway/requests/outcome/final_answer.py
@@ -23,12 +23,16 @@
 - The deadline is over, or less of it is left than any answer takes (`time_left`): 503
   `no-time` at once when nothing was sent, else 504 `timeout` at once.
 - No configuration yet: 503 `no-configuration` at once, with a fixed Retry-After.
+- Equal requests crash the servers that run them: 503 `crashes-servers` at once, with the time until
+  it is tried again, which may be an hour. True, as this one has not run; longer than callers wait,
+  so that it invites nobody before.
 - No memory for its body: 503 `no-room` at once, with a fixed Retry-After.
 """
 
 import random
 from typing import Optional
 
+from ...crashes.quarantine import Held
 from ...resources import Route
 from ..client_request import Attempt, ClientRequest, RefusalReason, Reply, Verdict
 
@@ -43,6 +47,10 @@
 NO_MEMORY_RETRY_AFTER_S = 1.0
 """Retry-After of a request whose body finds no memory, in seconds. A guess, never measured."""
 
+LEAST_TRIAL_RETRY_AFTER_S = 1.0
+"""Least Retry-After of a request that crashes servers, in seconds: its trial may be due, and wait
+for the store. A guess, never measured."""
+
 SERVICE_UNAVAILABLE = 503
 """HTTP status of a refusal that promises that the request did not run; set by the HTTP standard and
 by what callers do with it."""
@@ -104,6 +112,16 @@
     return refused(_true_reason(request, refusal), rng, route)
 
 
+def trial_in_s(held: Held, now: float) -> float:
+    """Return Retry-After of a request that crashes servers, in seconds: when it is tried again.
+
+    Args:
+        held: Why it is refused.
+        now: Monotonic time, in seconds.
+    """
+    return round(max(LEAST_TRIAL_RETRY_AFTER_S, held.retry_after_s(now)), 1)
+
+
 def stopped(request: ClientRequest, rng: random.Random) -> Reply:
     """Return the final answer of a request that is given up because the process ends."""
     may_run = request.at_server or request.possible_runs()
--- a/sprucewinch/gateway/requests/outcome/retry_decision.py
+++ b/sprucewinch/gateway/requests/outcome/retry_decision.py
@@ -25,6 +25,7 @@
 from ...resources import Route
 from ..client_request import (
     NOT_OFFERED,
+    QUARANTINED,
     TIMED_OUT,
     UNREACHABLE,
     Attempt,
@@ -36,6 +37,11 @@
 MAX_UNREACHABLE = 3
 """How many servers that cannot be reached one request tries. A guess, never measured."""
 
+MOST_CRASHES_OF_A_TRY = 2
+"""Servers that may crash under a request, at this VM or others, before a crash is its end here: one
+crash is most often another request's, two in a row are with 3 in 100 (worked out in
+`crashes.guilt`)."""
+
 SERVER_FAILED_STATUS = 500
 """Lowest HTTP status that states a failure of the server, by the HTTP standard."""
 
@@ -63,6 +69,8 @@
     """It was sent more often than the route lets it run."""
     NOT_ANSWERED = "not-answered"
     """It was sent and not answered, and may be sent again."""
+    MAY_CRASH_ANOTHER = "may-crash-another"
+    """Servers crashed under it, and the next one may."""
     BUDGET_SPENT = "budget-spent"
     """It might be sent again, but this VM has no retry left."""
 
@@ -95,6 +103,7 @@
     False, RetryReason.TOO_MANY_UNREACHABLE, RefusalReason.NO_SERVER
 )
 _TOO_MANY_ATTEMPTS = RetryDecision(False, RetryReason.TOO_MANY_ATTEMPTS, RefusalReason.NO_ROOM)
+_MAY_CRASH_ANOTHER = RetryDecision(False, RetryReason.MAY_CRASH_ANOTHER, RefusalReason.FAILED)
 _NOT_ANSWERED = RetryDecision(True, RetryReason.NOT_ANSWERED, costs_retry=True)
 
 _WITHOUT_BUDGET = {
@@ -126,6 +135,16 @@
     return _NOT_ANSWERED
 
 
+def after_crash(crashes: int, *, on_trial: bool) -> Optional[RetryDecision]:
+    """Return the decision on a request whose server crashed; None where the others decide.
+
+    Args:
+        crashes: Servers that crashed under it and equal ones, one after the other.
+        on_trial: True when it was sent although equal ones have crashed servers.
+    """
+    return _MAY_CRASH_ANOTHER if on_trial or crashes >= MOST_CRASHES_OF_A_TRY else None
+
+
 def without_budget(attempt: Attempt) -> RetryDecision:
     """Return the decision on a request that would cost a retry when none is left."""
     return _WITHOUT_BUDGET[attempt.verdict]
@@ -139,7 +158,8 @@
 
 
 def _after_no_byte(request: ClientRequest, attempt: Attempt) -> RetryDecision:
-    if attempt.why == NOT_OFFERED:
+    if attempt.why in (NOT_OFFERED, QUARANTINED):
+        # Looked at anew: another server may be offered, and one in quarantine is refused there.
         return _NOT_OFFERED
     unreached = sum(earlier.why == UNREACHABLE for earlier in request.attempts)
     return _UNREACHABLE if unreached < MAX_UNREACHABLE else _TOO_MANY_UNREACHABLE
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -13,15 +13,16 @@
 from collections.abc import Callable
 from typing import Optional, Union
 
+from ..crashes.quarantine import Held
 from ..resources import Route, RouteConfiguration
 from ..servers.backend_registry import BackendRegistry
 from ..settings import Bounds
 from ..state.store_view import Change, StoreView
-from .client_request import Attempt, ClientRequest, RefusalReason, Reply, Selection
+from .client_request import CRASHED, Attempt, ClientRequest, RefusalReason, Reply, Selection
 from .connection_age import most_rest_s
 from .outcome import final_answer
 from .outcome.hold_time import hold_time
-from .outcome.retry_decision import RetryDecision, decide_retry, without_budget
+from .outcome.retry_decision import RetryDecision, after_crash, decide_retry, without_budget
 from .outcome.return_times import ReturnTimes
 from .outcome.time_left import has_time
 from .retry_budget import WindowRetryBudget
@@ -64,6 +65,7 @@
         self.bounds = bounds
         self.monotonic = monotonic
         self.rng = rng
+        self.quarantine = sender.quarantine
         self.selector = ServerSelector(registry, sender.outliers)
         self.return_times = ReturnTimes(registry, rng)
         self.splits = Splits()
@@ -85,6 +87,9 @@
             route = self._route(request)
             if isinstance(route, RefusalReason):
                 return final_answer.refused(route, self.rng)
+            held = await self._held(request)
+            if held is not None:
+                return self._held_back(request, route, held)
             service = self._service(request, route, service, now)
             until = hold_time(request, route).until
             if not has_time(until, now, self.registry.times.least_s(service)):
@@ -117,6 +122,21 @@
         route = self.table.find(request.host, request.path)
         return RefusalReason.NO_ROUTE if route is None else route
 
+    async def _held(self, request: ClientRequest) -> Optional[Held]:
+        """Return why a request is refused as one that crashes servers; None when it may be sent."""
+        held = self.quarantine.refusal(request)
+        if held is None or not held.trial_is_due(self.monotonic()):
+            return held
+        request.on_trial = await self.quarantine.take_trial(held)
+        return None if request.on_trial else held
+
+    def _held_back(self, request: ClientRequest, route: Route, held: Held) -> Reply:
+        """Return the answer to a request that is refused as one that crashes servers."""
+        reply = self._not_served(request, route, RefusalReason.CRASHES_SERVERS)
+        if reply.refusal is not RefusalReason.CRASHES_SERVERS:
+            return reply
+        return reply._replace(retry_after_s=final_answer.trial_in_s(held, self.monotonic()))
+
     def _service(self, request: ClientRequest, route: Route, service: str, now: float) -> str:
         """Return the service that handles a request: drawn anew when its route has it no longer."""
         if not service:
@@ -135,6 +155,9 @@
             None when the request has waited and has to look anew.
         """
         key = request.key if route.affinity and request.key else request.id
+        if self.quarantine.judgement(request).crashes:
+            # Away from the other suspects of a crash, and equal ones to the same server.
+            key = self.quarantine.fingerprint(request).hex()
         ranking = self.ranker.place(service, key, route.regions, now)
         selection = self.selector.choose(request, ranking, service, now, route)
         if selection is not RefusalReason.NO_ROOM:
@@ -166,12 +189,18 @@
         self, request: ClientRequest, route: Route, service: str, attempt: Attempt
     ) -> RetryDecision:
         """Decide on a retry, and take it from the budget of the service."""
-        decision = decide_retry(request, route, attempt)
+        decision = self._after_crash(request, attempt) or decide_retry(request, route, attempt)
         if not decision.costs_retry:
             return decision
         taken = self._budget(service).take(self.monotonic(), self.registry.vm_count())
         return decision if taken else without_budget(attempt)
 
+    def _after_crash(self, request: ClientRequest, attempt: Attempt) -> Optional[RetryDecision]:
+        if attempt.why != CRASHED:
+            return None
+        crashes = self.quarantine.judgement(request).crashes
+        return after_crash(crashes, on_trial=request.on_trial)
+
     def _not_served(self, request: ClientRequest, route: Route, refusal: RefusalReason) -> Reply:
         reply = final_answer.not_served(request, route, refusal, self.rng)
         if reply.refusal is not RefusalReason.NO_ROOM or request.blocked is None:
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -21,7 +21,7 @@
     ExchangeFailedError,
 )
 from ..crashes.crash_check import CrashCheck
-from ..crashes.fingerprint import fingerprint
+from ..crashes.quarantine import Quarantine
 from ..events import EventLog, NoEvents
 from ..header_names import HeaderNames
 from ..servers.backend_registry import BackendRegistry
@@ -33,6 +33,7 @@
     ENDED,
     MISDIRECTED,
     NOT_OFFERED,
+    QUARANTINED,
     RESTARTED,
     SHED,
     TIMED_OUT,
@@ -75,6 +76,7 @@
         names: Names of headers.
         monotonic: Source of time, in seconds.
         events: Logs when a server rests after a failure; None to log nothing.
+        quarantine: Requests that crash servers; None for one that this part has alone.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         names: HeaderNames,
         monotonic: Callable[[], float],
         events: Optional[EventLog] = None,
+        quarantine: Optional[Quarantine] = None,
     ) -> None:
         self.registry = registry
         self.outliers = outliers
@@ -93,6 +96,9 @@
         self.monotonic = monotonic
         self.events = events or NoEvents()
         self.crash_check = CrashCheck(pool)
+        self.quarantine = quarantine or Quarantine(
+            registry.store_view, "", names.request_id, monotonic=monotonic, wall=monotonic
+        )
         self._at_work: dict[BackendServer, set[Connection]] = {}
         registry.on_restart.append(self._end_attempts)
 
@@ -117,16 +123,16 @@
         attempt = await self._attempt(request, selection, started, until, most_rest_s)
         request.at_server = False
         attempt = attempt._replace(seconds=self.monotonic() - started)
-        attempt = await self._look_for_crash(request, selection, attempt)
+        attempt = await self._look_for_crash(request, selection, attempt, started)
         now = self.monotonic()
-        if attempt.why == NOT_OFFERED:
+        if attempt.why in (NOT_OFFERED, QUARANTINED):
             # No byte was sent: this tells nothing of the server and is no send to a cold one.
             server.cold_sends.take_back(started)
             return attempt
         if attempt.why == RESTARTED:
             # The process that this tells of has ended; the next one starts with nothing.
             return attempt
-        self._learn(server, attempt, started, now, request.id)
+        self._learn(server, attempt, started, now, request)
         if server.cold(started):
             self._note_cold(server, attempt)
         else:
@@ -165,6 +171,9 @@
         if not self.registry.offers(selection.server, selection.service):
             connection.close()
             return Attempt(backend.id, Verdict.NOT_RUN, False, NOT_OFFERED)
+        if self.quarantine.refusal(request) is not None:
+            self.pool.give_back(backend.address, connection)
+            return Attempt(backend.id, Verdict.NOT_RUN, False, QUARANTINED)
         left_ms = max(MIN_DEADLINE_MS, int((until - self.monotonic()) * MS_PER_S))
         data = self._encode(request, backend.id, backend.address, left_ms)
         request.at_server = True
@@ -179,36 +188,36 @@
         return Attempt(backend.id, judged.verdict, True, judged.why, answer)
 
     async def _look_for_crash(
-        self, request: ClientRequest, selection: Selection, attempt: Attempt
+        self, request: ClientRequest, selection: Selection, attempt: Attempt, started: float
     ) -> Attempt:
         """Return an attempt, with the cause `CRASHED` where its server's process has ended.
 
         A server that is offered no more ends as was planned.
         """
         server = selection.server
+        if attempt.why == RESTARTED and not server.backend.draining:
+            self._note_crash(request, server, attempt, started)
         if attempt.why != ENDED or not self.registry.offers(server, selection.service):
             return attempt
-        if not await self.crash_check.has_ended(server.backend.address):
+        ended = await self.crash_check.has_ended(server.backend.address)
+        if not ended or any(connection.alive for connection in self._at_work.get(server, ())):
             return attempt
+        self._note_crash(request, server, attempt, started)
+        return attempt._replace(why=CRASHED)
+
+    def _note_crash(
+        self, request: ClientRequest, server: BackendServer, attempt: Attempt, started: float
+    ) -> None:
+        """Keep a crash as evidence on the request that was there."""
         self.events.count("attempts_ended_by_crashes")
         self.events.state(
             "server-crashed",
             server=server.backend.id,
             id=request.id,
-            fingerprint=self._fingerprint(request).hex(),
+            fingerprint=self.quarantine.fingerprint(request).hex(),
             ms=round(attempt.seconds * MS_PER_S, 1),
         )
-        return attempt._replace(why=CRASHED)
-
-    def _fingerprint(self, request: ClientRequest) -> bytes:
-        return fingerprint(
-            request.method,
-            request.host,
-            request.target,
-            request.headers,
-            request.body,
-            id_header=self.names.request_id,
-        )
+        self.quarantine.note_crash(request, server, started, started + attempt.seconds)
 
     async def _answer(
         self, server: BackendServer, connection: Connection, request: ClientRequest, data: bytes
@@ -268,13 +277,19 @@
             self.outliers.record_success(server, key, attempt.seconds, requests_there, now)
 
     def _learn(
-        self, server: BackendServer, attempt: Attempt, started: float, now: float, request_id: str
+        self,
+        server: BackendServer,
+        attempt: Attempt,
+        started: float,
+        now: float,
+        request: ClientRequest,
     ) -> None:
         load = load_report(attempt.answer, self.names) if attempt.answer is not None else None
         if load is not None:
             self.registry.record_load(server, load.running, load.waiting, now)
         if attempt.verdict is Verdict.ANSWERED:
             self.registry.record_success(server, attempt.seconds, now)
+            self.quarantine.note_good_end(request)
         elif attempt.why == MISDIRECTED:
             server.pause(now + MISDIRECTED_PAUSE_S)
         elif attempt.why.startswith(SHED):
@@ -284,7 +299,7 @@
         elif attempt.why != TIMED_OUT or server.answered_at < started:
             server.record_failure(now)
             self.events.state(
-                "server-rests", server=server.backend.id, why=attempt.why, id=request_id
+                "server-rests", server=server.backend.id, why=attempt.why, id=request.id
             )
 
 
--- a/sprucewinch/gateway/resources.py
+++ b/sprucewinch/gateway/resources.py
@@ -173,4 +173,50 @@
     hall: str
 
 
-Resource = Union[RouteConfiguration, Evacuation, BackendEntry, Member, PolicyProgram, PolicyChoice]
+class CrashEvidence(NamedTuple):
+    """One backend server that ended under a quarantined request.
+
+    Args:
+        server: Its id.
+        incarnation: Which process of it; 0 when that is not known.
+        vms: VMs that saw it.
+        age_s: How long before the quarantine, in seconds.
+    """
+
+    server: str
+    incarnation: int
+    vms: tuple[str, ...]
+    age_s: float
+
+
+class QuarantinedRequest(NamedTuple):
+    """A request that is refused, as it crashes the backend servers that run it.
+
+    Args:
+        fingerprint: Names the request, in hexadecimal digits.
+        target_hash: Hash of what it is for, likewise.
+        what: Its method and path.
+        since: Time of day of the quarantine at the VM that wrote it, in seconds since the epoch.
+        crashes: The evidence.
+        trials: How often it has been tried again.
+        trials_left: How often it may still be.
+    """
+
+    fingerprint: str
+    target_hash: str
+    what: str
+    since: float
+    crashes: tuple[CrashEvidence, ...] = ()
+    trials: int = 0
+    trials_left: int = 0
+
+
+Resource = Union[
+    RouteConfiguration,
+    Evacuation,
+    BackendEntry,
+    Member,
+    PolicyProgram,
+    PolicyChoice,
+    QuarantinedRequest,
+]
--- a/sprucewinch/gateway/servers/pool.py
+++ b/sprucewinch/gateway/servers/pool.py
@@ -93,6 +93,10 @@
         while len(idle) > self.max_idle:
             idle.popleft().close()
 
+    def has_open(self, address: str) -> bool:
+        """Return whether a resting connection to `IP:PORT` is open, as far as known."""
+        return any(connection.alive for connection in self._idle.get(address, ()))
+
     def drop(self, address: str) -> None:
         """Close all resting connections to a server: one fell silent, or its process has ended.
 
--- a/sprucewinch/gateway/state/own_items.py
+++ b/sprucewinch/gateway/state/own_items.py
@@ -1,4 +1,4 @@
-"""The product's own keys in the store: entry VMs, policies, and which policy steers a service.
+"""The product's own keys in the store: entry VMs, policies with their services, quarantine.
 
 Owns the prefixes of these keys and the encoding of their values, which VMs of other versions read.
 Relies on `resources` for the types. Values are JSON objects of named fields, so that a version may
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ..resources import Member, PolicyChoice, PolicyProgram, Resource
+from ..resources import Member, PolicyChoice, PolicyProgram, QuarantinedRequest, Resource
 from .replica import Item
 from .store_view import MalformedItemError
 
@@ -18,11 +18,13 @@
 MEMBER_PREFIX = OWN_PREFIX + "members/"
 POLICY_PREFIX = OWN_PREFIX + "policies/"
 CHOICE_PREFIX = OWN_PREFIX + "policy-of/"
+QUARANTINE_PREFIX = OWN_PREFIX + "quarantine/"
 
 _KINDS: dict[str, type] = {
     MEMBER_PREFIX: Member,
     POLICY_PREFIX: PolicyProgram,
     CHOICE_PREFIX: PolicyChoice,
+    QUARANTINE_PREFIX: QuarantinedRequest,
 }
 
 _STORED_NAMES = {"hall": "zone"}
@@ -55,6 +57,16 @@
     return _stored(CHOICE_PREFIX + choice.service, choice)
 
 
+def quarantine_item(request: QuarantinedRequest) -> StoredItem:
+    """Return the item that keeps a request from backend servers."""
+    return _stored(quarantine_key(request.fingerprint), request)
+
+
+def quarantine_key(fingerprint: str) -> str:
+    """Return the key of a quarantined request."""
+    return QUARANTINE_PREFIX + fingerprint
+
+
 def decode_own(item: Item) -> Optional[Resource]:
     """Return the resource of an item under the product's own keys; None for other keys.
 
@@ -63,10 +75,22 @@
     """
     for prefix, kind in _KINDS.items():
         if item.key.startswith(prefix):
-            return _decode(item.value, kind)
+            resource = _decode(item.value, kind)
+            if isinstance(resource, QuarantinedRequest):
+                _check_digits(resource)
+            return resource
     return None
 
 
+def _check_digits(request: QuarantinedRequest) -> None:
+    """Raise an error when what names a request is not written in hexadecimal digits."""
+    try:
+        bytes.fromhex(request.fingerprint)
+        int(request.target_hash, 16)
+    except ValueError as error:
+        raise MalformedItemError(f"no {type(request).__name__}: {error}") from None
+
+
 def _stored(key: str, resource: Any) -> StoredItem:
     names = map(_stored_name, resource._fields)
     return StoredItem(key, msgspec.json.encode(dict(zip(names, resource, strict=True))))
--- a/sprucewinch/gateway/state/store.py
+++ b/sprucewinch/gateway/state/store.py
@@ -66,6 +66,17 @@
             StoreUnavailableError: When the store did not answer.
         """
 
+    @abc.abstractmethod
+    async def replace(self, item: Item, value: bytes) -> bool:
+        """Write a value of this system's own if its key is still at the item's revision.
+
+        Returns:
+            False when another value stands there.
+
+        Raises:
+            StoreUnavailableError: When the store did not answer.
+        """
+
     @abc.abstractmethod
     async def remove(self, item: Item) -> None:
         """Remove a key of this system's own if it is still at the item's revision.
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -4,11 +4,16 @@
 `composition`; changes nothing. Names of gauges are read by others, so they stay.
 """
 
-from .composition import Context, Fleet, Requests, Servers, State
+from .composition import Context, Crashes, Fleet, Requests, Servers, State
 
 
 def vm_metrics(
-    context: Context, state: State, fleet: Fleet, servers: Servers, requests: Requests
+    context: Context,
+    state: State,
+    fleet: Fleet,
+    servers: Servers,
+    crashes: Crashes,
+    requests: Requests,
 ) -> str:
     """Return the metrics of a VM as lines of name and value."""
     now = context.monotonic()
@@ -25,6 +30,7 @@
         "members": len(view.members),
         "members_open": sum(fleet.gossip.accepts_callers(m, now) for m in view.members),
         "backend_servers": len(view.backends),
+        "requests_held": len(crashes.quarantine.held),
         "neighbour_deltas": fleet.peer_follower.deltas_applied,
     }
     return context.events.report(gauges)
--- a/sprucewinch/gateway/vm_state.py
+++ b/sprucewinch/gateway/vm_state.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from .composition import Context, Fleet, Regions, Servers, State
+from .composition import Context, Crashes, Fleet, Regions, Servers, State
 
 _HIGHEST_AGE_S = 1e9
 """Age shown when the store has never answered, in seconds: JSON has no infinity."""
@@ -76,6 +76,29 @@
     limits: tuple[str, ...]
 
 
+class QuarantinedState(NamedTuple):
+    """One request that is refused, as it crashes servers.
+
+    Args:
+        fingerprint: Names it; operators let it go by this.
+        what: Its method and path.
+        age_s: Time since it has been refused here, or since its last trial, in seconds.
+        trial_in_s: Time until it is tried again, in seconds; an hour when only operators may let
+            it go.
+        trials: Trials so far.
+        stored: True when the store holds it, so that it outlasts this VM.
+        crashes: Servers that ended under it: id, process, VMs that saw it, age in seconds then.
+    """
+
+    fingerprint: str
+    what: str
+    age_s: float
+    trial_in_s: float
+    trials: int
+    stored: bool
+    crashes: tuple[dict[str, Any], ...]
+
+
 class VmState(NamedTuple):
     """Everything that an operator asks of one VM.
 
@@ -90,6 +113,7 @@
         members: Whether each registered VM accepts callers.
         services: Steering by service.
         backend_servers: All that are known.
+        quarantined: Requests that are refused, as they crash servers.
     """
 
     name: str
@@ -102,6 +126,7 @@
     members: dict[str, bool]
     services: tuple[ServiceState, ...]
     backend_servers: tuple[BackendState, ...]
+    quarantined: tuple[QuarantinedState, ...]
 
     def to_json(self) -> str:
         """Return it as a JSON object."""
@@ -109,12 +134,18 @@
             **self._asdict(),
             "services": [service._asdict() for service in self.services],
             "backend_servers": [server.shown() for server in self.backend_servers],
+            "quarantined": [request._asdict() for request in self.quarantined],
         }
         return msgspec.json.encode(table).decode()
 
 
 def vm_state(
-    context: Context, state: State, fleet: Fleet, servers: Servers, regions: Regions
+    context: Context,
+    state: State,
+    fleet: Fleet,
+    servers: Servers,
+    crashes: Crashes,
+    regions: Regions,
 ) -> VmState:
     """Return the state of a VM.
 
@@ -123,6 +154,7 @@
         state: The parts that hold the store's items.
         fleet: The other VMs.
         servers: Backend servers.
+        crashes: Requests that crash servers.
         regions: Steering between regions.
     """
     now = context.monotonic()
@@ -138,6 +170,22 @@
         members={n: fleet.gossip.accepts_callers(n, now) for n in sorted(view.members)},
         services=_services(regions),
         backend_servers=_backend_servers(servers, now),
+        quarantined=_quarantined(crashes, now),
+    )
+
+
+def _quarantined(crashes: Crashes, now: float) -> tuple[QuarantinedState, ...]:
+    return tuple(
+        QuarantinedState(
+            fingerprint=held.request.fingerprint,
+            what=held.request.what,
+            age_s=round(now - held.since, _AGE_DIGITS),
+            trial_in_s=round(held.retry_after_s(now), _AGE_DIGITS),
+            trials=held.request.trials,
+            stored=held.revision > 0,
+            crashes=tuple(crash._asdict() for crash in held.request.crashes),
+        )
+        for _, held in sorted(crashes.quarantine.held.items())
     )
 
 
--- a/sprucewinch/operators/deciding_rule.py
+++ b/sprucewinch/operators/deciding_rule.py
@@ -19,6 +19,7 @@
     "malformed": "requests/callers/request_reader.py",
     "stopping": "requests/outcome/final_answer.py",
     "timeout": "requests/outcome/hold_time.py",
+    "crashes-servers": "crashes/quarantine.py",
     "no-time": "requests/outcome/time_left.py",
     "failed": "requests/outcome/retry_decision.py",
     "left": "requests/app.py",
--- a/sprucewinch/operators/story.py
+++ b/sprucewinch/operators/story.py
@@ -22,6 +22,7 @@
 _MEANINGS = {
     "answered": "a backend server's own answer was passed on",
     "no-room": "not run: its server had no room, and it was not sent",
+    "crashes-servers": "not run: equal requests have crashed the servers that ran them",
     "no-time": "not run: less time was left than any answer of its service takes",
     "no-server": "not run: no server of its service could be used",
     "stopping": "not run: its VM stopped before it was sent",
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -149,7 +149,6 @@
         self.sick: set[str] = {SICK, SICK_BOOKING}
         self.sent: dict[str, list[Sent]] = {}
         self.crashes: dict[str, list[float]] = {}
-        self.crashed_servers = 0
         self.bytes_sent: Counter[str] = Counter()
         self.lose_part = 0.0
         self.cut: set[str] = set()
@@ -219,7 +218,6 @@
         address = self.addresses.pop(server.server_id, None)
         if address is None:
             return
-        self.crashed_servers += 1
         del self.servers[server.server_id]
         self.loop.listeners.pop(address, None)
         server.reset()
--- a/tests/test_formats_gateway.py
+++ b/tests/test_formats_gateway.py
@@ -42,6 +42,7 @@
     "no-server",
     "no-room",
     "no-time",
+    "crashes-servers",
     "stopping",
     "timeout",
     "failed",
@@ -219,6 +220,7 @@
 members 1
 members_open 1
 neighbour_deltas 0
+requests_held 0
 store_age_s 0.334
 store_calls 5
 store_revision 4
@@ -233,7 +235,8 @@
     '"limits":["drained:east","drained:east"]},'
     '{"service":"rates","policy":"capacity","shares":{"east":1.0,"west":0.0},"limits":[]}],'
     '"backend_servers":[{"id":"s0","service":"rates","zone":"east-a","in_flight":0,"load":0.0,'
-    '"cold":false,"draining":false,"paused":false,"latency_ms":54.0}]}'
+    '"cold":false,"draining":false,"paused":false,"latency_ms":54.0}],'
+    '"quarantined":[]}'
 )
 
 
--- a/tests/test_gateway_crash_check.py
+++ b/tests/test_gateway_crash_check.py
@@ -1,12 +1,13 @@
 """A connection that ends tells of a crash only where new ones are refused."""
 
+import asyncio
 import unittest
 
 from sprucewinch.gateway.crashes.fingerprint import fingerprint, target_hash
 from sprucewinch.gateway.requests.client_request import CRASHED, ENDED
 from sprucewinch.gateway.resources import Evacuation
 from standins.scripted_server import Spoil
-from standins.virtual import VirtualLoop, run_virtual
+from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .gateway_fakes import Path, route
 
@@ -85,6 +86,26 @@
 
         run_virtual(main)
 
+    def test_a_refusal_beside_an_open_connection_proves_nothing(self) -> None:
+        """A server that has too many connections refuses new ones, and goes on serving."""
+
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=1)
+            path.world.configure(route(repeatable=False))
+            server = path.first()
+            server.work_s = 0.3
+            stays = asyncio.create_task(path.pipeline.run(path.request("stays")))
+            await pass_time(0.01)
+            server.work_s = 0.05
+            server.spoils = [Spoil.LOST]
+            loop.call_later(0.03, loop.listeners.pop, path.addresses[server.server_id])
+            cut = path.request("cut")
+            await path.pipeline.run(cut)
+            self.assertEqual([a.why for a in cut.attempts], [ENDED])
+            self.assertEqual((await stays).status, 200)
+
+        run_virtual(main)
+
     def test_a_server_that_leaves_has_not_crashed(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             path = Path(loop, servers=1)
--- /dev/null
+++ b/tests/test_gateway_quarantine.py
@@ -0,0 +1,302 @@
+"""How a request that crashes servers is refused, tried again and let go, in whole fleets."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+from unittest import mock
+
+from sprucewinch.gateway.crashes import quarantine
+from sprucewinch.gateway.crashes.quarantine import NO_TRIAL_RETRY_S
+from sprucewinch.gateway.requests.client_request import RefusalReason
+from standins.consortium_store import Fault
+from standins.virtual import VirtualLoop, pass_time, run_virtual
+
+from .crash_fleet import SICK, SICK_BOOKING, Callers, CrashFleet, repeat
+
+_ITEMS = "sprucewinch/quarantine/"
+
+HOLDS_S = (30.0, 60.0, 120.0)
+"""Holds in place of minutes and hours, so that whole fleets can run through them."""
+
+
+def _items(fleet: CrashFleet) -> list[str]:
+    return [key for key in fleet.store.items if key.startswith(_ITEMS)]
+
+
+def _held(fleet: CrashFleet) -> list[int]:
+    return [len(vm.gateway.crashes.quarantine.held) for vm in fleet.vms]
+
+
+async def _caught(loop: VirtualLoop, **options: Any) -> CrashFleet:
+    """Return a fleet that refuses a sick request, whose servers are back."""
+    fleet = await CrashFleet(loop, **options).ready()
+    await repeat(fleet, SICK, 2.0)
+    await pass_time(8.0)
+    return fleet
+
+
+class _Fleet(unittest.TestCase):
+    def run_fleet(self, main: Callable[[VirtualLoop], Coroutine[Any, Any, None]]) -> None:
+        with mock.patch.object(quarantine, "HOLDS_S", HOLDS_S):
+            run_virtual(main)
+
+
+class Refusals(_Fleet):
+    def test_it_is_refused_at_once_with_the_time_of_its_trial(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _caught(loop)
+            for number in range(4):
+                started = loop.time()
+                reply = await fleet.ask(number, SICK)
+                self.assertEqual(loop.time(), started)
+                self.assertEqual(reply.status, 503)
+                self.assertIs(reply.refusal, RefusalReason.CRASHES_SERVERS)
+                self.assertAlmostEqual(reply.retry_after_s or 0, HOLDS_S[0] - 10, delta=2)
+
+        self.run_fleet(main)
+
+    def test_no_other_request_is_refused_for_it(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _caught(loop)
+            fleet.sick.clear()
+            self.assertEqual((await fleet.ask(0, SICK, key="another-caller")).status, 200)
+            self.assertEqual((await fleet.ask(0, SICK + "?q=2")).status, 200)
+            self.assertEqual((await fleet.ask(0, SICK, method="POST")).status, 200)
+            self.assertEqual((await fleet.ask(0, SICK)).status, 503)
+
+        self.run_fleet(main)
+
+    def test_one_try_of_it_ends_two_servers_at_the_most(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await CrashFleet(loop).ready()
+            reply = await fleet.ask(0, SICK)
+            self.assertEqual(reply.status, 502)
+            self.assertEqual(fleet.sends(SICK), 2)
+
+        self.run_fleet(main)
+
+    def test_a_vm_that_waits_for_a_connection_looks_again_before_the_first_byte(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await CrashFleet(loop).ready()
+            for listener in loop.listeners.values():
+                listener.late_s = 0.3
+            late = asyncio.create_task(fleet.ask(3, SICK))
+            await pass_time(0.01)
+            request = fleet.request(SICK)
+            held = fleet.vms[3].gateway.crashes.quarantine
+            log = fleet.vms[0].gateway.crashes.quarantine
+            for listener in loop.listeners.values():
+                listener.late_s = 0.0
+            for number in range(3):
+                server = _Server(f"gone-{number}")
+                log.note_crash(request, server, loop.time(), loop.time() + 0.001)
+                await pass_time(0.03)
+            self.assertEqual((await late).status, 503)
+            self.assertEqual(len(held.held), 1)
+            self.assertEqual(fleet.sends(SICK), 0)
+
+        self.run_fleet(main)
+
+
+class _Server:
+    """A backend server as far as `note_crash` reads it."""
+
+    def __init__(self, server_id: str) -> None:
+        self.backend = _Backend(server_id)
+
+
+class _Backend:
+    def __init__(self, server_id: str) -> None:
+        self.id = server_id
+        self.service = "rates"
+        self.incarnation = None
+
+
+class Ends(_Fleet):
+    def test_an_operator_lets_it_go_at_all_vms(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _caught(loop)
+            fleet.sick.clear()
+            for key in _items(fleet):
+                fleet.store.remove(key)
+            await pass_time(2.0)
+            self.assertEqual(_held(fleet), [0, 0, 0, 0])
+            self.assertEqual([(await fleet.ask(n, SICK)).status for n in range(4)], [200] * 4)
+
+        self.run_fleet(main)
+
+    def test_it_is_tried_again_once_in_the_fleet_and_let_go_when_it_runs(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _caught(loop)
+            fleet.sick.clear()
+            sent = fleet.sends(SICK)
+            await pass_time(HOLDS_S[0])
+            replies = await asyncio.gather(*(fleet.ask(n, SICK) for n in range(12)))
+            self.assertEqual(sorted(reply.status for reply in replies), [200] + [503] * 11)
+            self.assertEqual(fleet.sends(SICK), sent + 1)
+            await pass_time(2.0)
+            self.assertEqual((_held(fleet), _items(fleet)), ([0, 0, 0, 0], []))
+            self.assertEqual((await fleet.ask(1, SICK)).status, 200)
+
+        self.run_fleet(main)
+
+    def test_a_trial_that_fails_ends_one_server_and_the_next_one_is_later(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _caught(loop)
+            crashes = len(fleet.crashes[SICK])
+            await pass_time(HOLDS_S[0])
+            await repeat(fleet, SICK, 5.0)
+            self.assertEqual(len(fleet.crashes[SICK]), crashes + 1)
+            reply = await fleet.ask(0, SICK)
+            self.assertAlmostEqual(reply.retry_after_s or 0, HOLDS_S[1], delta=10)
+
+        self.run_fleet(main)
+
+    def test_after_the_last_trial_only_an_operator_lets_it_go(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _caught(loop)
+            for hold_s in HOLDS_S:
+                await pass_time(hold_s + 20)
+                await repeat(fleet, SICK, 1.0)
+            await pass_time(HOLDS_S[-1])
+            sent = fleet.sends(SICK)
+            reply = await fleet.ask(0, SICK)
+            self.assertEqual((reply.status, reply.retry_after_s), (503, NO_TRIAL_RETRY_S))
+            self.assertEqual(fleet.sends(SICK), sent)
+            self.assertEqual(len(fleet.crashes[SICK]), 6)
+
+        self.run_fleet(main)
+
+    def test_without_the_store_it_is_refused_and_not_tried(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await CrashFleet(loop).ready()
+            fleet.store.fault = Fault.SILENT
+            await repeat(fleet, SICK, 2.0)
+            sent = fleet.sends(SICK)
+            self.assertEqual((_held(fleet), _items(fleet)), ([1, 1, 1, 1], []))
+            await pass_time(HOLDS_S[0])
+            self.assertEqual((await fleet.ask(2, SICK)).status, 503)
+            self.assertEqual(fleet.sends(SICK), sent)
+            fleet.store.fault = Fault.NONE
+            await pass_time(10.0)
+            self.assertEqual(len(_items(fleet)), 1)
+
+        self.run_fleet(main)
+
+
+class Knowledge(_Fleet):
+    def test_lost_datagrams_delay_it_by_less_than_the_time_in_which_all_must_know(self) -> None:
+        for seed in range(1, 6):
+            with self.subTest(seed=seed):
+                run_virtual(lambda loop, seed=seed: self._lossy(loop, seed))
+
+    async def _lossy(self, loop: VirtualLoop, seed: int) -> None:
+        fleet = await CrashFleet(loop, vms=12, servers=20, seed=seed).ready()
+        fleet.lose_part = 0.1
+        await repeat(fleet, SICK, 4.0, pause_s=0.3)
+        third = sorted(fleet.crashes[SICK])[2]
+        self.assertLessEqual(fleet.sends(SICK, after=third + 1.0), 0)
+
+    def test_a_vm_without_other_vms_learns_it_from_the_store(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await CrashFleet(loop).ready()
+            fleet.cut.add("vm3")
+            loop.listeners[fleet.vms[3].address].silent = True
+            for number in (0, 1, 0, 1):
+                await fleet.ask(number, SICK)
+            await pass_time(3.0)
+            self.assertEqual((await fleet.ask(3, SICK)).status, 503)
+
+        self.run_fleet(main)
+
+    def test_a_vm_that_starts_refuses_it_before_it_is_ready(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await _caught(loop)
+            fleet.restart(2)
+            while not fleet.vms[2].gateway.ready():
+                await pass_time(0.001)
+            self.assertEqual((await fleet.ask(2, SICK)).status, 503)
+
+        self.run_fleet(main)
+
+
+class Others(_Fleet):
+    def test_servers_that_die_by_themselves_get_no_popular_request_refused(self) -> None:
+        for seed in range(1, 4):
+            with self.subTest(seed=seed):
+                run_virtual(lambda loop, seed=seed: self._dying(loop, seed))
+
+    async def _dying(self, loop: VirtualLoop, seed: int) -> None:
+        """Thirty deaths within 20 s, under 6 popular requests and 20 that come once each second."""
+        fleet = await CrashFleet(loop, seed=seed).ready()
+        popular = Callers(fleet, pause_s=0.02, targets=[f"/rates/popular{n}" for n in range(6)])
+        rare = Callers(fleet, pause_s=0.05, targets=[f"/rates/rare{n}" for n in range(20)])
+        work = [asyncio.create_task(callers.run()) for callers in (popular, rare)]
+        rng = random.Random(seed)
+        for _ in range(30):
+            await pass_time(rng.uniform(0.3, 1.0))
+            fleet.crash(rng.choice(list(fleet.servers.values())))
+        await pass_time(5.0)
+        for task in work:
+            task.cancel()
+        self.assertEqual(_held(fleet), [0, 0, 0, 0])
+        for callers in (popular, rare):
+            self.assertNotIn(RefusalReason.CRASHES_SERVERS.value, callers.answers)
+
+    def test_a_data_hall_that_loses_power_gets_nobody_refused(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await CrashFleet(loop).ready()
+            callers = Callers(fleet, pause_s=0.02, targets=[f"/rates/{n}" for n in range(6)])
+            work = asyncio.create_task(callers.run())
+            for _ in range(3):
+                await pass_time(4.0)
+                for server in [s for s in fleet.servers.values() if s.hall == "east-a"]:
+                    fleet.crash(server)
+            await pass_time(2.0)
+            work.cancel()
+            self.assertEqual(_held(fleet), [0, 0, 0, 0])
+
+        self.run_fleet(main)
+
+    def test_requests_for_the_same_object_are_served_beside_it(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await CrashFleet(loop).ready()
+            targets = [f"/rates/{n}" for n in range(3)]
+            work = [asyncio.create_task(_same_object(fleet, target)) for target in targets]
+            await repeat(fleet, SICK, 5.0)
+            served = [await task for task in work]
+            self.assertEqual(_held(fleet), [1, 1, 1, 1])
+            self.assertGreaterEqual(min(served), 0.95)
+
+        self.run_fleet(main)
+
+    def test_many_sick_requests_cost_bounded_memory_and_writes(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await CrashFleet(loop, vms=2).ready()
+            rule = fleet.vms[0].gateway.crashes.quarantine
+            for number in range(quarantine.MOST_HELD + 40):
+                request = fleet.request(f"{SICK_BOOKING}{number}")
+                for each in range(5):
+                    at = loop.time() + each
+                    server = _Server(f"gone-{number}-{each}")
+                    rule.note_crash(request, server, at, at + 0.01)
+            await pass_time(30.0)
+            self.assertLessEqual(max(_held(fleet)), quarantine.MOST_HELD)
+            self.assertLessEqual(len(_items(fleet)), quarantine.MOST_HELD)
+
+        self.run_fleet(main)
+
+
+async def _same_object(fleet: CrashFleet, target: str) -> float:
+    """Ask for a request of the sick one's object for 5 s; return the part that is served."""
+    answers = []
+    for number in range(50):
+        answers.append((await fleet.ask(number, target)).status)
+        await pass_time(0.05)
+    return answers.count(200) / len(answers)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/soak_vm.py
+++ b/tools/soak_vm.py
@@ -16,7 +16,6 @@
     SIGNALS = StartSignals()
     SIGNALS.take()
 
-import asyncio  # noqa: E402
 import contextlib  # noqa: E402
 import time  # noqa: E402
 from pathlib import Path  # noqa: E402
@@ -53,7 +52,7 @@
     from main import SETTINGS_VARIABLE
     from node_settings import SettingsFile
 
-    from sprucewinch import log
+    from sprucewinch import boot_time_loop, log
     from sprucewinch.gateway.daemon import Gateway
 
     path = Path(os.environ[SETTINGS_VARIABLE])
@@ -66,7 +65,7 @@
         stop_asked=SIGNALS.stop_asked,
         clock=shifted_clock(path.with_suffix(CLOCK_SUFFIX)),
     )
-    asyncio.run(gateway.run())
+    boot_time_loop.run(gateway.run())
 
 
 if __name__ == "__main__":
