--- a/sprucewinch/gateway/crashes/crash_log.py
+++ b/sprucewinch/gateway/crashes/crash_log.py
@@ -151,6 +151,10 @@
         """Return when an equal request last ran to a good end, as monotonic time in seconds."""
         return self._good_ends.get(fingerprint, float("-inf"))
 
+    def crash_count(self, fingerprint: bytes) -> int:
+        """Return of how many crashes a request is a suspect."""
+        return len(self._by_request.get(fingerprint, ()))
+
     def crashes_of(self, fingerprint: bytes) -> list[Crash]:
         """Return the crashes that a request is a suspect of, the earliest first."""
         return sorted(self._by_request.get(fingerprint, {}).values(), key=lambda crash: crash.at)
--- a/sprucewinch/gateway/crashes/quarantine.py
+++ b/sprucewinch/gateway/crashes/quarantine.py
@@ -255,7 +255,7 @@
 
     def is_repeated(self, seen: SeenCrash) -> bool:
         """Return whether one of the requests has lost another server before."""
-        return any(len(self.log.crashes_of(each.fingerprint)) > 1 for each in seen.suspects)
+        return any(self.log.crash_count(each.fingerprint) > 1 for each in seen.suspects)
 
     def trial_begins(self, held: Held) -> None:
         """Note that this VM has taken a trial of a request: the hold begins anew."""
@@ -298,11 +298,13 @@
     def _judge_later(self, seen: SeenCrash) -> None:
         """Judge the requests of a crash once other VMs' reports of it have come."""
         for suspect in seen.suspects:
+            if self.log.crash_count(suspect.fingerprint) < CRASHES:
+                continue
             before = self._unjudged.get(suspect.fingerprint, _Unjudged(seen.at, seen.at))
             self._unjudged[suspect.fingerprint] = _Unjudged(
                 min(before.first, seen.at), max(before.last, seen.at)
             )
-        self.changed.set()
+            self.changed.set()
 
     def _hold(self, suspect: Suspect, judgement: Judgement, now: float) -> None:
         """Refuse a request from now on."""
