--- a/sprucewinch/gateway/crashes/crash_check.py
+++ b/sprucewinch/gateway/crashes/crash_check.py
@@ -14,7 +14,7 @@
 
 import asyncio
 
-from ...net.connection import ConnectFailedError, ConnectRefusedError, connect
+from ...net.connection import ConnectFailedError, connect
 from ..servers.pool import ConnectionPool
 
 CHECK_S = 0.2
@@ -48,11 +48,9 @@
     async def _ask(self, address: str) -> bool:
         try:
             connection = await connect(address, CHECK_S, id_header=self.pool.id_header)
-        except ConnectRefusedError:
-            return not self.pool.has_open(address)
-        except ConnectFailedError:
+        except ConnectFailedError as error:
             # Not refused: a cut or a full queue, which tells nothing of the process.
-            return False
+            return error.refused and not self.pool.has_open(address)
         self.pool.opened += 1
         self.pool.give_back(address, connection)
         return False
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -17,7 +17,6 @@
     Answer,
     ConnectFailedError,
     Connection,
-    ConnectionEndedError,
     ExchangeFailedError,
 )
 from ..crashes.crash_check import CrashCheck
@@ -179,10 +178,9 @@
         request.at_server = True
         try:
             answer = await self._answer(selection.server, connection, request, data)
-        except ConnectionEndedError:
-            return Attempt(backend.id, Verdict.UNKNOWN, True, ENDED)
         except ExchangeFailedError as error:
-            return Attempt(backend.id, Verdict.UNKNOWN, True, str(error))
+            why = ENDED if error.ended else str(error)
+            return Attempt(backend.id, Verdict.UNKNOWN, True, why)
         self.pool.give_back(backend.address, connection, _keep_alive_s(answer))
         judged = judge_answer(answer, self.names, request.id)
         return Attempt(backend.id, judged.verdict, True, judged.why, answer)
--- a/sprucewinch/net/connection.py
+++ b/sprucewinch/net/connection.py
@@ -21,9 +21,7 @@
 __all__ = [
     "Answer",
     "ConnectFailedError",
-    "ConnectRefusedError",
     "Connection",
-    "ConnectionEndedError",
     "ExchangeFailedError",
     "NoAnswer",
     "Patience",
@@ -57,19 +55,29 @@
 
 
 class ConnectFailedError(Exception):
-    """No connection came up, so no byte was sent; another server or a later try may do."""
+    """No connection came up, so no byte was sent; another server or a later try may do.
 
+    Args:
+        problem: What went wrong.
+        refused: True when it was refused: nobody listens there, or too many are connected.
+    """
 
-class ConnectRefusedError(ConnectFailedError):
-    """Nobody listens there: the process has ended, or has not started yet."""
+    def __init__(self, problem: str, *, refused: bool = False) -> None:
+        super().__init__(problem)
+        self.refused = refused
 
 
 class ExchangeFailedError(Exception):
-    """A connection carried no proper answer; the request may have run if it was sent."""
+    """A connection carried no proper answer; the request may have run if it was sent.
 
+    Args:
+        problem: What went wrong.
+        ended: True when the connection ended before the whole answer had come.
+    """
 
-class ConnectionEndedError(ExchangeFailedError):
-    """The connection ended before the whole answer had come."""
+    def __init__(self, problem: str, *, ended: bool = False) -> None:
+        super().__init__(problem)
+        self.ended = ended
 
 
 class Connection(asyncio.Protocol):
@@ -173,7 +181,7 @@
         if exc is None and self._clean_end and self._reader.ends_with_connection:
             self._reader.on_message_complete()
         if not self._waiting.done():
-            self._waiting.set_exception(ConnectionEndedError("the connection ended"))
+            self._waiting.set_exception(ExchangeFailedError("the connection ended", ended=True))
 
     def _received(self, answer: Answer) -> None:
         """Hand over an answer, unless it announces one or belongs to another request."""
@@ -222,18 +230,16 @@
         id_header: See `Connection`.
 
     Raises:
-        ConnectRefusedError: When nobody listens there.
-        ConnectFailedError: When none came up in time for another reason.
+        ConnectFailedError: When none came up in time.
     """
     loop = asyncio.get_running_loop()
     host, port = parse_address(address)
     try:
         opening = loop.create_connection(lambda: Connection(loop, id_header=id_header), host, port)
         _, connection = await run_within(opening, timeout_s)
-    except ConnectionRefusedError as error:
-        raise ConnectRefusedError(f"{address}: {type(error).__name__}") from None
     except (OSError, TimeoutError) as error:
-        raise ConnectFailedError(f"{address}: {type(error).__name__}") from None
+        refused = isinstance(error, ConnectionRefusedError)
+        raise ConnectFailedError(f"{address}: {type(error).__name__}", refused=refused) from None
     _limit_silence(connection)
     return connection
 
