Tell a suspect's earlier crashes with each report, and write what a server teaches before the check

With a tenth of the datagrams lost a tenth of the VMs never knew three crashes by reports alone (6 s, end of the test), as the first was told once.

A server rests from the end of its connection on, not from the end of the check. Soak VMs take a suspension from a file: time since boot jumps, the steady clock does not. Held requests have a module of their own.

--- a/sprucewinch/boot_time_loop.py
+++ b/sprucewinch/boot_time_loop.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 from .clock import since_boot
@@ -17,14 +17,27 @@
 
 
 class BootTimeEventLoop(asyncio.SelectorEventLoop):
-    """asyncio's loop on the time since boot."""
+    """asyncio's loop on the time since boot.
+
+    Args:
+        now: Returns that time, in seconds.
+    """
+
+    def __init__(self, now: Callable[[], float] = since_boot) -> None:
+        self.now = now
+        super().__init__()
 
     def time(self) -> float:
         """Return the time since the VM's boot, in seconds."""
-        return since_boot()
+        return self.now()
+
 
+def run(work: Coroutine[Any, Any, T], now: Callable[[], float] = since_boot) -> T:
+    """Run a coroutine on such a loop and return its result.
 
-def run(work: Coroutine[Any, Any, T]) -> T:
-    """Run a coroutine on such a loop and return its result."""
-    with asyncio.Runner(loop_factory=BootTimeEventLoop) as runner:
+    Args:
+        work: The coroutine.
+        now: Returns the time since boot, in seconds.
+    """
+    with asyncio.Runner(loop_factory=lambda: BootTimeEventLoop(now)) as runner:
         return runner.run(work)
--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -281,11 +281,7 @@
         events=context.events,
     )
     quarantine.reporter = reporter = CrashReporter(
-        name,
-        fleet.datagrams,
-        fleet.follow_role,
-        context.timing,
-        is_repeated=quarantine.is_repeated,
+        fleet.datagrams, fleet.follow_role, context.timing, earlier=quarantine.earlier
     )
     fleet.datagrams.register(CrashReport, quarantine.on_crash_report)
     fleet.datagrams.register(GoodEndReport, quarantine.on_good_end_report)
--- a/sprucewinch/gateway/crashes/crash_log.py
+++ b/sprucewinch/gateway/crashes/crash_log.py
@@ -9,7 +9,7 @@
 """
 
 from collections import OrderedDict, defaultdict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple, Optional
 
 _KEPT_S = 900.0
@@ -107,22 +107,22 @@
         service: str,
         at: float,
         suspects: Mapping[bytes, Suspect],
-        seen_by: str,
+        seen_by: Iterable[str],
     ) -> None:
-        """Join what one VM saw of a crash.
+        """Join what VMs saw of a crash.
 
         Args:
             process: The process that ended.
             service: Service that it ran.
             at: Monotonic time of the crash, in seconds.
-            suspects: That VM's requests there, by fingerprint.
-            seen_by: Name of that VM.
+            suspects: Their requests there, by fingerprint.
+            seen_by: Names of these VMs.
         """
         crash = self.crashes.get(process)
         if crash is None:
             crash = self.crashes[process] = Crash(process, service, at)
         crash.at = min(crash.at, at)
-        crash.seen_by.add(seen_by)
+        crash.seen_by.update(seen_by)
         for suspect in suspects.values():
             if self._good_ends.get(suspect.fingerprint, float("-inf")) < at:
                 crash.add(suspect)
--- a/sprucewinch/gateway/crashes/crash_reports.py
+++ b/sprucewinch/gateway/crashes/crash_reports.py
@@ -1,14 +1,14 @@
 """What VMs tell each other of crashes: which servers ended under which requests, and good ends.
 
 Owns the two messages, and when they are sent: what a VM sees of one crash goes out together, to all
-VMs, once; what names a request that has lost a server before goes out twice more, as a datagram may
-be lost and the next copy may come at any VM. So the cost of a crash grows with the fleet and not
-with its square: 180 bytes a VM from each VM that had a request there. Relies on `follow_role` for
+VMs, once. Where a request has lost a server before, it goes out twice more, with the earlier
+crashes of that request, as a datagram may be lost and the next copy may come at any VM. The cost of
+a crash grows with the fleet and not with its square. Relies on `follow_role` for
 the recipients; `quarantine` judges by what arrives. Tests: `test_gateway_crash_reports`.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -29,7 +29,7 @@
 _MOST_SUSPECTS = 10
 """Requests in one message, so that it fits one packet."""
 
-_MOST_WAITING = 64
+_MOST_WAITING = 256
 """Reports that wait for being sent again at the most; the oldest goes first."""
 
 _MS_PER_S = 1000
@@ -56,7 +56,7 @@
     """What one VM saw of the end of a server's process.
 
     Args:
-        sender: Name of the VM.
+        seen_by: VMs that saw it.
         server: Id of the server.
         incarnation: Which process it was; 0 when that is not known.
         service: Service that it ran.
@@ -64,7 +64,7 @@
         suspects: The VM's requests there.
     """
 
-    sender: str
+    seen_by: tuple[str, ...]
     server: str
     incarnation: int
     service: str
@@ -85,21 +85,23 @@
 
 
 class SeenCrash(NamedTuple):
-    """What this VM saw of a crash.
+    """What VMs saw of a crash.
 
     Args:
+        seen_by: Names of these VMs.
         process: The process that ended.
         service: Service that it ran.
         at: Monotonic time of the crash, in seconds.
-        suspects: This VM's requests there.
+        suspects: Their requests there.
     """
 
+    seen_by: tuple[str, ...]
     process: ServerProcess
     service: str
     at: float
     suspects: tuple[Suspect, ...]
 
-    def report(self, sender: str, now: float) -> CrashReport:
+    def report(self, now: float) -> CrashReport:
         """Return the message, at a monotonic time in seconds."""
         rows = [
             SuspectRow(s.fingerprint, s.target_hash, s.what, _ms(self.at - s.started))
@@ -107,7 +109,7 @@
         ]
         process = self.process
         return CrashReport(
-            sender,
+            self.seen_by,
             process.server_id,
             process.incarnation,
             self.service,
@@ -128,7 +130,8 @@
         Suspect(row.fingerprint, row.target_hash, row.what, at - row.run_ms / _MS_PER_S)
         for row in report.suspects
     )
-    return SeenCrash(ServerProcess(report.server, report.incarnation), report.service, at, suspects)
+    process = ServerProcess(report.server, report.incarnation)
+    return SeenCrash(report.seen_by, process, report.service, at, suspects)
 
 
 class _Due(NamedTuple):
@@ -142,27 +145,24 @@
     """Sends what this VM sees.
 
     Args:
-        name: Name of this VM.
         datagrams: The endpoint between VMs.
         follow_role: Chooses the recipients.
         timing: Sources of time and randomness.
-        is_repeated: Returns whether a crash's report is sent again.
+        earlier: Returns the earlier crashes of a crash's requests; a report with some is repeated.
     """
 
     def __init__(
         self,
-        name: str,
         datagrams: Datagrams,
         follow_role: FollowRole,
         timing: Timing,
         *,
-        is_repeated: Callable[[SeenCrash], bool],
+        earlier: Callable[[SeenCrash], Sequence[SeenCrash]],
     ) -> None:
-        self.name = name
         self.datagrams = datagrams
         self.follow_role = follow_role
         self.timing = timing
-        self.is_repeated = is_repeated
+        self.earlier = earlier
         self._gathered: dict[ServerProcess, list[Suspect]] = {}
         self._crashes: dict[ServerProcess, SeenCrash] = {}
         self._due: list[_Due] = []
@@ -203,8 +203,12 @@
         for process, suspects in self._gathered.items():
             seen = self._crashes[process]._replace(suspects=tuple(suspects))
             self._send_crash(seen, now)
-            if self.is_repeated(seen):
-                self._due += [_Due(now + pause_s, seen) for pause_s in _REPEATS_S]
+            earlier = self.earlier(seen)
+            for crash in earlier:
+                self._send_crash(crash, now)
+            if earlier:
+                told = (seen, *earlier)
+                self._due += [_Due(now + pause_s, each) for pause_s in _REPEATS_S for each in told]
         self._gathered.clear()
         self._crashes.clear()
         del self._due[:-_MOST_WAITING]
@@ -219,7 +223,7 @@
     def _send_crash(self, seen: SeenCrash, now: float) -> None:
         for start in range(0, len(seen.suspects), _MOST_SUSPECTS):
             part = seen.suspects[start : start + _MOST_SUSPECTS]
-            self._send(seen._replace(suspects=part).report(self.name, now))
+            self._send(seen._replace(suspects=part).report(now))
 
     def _send(self, message: msgspec.Struct) -> None:
         recipients = self.follow_role.recipients(changed=True)
--- a/sprucewinch/gateway/crashes/quarantine.py
+++ b/sprucewinch/gateway/crashes/quarantine.py
@@ -9,7 +9,7 @@
 Rule: a request that `guilt` finds guilty is refused at once, at each VM that knows it: by the
 reports of others within `SETTLE_S` and a tenth of a second, by the store's item within two. Refused
 is that request alone: same caller, target and body. A good end of an equal one lets it go at once,
-everywhere; so does an operator who removes its item. It is tried again after `HOLDS_S`, once in the
+everywhere; so does an operator who removes its item. It is tried again as `held` says, once in the
 fleet each time: the VM whose write to the store takes the trial sends it. No trial is left once it
 has ended `MOST_CRASHES` servers. A suspect that is not refused yet goes to servers by its own order
 instead of its object's, so that one of several suspects does not meet the others again, and its
@@ -33,22 +33,15 @@
 from ..resources import CrashEvidence, QuarantinedRequest
 from ..servers.backend_server import BackendServer
 from ..state.store_view import Change, StoreView
-from .crash_log import CrashLog, ServerProcess, Suspect
+from .crash_log import Crash, CrashLog, ServerProcess, Suspect
 from .crash_reports import CrashReport, GoodEndReport, SeenCrash, seen_crash
 from .fingerprint import fingerprint, target_hash
 from .guilt import CRASHES, MOST_CRASHES, Judgement, judge
-
-HOLDS_S = (60.0, 600.0, 3600.0)
-"""Times for which a request is refused before its first, second and third trial, in seconds. The
-first is longer than servers take to come back and warm up; a release that mends the service takes
-minutes to hours. Guesses, never measured."""
+from .held import Held
 
 _LEAST_TRIALS = 1
 """Trials of a request that ended many servers before any VM could know: each may be wrong once."""
 
-NO_TRIAL_RETRY_S = 3600.0
-"""Retry-After of a request that has no trial left, in seconds: an operator has to let it go."""
-
 MOST_HELD = 256
 """Requests that are held at once at the most; the one held longest goes, so that callers who send
 many cost no memory. 0.2 MB at each VM (worked out)."""
@@ -83,38 +76,6 @@
     on_trial: bool
 
 
-class Held(NamedTuple):
-    """A request that is refused.
-
-    Args:
-        request: What the store holds of it, or will.
-        since: Monotonic time from which its hold counts, in seconds.
-        revision: Revision of its item; 0 until the store has it.
-        witnessed: True when this VM saw one of the crashes.
-    """
-
-    request: QuarantinedRequest
-    since: float
-    revision: int = 0
-    witnessed: bool = False
-
-    @property
-    def fingerprint(self) -> bytes:
-        """Return what names the request."""
-        return bytes.fromhex(self.request.fingerprint)
-
-    def retry_after_s(self, now: float) -> float:
-        """Return the time until it is tried again, in seconds; 0 when it is due."""
-        if not self.request.trials_left:
-            return NO_TRIAL_RETRY_S
-        hold_s = HOLDS_S[min(self.request.trials, len(HOLDS_S) - 1)]
-        return max(0.0, self.since + hold_s - now)
-
-    def trial_is_due(self, now: float) -> bool:
-        """Return whether it may be tried again now."""
-        return self.revision > 0 and self.retry_after_s(now) <= 0
-
-
 class _Unjudged(NamedTuple):
     """Crashes of a request that are to be judged: monotonic times, in seconds."""
 
@@ -221,8 +182,8 @@
         suspect = Suspect(self.fingerprint(request), target, what, started)
         backend = server.backend
         process = ServerProcess(backend.id, backend.incarnation or 0)
-        seen = SeenCrash(process, backend.service, ended, (suspect,))
-        self._add(seen, self.name)
+        seen = SeenCrash((self.name,), process, backend.service, ended, (suspect,))
+        self._add(seen)
         if self.reporter is not None:
             self.reporter.add(seen)
         self._judge_later(seen)
@@ -246,16 +207,23 @@
     def on_crash_report(self, report: CrashReport, now: float) -> None:
         """Join what another VM saw of a crash."""
         seen = seen_crash(report, now)
-        self._add(seen, report.sender)
+        self._add(seen)
         self._judge_later(seen)
 
     def on_good_end_report(self, report: GoodEndReport, now: float) -> None:
         """Clear a request that ran to a good end at another VM."""
         self._clear(report.fingerprint, now, "it ran to a good end at another VM")
 
-    def is_repeated(self, seen: SeenCrash) -> bool:
-        """Return whether one of the requests has lost another server before."""
-        return any(self.log.crash_count(each.fingerprint) > 1 for each in seen.suspects)
+    def earlier(self, seen: SeenCrash) -> list[SeenCrash]:
+        """Return the latest other crashes of the requests of a crash, each with these alone."""
+        found: dict[ServerProcess, SeenCrash] = {}
+        for suspect in seen.suspects:
+            for crash in self.log.crashes_of(suspect.fingerprint)[-MOST_CRASHES:]:
+                if crash.process != seen.process:
+                    known = found.get(crash.process, _told(crash))
+                    there = crash.suspects[suspect.fingerprint]
+                    found[crash.process] = known._replace(suspects=(*known.suspects, there))
+        return list(found.values())
 
     def trial_begins(self, held: Held) -> None:
         """Note that this VM has taken a trial of a request: the hold begins anew."""
@@ -268,9 +236,9 @@
             request.target_hash = target_hash(request.method, request.host, request.target)
         return request.target_hash
 
-    def _add(self, seen: SeenCrash, seen_by: str) -> None:
+    def _add(self, seen: SeenCrash) -> None:
         suspects = {suspect.fingerprint: suspect for suspect in seen.suspects}
-        self.log.add(seen.process, seen.service, seen.at, suspects, seen_by)
+        self.log.add(seen.process, seen.service, seen.at, suspects, seen.seen_by)
 
     def judge_settled(self) -> None:
         """Refuse the requests that are guilty by crashes of which all reports have come."""
@@ -382,6 +350,11 @@
         self._put(held)
 
 
+def _told(crash: Crash) -> SeenCrash:
+    """Return what is told of a crash, without the requests that were there."""
+    return SeenCrash(tuple(sorted(crash.seen_by)), crash.process, crash.service, crash.at, ())
+
+
 async def _never(_held: Held) -> bool:
     """Return False: without the store no trial can be taken."""
     return False
--- a/sprucewinch/gateway/crashes/quarantine_store.py
+++ b/sprucewinch/gateway/crashes/quarantine_store.py
@@ -20,7 +20,8 @@
 from ..state.store import Store, StoreUnavailableError
 from ..state.store_view import StoreView
 from ..timing import Timing
-from .quarantine import MOST_HELD, Held, Quarantine
+from .held import Held
+from .quarantine import MOST_HELD, Quarantine
 
 _LOOK_S = 0.5
 """Longest time between two looks for a write that is due, in seconds. A guess, never measured."""
--- a/sprucewinch/gateway/requests/outcome/final_answer.py
+++ b/sprucewinch/gateway/requests/outcome/final_answer.py
@@ -32,7 +32,7 @@
 import random
 from typing import Optional
 
-from ...crashes.quarantine import Held
+from ...crashes.held import Held
 from ...resources import Route
 from ..client_request import Attempt, ClientRequest, RefusalReason, Reply, Verdict
 
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Optional, Union
 
-from ..crashes.quarantine import Held
+from ..crashes.held import Held
 from ..resources import Route, RouteConfiguration
 from ..servers.backend_registry import BackendRegistry
 from ..settings import Bounds
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -122,21 +122,26 @@
         attempt = await self._attempt(request, selection, started, until, most_rest_s)
         request.at_server = False
         attempt = attempt._replace(seconds=self.monotonic() - started)
-        attempt = await self._look_for_crash(request, selection, attempt, started)
+        self._conclude(request, server, attempt, started)
+        return await self._look_for_crash(request, selection, attempt, started)
+
+    def _conclude(
+        self, request: ClientRequest, server: BackendServer, attempt: Attempt, started: float
+    ) -> None:
+        """Keep what an attempt tells of its server."""
         now = self.monotonic()
         if attempt.why in (NOT_OFFERED, QUARANTINED):
             # No byte was sent: this tells nothing of the server and is no send to a cold one.
             server.cold_sends.take_back(started)
-            return attempt
+            return
         if attempt.why == RESTARTED:
             # The process that this tells of has ended; the next one starts with nothing.
-            return attempt
+            return
         self._learn(server, attempt, started, now, request)
         if server.cold(started):
             self._note_cold(server, attempt)
         else:
             self._sample(server, attempt, request.key, now)
-        return attempt
 
     async def _attempt(
         self,
--- a/tests/test_formats_crashes.py
+++ b/tests/test_formats_crashes.py
@@ -14,7 +14,7 @@
 from sprucewinch.gateway.state.store_view import MalformedItemError
 
 CRASH = (
-    b"\x97\xa5crash\xa3vm1\xa3i-7\x07\xa5rates\x0c\x91\x94\xc4\x02\x01\x02\xce\x00\x01\x00\x00"
+    b"\x97\xa5crash\x91\xa3vm1\xa3i-7\x07\xa5rates\x0c\x91\x94\xc4\x02\x01\x02\xce\x00\x01\x00\x00"
     b"\xa6GET /a,"
 )
 GOOD_END = b"\x93\xa4well\xc4\x02\x01\x02\x0c"
@@ -34,7 +34,7 @@
 class Formats(unittest.TestCase):
     def test_messages(self) -> None:
         row = SuspectRow(b"\x01\x02", 65536, "GET /a", 44)
-        report = CrashReport("vm1", "i-7", 7, "rates", 12, (row,))
+        report = CrashReport(("vm1",), "i-7", 7, "rates", 12, (row,))
         self.assertEqual(msgspec.msgpack.encode(report), CRASH)
         self.assertEqual(msgspec.msgpack.decode(CRASH, type=CrashReport), report)
         good_end = GoodEndReport(b"\x01\x02", 12)
--- a/tests/test_gateway_guilt.py
+++ b/tests/test_gateway_guilt.py
@@ -49,7 +49,7 @@
         return
     process = ServerProcess(f"i-{report.server}")
     for stay in report.stays:
-        log.add(process, "rates", report.at, {stay.request: _suspect(stay)}, stay.vm)
+        log.add(process, "rates", report.at, {stay.request: _suspect(stay)}, (stay.vm,))
 
 
 def oracle(
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -7,8 +7,8 @@
 from typing import Any
 from unittest import mock
 
-from sprucewinch.gateway.crashes import quarantine
-from sprucewinch.gateway.crashes.quarantine import NO_TRIAL_RETRY_S
+from sprucewinch.gateway.crashes import held, quarantine
+from sprucewinch.gateway.crashes.held import NO_TRIAL_RETRY_S
 from sprucewinch.gateway.requests.client_request import RefusalReason
 from standins.consortium_store import Fault
 from standins.virtual import VirtualLoop, pass_time, run_virtual
@@ -39,7 +39,7 @@
 
 class _Fleet(unittest.TestCase):
     def run_fleet(self, main: Callable[[VirtualLoop], Coroutine[Any, Any, None]]) -> None:
-        with mock.patch.object(quarantine, "HOLDS_S", HOLDS_S):
+        with mock.patch.object(held, "HOLDS_S", HOLDS_S):
             run_virtual(main)
 
 
@@ -85,7 +85,7 @@
             late = asyncio.create_task(fleet.ask(3, SICK))
             await pass_time(0.01)
             request = fleet.request(SICK)
-            held = fleet.vms[3].gateway.crashes.quarantine
+            rule = fleet.vms[3].gateway.crashes.quarantine
             log = fleet.vms[0].gateway.crashes.quarantine
             for listener in loop.listeners.values():
                 listener.late_s = 0.0
@@ -94,7 +94,7 @@
                 ended = loop.time() - 0.6 + 0.1 * number
                 log.note_crash(request, server, ended - 0.05, ended)
             self.assertEqual((await late).status, 503)
-            self.assertEqual(len(held.held), 1)
+            self.assertEqual(len(rule.held), 1)
             self.assertEqual(fleet.sends(SICK), 0)
 
         self.run_fleet(main)
--- /dev/null
+++ b/tests/test_process_crashing_requests.py
@@ -0,0 +1,83 @@
+"""A request that crashes servers, with the real program as processes and real sockets."""
+
+import asyncio
+import time
+import unittest
+
+from standins.scripted_server import Run, ScriptedServer
+
+from .gateway_process import GatewayCase
+
+_SICK = "/rates/sick"
+_DOWN_S = 1.5
+_KNOWN_S = 3.0
+_SECONDS = 8.0
+
+
+class CrashingRequests(GatewayCase):
+    vm_count = 3
+    servers = 8
+
+    async def asyncSetUp(self) -> None:
+        self.listening: dict[str, asyncio.Server] = {}
+        self.crashed_at: list[float] = []
+        self.sent_at: list[float] = []
+        self.starts: set[asyncio.Task] = set()
+        await super().asyncSetUp()
+
+    async def _listen(self, accept) -> str:
+        server = await asyncio.get_running_loop().create_server(accept, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        owner = getattr(accept, "__self__", None)
+        if isinstance(owner, ScriptedServer):
+            self.listening[owner.server_id] = server
+            owner.on_run = lambda run: self._run(owner, run)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    def _run(self, backend: ScriptedServer, run: Run) -> None:
+        if run.target == _SICK:
+            self.sent_at.append(time.monotonic())
+            asyncio.get_running_loop().call_later(0.04, self._crash, backend)
+
+    def _crash(self, backend: ScriptedServer) -> None:
+        server = self.listening.pop(backend.server_id, None)
+        if server is None:
+            return
+        self.crashed_at.append(time.monotonic())
+        server.close()
+        backend.reset()
+        self.starts.add(asyncio.create_task(self._start_again(backend.server_id)))
+
+    async def _start_again(self, server_id: str) -> None:
+        await asyncio.sleep(_DOWN_S)
+        again = ScriptedServer(asyncio.get_running_loop(), f"{server_id}+")
+        self.backends.append(again)
+        await self._list(again, await self._listen(again.accept))
+        self.store.remove(f"servers/{server_id}")
+
+    async def test_one_is_refused_by_all_vms_and_by_one_that_starts(self) -> None:
+        statuses: list[int] = []
+        end = time.monotonic() + _SECONDS
+        number = 0
+        while time.monotonic() < end:
+            number += 1
+            vm = self.vms[number % len(self.vms)]
+            statuses.append((await self.ask(vm, _SICK, f"sick{number}"))[0])
+            answer = await self.ask(vm, f"/rates/{number}", f"q{number}")
+            self.assertEqual(answer[0], 200)
+            await asyncio.sleep(0.15)
+        later = [at for at in self.sent_at if at > self.crashed_at[2] + _KNOWN_S]
+        self.assertEqual(later, [])
+        self.assertLessEqual(len(self.crashed_at), 6)
+        status, body, headers = await self.ask(self.vms[0], _SICK, "last")
+        self.assertEqual((status, body), (503, b'{"reason":"crashes-servers"}'))
+        self.assertGreater(float(headers["retry-after"]), 30.0)
+        await self.vms[0].kill()
+        await self.vms[0].start()
+        await self.until(lambda: self.ready(self.vms[0]), "the VM to be ready again")
+        self.assertEqual((await self.ask(self.vms[0], _SICK, "again"))[0], 503)
+        self.assertEqual(len([at for at in self.sent_at if at > self.crashed_at[2] + 3.0]), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/soak_vm.py
+++ b/tools/soak_vm.py
@@ -1,7 +1,9 @@
-"""One entry VM with a time of day that a file shifts; else the same as `platform/main.py`.
+"""One entry VM with clocks that files shift; else the same as `platform/main.py`.
 
-Owns the program that the soak starts in place of `platform/main.py`. The file's name is that of the
-settings with the suffix `CLOCK_SUFFIX`; it holds seconds, and no file means no shift.
+Owns the program that the soak starts in place of `platform/main.py`. The files' names are that of
+the settings with the suffixes `CLOCK_SUFFIX` (time of day) and `SUSPENDED_SUFFIX` (time since boot,
+as after suspensions that the steady clock did not count); each holds seconds, and no file means no
+shift.
 """
 
 import os
@@ -27,25 +29,48 @@
 CLOCK_SUFFIX = ".clock"
 """Suffix of the file that holds the shift of the time of day, in seconds."""
 
+SUSPENDED_SUFFIX = ".suspended"
+"""Suffix of the file that holds how long the VM was suspended in all, in seconds."""
 
-def shifted_clock(offset_file: Path) -> "Clock":
-    """Return the system's clocks with the time of day shifted as a file says."""
-    from sprucewinch.clock import SystemClock
+_READ_AGAIN_S = 0.05
+"""Time after which the file of suspensions is read again, in seconds: each timer asks the clock."""
+
+
+def shifted_clock(settings: Path) -> "Clock":
+    """Return the system's clocks, shifted as the files beside some settings say."""
+    from sprucewinch.clock import SystemClock, since_boot
 
     class ShiftedClock(SystemClock):
-        """The system's clocks, but for the time of day."""
+        """The system's clocks with their shifts."""
+
+        def __init__(self) -> None:
+            self.suspended_s = 0.0
+            self.read_at = float("-inf")
+
+        def monotonic(self) -> float:
+            """Return the time since boot, suspensions included, in seconds."""
+            now = since_boot()
+            if now - self.read_at > _READ_AGAIN_S:
+                self.read_at = now
+                shift = _shift(settings.with_suffix(SUSPENDED_SUFFIX))
+                self.suspended_s = max(self.suspended_s, shift)
+            return now + self.suspended_s
 
         def wall(self) -> float:
             """Return the time of day, in seconds since the epoch."""
-            offset = 0.0
-            # Silence is right: no file means no shift, and a half-written one is read again.
-            with contextlib.suppress(OSError, ValueError):
-                offset = float(offset_file.read_text(encoding="utf-8"))
-            return time.time() + offset
+            return time.time() + _shift(settings.with_suffix(CLOCK_SUFFIX))
 
     return ShiftedClock()
 
 
+def _shift(file: Path) -> float:
+    """Return the seconds that a file holds; 0 without it."""
+    # Silence is right: no file means no shift, and a half-written one is read again.
+    with contextlib.suppress(OSError, ValueError):
+        return float(file.read_text(encoding="utf-8"))
+    return 0.0
+
+
 def main() -> None:
     """Run until a signal stops the process."""
     from consortium import ConsortiumAdapter
@@ -58,14 +83,15 @@
     path = Path(os.environ[SETTINGS_VARIABLE])
     log.configure_lines()
     file = SettingsFile(path)
+    clock = shifted_clock(path)
     gateway = Gateway(
         file.settings,
         ConsortiumAdapter(),
         reread=file.reread,
         stop_asked=SIGNALS.stop_asked,
-        clock=shifted_clock(path.with_suffix(CLOCK_SUFFIX)),
+        clock=clock,
     )
-    boot_time_loop.run(gateway.run())
+    boot_time_loop.run(gateway.run(), clock.monotonic)
 
 
 if __name__ == "__main__":
