--- a/standins/relay.py
+++ b/standins/relay.py
@@ -52,6 +52,12 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def refuse(self) -> None:
+        """Close all connections and listen no more, as when the process behind it has ended."""
+        if self._server is not None:
+            self._server.close()
+        self.cut()
+
     def mend(self) -> None:
         """Accept connections again."""
         self.is_cut = False
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,7 +19,7 @@
 from tools.soak.backend_servers import SoakServer, body_of
 from tools.soak.configuration import BOOK, RATES
 from tools.soak.day import plan
-from tools.soak.ledger import Attempt, End, Leaving, Ledger, Struck, Version
+from tools.soak.ledger import Attempt, End, Leaving, Ledger, SickSend, Struck, Version
 from tools.soak.promises.answers import judge_answer
 from tools.soak.promises.evidence import Evidence, gather_runs
 from tools.soak.promises.judge import judge
@@ -74,6 +74,23 @@
 
 
 class PromisesAreJudged(unittest.TestCase):
+    def test_a_request_that_crashes_servers_and_is_sent_on(self) -> None:
+        for sends, expected in ((3, set()), (4, {"CRASHES"})):
+            day = Judged()
+            day.attempt()
+            day.ledger.crashes["/rates/sick"] += [90.0, 90.2, 90.4]
+            for number in range(sends):
+                day.ledger.sick_sends.append(SickSend(f"s{number}", "/rates/sick", "vm1"))
+                day.run(f"s{number}", "i-1", 94.0 + number)
+            self.assertEqual(day.rules(), expected)
+
+    def test_a_proper_request_that_is_refused_for_crashing_servers(self) -> None:
+        day = Judged()
+        attempt = day.attempt(status=503, ran_at="")
+        refusal = b'{"reason":"crashes-servers"}'
+        judge_answer(day.ledger, attempt, refusal, {"Retry-After": "60"})
+        self.assertEqual({broken.rule for broken in day.ledger.broken}, {"INNOCENT"})
+
     def test_a_plain_day_breaks_nothing(self) -> None:
         day = Judged()
         day.attempt()
--- a/tools/soak/backend_servers.py
+++ b/tools/soak/backend_servers.py
@@ -35,6 +35,15 @@
 _MS_PER_S = 1000
 """Milliseconds in a second."""
 
+_CRASH_AFTER_S = 0.04
+"""Seconds that a run which crashes its server takes. A guess, never measured."""
+
+_BACK_AFTER_S = 1.0
+"""Seconds until another server takes the place of one that crashed. A guess, never measured."""
+
+_LAPSES_AFTER_S = 3.0
+"""Seconds more until the entry of one that crashed lapses. A guess, never measured."""
+
 _FIRST_BORN_MS = 1_764_000_000_000
 """Unix time before the start of every server, in milliseconds; only the order of starts counts."""
 
@@ -86,6 +95,8 @@
 class BackendServers:
     """All backend servers of a day; `running` holds those that have not left, by their ids.
 
+    Each run for a target in `sick` crashes its server.
+
     Args:
         store: The store that lists them.
         wiring: Makes the way to each.
@@ -95,7 +106,9 @@
     def __init__(self, store: StoreStandIn, wiring: Wiring, ledger: Ledger) -> None:
         self.running: dict[str, SoakServer] = {}
         self._gone: list[SoakServer] = []
+        self.sick: set[str] = set()
         self._evacuations: Counter[str] = Counter()
+        self._work: set[asyncio.Task] = set()
         self._numbers = 0
         self._store = store
         self._wiring = wiring
@@ -113,6 +126,7 @@
         stand_in = _stand_in(loop, f"i-{self._numbers}", cold_s)
         link = await self._wiring.behind_relay(stand_in.accept)
         server = self.running[stand_in.server_id] = SoakServer(stand_in, service, zone, link)
+        stand_in.on_run = lambda run: self._on_run(server, run)
         self._store.put(_key(server), server.entry(warm_in_s=cold_s))
         return server
 
@@ -156,6 +170,7 @@
             stand_in, server.service, server.zone, server.link, lives=server.lives + 1
         )
         self.running[stand_in.server_id] = again
+        stand_in.on_run = lambda run: self._on_run(again, run)
         self._store.put(_key(again), again.entry(warm_in_s=_COLD_AGAIN_S))
 
     async def spoil_entry(self, server: SoakServer, value: bytes, for_s: float) -> None:
@@ -181,6 +196,29 @@
         if not self._evacuations[zone]:
             self._store.remove(f"op/evacuate/{zone}")
 
+    def _on_run(self, server: SoakServer, run: Run) -> None:
+        if run.target in self.sick:
+            loop = asyncio.get_running_loop()
+            loop.call_later(_CRASH_AFTER_S, self._crash_under, server, run.target)
+
+    def _crash_under(self, server: SoakServer, target: str) -> None:
+        """End a server's process under a request; it says nothing, and another one follows."""
+        if self.running.get(server.stand_in.server_id) is not server:
+            return
+        self._goes(server)
+        server.link.refuse()
+        server.stand_in.reset()
+        self._ledger.crashes[target].append(asyncio.get_running_loop().time())
+        task = asyncio.create_task(self._replace(server))
+        self._work.add(task)
+        task.add_done_callback(self._work.discard)
+
+    async def _replace(self, server: SoakServer) -> None:
+        await asyncio.sleep(_BACK_AFTER_S)
+        await self.add(server.service, server.zone, cold_s=_COLD_AGAIN_S)
+        await asyncio.sleep(_LAPSES_AFTER_S)
+        self._store.remove(_key(server))
+
     def _goes(self, server: SoakServer) -> None:
         self._gone.append(self.running.pop(server.stand_in.server_id))
 
--- a/tools/soak/ledger.py
+++ b/tools/soak/ledger.py
@@ -107,6 +107,20 @@
     rule: str
 
 
+class SickSend(NamedTuple):
+    """One try of a request that crashes the backend servers which run it.
+
+    Args:
+        request_id: Its id.
+        target: What it is for; equal for all tries.
+        vm: Entry VM that it was sent to.
+    """
+
+    request_id: str
+    target: str
+    vm: str
+
+
 class Broken(NamedTuple):
     """A promise that was broken.
 
@@ -128,6 +142,8 @@
         self.versions: list[Version] = []
         self.leavings: list[Leaving] = []
         self.broken: list[Broken] = []
+        self.sick_sends: list[SickSend] = []
+        self.crashes: dict[str, list[float]] = defaultdict(list)
         self.ends: dict[str, list[tuple[float, int]]] = defaultdict(list)
         self.signalled: dict[str, list[tuple[float, int]]] = defaultdict(list)
         self.quiet_from = float("inf")
--- a/tools/soak/promises/answers.py
+++ b/tools/soak/promises/answers.py
@@ -1,7 +1,7 @@
 """Judges an answer as a caller gets it: that it is its own, whole, and one that may be given.
 
-Owns the promises MIXED, DENIED, FAULT and COME BACK. Relies on `backend_servers` for the body that
-only one request may get.
+Owns the promises MIXED, DENIED, FAULT, COME BACK and INNOCENT. Relies on `backend_servers` for the
+body that only one request may get.
 """
 
 from collections.abc import Mapping
@@ -19,6 +19,9 @@
 _FORBIDDEN = (400, 401, 403, 404, 413, 431)
 """Statuses that the requests of these callers never deserve on routes that always exist."""
 
+_CRASHES_SERVERS = b"crashes-servers"
+"""Reason that none of these callers' requests may be refused for."""
+
 _SIGNATURE = "X-Response-Signature"
 """Header by which a backend server's own answers are known."""
 
@@ -35,6 +38,8 @@
         ledger.breaks("FAULT", f"{request_id} at {attempt.vm} got {_FAULT:d}")
     elif status == HTTPStatus.SERVICE_UNAVAILABLE and "Retry-After" not in headers:
         ledger.breaks("COME BACK", f"{request_id} is not told when to come back")
+    elif status == HTTPStatus.SERVICE_UNAVAILABLE and _CRASHES_SERVERS in body:
+        ledger.breaks("INNOCENT", f"{request_id} was refused as one that crashes servers")
 
 
 def _is_own(request_id: str, body: bytes, headers: Mapping[str, str]) -> bool:
--- a/tools/soak/promises/judge.py
+++ b/tools/soak/promises/judge.py
@@ -7,6 +7,7 @@
 
 from ..ledger import Broken
 from .configuration import in_force, never_older
+from .crashing import sent_on_rarely
 from .evidence import Evidence
 from .leavings import left_alone
 from .recovery import recovers
@@ -26,6 +27,7 @@
     no_end_of_its_own,
     stops_in_time,
     recovers,
+    sent_on_rarely,
 )
 
 
--- a/tools/soak/troubles/kinds.py
+++ b/tools/soak/troubles/kinds.py
@@ -2,7 +2,7 @@
 
 Owns their order. A seed draws a kind by its place here: a kind that is added, moved or taken out
 gives the seeds in `tests/soak_seeds.toml` another day than the one they are kept for. So new kinds
-go into `ADDED_KINDS`, from which only seeds from `FIRST_SEED_OF_ALL_KINDS` on draw.
+go into a list of their own, from which only seeds from some number on draw.
 """
 
 from .operators import Change, Evacuate
@@ -16,11 +16,13 @@
     RollingStop,
     Stop,
     StopTwice,
+    Suspend,
 )
 from .servers import (
     Crash,
     Leave,
     ServerLink,
+    SickRequest,
     SlowServers,
     SpoilAnswers,
     SpoilEntry,
@@ -55,10 +57,20 @@
 
 ADDED_KINDS: tuple[type[Trouble], ...] = (StartAgain, SpoilEntry)
 
-FIRST_SEED_OF_ALL_KINDS = 100_000
+FIRST_SEED_OF_ADDED_KINDS = 100_000
 """First seed whose day draws from `ADDED_KINDS` too; days of the seeds before stay as they are."""
 
+CRASH_KINDS: tuple[type[Trouble], ...] = (SickRequest, SickRequest, SickRequest, Suspend)
+"""A request that crashes servers is drawn more often than others: it needs a day of them."""
+
+FIRST_SEED_OF_CRASH_KINDS = 200_000
+"""First seed whose day draws from `CRASH_KINDS` too."""
+
 
 def kinds_of(seed: int) -> tuple[type[Trouble], ...]:
     """Return the kinds that the day of a seed draws from."""
-    return KINDS if seed < FIRST_SEED_OF_ALL_KINDS else (*KINDS, *ADDED_KINDS)
+    if seed < FIRST_SEED_OF_ADDED_KINDS:
+        return KINDS
+    if seed < FIRST_SEED_OF_CRASH_KINDS:
+        return (*KINDS, *ADDED_KINDS)
+    return (*KINDS, *ADDED_KINDS, *CRASH_KINDS)
--- a/tools/soak/troubles/processes.py
+++ b/tools/soak/troubles/processes.py
@@ -1,7 +1,7 @@
 """Troubles of the entry VMs' own processes: stops, kills, pauses, settings and the time of day.
 
 Owns one class a kind. Relies on the world's keeper to start a process again, and on
-`tools/soak_vm.py` for the time of day. Durations are guesses, never measured: they only have to
+`tools/soak_vm.py` for its clocks. Durations are guesses, never measured: they only have to
 vary.
 """
 
@@ -10,7 +10,7 @@
 import signal
 
 from tools.entry_vm import EntryVm
-from tools.soak_vm import CLOCK_SUFFIX
+from tools.soak_vm import CLOCK_SUFFIX, SUSPENDED_SUFFIX
 
 from ..world import World
 from .trouble import DAZED_S, EVEN, Trouble
@@ -122,3 +122,19 @@
         clock.write_text(str(self.rng.uniform(-4, 4)), encoding="utf-8")
         await asyncio.sleep(self.for_s)
         clock.unlink()
+
+
+class Suspend(VmTrouble):
+    """The VM is suspended: its process stands still, and only the time since boot goes on."""
+
+    async def _happen(self) -> None:
+        process = self.vm.process
+        self.world.keeper.signal(self.vm, signal.SIGSTOP)
+        try:
+            await asyncio.sleep(self.for_s)
+        finally:
+            file = self.vm.settings.with_suffix(SUSPENDED_SUFFIX)
+            before = float(file.read_text(encoding="utf-8")) if file.exists() else 0.0
+            file.write_text(str(before + self.rng.uniform(2, 6)), encoding="utf-8")
+            if process is not None and process.returncode is None:
+                process.send_signal(signal.SIGCONT)
--- a/tools/soak/troubles/servers.py
+++ b/tools/soak/troubles/servers.py
@@ -5,14 +5,24 @@
 """
 
 import asyncio
+import itertools
+
+import aiohttp
 
 from standins.scripted_server import Spoil
 
 from ..backend_servers import SoakServer
-from ..ledger import SERVERS
+from ..configuration import HOST, RATES
+from ..ledger import SERVERS, SickSend
 from .links import spoil_link
 from .trouble import EVEN, Trouble
 
+_SICK_PAUSE_S = 0.15
+"""Seconds between two tries of a request that crashes servers. A guess, never measured."""
+
+_SICK_WAIT_S = 3.0
+"""Seconds that its caller waits for an answer. A guess, never measured."""
+
 
 class ServerTrouble(Trouble):
     """Strikes a backend server; the entry VMs stay bound by everything."""
@@ -89,3 +99,30 @@
         await self.world.backends.spoil_entry(
             self.any_server(), self.rng.choice(values), self.for_s
         )
+
+
+class SickRequest(ServerTrouble):
+    """One request crashes each server that runs it, and comes again at any VM, to the day's end."""
+
+    async def _happen(self) -> None:
+        target = f"/{RATES}/sick{self.rng.randrange(1_000_000)}"
+        self.world.backends.sick.add(target)
+        timeout = aiohttp.ClientTimeout(total=_SICK_WAIT_S)
+        async with asyncio.TaskGroup() as tries, aiohttp.ClientSession(timeout=timeout) as session:
+            for number in itertools.count():
+                vm = self.rng.choice(tuple(self.world.vms))
+                send = SickSend(f"{target}-{number}", target, vm)
+                self.world.ledger.sick_sends.append(send)
+                tries.create_task(self._try(session, send))
+                await asyncio.sleep(_SICK_PAUSE_S)
+
+    async def _try(self, session: aiohttp.ClientSession, send: SickSend) -> None:
+        """Send the request once; what comes of it is judged by what reached servers."""
+        headers = {"Host": HOST, "X-Request-Id": send.request_id, "Cookie": "X-Affinity-Key=sick"}
+        url = self.world.vms[send.vm].url("Front", send.target)
+        try:
+            async with session.get(url, headers=headers) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError):
+            # Silence is right: the VM may be down, and this caller only tries again.
+            return
