--- a/sprucewinch/errors.py
+++ b/sprucewinch/errors.py
@@ -40,6 +40,12 @@
     exit_code = 2
 
 
+class QuarantineError(SprucewinchError):
+    """No request of the name that an operator gave is refused for crashing servers."""
+
+    exit_code = 2
+
+
 class PolicyError(SprucewinchError):
     """A policy program is refused, or failed while it ran."""
 
--- a/tests/test_process_crashing_requests.py
+++ b/tests/test_process_crashing_requests.py
@@ -1,12 +1,13 @@
 """A request that crashes servers, with the real program as processes and real sockets."""
 
 import asyncio
+import sys
 import time
 import unittest
 
 from standins.scripted_server import Run, ScriptedServer
 
-from .gateway_process import GatewayCase
+from .gateway_process import ROOT, GatewayCase
 
 _SICK = "/rates/sick"
 _DOWN_S = 1.5
@@ -22,6 +23,8 @@
         self.listening: dict[str, asyncio.Server] = {}
         self.crashed_at: list[float] = []
         self.sent_at: list[float] = []
+        self.mended = False
+        self.fingerprint = ""
         self.starts: set[asyncio.Task] = set()
         await super().asyncSetUp()
 
@@ -35,7 +38,7 @@
         return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
     def _run(self, backend: ScriptedServer, run: Run) -> None:
-        if run.target == _SICK:
+        if run.target == _SICK and not self.mended:
             self.sent_at.append(time.monotonic())
             asyncio.get_running_loop().call_later(0.04, self._crash, backend)
 
@@ -72,11 +75,49 @@
         status, body, headers = await self.ask(self.vms[0], _SICK, "last")
         self.assertEqual((status, body), (503, b'{"reason":"crashes-servers"}'))
         self.assertGreater(float(headers["retry-after"]), 30.0)
+        await self._lists_it()
         await self.vms[0].kill()
         await self.vms[0].start()
         await self.until(lambda: self.ready(self.vms[0]), "the VM to be ready again")
         self.assertEqual((await self.ask(self.vms[0], _SICK, "again"))[0], 503)
         self.assertEqual(len([at for at in self.sent_at if at > self.crashed_at[2] + 3.0]), 0)
+        await self._is_let_go()
+
+    async def _lists_it(self) -> None:
+        """Check what the operators' command shows."""
+        status, output = await self._operate("quarantined")
+        self.assertEqual(status, 0, output)
+        self.assertRegex(output, r"^[0-9a-f]{32}  GET /rates/sick\n  refused since .* trials made")
+        self.assertRegex(output, r"ended i-\d+\+?, process not stated, .* s before, seen by vm\d")
+        self.fingerprint = output.split()[0]
+
+    async def _is_let_go(self) -> None:
+        """Check that the operators' command lets it go, and refuses a name that is none."""
+        self.mended = True
+        status, output = await self._operate("release", "00ff")
+        self.assertEqual(status, 2)
+        self.assertIn("no such request is refused", output)
+        status, output = await self._operate("release", self.fingerprint)
+        self.assertEqual(status, 0, output)
+
+        async def served() -> bool:
+            answers = [await self.ask(vm, _SICK, f"let-{vm.name}") for vm in self.vms]
+            return all(answer[0] == 200 for answer in answers)
+
+        await self.until(served, "all VMs to let it go")
+
+    async def _operate(self, *words: str) -> tuple[int, str]:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "platform/operate.py",
+            *words,
+            f"--store={self.store_address}",
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await process.communicate()
+        return process.returncode or 0, output.decode()
 
 
 if __name__ == "__main__":
