Part the evidence from the quarantine; let answers to what has not run clear nobody

`suspects` owns what is known of crashes and when it is judged, `quarantine` what is refused; names of requests stand in `fingerprint`. A request without an id, which a server refuses as malformed, cleared the evidence against its equals: only an answer to a run does now (test seen red by a wrong version). The item is written only where there is none, so that no late witness takes back a trial. sprucewinch machine lists what is refused.

--- a/sprucewinch/cli.py
+++ b/sprucewinch/cli.py
@@ -225,9 +225,12 @@
             address: `IP:PORT` of its metrics listener.
         """
         answer = read_state(address)
-        self._printer.sections(
-            answer, {"services": "services", "backend_servers": "backend servers"}
-        )
+        titles = {
+            "services": "services",
+            "backend_servers": "backend servers",
+            "quarantined": "requests refused for crashing servers",
+        }
+        self._printer.sections(answer, titles)
 
     @SetParseFn(str)
     def story(self, request_id: str, *logs: str) -> None:
--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -280,10 +280,11 @@
         wall=context.clock.wall,
         events=context.events,
     )
-    quarantine.reporter = reporter = CrashReporter(
-        fleet.datagrams, fleet.follow_role, context.timing, earlier=quarantine.earlier
+    suspects = quarantine.suspects
+    suspects.reporter = reporter = CrashReporter(
+        fleet.datagrams, fleet.follow_role, context.timing, earlier=suspects.earlier
     )
-    fleet.datagrams.register(CrashReport, quarantine.on_crash_report)
+    fleet.datagrams.register(CrashReport, suspects.on_crash_report)
     fleet.datagrams.register(GoodEndReport, quarantine.on_good_end_report)
     store = QuarantineStore(
         quarantine, state.store, state.view, fleet.follow_role, context.timing, context.events
--- a/sprucewinch/gateway/crashes/fingerprint.py
+++ b/sprucewinch/gateway/crashes/fingerprint.py
@@ -9,6 +9,7 @@
 
 import hashlib
 from collections.abc import Iterable
+from typing import Optional, Protocol
 
 from ..._hash import hash64
 
@@ -61,3 +62,49 @@
         digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
         digest.update(part)
     return digest.digest()[:_DIGEST_BYTES]
+
+
+class NamedRequest(Protocol):
+    """A request as far as it is named; it keeps what was worked out once."""
+
+    method: str
+    host: str
+    path: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    target_hash: Optional[int]
+    fingerprint: Optional[bytes]
+    on_trial: bool
+
+
+class RequestNames:
+    """Names requests.
+
+    Args:
+        id_header: Header that names one attempt of a request.
+    """
+
+    __slots__ = ("id_header",)
+
+    def __init__(self, id_header: str) -> None:
+        self.id_header = id_header
+
+    def target_of(self, request: NamedRequest) -> int:
+        """Return the hash of what a request is for."""
+        if request.target_hash is None:
+            request.target_hash = target_hash(request.method, request.host, request.target)
+        return request.target_hash
+
+    def fingerprint_of(self, request: NamedRequest) -> bytes:
+        """Return what names a request and all equal ones."""
+        if request.fingerprint is None:
+            request.fingerprint = fingerprint(
+                request.method,
+                request.host,
+                request.target,
+                request.headers,
+                request.body,
+                id_header=self.id_header,
+            )
+        return request.fingerprint
--- a/sprucewinch/gateway/crashes/quarantine_store.py
+++ b/sprucewinch/gateway/crashes/quarantine_store.py
@@ -30,6 +30,9 @@
 """Time after which VMs that follow the store write what no witness has written, in seconds: half of
 the time in which all VMs have to know. Worked out, never measured."""
 
+_ABSENT = 0
+"""Revision of a key that is not in the store."""
+
 _BACKOFF_BASE_S = 0.3
 """Longest random pause after the first failed call, in seconds. A guess, never measured."""
 
@@ -87,8 +90,7 @@
         item = self._item(held.request)
         if item is None:
             return False
-        request = held.request
-        taken = request._replace(trials=request.trials + 1, trials_left=request.trials_left - 1)
+        taken = held.request.on_trial()
         self.quarantine.trial_begins(held)
         try:
             won = await self.store.replace(item, quarantine_item(taken).value)
@@ -109,7 +111,7 @@
     async def _wait(self) -> None:
         """Wait for a change, or until a write may be due or a request is to be judged."""
         self.quarantine.changed.clear()
-        settles_s = self.quarantine.settles_in_s()
+        settles_s = self.quarantine.suspects.settles_in_s()
         try:
             async with asyncio.timeout(_LOOK_S if settles_s is None else min(_LOOK_S, settles_s)):
                 await self.quarantine.changed.wait()
@@ -131,7 +133,8 @@
         for held in list(self.quarantine.held.values()):
             if self._is_due(held, now):
                 stored = quarantine_item(held.request)
-                await self.store.write(stored.key, stored.value)
+                # Only where there is none: another witness's may already count a trial.
+                await self.store.replace(Item(stored.key, b"", _ABSENT), stored.value)
                 self._note_written(held)
 
     def _is_due(self, held: Held, now: float) -> bool:
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -16,6 +16,9 @@
 TIMED_OUT = "timeout"
 """Cause of an attempt that ended at the time until which its request is held."""
 
+ANSWERED = "answered"
+"""Cause of an attempt that ran and brought the server's own answer."""
+
 MISDIRECTED = "misdirected"
 """Cause of an attempt whose address now belongs to another server."""
 
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -157,7 +157,7 @@
         key = request.key if route.affinity and request.key else request.id
         if self.quarantine.judgement(request).crashes:
             # Away from the other suspects of a crash, and equal ones to the same server.
-            key = self.quarantine.fingerprint(request).hex()
+            key = self.quarantine.names.fingerprint_of(request).hex()
         ranking = self.ranker.place(service, key, route.regions, now)
         selection = self.selector.choose(request, ranking, service, now, route)
         if selection is not RefusalReason.NO_ROOM:
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -28,6 +28,7 @@
 from ..servers.outliers import OutlierDetector
 from ..servers.pool import ConnectionPool
 from .client_request import (
+    ANSWERED,
     CRASHED,
     ENDED,
     MISDIRECTED,
@@ -217,7 +218,7 @@
             "server-crashed",
             server=server.backend.id,
             id=request.id,
-            fingerprint=self.quarantine.fingerprint(request).hex(),
+            fingerprint=self.quarantine.names.fingerprint_of(request).hex(),
             ms=round(attempt.seconds * MS_PER_S, 1),
         )
         self.quarantine.note_crash(request, server, started, started + attempt.seconds)
@@ -292,7 +293,9 @@
             self.registry.record_load(server, load.running, load.waiting, now)
         if attempt.verdict is Verdict.ANSWERED:
             self.registry.record_success(server, attempt.seconds, now)
-            self.quarantine.note_good_end(request)
+            if attempt.why == ANSWERED:
+                # Not where the server has not run it: such an answer clears nobody.
+                self.quarantine.note_good_end(request)
         elif attempt.why == MISDIRECTED:
             server.pause(now + MISDIRECTED_PAUSE_S)
         elif attempt.why.startswith(SHED):
--- a/sprucewinch/gateway/requests/verdict.py
+++ b/sprucewinch/gateway/requests/verdict.py
@@ -14,7 +14,7 @@
 
 from ...net.connection import Answer
 from ..header_names import HeaderNames
-from .client_request import MISDIRECTED, SHED, Verdict
+from .client_request import ANSWERED, MISDIRECTED, SHED, Verdict
 
 BAD_REQUEST_STATUS = 400
 """HTTP status of an answer to a request that no server would run, by the HTTP standard."""
@@ -73,7 +73,7 @@
         return AnswerJudgement(Verdict.UNKNOWN, "answer-to-another")
     if answer.status in SUCCESS_STATUSES and not answer.header(names.signature):
         return AnswerJudgement(Verdict.UNKNOWN, "unsigned")
-    return AnswerJudgement(Verdict.ANSWERED, "answered")
+    return AnswerJudgement(Verdict.ANSWERED, ANSWERED)
 
 
 def load_report(answer: Answer, names: HeaderNames) -> Optional[LoadReport]:
--- a/sprucewinch/gateway/resources.py
+++ b/sprucewinch/gateway/resources.py
@@ -210,6 +210,10 @@
     trials: int = 0
     trials_left: int = 0
 
+    def on_trial(self) -> "QuarantinedRequest":
+        """Return what the store holds once a trial is taken."""
+        return self._replace(trials=self.trials + 1, trials_left=self.trials_left - 1)
+
 
 Resource = Union[
     RouteConfiguration,
--- a/sprucewinch/gateway/state/store.py
+++ b/sprucewinch/gateway/state/store.py
@@ -70,6 +70,8 @@
     async def replace(self, item: Item, value: bytes) -> bool:
         """Write a value of this system's own if its key is still at the item's revision.
 
+        A key that is not there is at revision 0.
+
         Returns:
             False when another value stands there.
 
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -203,6 +203,8 @@
             if server.misdirected_not_run:
                 extra += "X-Not-Executed: 1\r\n"
             self._write(421, run.request_id, b"", extra=extra)
+        elif not request_id:
+            self._write(400, "", b"", extra="X-Not-Executed: 1\r\n")
         elif server.running >= server.slots:
             server.refused += 1
             self._write(503, run.request_id, b"", extra="X-Not-Executed: 1\r\n")
--- a/tests/test_gateway_crash_reports.py
+++ b/tests/test_gateway_crash_reports.py
@@ -77,9 +77,11 @@
             fleet.world.store_view, self.name, "x-request-id", monotonic=loop.time, wall=loop.time
         )
         timing = Timing(loop.time, random.Random(number))
-        reporter = CrashReporter(self.datagrams, role, timing, earlier=self.quarantine.earlier)
-        self.quarantine.reporter = reporter
-        self.datagrams.register(CrashReport, self.quarantine.on_crash_report)
+        reporter = CrashReporter(
+            self.datagrams, role, timing, earlier=self.quarantine.suspects.earlier
+        )
+        self.quarantine.suspects.reporter = reporter
+        self.datagrams.register(CrashReport, self.quarantine.suspects.on_crash_report)
         self.datagrams.register(GoodEndReport, self.quarantine.on_good_end_report)
         self.task = loop.create_task(reporter.run())
 
@@ -165,7 +167,7 @@
         async def main(loop: VirtualLoop) -> None:
             fleet = Fleet(loop, 3)
             await fleet.crash(1)
-            (crash,) = fleet.vms[2].quarantine.log.crashes.values()
+            (crash,) = fleet.vms[2].quarantine.suspects.log.crashes.values()
             self.assertEqual(crash.process.server_id, "i-1")
             self.assertAlmostEqual(crash.at, 1000.0, delta=FAR_S + 0.002)
             self.assertEqual(crash.seen_by, {"vm0", "vm1", "vm2"})
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -77,6 +77,23 @@
 
         self.run_fleet(main)
 
+    def test_an_answer_to_what_has_not_run_clears_nobody(self) -> None:
+        """The same request without an id: no server runs it, and it proves nothing."""
+
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await CrashFleet(loop).ready()
+            await fleet.ask(0, SICK)
+            rule = fleet.vms[0].gateway.crashes.quarantine
+            before = rule.judgement(fleet.request(SICK))
+            nameless = fleet.request(SICK)
+            nameless.id, nameless.headers = "", nameless.headers[1:]
+            reply = await fleet.vms[0].gateway.requests.pipeline.run(nameless)
+            self.assertEqual(reply.status, 400)
+            self.assertEqual(before.crashes, 2)
+            self.assertEqual(rule.judgement(fleet.request(SICK)), before)
+
+        self.run_fleet(main)
+
     def test_a_vm_that_waits_for_a_connection_looks_again_before_the_first_byte(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             fleet = await CrashFleet(loop).ready()
--- a/tools/wrong_versions.py
+++ b/tools/wrong_versions.py
@@ -72,7 +72,7 @@
         "BUDGET",
         "a request that crashes servers is never refused",
         f"{_GATEWAY}/crashes/quarantine.py",
-        "if request.on_trial or not (self._targets or self._unjudged):",
+        "if request.on_trial or not (self._targets or self.suspects.wait_for_judgement):",
         "if self.held is not None:",
         ("tests.test_gateway_crashing_requests",),
     ),
@@ -108,6 +108,14 @@
         "            earlier = ()\n",
         ("tests.test_gateway_crash_reports.Fleets",),
     ),
+    WrongVersion(
+        "BUDGET",
+        "an answer to what has not run clears a suspect",
+        f"{_GATEWAY}/requests/sender.py",
+        "            if attempt.why == ANSWERED:\n",
+        "            if attempt.why:\n",
+        ("tests.test_gateway_quarantine.Refusals",),
+    ),
     WrongVersion(
         "DENIED",
         "a good end clears nobody",
