Let a request go that the store has not held for ten minutes

Without the store no trial can be taken and no operator can release it, so a VM would have refused it for as long as the store was away. Test on a whole fleet with a silent store; the others of test_gateway_quarantine passed unchanged.

--- a/sprucewinch/gateway/crashes/held.py
+++ b/sprucewinch/gateway/crashes/held.py
@@ -1,10 +1,16 @@
 """Rule: how long a request that crashes servers is refused before it is tried again.
 
 Question: may it be tried now, and what is its caller told? Inputs: its item in the store, the
-monotonic time from which its hold counts, in seconds. Rule: `HOLDS_S` before each trial; when none
-is left an operator has to let it go. Reason: a new version of its service may run it well, and each
-trial may cost a server; a caller is told the time of the next one, so that it does not come back
-for nothing. Shows in: Retry-After of `crashes-servers`; `trial_in_s` on `/state`. Tests:
+monotonic time from which its hold counts, in seconds.
+
+Rule: `HOLDS_S` before each trial; when none is left an operator has to let it go. One that the
+store does not hold, as it is away, is let go after `UNSTORED_HOLD_S`: no trial can be taken, and no
+operator could release it.
+
+Reason: a new version of its service may run it well, and each trial may cost a server; a caller is
+told the time of the next one, so that it does not come back for nothing.
+
+Shows in: Retry-After of `crashes-servers`; `trial_in_s` on `/state`. Tests:
 `test_gateway_quarantine`. Relies on the resource; `quarantine` owns what is held.
 """
 
@@ -21,6 +27,11 @@
 """Retry-After of a request that has no trial left, in seconds: an operator has to let it go."""
 
 
+UNSTORED_HOLD_S = 600.0
+"""Time for which a VM refuses a request that the store does not hold, in seconds: long beside a
+restart of the store, short beside a service that has been mended. A guess, never measured."""
+
+
 class Held(NamedTuple):
     """A request that is refused.
 
@@ -42,7 +53,9 @@
         return bytes.fromhex(self.request.fingerprint)
 
     def retry_after_s(self, now: float) -> float:
-        """Return the time until it is tried again, in seconds; 0 when it is due."""
+        """Return the time until it is tried again or let go, in seconds; 0 when it is due."""
+        if not self.revision:
+            return max(0.0, self.since + UNSTORED_HOLD_S - now)
         if not self.request.trials_left:
             return NO_TRIAL_RETRY_S
         hold_s = HOLDS_S[min(self.request.trials, len(HOLDS_S) - 1)]
@@ -51,3 +64,7 @@
     def trial_is_due(self, now: float) -> bool:
         """Return whether it may be tried again now."""
         return self.revision > 0 and self.retry_after_s(now) <= 0
+
+    def has_lapsed(self, now: float) -> bool:
+        """Return whether it is let go, as the store has not held it for long."""
+        return not self.revision and self.retry_after_s(now) <= 0
--- a/sprucewinch/gateway/crashes/quarantine.py
+++ b/sprucewinch/gateway/crashes/quarantine.py
@@ -10,10 +10,10 @@
 reports of others within a quarter of a second, by the store's item within two. Refused
 is that request alone: same caller, target and body. A good end of an equal one lets it go at once,
 everywhere; so does an operator who removes its item. It is tried again as `held` says, once in the
-fleet each time: the VM whose write to the store takes the trial sends it. No trial is left once it
-has ended `MOST_CRASHES` servers. A suspect that is not refused yet goes to servers by its own order
-instead of its object's, so that one of several suspects does not meet the others again, and its
-equals end one server instead of several.
+fleet each time: the VM whose write to the store takes the trial sends it. Once it has ended
+`MOST_CRASHES` servers no trial is left. A suspect that is not refused yet goes to servers by its
+own order instead of its object's, so that one of several suspects does not meet the others again,
+and its equals end one server instead of several.
 
 Reason. Refusing needs certainty, as a proper request that is refused for good is worse than one
 more crash; so a trial is kept, and it is one. What must outlast all VMs is in the store.
@@ -105,7 +105,11 @@
         self.judge_settled()
         if not self._targets[self.names.target_of(request)]:
             return None
-        return self.held.get(self.names.fingerprint_of(request))
+        held = self.held.get(self.names.fingerprint_of(request))
+        if held is not None and held.has_lapsed(self.monotonic()):
+            self._clear(held.fingerprint, self.monotonic(), "the store has not held it for long")
+            return None
+        return held
 
     def judgement(self, request: NamedRequest) -> Judgement:
         """Return how a request stands that is not refused; with no crash when it is no suspect."""
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -203,6 +203,19 @@
 
         self.run_fleet(main)
 
+    def test_without_the_store_for_long_it_is_let_go_as_nobody_else_could(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await CrashFleet(loop).ready()
+            fleet.store.fault = Fault.SILENT
+            await repeat(fleet, SICK, 2.0)
+            fleet.sick.clear()
+            self.assertEqual((await fleet.ask(1, SICK)).status, 503)
+            await pass_time(held.UNSTORED_HOLD_S)
+            self.assertEqual((await fleet.ask(1, SICK)).status, 200)
+
+        with mock.patch.object(held, "UNSTORED_HOLD_S", 60.0):
+            self.run_fleet(main)
+
 
 class Knowledge(_Fleet):
     def test_lost_datagrams_delay_it_by_less_than_the_time_in_which_all_must_know(self) -> None:
