Count a server that keeps its id and states no start as crashed again

Two servers that come back under their ids, with a request every 5 s that ends both, counted as two crashes for good, and the request was never refused. Found on reading; crashes of such a server over 0.75 s apart are two now.

--- a/sprucewinch/gateway/crashes/crash_log.py
+++ b/sprucewinch/gateway/crashes/crash_log.py
@@ -3,12 +3,14 @@
 Owns the crashes that this VM and others have seen of late and the good ends that clear a request of
 them. The order in which reports arrive, or how often, changes nothing: a crash is one for each
 process, the requests that any VM had there are joined, and a good end clears what came before it,
-also where the report of that comes later. Bounded by `_MOST_CRASHES`, of which the oldest goes, so
-that callers who crash servers on purpose cost no memory. Relies on nothing; `guilt` judges by it.
-Tests: `test_gateway_guilt`.
+also where the report of that comes later. A server that keeps its id and states no incarnation may
+crash again: crashes of such a server further apart than `_ONE_CRASH_S` are two.
+
+Bounded by `_MOST_CRASHES`, of which the oldest goes, so that callers who crash servers on purpose
+cost no memory. Relies on nothing; `guilt` judges by it. Tests: `test_gateway_guilt`.
 """
 
-from collections import OrderedDict, defaultdict
+from collections import OrderedDict, defaultdict, deque
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple, Optional
 
@@ -16,6 +18,10 @@
 """How long a crash counts, in seconds: a caller may come back after minutes. A guess, never
 measured."""
 
+_ONE_CRASH_S = 0.75
+"""Time between two reports of one crash at the most, in seconds: the way of reports, and a VM that
+was busy; half of what a server takes at the least to start again. A guess, never measured."""
+
 _MOST_CRASHES = 256
 """Crashes that are kept at the most. With the requests of full servers they take some 0.5 MB
 (worked out)."""
@@ -96,9 +102,10 @@
     """The crashes and good ends that count."""
 
     def __init__(self) -> None:
-        self.crashes: OrderedDict[ServerProcess, Crash] = OrderedDict()
+        self.crashes: deque[Crash] = deque()
         self._good_ends: OrderedDict[bytes, float] = OrderedDict()
-        self._by_request: dict[bytes, dict[ServerProcess, Crash]] = {}
+        self._by_process: dict[ServerProcess, list[Crash]] = {}
+        self._by_request: dict[bytes, list[Crash]] = {}
         self._targets: defaultdict[int, set[bytes]] = defaultdict(set)
 
     def add(
@@ -118,9 +125,7 @@
             suspects: Their requests there, by fingerprint.
             seen_by: Names of these VMs.
         """
-        crash = self.crashes.get(process)
-        if crash is None:
-            crash = self.crashes[process] = Crash(process, service, at)
+        crash = self._find(process, at) or self._begin(process, service, at)
         crash.at = min(crash.at, at)
         crash.seen_by.update(seen_by)
         for suspect in suspects.values():
@@ -143,10 +148,16 @@
         self._good_ends[fingerprint] = at
         if len(self._good_ends) > _MOST_GOOD_ENDS:
             self._good_ends.popitem(last=False)
-        for crash in list(self._by_request.get(fingerprint, {}).values()):
+        for crash in list(self._by_request.get(fingerprint, ())):
             if crash.at <= at:
                 self._clear(crash, fingerprint)
 
+    def is_same(self, crash: Crash, process: ServerProcess, at: float) -> bool:
+        """Return whether a crash is that of a process at some time."""
+        if crash.process != process:
+            return False
+        return process.incarnation != 0 or abs(crash.at - at) <= _ONE_CRASH_S
+
     def last_good_end(self, fingerprint: bytes) -> float:
         """Return when an equal request last ran to a good end, as monotonic time in seconds."""
         return self._good_ends.get(fingerprint, float("-inf"))
@@ -157,7 +168,7 @@
 
     def crashes_of(self, fingerprint: bytes) -> list[Crash]:
         """Return the crashes that a request is a suspect of, the earliest first."""
-        return sorted(self._by_request.get(fingerprint, {}).values(), key=lambda crash: crash.at)
+        return sorted(self._by_request.get(fingerprint, ()), key=lambda crash: crash.at)
 
     def has_target(self, target_hash: int) -> bool:
         """Return whether some suspect is for this target."""
@@ -165,34 +176,50 @@
 
     def suspect(self, fingerprint: bytes) -> Optional[Suspect]:
         """Return what is known of a request that is a suspect; None when it is none."""
-        for crash in self._by_request.get(fingerprint, {}).values():
-            if fingerprint in crash.suspects:
-                return crash.suspects[fingerprint]
+        crashes = self._by_request.get(fingerprint)
+        return crashes[0].suspects[fingerprint] if crashes else None
+
+    def _find(self, process: ServerProcess, at: float) -> Optional[Crash]:
+        """Return the crash of a process at a time; None when it is not known yet."""
+        for crash in self._by_process.get(process, ()):
+            if self.is_same(crash, process, at):
+                return crash
         return None
 
+    def _begin(self, process: ServerProcess, service: str, at: float) -> Crash:
+        crash = Crash(process, service, at)
+        self.crashes.append(crash)
+        self._by_process.setdefault(process, []).append(crash)
+        return crash
+
     def _index(self, crash: Crash, suspect: Suspect) -> None:
-        self._by_request.setdefault(suspect.fingerprint, {})[crash.process] = crash
+        crashes = self._by_request.setdefault(suspect.fingerprint, [])
+        if crash not in crashes:
+            crashes.append(crash)
         self._targets[suspect.target_hash].add(suspect.fingerprint)
 
     def _clear(self, crash: Crash, fingerprint: bytes) -> None:
         """Forget that a request is a suspect of a crash."""
-        suspect = crash.suspects.pop(fingerprint, None)
-        held = self._by_request[fingerprint]
-        held.pop(crash.process, None)
-        if held:
+        suspect = crash.suspects.pop(fingerprint)
+        crashes = self._by_request[fingerprint]
+        crashes.remove(crash)
+        if crashes:
             return
         del self._by_request[fingerprint]
-        if suspect is not None:
-            names = self._targets[suspect.target_hash]
-            names.discard(fingerprint)
-            if not names:
-                del self._targets[suspect.target_hash]
+        names = self._targets[suspect.target_hash]
+        names.discard(fingerprint)
+        if not names:
+            del self._targets[suspect.target_hash]
 
     def _forget_old(self, now: float) -> None:
         while self.crashes:
-            oldest = next(iter(self.crashes.values()))
+            oldest = self.crashes[0]
             if len(self.crashes) <= _MOST_CRASHES and now - oldest.at < _KEPT_S:
                 return
             for fingerprint in list(oldest.suspects):
                 self._clear(oldest, fingerprint)
-            del self.crashes[oldest.process]
+            self.crashes.popleft()
+            crashes = self._by_process[oldest.process]
+            crashes.remove(oldest)
+            if not crashes:
+                del self._by_process[oldest.process]
--- a/sprucewinch/gateway/crashes/guilt.py
+++ b/sprucewinch/gateway/crashes/guilt.py
@@ -121,7 +121,7 @@
     since = min(crash.suspects[fingerprint].started for crash in crashes)
     return [
         crash
-        for crash in log.crashes.values()
+        for crash in log.crashes
         if crash.service in services
         and since <= crash.at <= until
         and fingerprint not in crash.suspects
--- a/sprucewinch/gateway/crashes/suspects.py
+++ b/sprucewinch/gateway/crashes/suspects.py
@@ -7,7 +7,7 @@
 refuses those that are guilty. Tests: `test_gateway_quarantine`, `test_gateway_crash_reports`.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple, Optional, Protocol
 
 from ..servers.backend_server import BackendServer
@@ -107,14 +107,12 @@
 
     def earlier(self, seen: SeenCrash) -> list[SeenCrash]:
         """Return the latest other crashes of the requests of a crash, each with these alone."""
-        found: dict[ServerProcess, SeenCrash] = {}
+        found: dict[Crash, list[Suspect]] = {}
         for suspect in seen.suspects:
             for crash in self.log.crashes_of(suspect.fingerprint)[-MOST_CRASHES:]:
-                if crash.process != seen.process:
-                    known = found.get(crash.process, _told(crash))
-                    there = crash.suspects[suspect.fingerprint]
-                    found[crash.process] = known._replace(suspects=(*known.suspects, there))
-        return list(found.values())
+                if not self.log.is_same(crash, seen.process, seen.at):
+                    found.setdefault(crash, []).append(crash.suspects[suspect.fingerprint])
+        return [_told(crash, suspects) for crash, suspects in found.items()]
 
     def judgement(self, request: NamedRequest, refused: Collection[bytes]) -> Judgement:
         """Return how a request stands now; with no crash when it is no suspect.
@@ -166,9 +164,10 @@
             self.on_evidence()
 
 
-def _told(crash: Crash) -> SeenCrash:
-    """Return what is told of a crash, without the requests that were there."""
-    return SeenCrash(tuple(sorted(crash.seen_by)), crash.process, crash.service, crash.at, ())
+def _told(crash: Crash, suspects: Sequence[Suspect]) -> SeenCrash:
+    """Return what is told of a crash and some of the requests that were there."""
+    seen_by = tuple(sorted(crash.seen_by))
+    return SeenCrash(seen_by, crash.process, crash.service, crash.at, tuple(suspects))
 
 
 def _nothing() -> None:
--- a/tests/test_gateway_crash_reports.py
+++ b/tests/test_gateway_crash_reports.py
@@ -167,7 +167,7 @@
         async def main(loop: VirtualLoop) -> None:
             fleet = Fleet(loop, 3)
             await fleet.crash(1)
-            (crash,) = fleet.vms[2].quarantine.suspects.log.crashes.values()
+            (crash,) = fleet.vms[2].quarantine.suspects.log.crashes
             self.assertEqual(crash.process.server_id, "i-1")
             self.assertAlmostEqual(crash.at, 1000.0, delta=FAR_S + 0.002)
             self.assertEqual(crash.seen_by, {"vm0", "vm1", "vm2"})
--- a/tests/test_gateway_guilt.py
+++ b/tests/test_gateway_guilt.py
@@ -253,7 +253,24 @@
         self.assertEqual(len(log.crashes), crash_log._MOST_CRASHES)
         self.assertLessEqual(len(log._by_request), 256 * 32)
         self.assertIsNone(log.suspect(b"%04d%012d" % (0, 0)))
-        self.assertEqual(min(c.at for c in log.crashes.values()), (300 - 256) / 10 + 0.05)
+        self.assertEqual(min(c.at for c in log.crashes), (300 - 256) / 10 + 0.05)
+
+    def test_a_server_that_keeps_its_id_crashes_again(self) -> None:
+        """Two servers that state no start: 5 s between the tries, each ends both."""
+        log = CrashLog()
+        for number in range(2):
+            for server in range(2):
+                at = number * 5.0 + server * 0.1
+                tell(log, End(server, at, (Stay(REQUESTS[0], at - 0.04, "vm0"),)))
+                tell(log, End(server, at + 0.1, (Stay(REQUESTS[0], at - 0.04, "vm1"),)))
+        self.assertEqual(judge(log, REQUESTS[0]).crashes, 4)
+
+    def test_a_process_that_states_its_start_crashes_once(self) -> None:
+        log = CrashLog()
+        for at in (0.0, 5.0):
+            suspect = _suspect(Stay(REQUESTS[0], at - 0.1, "vm0"))
+            log.add(ServerProcess("i-1", 7), "rates", at, {REQUESTS[0]: suspect}, ("vm0",))
+        self.assertEqual(judge(log, REQUESTS[0]).crashes, 1)
 
     def test_old_crashes_are_forgotten(self) -> None:
         log = CrashLog()
