--- a/tests/test_wrong_versions.py
+++ b/tests/test_wrong_versions.py
@@ -4,7 +4,8 @@
 import unittest
 from pathlib import Path
 
-from tools.wrong_versions import ROOT, VERSIONS, StaleVersionError, WrongVersion, make_wrong
+from tools.wrong_version_list import VERSIONS, WrongVersion
+from tools.wrong_versions import ROOT, StaleVersionError, make_wrong
 
 
 class WrongVersions(unittest.TestCase):
