Part what attempts teach from sending them; give state and metrics all parts at once

Moves alone, no decision changed: `attempt_feedback` keeps what an attempt tells (sender 350 -> 246 lines), `suspects` gets its callback in its constructor, `vm_state` and `vm_metrics` take the parts. A test that called the private method calls it at its new place.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -334,11 +334,13 @@
         regions: Steering between regions.
     """
     settings = context.settings
+    ranker = ServerRanker(servers.registry, regions.shares, settings.regions)
+    sender = _sender(context, servers, crashes)
     pipeline = Pipeline(
         state.view,
         servers.registry,
-        ServerRanker(servers.registry, regions.shares, settings.regions),
-        _sender(context, servers, crashes),
+        ranker,
+        sender,
         bounds=settings.bounds,
         monotonic=context.monotonic,
         rng=context.rng,
--- a/sprucewinch/gateway/crashes/quarantine.py
+++ b/sprucewinch/gateway/crashes/quarantine.py
@@ -89,12 +89,11 @@
         self.monotonic = monotonic
         self.wall = wall
         self.events = events or NoEvents()
-        self.suspects = Suspects(name, self.names, monotonic)
         self.take_trial: Callable[[Held], Awaitable[bool]] = _never
         self.held: dict[bytes, Held] = {}
         self.unwanted: dict[bytes, float] = {}
         self.changed = asyncio.Event()
-        self.suspects.on_evidence = self.changed.set
+        self.suspects = Suspects(name, self.names, monotonic, on_evidence=self.changed.set)
         self._targets: Counter[int] = Counter()
         store_view.listeners.append(self._on_change)
 
--- a/sprucewinch/gateway/crashes/suspects.py
+++ b/sprucewinch/gateway/crashes/suspects.py
@@ -60,19 +60,26 @@
         name: Name of this VM.
         names: Names requests.
         monotonic: Source of time, in seconds.
+        on_evidence: Called when a request is to be judged.
 
     Attributes:
         reporter: Tells other VMs; None while there are none.
-        on_evidence: Called when a request is to be judged.
     """
 
-    def __init__(self, name: str, names: RequestNames, monotonic: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        name: str,
+        names: RequestNames,
+        monotonic: Callable[[], float],
+        *,
+        on_evidence: Callable[[], None],
+    ) -> None:
         self.name = name
         self.names = names
         self.monotonic = monotonic
         self.log = CrashLog()
         self.reporter: Optional[Reporter] = None
-        self.on_evidence: Callable[[], None] = _nothing
+        self.on_evidence = on_evidence
         self._unjudged: dict[bytes, _Unjudged] = {}
 
     @property
@@ -168,7 +175,3 @@
     """Return what is told of a crash and some of the requests that were there."""
     seen_by = tuple(sorted(crash.seen_by))
     return SeenCrash(seen_by, crash.process, crash.service, crash.at, tuple(suspects))
-
-
-def _nothing() -> None:
-    """Do nothing: nobody judges."""
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -72,7 +72,7 @@
         self.context = Context(
             settings, adapter, self.clock, rng or random.Random(), self.events, self.ready
         )
-        parts = make_parts(self.context, self.incarnation, self._unreadable)
+        self.parts = parts = make_parts(self.context, self.incarnation, self._unreadable)
         self.state, self.fleet, self.servers = parts.state, parts.fleet, parts.servers
         self.crashes, self.regions = parts.crashes, parts.regions
         self.requests, self.reporter = parts.requests, parts.reporter
@@ -188,12 +188,7 @@
         self.events.state("fault", loop=loop.__qualname__, error=repr(error))
 
     def _state(self) -> str:
-        shown = vm_state(
-            self.context, self.state, self.fleet, self.servers, self.crashes, self.regions
-        )
-        return shown.to_json()
+        return vm_state(self.context, self.parts).to_json()
 
     def _report(self) -> str:
-        return vm_metrics(
-            self.context, self.state, self.fleet, self.servers, self.crashes, self.requests
-        )
+        return vm_metrics(self.context, self.parts)
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -66,7 +66,7 @@
         self.monotonic = monotonic
         self.rng = rng
         self.quarantine = sender.quarantine
-        self.selector = ServerSelector(registry, sender.outliers)
+        self.selector = ServerSelector(registry, sender.feedback.outliers)
         self.return_times = ReturnTimes(registry, rng)
         self.splits = Splits()
         self.budgets: dict[str, WindowRetryBudget] = {}
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -1,12 +1,12 @@
 """Sends a request to one backend server and returns the attempt.
 
-Owns one attempt: its connection, its encoding, its time, and what the VM learns of the server from
-it (load, latency, rest, outlier samples). Once a connection is there it asks the registry whether
-the server is still offered; from there to the first byte it waits for nothing. Relies on `verdict`
-for what an answer proves, on the registry and the outlier detector to keep what is learnt, and on
-the connection pool. Decides on no retry. Shows in: event `server-rests`; `not-offered` in `sends`
-of the event `request`. Tests: tests/test_gateway_pipeline.py, tests/test_gateway_outliers.py,
-tests/test_formats_gateway.py.
+Owns one attempt: its connection, its encoding, its time, and whether the server crashed meanwhile.
+Once a connection is there it asks the registry whether the server is still offered and the
+quarantine whether the request may still be sent; from there to the first byte it waits for nothing.
+Relies on `verdict` for what an answer proves, on `attempt_feedback` for what the VM learns from an
+attempt, and on the connection pool. Decides on no retry. Shows in: event `server-crashed`;
+`not-offered`, `quarantined` and `server-crashed` in `sends` of the event `request`. Tests:
+tests/test_gateway_pipeline.py, tests/test_gateway_crash_check.py, tests/test_formats_gateway.py.
 """
 
 import asyncio
@@ -27,15 +27,13 @@
 from ..servers.backend_server import BackendServer
 from ..servers.outliers import OutlierDetector
 from ..servers.pool import ConnectionPool
+from .attempt_feedback import AttemptFeedback
 from .client_request import (
-    ANSWERED,
     CRASHED,
     ENDED,
-    MISDIRECTED,
     NOT_OFFERED,
     QUARANTINED,
     RESTARTED,
-    SHED,
     TIMED_OUT,
     UNREACHABLE,
     Attempt,
@@ -44,17 +42,7 @@
     Verdict,
 )
 from .outcome.hold_time import MS_PER_S
-from .outcome.retry_decision import SERVER_FAILED_STATUS
-from .verdict import judge_answer, load_report
-
-SHED_PAUSE_S = 0.05
-"""Pause of a server that refused to run a request as it is full, or as it may be, in seconds. One
-that refuses and reports free slots fails for another reason: less load would not help it, and its
-pause sends objects to servers that do not know them. A guess, never measured."""
-
-MISDIRECTED_PAUSE_S = 60.0
-"""Pause of a server whose address now belongs to another server, in seconds. A guess, never
-measured."""
+from .verdict import judge_answer
 
 MIN_DEADLINE_MS = 1
 """Least deadline that is sent to a server, in milliseconds, so that none is 0 or less."""
@@ -90,7 +78,6 @@
         quarantine: Optional[Quarantine] = None,
     ) -> None:
         self.registry = registry
-        self.outliers = outliers
         self.pool = pool
         self.names = names
         self.monotonic = monotonic
@@ -99,6 +86,9 @@
         self.quarantine = quarantine or Quarantine(
             registry.store_view, "", names.request_id, monotonic=monotonic, wall=monotonic
         )
+        self.feedback = AttemptFeedback(
+            registry, outliers, self.quarantine, names, monotonic, self.events
+        )
         self._at_work: dict[BackendServer, set[Connection]] = {}
         registry.on_restart.append(self._end_attempts)
 
@@ -123,27 +113,9 @@
         attempt = await self._attempt(request, selection, started, until, most_rest_s)
         request.at_server = False
         attempt = attempt._replace(seconds=self.monotonic() - started)
-        self._conclude(request, server, attempt, started)
+        self.feedback.conclude(request, server, attempt, started)
         return await self._look_for_crash(request, selection, attempt, started)
 
-    def _conclude(
-        self, request: ClientRequest, server: BackendServer, attempt: Attempt, started: float
-    ) -> None:
-        """Keep what an attempt tells of its server."""
-        now = self.monotonic()
-        if attempt.why in (NOT_OFFERED, QUARANTINED):
-            # No byte was sent: this tells nothing of the server and is no send to a cold one.
-            server.cold_sends.take_back(started)
-            return
-        if attempt.why == RESTARTED:
-            # The process that this tells of has ended; the next one starts with nothing.
-            return
-        self._learn(server, attempt, started, now, request)
-        if server.cold(started):
-            self._note_cold(server, attempt)
-        else:
-            self._sample(server, attempt, request.key, now)
-
     async def _attempt(
         self,
         request: ClientRequest,
@@ -261,53 +233,6 @@
             lines.append(f"content-length: {len(request.body)}")
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + request.body
 
-    def _note_cold(self, server: BackendServer, attempt: Attempt) -> None:
-        """Note the end of an attempt at a cold server; it does not count as an outlier sample."""
-        if attempt.verdict is Verdict.ANSWERED or attempt.why == TIMED_OUT:
-            self.registry.cold_limit.record_attempt(
-                server.backend.service, attempt.verdict is Verdict.ANSWERED
-            )
-
-    def _sample(self, server: BackendServer, attempt: Attempt, key: str, now: float) -> None:
-        """Give the outlier detector the attempt as a sample of its server."""
-        if attempt.verdict is Verdict.UNKNOWN:
-            self.outliers.record_failure(server, now, late=attempt.why == TIMED_OUT)
-        elif attempt.verdict is Verdict.ANSWERED and attempt.answer is not None:
-            if attempt.answer.status >= SERVER_FAILED_STATUS:
-                self.outliers.record_failure(server, now)
-                return
-            load = load_report(attempt.answer, self.names)
-            requests_there = load.running + load.waiting if load else 0
-            self.outliers.record_success(server, key, attempt.seconds, requests_there, now)
-
-    def _learn(
-        self,
-        server: BackendServer,
-        attempt: Attempt,
-        started: float,
-        now: float,
-        request: ClientRequest,
-    ) -> None:
-        load = load_report(attempt.answer, self.names) if attempt.answer is not None else None
-        if load is not None:
-            self.registry.record_load(server, load.running, load.waiting, now)
-        if attempt.verdict is Verdict.ANSWERED:
-            self.registry.record_success(server, attempt.seconds, now)
-            if attempt.why == ANSWERED:
-                # Not where the server has not run it: such an answer clears nobody.
-                self.quarantine.note_good_end(request)
-        elif attempt.why == MISDIRECTED:
-            server.pause(now + MISDIRECTED_PAUSE_S)
-        elif attempt.why.startswith(SHED):
-            if load is None or load.running + load.waiting >= server.backend.capacity:
-                server.pause(now + SHED_PAUSE_S)
-                server.limit.decrease(now)
-        elif attempt.why != TIMED_OUT or server.answered_at < started:
-            server.record_failure(now)
-            self.events.state(
-                "server-rests", server=server.backend.id, why=attempt.why, id=request.id
-            )
-
 
 def _keep_alive_s(answer: Answer) -> float:
     """Return how long a server keeps a connection open, in seconds; infinite when it states none.
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -4,33 +4,26 @@
 `composition`; changes nothing. Names of gauges are read by others, so they stay.
 """
 
-from .composition import Context, Crashes, Fleet, Requests, Servers, State
+from .composition import Context, Parts
 
 
-def vm_metrics(
-    context: Context,
-    state: State,
-    fleet: Fleet,
-    servers: Servers,
-    crashes: Crashes,
-    requests: Requests,
-) -> str:
+def vm_metrics(context: Context, parts: Parts) -> str:
     """Return the metrics of a VM as lines of name and value."""
     now = context.monotonic()
-    view = state.view
+    view = parts.state.view
     gauges = {
-        "in_flight": requests.app.in_flight,
-        "body_bytes": requests.app.buffered,
-        "backend_connections_opened": servers.pool.opened,
-        "store_calls": state.store.calls,
+        "in_flight": parts.requests.app.in_flight,
+        "body_bytes": parts.requests.app.buffered,
+        "backend_connections_opened": parts.servers.pool.opened,
+        "store_calls": parts.state.store.calls,
         "store_revision": view.replica.at,
-        "announced_revision": fleet.follow_role.announced_revision,
+        "announced_revision": parts.fleet.follow_role.announced_revision,
         "store_age_s": now - view.confirmed_at,
         "configuration_version": context.events.configuration_version,
         "members": len(view.members),
-        "members_open": sum(fleet.gossip.accepts_callers(m, now) for m in view.members),
+        "members_open": sum(parts.fleet.gossip.accepts_callers(m, now) for m in view.members),
         "backend_servers": len(view.backends),
-        "requests_held": len(crashes.quarantine.held),
-        "neighbour_deltas": fleet.peer_follower.deltas_applied,
+        "requests_held": len(parts.crashes.quarantine.held),
+        "neighbour_deltas": parts.fleet.peer_follower.deltas_applied,
     }
     return context.events.report(gauges)
--- a/sprucewinch/gateway/vm_state.py
+++ b/sprucewinch/gateway/vm_state.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from .composition import Context, Crashes, Fleet, Regions, Servers, State
+from .composition import Context, Crashes, Parts, Regions, Servers
 
 _HIGHEST_AGE_S = 1e9
 """Age shown when the store has never answered, in seconds: JSON has no infinity."""
@@ -139,26 +139,10 @@
         return msgspec.json.encode(table).decode()
 
 
-def vm_state(
-    context: Context,
-    state: State,
-    fleet: Fleet,
-    servers: Servers,
-    crashes: Crashes,
-    regions: Regions,
-) -> VmState:
-    """Return the state of a VM.
-
-    Args:
-        context: What every part may need.
-        state: The parts that hold the store's items.
-        fleet: The other VMs.
-        servers: Backend servers.
-        crashes: Requests that crash servers.
-        regions: Steering between regions.
-    """
+def vm_state(context: Context, parts: Parts) -> VmState:
+    """Return the state of a VM."""
     now = context.monotonic()
-    view = state.view
+    view = parts.state.view
     return VmState(
         name=context.settings.name,
         region=context.settings.region,
@@ -167,10 +151,10 @@
         store_revision=view.replica.at,
         store_age_s=round(min(now - view.confirmed_at, _HIGHEST_AGE_S), _AGE_DIGITS),
         evacuated=tuple(sorted(view.evacuated)),
-        members={n: fleet.gossip.accepts_callers(n, now) for n in sorted(view.members)},
-        services=_services(regions),
-        backend_servers=_backend_servers(servers, now),
-        quarantined=_quarantined(crashes, now),
+        members={n: parts.fleet.gossip.accepts_callers(n, now) for n in sorted(view.members)},
+        services=_services(parts.regions),
+        backend_servers=_backend_servers(parts.servers, now),
+        quarantined=_quarantined(parts.crashes, now),
     )
 
 
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -13,13 +13,13 @@
 
 import msgspec
 
-from sprucewinch.clock import Clock
 from sprucewinch.gateway.daemon import Gateway
 from sprucewinch.gateway.requests.client_request import ClientRequest, Reply
 from standins.consortium_store import StoreStandIn
 from standins.scripted_server import Run, ScriptedServer
 from standins.virtual import VirtualLoop, pass_time
 
+from .formats_gateway import LoopClock
 from .gateway_process import CONFIGURATION, HOST
 from .virtual_fleet import _Deltas
 
@@ -46,19 +46,6 @@
     server_id: str
 
 
-class LoopClock(Clock):
-    """The loop's time, with a shift for each clock."""
-
-    def __init__(self, loop: VirtualLoop) -> None:
-        self.loop = loop
-
-    def monotonic(self) -> float:
-        return self.loop.time()
-
-    def wall(self) -> float:
-        return self.loop.time()
-
-
 class CrashVm:
     """One entry VM: its gateway with all loops, without listeners.
 
--- a/tests/formats_gateway.py
+++ b/tests/formats_gateway.py
@@ -57,7 +57,9 @@
     )
 
 
-class _LoopClock(Clock):
+class LoopClock(Clock):
+    """The loop's time for both clocks."""
+
     def __init__(self, loop: VirtualLoop) -> None:
         self.loop = loop
 
@@ -86,7 +88,7 @@
             translate(msgspec.json.decode(SETTINGS)),
             ConsortiumAdapter(),
             reread=self._reread,
-            clock=_LoopClock(loop),
+            clock=LoopClock(loop),
             rng=random.Random(1),
         )
         self.gateway.events.emit = self.lines.append
--- a/tests/test_gateway_server_selection.py
+++ b/tests/test_gateway_server_selection.py
@@ -155,7 +155,8 @@
         headers = ((NAMES.load, load),) if load else ()
         answer = Answer(503, headers, b"")
         attempt = Attempt("s0", Verdict.NOT_RUN, True, f"{SHED}-503", answer)
-        path.sender._learn(server, attempt, loop.time(), loop.time(), "q")
+        now = loop.time()
+        path.sender.feedback._learn(path.request("q"), server, attempt, now, now)
         self.assertEqual(server.paused_until > loop.time(), load != "2,0,6")
         return server.limit.value
 
--- a/tools/soak/troubles/processes.py
+++ b/tools/soak/troubles/processes.py
@@ -92,9 +92,13 @@
         try:
             await asyncio.sleep(self.for_s)
         finally:
+            self._before_it_continues()
             if process is not None and process.returncode is None:
                 process.send_signal(signal.SIGCONT)
 
+    def _before_it_continues(self) -> None:
+        """Do nothing: the clocks have gone on."""
+
 
 class Reload(VmTrouble):
     """The settings change, with and without a signal, to something good or to nonsense."""
@@ -124,17 +128,10 @@
         clock.unlink()
 
 
-class Suspend(VmTrouble):
+class Suspend(Pause):
     """The VM is suspended: its process stands still, and only the time since boot goes on."""
 
-    async def _happen(self) -> None:
-        process = self.vm.process
-        self.world.keeper.signal(self.vm, signal.SIGSTOP)
-        try:
-            await asyncio.sleep(self.for_s)
-        finally:
-            file = self.vm.settings.with_suffix(SUSPENDED_SUFFIX)
-            before = float(file.read_text(encoding="utf-8")) if file.exists() else 0.0
-            file.write_text(str(before + self.rng.uniform(2, 6)), encoding="utf-8")
-            if process is not None and process.returncode is None:
-                process.send_signal(signal.SIGCONT)
+    def _before_it_continues(self) -> None:
+        file = self.vm.settings.with_suffix(SUSPENDED_SUFFIX)
+        before = float(file.read_text(encoding="utf-8")) if file.exists() else 0.0
+        file.write_text(str(before + self.rng.uniform(2, 6)), encoding="utf-8")
--- a/tools/wrong_version_list.py
+++ b/tools/wrong_version_list.py
@@ -89,7 +89,7 @@
     WrongVersion(
         "BUDGET",
         "an answer to what has not run clears a suspect",
-        f"{_GATEWAY}/requests/sender.py",
+        f"{_GATEWAY}/requests/attempt_feedback.py",
         "            if attempt.why == ANSWERED:\n",
         "            if attempt.why:\n",
         ("tests.test_gateway_quarantine.Refusals",),
