--- a/sprucewinch/gateway/crashes/crash_reports.py
+++ b/sprucewinch/gateway/crashes/crash_reports.py
@@ -3,8 +3,8 @@
 Owns the two messages, and when they are sent: what a VM sees of one crash goes out together, to all
 VMs, once. Where a request has lost a server before, it goes out twice more, with the earlier
 crashes of that request, as a datagram may be lost and the next copy may come at any VM. The cost of
-a crash grows with the fleet and not with its square. Relies on `follow_role` for
-the recipients; `quarantine` judges by what arrives. Tests: `test_gateway_crash_reports`.
+a crash grows with the fleet and not with its square. Relies on `follow_role` for the recipients;
+`suspects` takes up what arrives. Tests: `test_gateway_crash_reports`.
 """
 
 import asyncio
--- a/sprucewinch/gateway/requests/outcome/retry_decision.py
+++ b/sprucewinch/gateway/requests/outcome/retry_decision.py
@@ -6,17 +6,19 @@
 route is repeatable and allows one more run; one that was not run may be sent again on any route. A
 retry after bytes were sent costs one of the retry budget; a server that could not be reached costs
 none, as it got no work, but only a few are tried. One that left before it got a byte costs nothing
-and is not counted: it is offered no more, so there are as many of these as servers at most.
+and is not counted: it is offered no more, so there are as many of these as servers at most. After
+`MOST_CRASHES_OF_A_TRY` crashes in a row the next server is not tried: it may crash too.
 
 Why so: a repeat of a request that must not run twice is worse than a failure, and retries that grow
 with failures bring a loaded fleet down. The budget is asked last, so that it is spent on retries
 that take place; a decision says that it costs one, and `without_budget` is the decision when none
 is left. Neither holds state.
 
-Constants: `MAX_UNREACHABLE`, `SERVER_FAILED_STATUS`, each with its ground below it.
+Constants: `MAX_UNREACHABLE`, `MOST_CRASHES_OF_A_TRY`, `SERVER_FAILED_STATUS`, each with its ground
+below it.
 Shows in: event `request`, `sends` and `outcome`; counters `repeats_after_…`. Tests:
 tests/test_gateway_request_rules.py, tests/test_gateway_pipeline.py (`SpoiltAnswers`, `Repeats`,
-`OwnFailures`, `Departures`).
+`OwnFailures`, `Departures`), tests/test_gateway_quarantine.py (`Refusals`).
 """
 
 import enum
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -1,11 +1,11 @@
-"""The order of the steps that a request passes: route, split, time, select, send, retry.
+"""The order of a request's steps: route, quarantine, split, time, select, send, retry.
 
 Owns the order and the state that steps share: the route table, split balances, retry budgets. Each
-rule is a module of its own: `routes`, `split`, `outcome.hold_time`, `outcome.time_left`,
-`server_order`, `server_selection`, `room`, `outcome.retry_decision`, `retry_budget`,
-`outcome.final_answer`, `outcome.return_times`. A request that waited for room, whose server left
-while its connection came up, or whose attempt brought no answer, passes all steps again, so that it
-meets the newest configuration and servers.
+rule is a module of its own: `routes`, `crashes.quarantine`, `split`, `outcome.hold_time`,
+`outcome.time_left`, `server_order`, `server_selection`, `room`, `outcome.retry_decision`,
+`retry_budget`, `outcome.final_answer`, `outcome.return_times`. A request that waited for room,
+whose server left while its connection came up, or whose attempt brought no answer, passes all steps
+again, so that it meets the newest configuration, servers and quarantine.
 Relies on the rules, the registry and the sender.
 """
 
