--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -45,6 +45,11 @@
 from .state.store import Store
 from .state.store_view import StoreView
 from .timing import Timing
+from .workspaces.admission import WorkspaceAdmission
+from .workspaces.quota_exchange import QuotaExchange
+from .workspaces.quota_owners import QuotaOwners
+from .workspaces.quota_parts import QuotaParts
+from .workspaces.quotas import FleetQuotas
 
 
 class Context(NamedTuple):
@@ -117,6 +122,14 @@
     store: QuarantineStore
 
 
+class Workspaces(NamedTuple):
+    """Workspaces: their keys and their limits."""
+
+    admission: WorkspaceAdmission
+    quotas: FleetQuotas
+    exchange: QuotaExchange
+
+
 class Regions(NamedTuple):
     """Steering between regions."""
 
@@ -139,6 +152,7 @@
     fleet: Fleet
     servers: Servers
     crashes: Crashes
+    workspaces: Workspaces
     regions: Regions
     requests: Requests
     reporter: RegionReporter
@@ -159,10 +173,11 @@
     fleet = make_fleet(context, state, incarnation)
     servers = make_servers(context, state, fleet)
     crashes = make_crashes(context, state, fleet)
+    workspaces = make_workspaces(context, state, fleet)
     regions = make_regions(context, state, servers, unreadable)
-    requests = make_requests(context, state, servers, crashes, regions)
+    requests = make_requests(context, state, servers, crashes, workspaces, regions)
     reporter = make_reporter(context, state, fleet, regions, requests)
-    return Parts(state, fleet, servers, crashes, regions, requests, reporter)
+    return Parts(state, fleet, servers, crashes, workspaces, regions, requests, reporter)
 
 
 def make_state(context: Context, unreadable: Callable[[str, str], None]) -> State:
@@ -293,6 +308,39 @@
     return Crashes(quarantine, reporter, store)
 
 
+def make_workspaces(context: Context, state: State, fleet: Fleet) -> Workspaces:
+    """Return the parts that keep workspaces' keys and limits.
+
+    Args:
+        context: What every part may need.
+        state: The parts that hold the store's items.
+        fleet: The other VMs.
+    """
+    settings, monotonic = context.settings, context.monotonic
+    view = state.view
+    owners = QuotaOwners(
+        lambda: view.members,
+        fleet.gossip.in_touch,
+        regions=settings.regions,
+        name=settings.name,
+        started_at=monotonic(),
+    )
+    parts = QuotaParts(owners, settings.bounds, monotonic())
+    exchange = QuotaExchange(
+        parts,
+        lambda name: admission.workspace(name),
+        view,
+        fleet.datagrams,
+        context.timing,
+        name=settings.name,
+    )
+    quotas = FleetQuotas(
+        owners, exchange, context.timing, hall=settings.hall, regions=settings.regions
+    )
+    admission = WorkspaceAdmission(view, quotas, settings.bounds, monotonic, context.events)
+    return Workspaces(admission, quotas, exchange)
+
+
 def make_regions(
     context: Context, state: State, servers: Servers, unreadable: Callable[[str, str], None]
 ) -> Regions:
@@ -322,7 +370,12 @@
 
 
 def make_requests(
-    context: Context, state: State, servers: Servers, crashes: Crashes, regions: Regions
+    context: Context,
+    state: State,
+    servers: Servers,
+    crashes: Crashes,
+    workspaces: Workspaces,
+    regions: Regions,
 ) -> Requests:
     """Return the parts that a request passes.
 
@@ -331,6 +384,7 @@
         state: The parts that hold the store's items.
         servers: Backend servers.
         crashes: Requests that crash servers.
+        workspaces: Keys and limits of workspaces.
         regions: Steering between regions.
     """
     settings = context.settings
@@ -341,9 +395,9 @@
         servers.registry,
         ranker,
         sender,
+        workspaces.admission,
         bounds=settings.bounds,
-        monotonic=context.monotonic,
-        rng=context.rng,
+        timing=context.timing,
     )
     app = GatewayApp(
         state.view,
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -14,7 +14,7 @@
 from .._supervise import Step, forever
 from ..clock import Clock, SystemClock
 from ..net.http_server import AsgiApp
-from .composition import Context, make_parts
+from .composition import Context, Parts, make_parts
 from .decision_log import DecisionLog
 from .internal_apps import DeltaApp, TextApp
 from .lifecycle.reload import Reloader
@@ -81,14 +81,15 @@
         self.state.view.listeners.append(self.listeners.on_change)
         self.reloader = Reloader(reread, self._apply_settings, self.events)
         self.signals = ProcessSignals(self.stopping.set, self.reloader.reload)
-        self.upkeep = self._make_upkeep()
+        self.upkeep = self._make_upkeep(parts)
         self.shutdown = self._make_shutdown()
         self._tasks: list[asyncio.Task] = []
 
-    def _make_upkeep(self) -> Upkeep:
+    def _make_upkeep(self, parts: Parts) -> Upkeep:
         return Upkeep(
             self.state,
             self.servers,
+            parts.workspaces,
             self.regions,
             reload_if_changed=self.reloader.reload_if_changed,
             monotonic=self.clock.monotonic,
--- a/sprucewinch/gateway/decision_log.py
+++ b/sprucewinch/gateway/decision_log.py
@@ -112,6 +112,8 @@
         }
         if request.blocked is not None and not request.attempts:
             inputs["blocked"] = request.blocked.log_fields()
+        if request.caller.workspace is not None:
+            inputs["workspace"] = request.caller.workspace.name
         self._line("request", inputs, plain=plain)
 
     def _line(self, event: str, inputs: dict[str, Any], *, plain: bool) -> None:
--- a/sprucewinch/gateway/header_names.py
+++ b/sprucewinch/gateway/header_names.py
@@ -19,6 +19,8 @@
         load: A backend server's load: running, waiting, slots.
         cold_ms: In answers to probes, how much longer a server is cold, in milliseconds.
         instance: In answers to probes, the server's id.
+        api_key: A caller's API key; never passed on.
+        workspace: Name of the caller's workspace, set on what goes to a backend server.
     """
 
     request_id: str = "sprucewinch-request-id"
@@ -30,3 +32,5 @@
     load: str = "sprucewinch-load"
     cold_ms: str = "sprucewinch-cold-ms"
     instance: str = "sprucewinch-instance"
+    api_key: str = "sprucewinch-api-key"
+    workspace: str = "sprucewinch-workspace"
--- a/sprucewinch/gateway/lifecycle/upkeep.py
+++ b/sprucewinch/gateway/lifecycle/upkeep.py
@@ -6,7 +6,7 @@
 import asyncio
 from collections.abc import Callable
 
-from ..composition import Regions, Servers, State
+from ..composition import Regions, Servers, State, Workspaces
 
 _SWEEP_S = 1.0
 """Time between two sweeps, in seconds. A guess, never measured."""
@@ -18,6 +18,7 @@
     Args:
         state: The parts that hold the store's items.
         servers: Backend servers.
+        workspaces: Keys and limits of workspaces.
         regions: Steering between regions.
         reload_if_changed: Looks at the settings.
         monotonic: Source of time, in seconds.
@@ -28,6 +29,7 @@
         self,
         state: State,
         servers: Servers,
+        workspaces: Workspaces,
         regions: Regions,
         *,
         reload_if_changed: Callable[[], bool],
@@ -36,6 +38,7 @@
     ) -> None:
         self.state = state
         self.servers = servers
+        self.workspaces = workspaces
         self.regions = regions
         self.reload_if_changed = reload_if_changed
         self.monotonic = monotonic
@@ -58,6 +61,7 @@
         self.servers.registry.drop_lapsed(now)
         self.servers.registry.take_up_standing(now)
         self.regions.shares.tick(now)
+        self.workspaces.exchange.parts.tick(now)
 
     def _sweep(self) -> None:
         """Close old connections, forget servers that are gone, look at the settings."""
--- a/sprucewinch/gateway/requests/app.py
+++ b/sprucewinch/gateway/requests/app.py
@@ -34,14 +34,24 @@
         arrived_at: Monotonic time of its arrival, in seconds.
     """
 
-    __slots__ = ("arrived_at", "body", "request", "scope")
+    __slots__ = ("arrived_at", "body", "body_begun", "request", "scope")
 
     def __init__(self, scope: dict[str, Any], body: AsgiBody, arrived_at: float) -> None:
         self.scope = scope
         self.body = body
         self.arrived_at = arrived_at
+        self.body_begun = False
         self.request: Optional[ClientRequest] = None
 
+    @property
+    def cut_short(self) -> bool:
+        """Return whether reading the body ended before its end, so that the connection must close.
+
+        A body that nobody began to read is dropped by the listener as it arrives: closing would
+        reset the connection, and the caller might never see its answer.
+        """
+        return self.body_begun and not self.body.complete
+
 
 class GatewayApp:
     """Reads requests, runs them, and writes their answers.
@@ -120,7 +130,7 @@
             reply = await self._reply(exchange, task)
             self._serving.discard(task)
             self._note_reply(exchange, reply)
-            await write_reply(reply, send, close=self.stopping or not exchange.body.complete)
+            await write_reply(reply, send, close=self.stopping or exchange.cut_short)
         except CallerLeftError:
             # Before the whole request is read there is nothing to name in a line, and nothing ran.
             if exchange.request is not None:
@@ -128,39 +138,54 @@
 
     async def _reply(self, exchange: Exchange, task: asyncio.Task) -> Reply:
         """Return the final answer: of the request's run, or of the stop that cuts it off."""
+        request = self._read_request(exchange)
         try:
-            await self._read_body(exchange.body)
-            request = self._read_request(exchange)
-            refusal = self._refusal(request, exchange.body)
+            refusal = await self._refusal_by_head(request)
+            if refusal is None:
+                refusal = await self._read_body(exchange, request)
+            exchange.request = request
             return refusal or await self._run_while_caller_stays(request, exchange.body, task)
         except asyncio.CancelledError:
             if not self.giving_up:
                 raise
             task.uncancel()
-            return self.pipeline.stop_reply(exchange.request or self._read_request(exchange))
+            exchange.request = request
+            return self.pipeline.stop_reply(request)
+        finally:
+            self.pipeline.settle(request)
+
+    async def _refusal_by_head(self, request: ClientRequest) -> Optional[Reply]:
+        """Return the answer to a request that is refused before its body is read, else None."""
+        if not request.path.startswith("/"):
+            return final_answer.refused_for_good(RefusalReason.MALFORMED)
+        return await self.pipeline.admit(request)
+
+    async def _read_body(self, exchange: Exchange, request: ClientRequest) -> Optional[Reply]:
+        """Read a body up to the most that is accepted, and one byte more to see whether it ends.
 
-    async def _read_body(self, body: AsgiBody) -> None:
-        """Read a body up to the most that is accepted, and one byte more to see whether it ends."""
+        Returns:
+            The answer to a request whose body is not accepted, else None.
+        """
+        body = exchange.body
+        exchange.body_begun = True
         await body.keep_start(self.bodies.room_bytes(self.limits.body_bytes) + 1)
         self.bodies.take(len(body.first))
+        request.body = body.first
+        return self._refusal_by_body(request, body)
 
     def _read_request(self, exchange: Exchange) -> ClientRequest:
         read = self.reader.read(exchange.scope, exchange.body.first, exchange.arrived_at)
         if read.wait_source is WaitSource.UNREADABLE:
             self.counters.count("requests_with_unreadable_deadline")
-        exchange.request = read.request
         return read.request
 
-    def _refusal(self, request: ClientRequest, body: AsgiBody) -> Optional[Reply]:
-        """Return the answer to a request that is refused before anything is done, else None."""
+    def _refusal_by_body(self, request: ClientRequest, body: AsgiBody) -> Optional[Reply]:
         limit_bytes = self.limits.body_bytes
         admission = admit_body(len(request.body), limit_bytes, complete=body.complete)
         if admission is BodyAdmission.TOO_LARGE:
             return final_answer.refused_for_good(RefusalReason.TOO_LARGE)
         if admission is BodyAdmission.NO_MEMORY:
             return final_answer.refused_for_memory()
-        if not request.path.startswith("/"):
-            return final_answer.refused_for_good(RefusalReason.MALFORMED)
         return None
 
     async def _run_while_caller_stays(
--- a/sprucewinch/gateway/requests/callers/request_reader.py
+++ b/sprucewinch/gateway/requests/callers/request_reader.py
@@ -1,6 +1,7 @@
 """Reads a caller's request from its ASGI scope.
 
-Owns which headers are passed on, and where a request's id, deadline and object are found. Relies on
+Owns which headers are passed on, and where a request's id, deadline, object and API key are found.
+A key goes no further than its digest: it is neither passed on nor held. Relies on
 the platform's header names, and on `outcome.hold_time` for how long a caller waits. Reads no body
 and refuses nothing.
 """
@@ -10,6 +11,7 @@
 from ....net.http_server import TARGET_KEY
 from ....net.request import end_to_end
 from ...header_names import HeaderNames
+from ...workspaces.keys import key_digest
 from ..client_request import ClientRequest
 from ..outcome.hold_time import WaitSource, caller_wait
 
@@ -53,6 +55,7 @@
         first_by_name = dict(reversed(headers))
         target = scope.get(TARGET_KEY, scope["raw_path"]).decode("latin-1")
         wait = caller_wait(first_by_name.get(self.names.deadline_ms))
+        api_key = first_by_name.get(self.names.api_key)
         request = ClientRequest(
             id=first_by_name.get(self.names.request_id, ""),
             method=scope["method"],
@@ -64,11 +67,13 @@
             arrived_at=arrived_at,
             deadline=arrived_at + wait.seconds,
             key=_cookie(first_by_name.get("cookie", ""), self.names.affinity),
+            api_key=key_digest(api_key) if api_key else None,
         )
         return ReadRequest(request, wait.source)
 
     def _passed_on(self, headers: list[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
-        own = (self.names.deadline_ms, self.names.expected)
+        names = self.names
+        own = (names.deadline_ms, names.expected, names.api_key, names.workspace)
         return tuple(
             (name, value)
             for name, value in end_to_end(headers)
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -12,6 +12,7 @@
 from ...net.connection import Answer
 from ..resources import Route
 from ..servers.backend_server import BackendServer
+from ..workspaces.admission import CallerRequest
 
 TIMED_OUT = "timeout"
 """Cause of an attempt that ended at the time until which its request is held."""
@@ -74,6 +75,9 @@
         target_hash: See `crashes.fingerprint`; None until it is needed.
         fingerprint: What names it and all equal requests; None until it is needed.
         on_trial: True when it is sent although equal ones have crashed servers.
+        api_key: Digest of its caller's API key; None when it has none.
+        caller: Its workspace, and what it took of that one's limit.
+        ahead: Steps by which its workspace is ahead of its share; 0 for not at all.
     """
 
     id: str
@@ -92,6 +96,9 @@
     target_hash: Optional[int] = None
     fingerprint: Optional[bytes] = None
     on_trial: bool = False
+    api_key: Optional[bytes] = None
+    caller: CallerRequest = CallerRequest()
+    ahead: int = 0
 
     def tried_servers(self) -> set[str]:
         """Return the backend servers that were tried."""
@@ -182,6 +189,11 @@
 
     NO_CONFIGURATION = "no-configuration"
     NO_ROUTE = "no-route"
+    UNKNOWN_KEY = "unknown-key"
+    BEHIND = "behind"
+    OVER_QUOTA = "over-quota"
+    NO_QUOTA = "no-quota"
+    NO_REGION = "no-region"
     MALFORMED = "malformed"
     TOO_LARGE = "too-large"
     NO_SERVER = "no-server"
--- a/sprucewinch/gateway/requests/outcome/final_answer.py
+++ b/sprucewinch/gateway/requests/outcome/final_answer.py
@@ -26,6 +26,11 @@
 - Equal requests crash the servers that run them: 503 `crashes-servers` at once, with the time until
   it is tried again, which may be an hour. True, as this one has not run; longer than callers wait,
   so that it invites nobody before.
+- Its API key is missing or unknown: 401 `unknown-key` at once, before its body is read; where this
+  VM may not know the newest keys, 503 `behind`.
+- Its workspace has sent as much as it may: 429 `over-quota`, with the time at which one more may be
+  sent. Where no VM that knows can be asked: 503 `no-quota`.
+- Its route and its workspace allow no region in common: 503 `no-region` at once.
 - No memory for its body: 503 `no-room` at once, with a fixed Retry-After.
 """
 
@@ -51,12 +56,17 @@
 """Least Retry-After of a request that crashes servers, in seconds: its trial may be due, and wait
 for the store. A guess, never measured."""
 
+_RETRY_AFTER_DIGITS = 3
+"""Decimal places of Retry-After, in seconds: a millisecond."""
+
 SERVICE_UNAVAILABLE = 503
 """HTTP status of a refusal that promises that the request did not run; set by the HTTP standard and
 by what callers do with it."""
 
 _STATUS = {
     RefusalReason.NO_ROUTE: 404,
+    RefusalReason.UNKNOWN_KEY: 401,
+    RefusalReason.OVER_QUOTA: 429,
     RefusalReason.MALFORMED: 400,
     RefusalReason.TOO_LARGE: 413,
     RefusalReason.TIMEOUT: 504,
@@ -85,6 +95,17 @@
     return Reply(None, refusal, status, retry_after_s, route)
 
 
+def refused_until(refusal: RefusalReason, retry_after_s: float) -> Reply:
+    """Return this VM's own answer to a request that may come back at a known time.
+
+    Args:
+        refusal: Why it is refused.
+        retry_after_s: Time from now, in seconds.
+    """
+    status = _STATUS.get(refusal, SERVICE_UNAVAILABLE)
+    return Reply(None, refusal, status, round(retry_after_s, _RETRY_AFTER_DIGITS))
+
+
 def refused_for_good(refusal: RefusalReason) -> Reply:
     """Return the answer to a request that would be refused again: too large, or malformed."""
     return Reply(None, refusal, _STATUS[refusal])
@@ -112,6 +133,17 @@
     return refused(_true_reason(request, refusal), rng, route)
 
 
+def without_route(request: ClientRequest, refusal: RefusalReason, rng: random.Random) -> Reply:
+    """Return the final answer of a request whose route or workspace is there no longer.
+
+    Args:
+        request: The request.
+        refusal: Why it is not sent.
+        rng: Spreads Retry-After.
+    """
+    return refused(_true_reason(request, refusal), rng)
+
+
 def trial_in_s(held: Held, now: float) -> float:
     """Return Retry-After of a request that crashes servers, in seconds: when it is tried again.
 
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -1,7 +1,9 @@
-"""The order of a request's steps: route, quarantine, split, time, select, send, retry.
+"""The order of a request's steps: key, quota; route, quarantine, split, time, select, send, retry.
 
-Owns the order and the state that steps share: the route table, split balances, retry budgets. Each
-rule is a module of its own: `routes`, `crashes.quarantine`, `split`, `outcome.hold_time`,
+Owns the order and the state that steps share: the route table, split balances, retry budgets. Key
+and quota come once, before the body is read (`admit`), the others in `run`. Each rule is a module
+of its own: `workspaces.key_table`, `workspaces.quotas`, `workspaces.allowed_regions`, `routes`,
+`crashes.quarantine`, `split`, `outcome.hold_time`,
 `outcome.time_left`, `server_order`, `server_selection`, `room`, `outcome.retry_decision`,
 `retry_budget`, `outcome.final_answer`, `outcome.return_times`. A request that waited for room,
 whose server left while its connection came up, or whose attempt brought no answer, passes all steps
@@ -9,8 +11,6 @@
 Relies on the rules, the registry and the sender.
 """
 
-import random
-from collections.abc import Callable
 from typing import Optional, Union
 
 from ..crashes.held import Held
@@ -18,6 +18,12 @@
 from ..servers.backend_registry import BackendRegistry
 from ..settings import Bounds
 from ..state.store_view import Change, StoreView
+from ..timing import Timing
+from ..workspaces.admission import CallerRequest, WorkspaceAdmission
+from ..workspaces.allowed_regions import allowed_regions
+from ..workspaces.fair_order import FairOrder
+from ..workspaces.key_table import KeyProblem
+from ..workspaces.quotas import QuotaEnd
 from .client_request import CRASHED, Attempt, ClientRequest, RefusalReason, Reply, Selection
 from .connection_age import most_rest_s
 from .outcome import final_answer
@@ -33,6 +39,18 @@
 from .server_selection import ServerSelector
 from .split import Splits
 
+_KEY_REFUSALS = {
+    KeyProblem.UNKNOWN: RefusalReason.UNKNOWN_KEY,
+    KeyProblem.BEHIND: RefusalReason.BEHIND,
+}
+"""What callers get whose key is not accepted."""
+
+_QUOTA_REFUSALS = {
+    QuotaEnd.OVER: RefusalReason.OVER_QUOTA,
+    QuotaEnd.UNKNOWN: RefusalReason.NO_QUOTA,
+}
+"""What callers get whose workspace may not send one more request."""
+
 
 class Pipeline:
     """Runs requests.
@@ -42,9 +60,9 @@
         registry: Backend servers.
         ranker: Orders the servers of an object.
         sender: Sends requests.
+        admission: Admits requests by key and by quota.
         bounds: The fleet's figures.
-        monotonic: Source of time, in seconds.
-        rng: Source of randomness.
+        timing: Sources of time and randomness.
     """
 
     def __init__(
@@ -53,40 +71,74 @@
         registry: BackendRegistry,
         ranker: ServerRanker,
         sender: Sender,
+        admission: WorkspaceAdmission,
         *,
         bounds: Bounds,
-        monotonic: Callable[[], float],
-        rng: random.Random,
+        timing: Timing,
     ) -> None:
         self.store_view = store_view
         self.registry = registry
         self.ranker = ranker
         self.sender = sender
+        self.admission = admission
         self.bounds = bounds
-        self.monotonic = monotonic
-        self.rng = rng
+        self.monotonic = timing.monotonic
+        self.rng = timing.rng
         self.quarantine = sender.quarantine
         self.selector = ServerSelector(registry, sender.feedback.outliers)
-        self.return_times = ReturnTimes(registry, rng)
+        self.return_times = ReturnTimes(registry, timing.rng)
         self.splits = Splits()
         self.budgets: dict[str, WindowRetryBudget] = {}
+        self.fair_orders: dict[str, FairOrder] = {}
         self.table: Optional[RouteTable] = None
         store_view.listeners.append(self._on_change)
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Use other figures of the fleet from now on; retries and requests stay counted."""
         self.bounds = bounds
+        self.admission.set_bounds(bounds)
         for budget in self.budgets.values():
             budget.set_bounds(bounds)
 
+    async def admit(self, request: ClientRequest) -> Optional[Reply]:
+        """Return the answer to a request that is refused by what its head says, else None.
+
+        An admitted request holds its workspace, whose name goes to the backend server, and what it
+        took of that one's limit; `settle` gives that back where no server has run it.
+
+        Args:
+            request: The request, without its body.
+        """
+        route = self._route(request)
+        if isinstance(route, RefusalReason):
+            return final_answer.refused(route, self.rng)
+        caller = self.admission.caller(route, request.api_key)
+        if caller.problem is not None:
+            return final_answer.refused(_KEY_REFUSALS[caller.problem], self.rng, route)
+        if caller.workspace is None:
+            return None
+        request.caller = CallerRequest(caller.workspace)
+        quota = await self.admission.take_quota(caller.workspace)
+        if quota.end is not QuotaEnd.ADMITTED:
+            reason = _QUOTA_REFUSALS[quota.end]
+            return final_answer.refused_until(reason, quota.retry_after_s)._replace(route=route)
+        request.caller = CallerRequest(caller.workspace, quota)
+        request.headers += ((self.sender.names.workspace, caller.workspace.name),)
+        return None
+
+    def settle(self, request: ClientRequest) -> None:
+        """Give back what a request took of its workspace's limit, where no server has run it."""
+        if not request.at_server and not request.possible_runs():
+            self.admission.give_back(request.caller)
+
     async def run(self, request: ClientRequest) -> Reply:
-        """Run a request and return its final answer."""
+        """Run an admitted request and return its final answer."""
         service = ""
         while True:
             now = self.monotonic()
-            route = self._route(request)
+            route = self._usable_route(request)
             if isinstance(route, RefusalReason):
-                return final_answer.refused(route, self.rng)
+                return final_answer.without_route(request, route, self.rng)
             held = await self._held(request)
             if held is not None:
                 return self._held_back(request, route, held)
@@ -122,6 +174,18 @@
         route = self.table.find(request.host, request.path)
         return RefusalReason.NO_ROUTE if route is None else route
 
+    def _usable_route(self, request: ClientRequest) -> Union[Route, RefusalReason]:
+        """Return a request's route as far as its workspace, as it is now, may use it."""
+        route = self._route(request)
+        admitted = request.caller.workspace
+        if isinstance(route, RefusalReason) or admitted is None:
+            return route
+        workspace = self.admission.workspace(admitted.name)
+        if workspace is None:
+            return RefusalReason.UNKNOWN_KEY
+        allowed = allowed_regions(route, workspace)
+        return RefusalReason.NO_REGION if allowed is None else route._replace(regions=allowed)
+
     async def _held(self, request: ClientRequest) -> Optional[Held]:
         """Return why a request is refused as one that crashes servers; None when it may be sent."""
         held = self.quarantine.refusal(request)
@@ -142,6 +206,8 @@
         if not service:
             service = self.splits.service(route, request.key or request.id)
             self._budget(service).arrived(now)
+            fair_order = self.fair_orders.setdefault(service, FairOrder())
+            request.ahead = fair_order.arrived(request.caller.workspace, now)
         elif service not in {part.service for part in route.parts}:
             service = self.splits.service(route, request.key)
         return service
--- a/sprucewinch/gateway/requests/room.py
+++ b/sprucewinch/gateway/requests/room.py
@@ -14,10 +14,11 @@
 first one looks anew when a request there is over; when as many wait as the server has slots, the
 last one is refused.
 
-Constants: `ROOM_WAIT_PART`, `DEFAULT_LATENCY_TARGET_S`, `LOOK_AGAIN_S`; the load limit's are in
-`servers.service_times`. Shows in: event `request`, `outcome` `no-room` and `blocked`. Tests:
-tests/test_gateway_request_rules.py (`Selections`), tests/test_gateway_server_selection.py
-(`Overload`, `Priorities`, `QueuesThatFit`), tests/test_gateway_usability.py (`WaitsForRoom`).
+Constants: `ROOM_WAIT_PART`, `DEFAULT_LATENCY_TARGET_S`, `LOOK_AGAIN_S`, `KEPT_FREE_PART`; the load
+limit's are in `servers.service_times`. Shows in: event `request`, `outcome` `no-room` and
+`blocked`. Tests: tests/test_gateway_request_rules.py (`Selections`),
+tests/test_gateway_server_selection.py (`Overload`, `Priorities`, `QueuesThatFit`),
+tests/test_gateway_usability.py (`WaitsForRoom`), tests/test_gateway_fair_order.py.
 """
 
 from typing import Optional
@@ -36,6 +37,10 @@
 refused learns it early enough to be served in time elsewhere or later. Measured against 0.2
 (docs/CONSTANTS.md)."""
 
+KEPT_FREE_PART = 0.34
+"""Part of a server's limit that a workspace ahead of its share leaves to others: one of three
+slots."""
+
 LOOK_AGAIN_S = 0.02
 """Longest time between two looks for room, in seconds: room may also come from a server's load
 report, which wakes no waiting request. A guess, never measured."""
@@ -55,7 +60,7 @@
     """
     if server.stands_before(place_in_queue(request, route)):
         return BlockedReason.OTHER_WAITS
-    if server.in_flight >= int(server.concurrency_limit):
+    if server.in_flight >= int(server.concurrency_limit) - _kept_free(server, request):
         return BlockedReason.CONCURRENCY_LIMIT
     limit = times.load_limit(server.backend, server.latency_s, route.timeout_s)
     if server.load(now) >= limit:
@@ -63,9 +68,24 @@
     return None
 
 
+def _kept_free(server: BackendServer, request: ClientRequest) -> int:
+    """Return how much of a server's limit a request leaves to others.
+
+    A workspace that is ahead of its share fills no server whole: what waits behind it would have to
+    wait for a whole run.
+    """
+    return int(server.concurrency_limit * KEPT_FREE_PART) if request.ahead else 0
+
+
 def place_in_queue(request: ClientRequest, route: Route) -> Place:
-    """Return a request's place among those that wait for room."""
-    return Place(route.priority, request.deadline)
+    """Return a request's place among those that wait for room.
+
+    Its workspace's rank comes first, then its route's; within a rank those go first whose workspace
+    is not ahead of its share.
+    """
+    workspace = request.caller.workspace
+    workspace_rank = workspace.priority if workspace else 0
+    return Place((workspace_rank, route.priority, request.ahead), request.deadline)
 
 
 def room_wait_s(request: ClientRequest, route: Route, now: float) -> float:
--- a/sprucewinch/gateway/resources.py
+++ b/sprucewinch/gateway/resources.py
@@ -1,4 +1,4 @@
-"""What the store holds, decoded: routes, services, backend servers, VMs, policies, evacuations.
+"""What the store holds, decoded: routes, workspaces, backend servers, VMs, policies, evacuations.
 
 Owns the types of the resources, free of any platform's names. Relies on nothing; the adapter and
 `state.own_items` make them, every part of the gateway reads them.
@@ -35,6 +35,7 @@
         priority: Rank, 0 the highest.
         regions: Regions that may run it; empty for all.
         affinity: True when a backend server that has lately seen the object is faster.
+        public: True when its requests need no API key.
     """
 
     name: str
@@ -48,6 +49,7 @@
     priority: int = 0
     regions: tuple[str, ...] = ()
     affinity: bool = False
+    public: bool = False
 
 
 class ServiceRule(NamedTuple):
@@ -68,6 +70,26 @@
     cold_per_s: float = 0.0
 
 
+class Workspace(NamedTuple):
+    """One workspace: who its callers are, how much they may send, and where it may run.
+
+    Args:
+        name: Its name, which backend servers get instead of the key.
+        keys: Digests of its API keys, see `key_digests`; the keys themselves are not held.
+        priority: Rank, 0 the highest; it goes before the rank of the route.
+        rate_per_s: Requests a second that it may send to the whole fleet; 0 for no limit.
+        burst: Requests beyond that rate.
+        regions: Regions that may run its requests; empty for all.
+    """
+
+    name: str
+    keys: tuple[bytes, ...]
+    priority: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    regions: tuple[str, ...] = ()
+
+
 class CallerLimits(NamedTuple):
     """Limits on what a caller may send.
 
@@ -92,12 +114,14 @@
         routes: All routes.
         services: Service rules by name.
         limits: Limits on callers.
+        workspaces: All workspaces; none when requests need no API key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceRule]
     limits: CallerLimits = CallerLimits()
+    workspaces: tuple[Workspace, ...] = ()
 
 
 class BackendEntry(NamedTuple):
--- a/sprucewinch/gateway/servers/room_queue.py
+++ b/sprucewinch/gateway/servers/room_queue.py
@@ -1,8 +1,8 @@
 """Which requests wait for room at one backend server, and in which order they get it.
 
 Question: which request looks for room next once one at the server is over? Inputs: a request's
-rank (0 the most urgent), its caller's deadline in monotonic seconds, its longest wait in seconds,
-the server's slots.
+rank (the least is the most urgent), its caller's deadline in monotonic seconds, its longest wait
+in seconds, the server's slots.
 
 Rule: as many requests wait as the server has slots; the most urgent goes first, then the one whose
 caller gives up first. Callers of a route state the same time when they first try and what is left
@@ -43,11 +43,11 @@
     """What waiting requests are sorted by.
 
     Args:
-        rank: The request's rank, 0 the most urgent.
+        rank: The request's rank, the least the most urgent.
         deadline: Monotonic time until which its caller waits, in seconds.
     """
 
-    rank: int
+    rank: tuple[int, ...]
     deadline: float
 
 
--- a/sprucewinch/gateway/settings.py
+++ b/sprucewinch/gateway/settings.py
@@ -3,7 +3,7 @@
 Owns the types of the settings. Relies on nothing; an adapter fills them from a settings file.
 """
 
-from typing import NamedTuple
+from typing import NamedTuple, Optional
 
 
 class Bounds(NamedTuple):
@@ -21,6 +21,13 @@
         retry_slack: Repeats allowed beyond the ratio in a window, over all VMs.
         cold_over: Factor on a cold backend server's rate that is still borne.
         cold_slack: Requests beyond that factor in one second.
+        config_s: Time after which a configuration has to be in force at every VM that reaches the
+            store, in seconds.
+        key_trust_s: Time without word from the store after which a VM accepts no API key any more,
+            in seconds; None to go on accepting those that it knows.
+        quota_window_s: Window of the limit on a workspace, in seconds.
+        quota_over: Part of a workspace's limit that may be passed in a window.
+        quota_slack: Requests beyond that in a window.
     """
 
     grace_s: float = 6.0
@@ -31,6 +38,11 @@
     retry_slack: float = 0.0
     cold_over: float = 1.0
     cold_slack: float = 0.0
+    config_s: float = 3.0
+    key_trust_s: Optional[float] = None
+    quota_window_s: float = 5.0
+    quota_over: float = 0.0
+    quota_slack: float = 0.0
 
 
 class GatewaySettings(NamedTuple):
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -24,6 +24,7 @@
         "members_open": sum(parts.fleet.gossip.accepts_callers(m, now) for m in view.members),
         "backend_servers": len(view.backends),
         "requests_held": len(parts.crashes.quarantine.held),
+        "quota_asks": parts.workspaces.exchange.asked,
         "neighbour_deltas": parts.fleet.peer_follower.deltas_applied,
     }
     return context.events.report(gauges)
--- a/sprucewinch/gateway/vm_state.py
+++ b/sprucewinch/gateway/vm_state.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from .composition import Context, Crashes, Parts, Regions, Servers
+from .composition import Context, Crashes, Parts, Regions, Servers, Workspaces
 
 _HIGHEST_AGE_S = 1e9
 """Age shown when the store has never answered, in seconds: JSON has no infinity."""
@@ -99,6 +99,28 @@
     crashes: tuple[dict[str, Any], ...]
 
 
+class WorkspaceState(NamedTuple):
+    """One workspace with a limit, as far as this VM has to do with it; never its keys.
+
+    Args:
+        workspace: Its name.
+        rate_per_s: Requests a second that it may send to the whole fleet.
+        burst: Requests beyond that rate.
+        used: Requests that were admitted here since the start, but for those given back.
+        refused: Requests that were refused here for its limit.
+        part: Part of its limit that this VM holds for its data hall, from 0 to 1.
+        left: Requests that it may still give of that part.
+    """
+
+    workspace: str
+    rate_per_s: float
+    burst: float
+    used: int
+    refused: int
+    part: float
+    left: float
+
+
 class VmState(NamedTuple):
     """Everything that an operator asks of one VM.
 
@@ -114,6 +136,7 @@
         services: Steering by service.
         backend_servers: All that are known.
         quarantined: Requests that are refused, as they crash servers.
+        workspaces: Those with a limit that were asked for here, or of which it holds a part.
     """
 
     name: str
@@ -127,6 +150,7 @@
     services: tuple[ServiceState, ...]
     backend_servers: tuple[BackendState, ...]
     quarantined: tuple[QuarantinedState, ...]
+    workspaces: tuple[WorkspaceState, ...]
 
     def to_json(self) -> str:
         """Return it as a JSON object."""
@@ -135,6 +159,7 @@
             "services": [service._asdict() for service in self.services],
             "backend_servers": [server.shown() for server in self.backend_servers],
             "quarantined": [request._asdict() for request in self.quarantined],
+            "workspaces": [workspace._asdict() for workspace in self.workspaces],
         }
         return msgspec.json.encode(table).decode()
 
@@ -155,9 +180,31 @@
         services=_services(parts.regions),
         backend_servers=_backend_servers(parts.servers, now),
         quarantined=_quarantined(parts.crashes, now),
+        workspaces=_workspaces(parts.workspaces),
     )
 
 
+def _workspaces(workspaces: Workspaces) -> tuple[WorkspaceState, ...]:
+    quotas, buckets = workspaces.quotas, workspaces.exchange.parts.buckets
+    rows = []
+    for name in sorted({*quotas.used, *quotas.refused, *buckets}):
+        workspace = workspaces.admission.workspace(name)
+        bucket = buckets.get(name)
+        if workspace is not None:
+            rows.append(
+                WorkspaceState(
+                    workspace=name,
+                    rate_per_s=workspace.rate_per_s,
+                    burst=workspace.burst,
+                    used=quotas.used[name],
+                    refused=quotas.refused[name],
+                    part=round(bucket.part, _SHARE_DIGITS) if bucket else 0.0,
+                    left=round(bucket.level, _LOAD_DIGITS) if bucket else 0.0,
+                )
+            )
+    return tuple(rows)
+
+
 def _quarantined(crashes: Crashes, now: float) -> tuple[QuarantinedState, ...]:
     return tuple(
         QuarantinedState(
--- /dev/null
+++ b/sprucewinch/gateway/workspaces/quota_exchange.py
@@ -0,0 +1,145 @@
+"""Asks the owners of parts of workspaces' limits, and answers for the parts of this VM.
+
+Owns the messages `QuotaAsk` and `QuotaAnswer` and the asks under way. What an answer gives that
+comes too late is not used. Relies on `quota_parts` for what this VM gives and on `datagrams`.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Optional
+
+import msgspec
+
+from ..datagrams import Datagrams
+from ..resources import Member, Workspace
+from ..state.store_view import StoreView
+from ..timing import Timing
+from .quota_owners import Owner
+from .quota_parts import Grant, QuotaParts
+
+_MS_PER_S = 1000
+"""Milliseconds in a second; times in messages are in milliseconds."""
+
+_NOT_OWNER = -1
+"""Time in an answer of a VM that holds no part of the workspace's limit, in milliseconds."""
+
+
+class QuotaAsk(msgspec.Struct, array_like=True, frozen=True, tag="quota-ask"):
+    """A VM asks for requests of a workspace; its tag on the wire is `quota-ask`.
+
+    Args:
+        number: Names the ask at its sender.
+        workspace: The workspace.
+        count: Requests that it asks for.
+    """
+
+    number: int
+    workspace: str
+    count: int
+
+
+class QuotaAnswer(msgspec.Struct, array_like=True, frozen=True, tag="quota-answer"):
+    """The answer to an ask; its tag on the wire is `quota-answer`.
+
+    Args:
+        number: Names the ask.
+        count: Requests that the asker may send.
+        wait_ms: When it may ask again if it got none, in milliseconds; `_NOT_OWNER` when the sender
+            holds no part of the workspace's limit.
+    """
+
+    number: int
+    count: int
+    wait_ms: int = 0
+
+
+class QuotaExchange:
+    """Asks owners for requests.
+
+    Args:
+        parts: The parts that this VM holds.
+        workspace_of: Returns the workspace of a name; None when the configuration has none.
+        store_view: Addresses of other VMs.
+        datagrams: The endpoint between VMs.
+        timing: Sources of time and randomness.
+        name: Name of this VM.
+    """
+
+    def __init__(
+        self,
+        parts: QuotaParts,
+        workspace_of: Callable[[str], Optional[Workspace]],
+        store_view: StoreView,
+        datagrams: Datagrams,
+        timing: Timing,
+        *,
+        name: str,
+    ) -> None:
+        self.parts = parts
+        self.workspace_of = workspace_of
+        self.store_view = store_view
+        self.datagrams = datagrams
+        self.timing = timing
+        self.name = name
+        self.asked = 0
+        self._number = 0
+        self._asks: dict[int, asyncio.Future[QuotaAnswer]] = {}
+        datagrams.register(QuotaAsk, self._on_ask)
+        datagrams.register(QuotaAnswer, self._on_answer)
+
+    async def ask(
+        self, owner: Owner, workspace: Workspace, count: int, longest_s: float
+    ) -> Optional[Grant]:
+        """Ask an owner for requests.
+
+        Args:
+            owner: The owner; this VM itself is asked at once.
+            workspace: The workspace.
+            count: How many.
+            longest_s: Longest time for its answer, in seconds.
+
+        Returns:
+            What it gives; None when it holds no part, or gave no answer in time.
+        """
+        if owner.name == self.name:
+            return self.parts.give(workspace, count, self.timing.monotonic())
+        member = self.store_view.members.get(owner.name)
+        if member is None:
+            return None
+        answer = await self._exchange(member, workspace.name, count, longest_s)
+        if answer is None or answer.wait_ms == _NOT_OWNER:
+            return None
+        return Grant(answer.count, answer.wait_ms / _MS_PER_S)
+
+    async def _exchange(
+        self, member: Member, workspace: str, count: int, longest_s: float
+    ) -> Optional[QuotaAnswer]:
+        self._number += 1
+        number = self._number
+        self.asked += 1
+        future = self._asks[number] = asyncio.get_running_loop().create_future()
+        self.datagrams.send(QuotaAsk(number, workspace, count), (member.peer_address,))
+        try:
+            async with asyncio.timeout(longest_s):
+                return await future
+        except TimeoutError:
+            # The caller leaves this owner alone for a while and asks the next one.
+            return None
+        finally:
+            del self._asks[number]
+
+    def _on_ask(self, ask: QuotaAsk, now: float) -> None:
+        sender = self.datagrams.last_sender
+        workspace = self.workspace_of(ask.workspace)
+        grant = self.parts.give(workspace, ask.count, now) if workspace else None
+        if grant is None:
+            answer = QuotaAnswer(ask.number, 0, _NOT_OWNER)
+        else:
+            answer = QuotaAnswer(ask.number, grant.count, int(grant.wait_s * _MS_PER_S))
+        if sender is not None:
+            self.datagrams.send(answer, (sender,))
+
+    def _on_answer(self, answer: QuotaAnswer, _now: float) -> None:
+        asked = self._asks.get(answer.number)
+        if asked is not None and not asked.done():
+            asked.set_result(answer)
--- /dev/null
+++ b/sprucewinch/gateway/workspaces/quota_leases.py
@@ -0,0 +1,123 @@
+"""Rule: what a VM may send of a workspace now, and whom it asks for more.
+
+Question: may this request be sent, and if not, which owner of a part is asked next? Inputs: the
+requests that owners gave to this VM and until when, the owners with the data hall and region of
+each, which of them had nothing left and until when, time in monotonic seconds.
+
+Rule: what was given is used first. Else the owner of this VM's own hall is asked, then those of its
+region, then all others at once: one after the other they would take longer than a request's target
+allows. An owner that had nothing is left alone for the time that it stated. For
+one request as many are asked for as this VM is likely to
+send within `HOLD_S`, as what is not used by then is lost.
+
+Constants: `_MOST_ASKED`, `_RATE_WINDOW_S`. Tests: tests/test_gateway_quota.py.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from typing import Optional
+
+from ...retry import ReturnSchedule
+from .quota_bucket import HOLD_S
+from .quota_owners import Owner
+
+_MOST_ASKED = 64
+"""Most requests that are asked for at once."""
+
+_RATE_WINDOW_S = 1.0
+"""Time over which a VM counts what it sends of a workspace, in seconds."""
+
+
+class WorkspaceLease:
+    """What one VM holds of one workspace's limit.
+
+    Attributes:
+        given: Requests left of each grant, with the monotonic time until which they may be used.
+        dry_until: Monotonic time until which the owner of a hall's part is not asked.
+        returns: Gives refused callers their times to return.
+    """
+
+    __slots__ = ("_sent", "_used", "dry_until", "given", "returns")
+
+    def __init__(self, returns: ReturnSchedule) -> None:
+        self.returns = returns
+        self._used: deque[float] = deque()
+        self.given: deque[list[float]] = deque()
+        self.dry_until: dict[str, float] = {}
+        self._sent: deque[float] = deque()
+
+    def arrived(self, now: float) -> None:
+        """Count a request that a caller sends."""
+        self._sent.append(now)
+        self._drop_old(now)
+
+    def use(self, now: float) -> Optional[float]:
+        """Use one request that was given.
+
+        Returns:
+            The monotonic time until which it could be used; None when none is left.
+        """
+        while self.given and (self.given[0][0] <= now or self.given[0][1] < 1):
+            self.given.popleft()
+        if not self.given:
+            return None
+        self.given[0][1] -= 1
+        self._used.append(now)
+        return self.given[0][0]
+
+    def add(self, count: int, until: float) -> None:
+        """Hold requests that were given.
+
+        Args:
+            count: How many.
+            until: Monotonic time until which they may be used, in seconds.
+        """
+        if count > 0:
+            self.given.append([until, count])
+
+    def wanted(self, waiting: int, now: float) -> int:
+        """Return how many requests to ask for.
+
+        Args:
+            waiting: Requests that wait for one.
+            now: Monotonic time, in seconds.
+        """
+        self._drop_old(now)
+        soon = int(len(self._sent) / _RATE_WINDOW_S * HOLD_S)
+        return min(_MOST_ASKED, max(waiting, soon, 1))
+
+    def note_dry(self, hall: str, until: float) -> None:
+        """Leave the owner of a hall's part alone until a monotonic time, in seconds."""
+        self.dry_until[hall] = until
+
+    def is_open(self, owner: Owner, now: float) -> bool:
+        """Return whether an owner may be asked now."""
+        return self.dry_until.get(owner.hall, 0.0) <= now
+
+    def used_per_s(self, now: float) -> float:
+        """Return how many requests a second were sent lately."""
+        while self._used and self._used[0] <= now - _RATE_WINDOW_S:
+            self._used.popleft()
+        return len(self._used) / _RATE_WINDOW_S
+
+    def _drop_old(self, now: float) -> None:
+        while self._sent and self._sent[0] <= now - _RATE_WINDOW_S:
+            self._sent.popleft()
+
+
+def asking_groups(
+    owners: Iterable[Owner], *, hall: str, regions: dict[str, str]
+) -> tuple[list[Owner], list[Owner], list[Owner]]:
+    """Return the owners that a VM asks first, those that it asks next, and those asked last.
+
+    Args:
+        owners: The owners of a workspace's parts.
+        hall: Data hall of the VM that asks.
+        regions: Region of each data hall.
+    """
+    region = regions.get(hall)
+    groups: tuple[list[Owner], list[Owner], list[Owner]] = ([], [], [])
+    for owner in owners:
+        near = 0 if owner.hall == hall else 1 if regions.get(owner.hall) == region else 2
+        groups[near].append(owner)
+    return groups
--- /dev/null
+++ b/sprucewinch/gateway/workspaces/quotas.py
@@ -0,0 +1,247 @@
+"""The limit on each workspace over the whole fleet, as one VM keeps it.
+
+Question: may this request of a workspace be sent, and if not, when may its caller return? Owns what
+this VM holds of each workspace's limit and the order in which its requests get it: the first that
+came is the first served. The decisions are `quota_leases` (what is used, who is asked) and
+`quota_bucket` (what owners give); `quota_exchange` carries the asks. Nothing is counted twice: a
+retry of this VM's own takes no further request, and what a caller's request took is given back when
+no backend server has run it.
+
+Shows in: event `request`, `outcome` `over-quota` or `no-quota`; metrics `quota_asks`. Tests:
+tests/test_gateway_quota.py, tests/test_gateway_quota_fleet.py.
+"""
+
+import abc
+import asyncio
+import enum
+from collections import Counter
+from typing import NamedTuple
+
+from ...retry import ReturnSchedule
+from ..resources import Workspace
+from ..settings import Bounds
+from ..timing import Timing
+from .quota_bucket import HOLD_S, quota_limit
+from .quota_exchange import QuotaExchange
+from .quota_leases import WorkspaceLease, asking_groups
+from .quota_owners import Owner, QuotaOwners
+
+LONGEST_S = 0.2
+"""Longest time that a request waits for its turn and for answers of owners, in seconds: most
+targets allow it, and nearly all answers come within a tenth of it."""
+
+_LEAST_RETURN_S = 0.1
+"""Shortest time until a refused caller returns, in seconds, and the spread of each return."""
+
+_MOST_RETURN_S = 2.0
+"""Longest time until a refused caller returns, in seconds."""
+
+_MS_PER_S = 1000
+"""Milliseconds in a second."""
+
+_NEAR_ANSWER_S = 0.04
+"""Time for the answer of an owner in this VM's region, in seconds: some ten times the way there and
+back, so that a request has time left to ask elsewhere."""
+
+_FAR_ANSWER_S = 0.08
+"""Time for the answer of an owner in another region, in seconds: three times the way there and
+back."""
+
+_SILENT_S = 0.5
+"""Time for which an owner that gave no answer is not asked again, for any workspace, in seconds: a
+fifth of the time after which another VM takes its place."""
+
+_UNKNOWN_RETURN_S = 0.5
+"""Time until a caller returns whose VM reached no owner, in seconds: by then it asks them again."""
+
+
+class QuotaEnd(enum.Enum):
+    """Whether a request may be sent."""
+
+    ADMITTED = "admitted"
+    OVER = "over"
+    """The workspace has sent as much as it may."""
+    UNKNOWN = "unknown"
+    """No owner of a part of its limit could be asked."""
+
+
+class QuotaDecision(NamedTuple):
+    """Whether a request may be sent.
+
+    Args:
+        end: The decision.
+        retry_after_s: When its caller may return, in seconds; 0 for an admitted one.
+        until: Monotonic time until which another request could be sent in its place, in seconds.
+    """
+
+    end: QuotaEnd
+    retry_after_s: float = 0.0
+    until: float = 0.0
+
+
+_UNLIMITED = QuotaDecision(QuotaEnd.ADMITTED)
+
+
+class Quotas(abc.ABC):
+    """Keeps the limits on workspaces."""
+
+    @abc.abstractmethod
+    async def take(self, workspace: Workspace) -> QuotaDecision:
+        """Return whether a request of a workspace may be sent, and count it if so."""
+
+    @abc.abstractmethod
+    def give_back(self, workspace: Workspace, decision: QuotaDecision) -> None:
+        """Count an admitted request no longer, as no backend server has run it."""
+
+    @abc.abstractmethod
+    def keep_only(self, names: set[str]) -> None:
+        """Drop what is held of workspaces that the configuration has no longer.
+
+        Args:
+            names: Those that it has.
+        """
+
+    @abc.abstractmethod
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Use other figures of the fleet from now on; what was given stays counted."""
+
+
+class FleetQuotas(Quotas):
+    """Limits kept by owners of parts in several data halls.
+
+    Args:
+        owners: Who holds which part.
+        exchange: Asks them.
+        timing: Sources of time and randomness.
+        hall: Data hall of this VM.
+        regions: Region of each data hall.
+    """
+
+    def __init__(
+        self,
+        owners: QuotaOwners,
+        exchange: QuotaExchange,
+        timing: Timing,
+        *,
+        hall: str,
+        regions: dict[str, str],
+    ) -> None:
+        self.owners = owners
+        self.exchange = exchange
+        self.timing = timing
+        self.hall = hall
+        self.regions = regions
+        self.leases: dict[str, WorkspaceLease] = {}
+        self.used: Counter[str] = Counter()
+        self.refused: Counter[str] = Counter()
+        self.silent_until: dict[str, float] = {}
+        self._turns: dict[str, asyncio.Lock] = {}
+        self._waiting: Counter[str] = Counter()
+
+    def keep_only(self, names: set[str]) -> None:
+        """Drop what is held of workspaces that are gone; see `Quotas`."""
+        self.exchange.parts.drop_unknown(names)
+        for held in (self.leases, self.used, self.refused):
+            for name in [name for name in held if name not in names]:
+                del held[name]
+        free = [n for n, turn in self._turns.items() if n not in names and not turn.locked()]
+        for name in free:
+            del self._turns[name]
+
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Use other figures; see `Quotas`."""
+        self.exchange.parts.bounds = bounds
+
+    async def take(self, workspace: Workspace) -> QuotaDecision:
+        """Return whether a request may be sent; see `Quotas`."""
+        if workspace.rate_per_s <= 0:
+            return _UNLIMITED
+        name = workspace.name
+        lease = self._lease(name)
+        lease.arrived(self.timing.monotonic())
+        self._waiting[name] += 1
+        try:
+            async with asyncio.timeout(LONGEST_S):
+                async with self._turns.setdefault(name, asyncio.Lock()):
+                    decision = await self._take_in_turn(workspace, lease)
+        except TimeoutError:
+            decision = QuotaDecision(QuotaEnd.UNKNOWN, _UNKNOWN_RETURN_S)
+        finally:
+            self._waiting[name] -= 1
+        admitted = decision.end is QuotaEnd.ADMITTED
+        (self.used if admitted else self.refused)[name] += 1
+        return decision
+
+    def give_back(self, workspace: Workspace, decision: QuotaDecision) -> None:
+        """Let another request use what this one took; see `Quotas`."""
+        lease = self.leases.get(workspace.name)
+        if lease is not None and decision.until > self.timing.monotonic():
+            lease.add(1, decision.until)
+        self.used[workspace.name] -= 1
+
+    async def _take_in_turn(self, workspace: Workspace, lease: WorkspaceLease) -> QuotaDecision:
+        until = lease.use(self.timing.monotonic())
+        if until is None and not await self._ask_for_more(workspace, lease):
+            return self._refusal(workspace, lease)
+        if until is None:
+            until = lease.use(self.timing.monotonic())
+        if until is None:
+            return self._refusal(workspace, lease)
+        return QuotaDecision(QuotaEnd.ADMITTED, until=until)
+
+    async def _ask_for_more(self, workspace: Workspace, lease: WorkspaceLease) -> bool:
+        """Ask owners, near ones first, until one gives something."""
+        answering = self._answering(workspace, self.timing.monotonic())
+        for group in asking_groups(answering, hall=self.hall, regions=self.regions):
+            now = self.timing.monotonic()
+            asked = [owner for owner in group if lease.is_open(owner, now)]
+            given = await asyncio.gather(*(self._ask(owner, workspace, lease) for owner in asked))
+            if any(given):
+                return True
+        return False
+
+    async def _ask(self, owner: Owner, workspace: Workspace, lease: WorkspaceLease) -> bool:
+        """Ask one owner; returns whether it gave something."""
+        asked_at = self.timing.monotonic()
+        count = lease.wanted(self._waiting[workspace.name], asked_at)
+        far = self.regions.get(owner.hall) != self.regions.get(self.hall)
+        longest_s = _FAR_ANSWER_S if far else _NEAR_ANSWER_S
+        grant = await self.exchange.ask(owner, workspace, count, longest_s)
+        now = self.timing.monotonic()
+        if grant is None:
+            self.silent_until[owner.name] = now + _SILENT_S
+            return False
+        if grant.count == 0:
+            lease.note_dry(owner.hall, now + grant.wait_s)
+            return False
+        lease.add(grant.count, asked_at + HOLD_S)
+        return True
+
+    def _refusal(self, workspace: Workspace, lease: WorkspaceLease) -> QuotaDecision:
+        """Return when a caller may return: each gets the next moment, in the order of arrival.
+
+        This VM gets one more request about as often as it got one lately.
+        """
+        now = self.timing.monotonic()
+        if not self._answering(workspace, now):
+            return QuotaDecision(QuotaEnd.UNKNOWN, _UNKNOWN_RETURN_S)
+        part = workspace.rate_per_s / max(1, self.owners.vm_count())
+        wait_ms = lease.returns.retry_after_ms(now, max(part, lease.used_per_s(now)))
+        return QuotaDecision(QuotaEnd.OVER, wait_ms / _MS_PER_S)
+
+    def _lease(self, name: str) -> WorkspaceLease:
+        lease = self.leases.get(name)
+        if lease is None:
+            returns = ReturnSchedule(
+                self.timing.rng,
+                least_ms=_LEAST_RETURN_S * _MS_PER_S,
+                most_ms=_MOST_RETURN_S * _MS_PER_S,
+            )
+            lease = self.leases[name] = WorkspaceLease(returns)
+        return lease
+
+    def _answering(self, workspace: Workspace, now: float) -> list[Owner]:
+        """Return the owners of a workspace's parts, but for those that gave no answer lately."""
+        capacity = quota_limit(workspace, self.exchange.parts.bounds).capacity
+        owners = self.owners.of(workspace.name, capacity, now)
+        return [owner for owner in owners if self.silent_until.get(owner.name, 0.0) <= now]
--- a/sprucewinch/operators/story.py
+++ b/sprucewinch/operators/story.py
@@ -28,6 +28,11 @@
     "stopping": "not run: its VM stopped before it was sent",
     "no-configuration": "not run: the VM knew no configuration yet",
     "no-route": "no route of the configuration in force takes it",
+    "unknown-key": "its API key is missing, or no workspace of the configuration in force has it",
+    "behind": "not run: its VM had not heard from the store for too long to accept its API key",
+    "over-quota": "not run: its workspace had sent as many requests as it may",
+    "no-quota": "not run: no VM answered that knows how many requests its workspace has sent",
+    "no-region": "not run: its route and its workspace allow no region in common",
     "too-large": "its body is larger than the configuration allows",
     "malformed": "its target is no path",
     "timeout": "the route's or the caller's time was over; it may have run",
@@ -187,6 +192,8 @@
     parts = [f"request {fields.get('outcome')} with {fields.get('status')}"]
     parts.append(f"after {fields.get('ms')} ms")
     parts.append(f"route {fields.get('route') or 'none'}, version {fields.get('version')}")
+    if fields.get("workspace"):
+        parts.append(f"workspace {fields['workspace']}")
     for server, verdict, why, ms in fields.get("sends", []):
         parts.append(f"{server} {_ATTEMPT_WORDS.get(verdict, verdict)} ({why}, {ms} ms)")
     blocked = _blocked_text(fields.get("blocked"))
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -4,6 +4,7 @@
 import random
 from typing import Optional
 
+from sprucewinch.gateway.events import NoEvents
 from sprucewinch.gateway.regions.policies import PolicyTable
 from sprucewinch.gateway.regions.region_reports import RegionReports
 from sprucewinch.gateway.regions.shares import RegionShares
@@ -19,6 +20,7 @@
     Route,
     RouteConfiguration,
     ServiceRule,
+    Workspace,
 )
 from sprucewinch.gateway.servers.backend_registry import BackendRegistry
 from sprucewinch.gateway.servers.outliers import OutlierDetector
@@ -32,6 +34,9 @@
 from sprucewinch.gateway.state.outages import StoreOutages
 from sprucewinch.gateway.state.replica import Delta, Item, Removal
 from sprucewinch.gateway.state.store_view import Decoder, StoreView
+from sprucewinch.gateway.timing import Timing
+from sprucewinch.gateway.workspaces.admission import WorkspaceAdmission
+from sprucewinch.gateway.workspaces.quotas import QuotaDecision, QuotaEnd, Quotas
 from standins.scripted_server import ScriptedServer
 from standins.virtual import VirtualLoop
 
@@ -54,6 +59,28 @@
         return self.table.get(item.value)
 
 
+class FreeQuotas(Quotas):
+    """Admits all, and keeps what was given back; `decision` replaces the answer."""
+
+    def __init__(self) -> None:
+        self.decision = QuotaDecision(QuotaEnd.ADMITTED)
+        self.taken: list[str] = []
+        self.given_back: list[str] = []
+
+    async def take(self, workspace: Workspace) -> QuotaDecision:
+        self.taken.append(workspace.name)
+        return self.decision
+
+    def give_back(self, workspace: Workspace, decision: QuotaDecision) -> None:
+        self.given_back.append(workspace.name)
+
+    def keep_only(self, names: set[str]) -> None:
+        """Hold nothing."""
+
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Need none."""
+
+
 class RecordedReports(ReportSender):
     """Keeps what would be sent to other VMs."""
 
@@ -160,14 +187,18 @@
         self.pool = ConnectionPool(NAMES.request_id, loop.time)
         self.outliers = OutlierDetector(self.world.registry)
         self.sender = Sender(self.world.registry, self.outliers, self.pool, NAMES, loop.time)
+        self.quotas = FreeQuotas()
+        self.admission = WorkspaceAdmission(
+            self.world.store_view, self.quotas, BOUNDS, loop.time, NoEvents()
+        )
         self.pipeline = Pipeline(
             self.world.store_view,
             self.world.registry,
             self.ranker,
             self.sender,
+            self.admission,
             bounds=BOUNDS,
-            monotonic=loop.time,
-            rng=random.Random(1),
+            timing=Timing(loop.time, random.Random(1)),
         )
 
     def add(self, server_id: str, address: str, hall: str = "east-a") -> ScriptedServer:
--- a/tests/test_formats_gateway.py
+++ b/tests/test_formats_gateway.py
@@ -37,6 +37,11 @@
 REASONS = {
     "no-configuration",
     "no-route",
+    "unknown-key",
+    "behind",
+    "over-quota",
+    "no-quota",
+    "no-region",
     "malformed",
     "too-large",
     "no-server",
@@ -220,6 +225,7 @@
 members 1
 members_open 1
 neighbour_deltas 0
+quota_asks 0
 requests_held 0
 store_age_s 0.334
 store_calls 5
@@ -236,7 +242,7 @@
     '{"service":"rates","policy":"capacity","shares":{"east":1.0,"west":0.0},"limits":[]}],'
     '"backend_servers":[{"id":"s0","service":"rates","zone":"east-a","in_flight":0,"load":0.0,'
     '"cold":false,"draining":false,"paused":false,"latency_ms":54.0}],'
-    '"quarantined":[]}'
+    '"quarantined":[],"workspaces":[]}'
 )
 
 
--- /dev/null
+++ b/tests/test_gateway_fair_order.py
@@ -0,0 +1,128 @@
+"""Fair shares of workspaces: one that sends many times its usual takes no other's room."""
+
+import math
+import random
+import unittest
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sprucewinch.gateway.requests.pipeline import Pipeline
+from sprucewinch.gateway.resources import Workspace
+from sprucewinch.gateway.workspaces.fair_order import FairOrder
+from sprucewinch.gateway.workspaces.keys import key_digest
+from standins.virtual import VirtualLoop, pass_time, run_virtual
+
+from .gateway_fakes import Path, route
+
+
+def workspace(name: str, rate: float = 4.0) -> Workspace:
+    return Workspace(name, (key_digest(name),), rate_per_s=rate, burst=rate)
+
+
+class Shares(unittest.TestCase):
+    def test_who_keeps_to_its_share_is_not_ahead(self) -> None:
+        order = FairOrder()
+        for step in range(60):
+            steps = [order.arrived(workspace(name), step / 10) for name in "abc"]
+            self.assertEqual(steps[-1], 0)
+
+    def test_who_sends_more_is_ahead_by_what_it_sends_more(self) -> None:
+        order = FairOrder()
+        ahead = 0
+        for step in range(400):
+            now = step / 100
+            if step % 10 == 0:
+                quiet = [order.arrived(workspace(f"w{n}"), now) for n in range(9)]
+                self.assertEqual(sum(quiet), 0)
+            ahead = order.arrived(workspace("hot"), now)
+        self.assertGreaterEqual(ahead, 3)
+
+    def test_a_larger_weight_allows_more(self) -> None:
+        order = FairOrder()
+        for step in range(400):
+            now = step / 100
+            if step % 10 == 0:
+                order.arrived(workspace("small", 4.0), now)
+            self.assertEqual(order.arrived(workspace("large", 40.0), now), 0)
+
+    def test_a_time_of_silence_is_forgotten(self) -> None:
+        order = FairOrder()
+        for step in range(200):
+            order.arrived(workspace("was hot"), step / 100)
+            order.arrived(workspace(f"w{step % 9}"), step / 100)
+        for step in range(300):
+            order.arrived(workspace("other"), 30.0 + step / 100)
+        self.assertEqual(list(order.by_name), ["other"])
+        self.assertEqual(order.arrived(workspace("was hot"), 34.0), 0)
+
+    def test_without_workspaces_nobody_is_ahead(self) -> None:
+        order = FairOrder()
+        self.assertEqual([order.arrived(None, 0.0) for _ in range(3)], [0, 0, 0])
+
+    @given(st.lists(st.tuples(st.sampled_from("aabc"), st.floats(0, 0.5)), max_size=200))
+    def test_against_counts_of_a_plain_list(self, sent: list[tuple[str, float]]) -> None:
+        """The oracle adds up every request since the start."""
+        order, now, past = FairOrder(), 0.0, []
+        for name, pause in sent:
+            now += pause
+            past.append((name, now))
+            ahead = order.arrived(workspace(name), now)
+            counts: dict[str, float] = {}
+            for other, at in past:
+                counts[other] = counts.get(other, 0.0) + math.exp(at - now)
+            expected = counts[name] * len(counts) / sum(counts.values())
+            self.assertAlmostEqual(ahead, max(0, math.floor(expected) - 1), delta=1)
+
+
+async def served_in_time(loop: VirtualLoop, hot_factor: float) -> Counter[str]:
+    """Return the requests served in time of each workspace, at nine tenths of what servers bear."""
+    path = Path(loop, servers=4)
+    for server in path.servers.values():
+        server.slots, server.work_s = 6, 0.1
+    names = [f"w{n}" for n in range(10)]
+    world = path.world
+    world.configure(route())
+    held = world.store_view.configuration
+    assert held is not None
+    workspaces = tuple(workspace(name, 34.0) for name in names)
+    world.say("configuration", held._replace(workspaces=workspaces, version=2))
+    served: Counter[str] = Counter()
+
+    async def send(name: str, number: int, key: str) -> None:
+        request = path.request(f"{name}-{number}", key=key, api_key=key_digest(name))
+        if await path.pipeline.admit(request) is None:
+            reply = await path.pipeline.run(request)
+            if reply.status == 200 and loop.time() - request.arrived_at <= 0.3:
+                served[name] += 1
+
+    async def caller(name: str) -> None:
+        rng = random.Random(name)
+        rate = 0.9 * 240 / len(names) * (hot_factor if name == "w0" else 1.0)
+        for number in range(int(rate * 8)):
+            await pass_time(rng.expovariate(rate))
+            loop.create_task(send(name, number, f"object-{rng.randrange(40)}"))
+
+    tasks = [loop.create_task(caller(name)) for name in names]
+    for task in tasks:
+        await task
+    await pass_time(3.0)
+    return served
+
+
+class HotWorkspace(unittest.TestCase):
+    def test_a_burst_of_one_takes_no_other_ones_room(self) -> None:
+        calm = run_virtual(lambda loop: served_in_time(loop, 1.0))
+        hot = run_virtual(lambda loop: served_in_time(loop, 7.5))
+        others = [hot[name] / calm[name] for name in calm if name != "w0"]
+        self.assertGreater(min(others), 0.95, (calm, hot))
+
+    def test_the_pipeline_has_one_order_a_service(self) -> None:
+        async def main(loop: VirtualLoop) -> Pipeline:
+            path = Path(loop)
+            path.world.configure(route())
+            await path.pipeline.run(path.request("q1"))
+            return path.pipeline
+
+        self.assertEqual(list(run_virtual(main).fair_orders), ["rates"])
--- a/tests/test_wrong_versions.py
+++ b/tests/test_wrong_versions.py
@@ -4,20 +4,20 @@
 import unittest
 from pathlib import Path
 
-from tools.wrong_version_list import VERSIONS, WrongVersion
-from tools.wrong_versions import ROOT, StaleVersionError, make_wrong
+from tools.wrong_version_list import WrongVersion
+from tools.wrong_versions import ALL_VERSIONS, ROOT, StaleVersionError, make_wrong
 
 
 class WrongVersions(unittest.TestCase):
     def test_each_replaces_a_text_that_stands_just_once(self) -> None:
-        for version in VERSIONS:
+        for version in ALL_VERSIONS:
             with self.subTest(version.what):
                 text = (ROOT / version.path).read_text(encoding="utf-8")
                 self.assertEqual(text.count(version.old), 1)
                 self.assertNotEqual(version.new, version.old)
 
     def test_the_tests_that_have_to_fail_are_there(self) -> None:
-        for version in VERSIONS:
+        for version in ALL_VERSIONS:
             for test in version.tests:
                 with self.subTest(test):
                     suite = unittest.defaultTestLoader.loadTestsFromName(test)
--- a/tools/vulture_names.py
+++ b/tools/vulture_names.py
@@ -33,6 +33,9 @@
 # logging writes through them; rich prints it below a table.
 (_.handlers, _.caption)
 
+# Columns of the model of quotas, shown as a whole.
+(_.refused_after, _.p50_ms, _.p99_ms, _.kb_per_s, _.messages_per_s)
+
 # Fields of `/state`, read as a whole by `_asdict`.
 (_.paused, _.store_revision, _.store_age_s)
 
@@ -43,4 +46,4 @@
 _.asyncSetUp
 
 # Keeps a task alive: asyncio holds tasks by weak references.
-_.relaying
+(_.relaying, _.sharing)
--- a/tools/wrong_versions.py
+++ b/tools/wrong_versions.py
@@ -21,6 +21,9 @@
 from sprucewinch.errors import SprucewinchError
 
 from .wrong_version_list import VERSIONS, WrongVersion
+from .wrong_workspace_versions import WORKSPACE_VERSIONS
+
+ALL_VERSIONS = (*VERSIONS, *WORKSPACE_VERSIONS)
 
 ROOT = Path(__file__).resolve().parent.parent
 _COPIED = ("sprucewinch", "platform", "standins", "tests", "tools")
@@ -83,13 +86,13 @@
     console = Console(width=120)
     table = Table("rule", "wrong version", "tests", "seen")
     green = 0
-    for version in VERSIONS:
+    for version in ALL_VERSIONS:
         red = is_red(version)
         green += not red
         tests = "\n".join(test.removeprefix("tests.") for test in version.tests)
         table.add_row(version.rule, version.what, tests, "red" if red else "GREEN")
     console.print(table)
-    console.print(f"{len(VERSIONS) - green} red, {green} green")
+    console.print(f"{len(ALL_VERSIONS) - green} red, {green} green")
     return 1 if green else 0
 
 
