--- a/tools/entry_vm.py
+++ b/tools/entry_vm.py
@@ -62,6 +62,19 @@
     return claimed_address(METRICS_PORT)
 
 
+_BOUNDS = {
+    "Contact": "3000ms",
+    "Grace": "6s",
+    "ttl_max": "5s",
+    "BudgetSlack": 60,
+    "ConfigApply": "2000ms",
+    "QuotaWindow": "5s",
+    "QuotaOver": 0.1,
+    "QuotaSlack": 20,
+}
+"""Figures that the fleet keeps together, as in the platform's example."""
+
+
 class EntryVm:
     """One entry VM.
 
@@ -111,7 +124,7 @@
             "Listen": self.addresses,
             "InternalPorts": [peer_port, peer_port],
             "Limits": {"MemoryMb": _MEMORY_MB, "MaxFds": _MAX_FILES},
-            "Bounds": {"Contact": "3000ms", "Grace": "6s", "ttl_max": "5s", "BudgetSlack": 60},
+            "Bounds": dict(_BOUNDS),
             "Platform": {"Address": store},
         }
 
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from .configuration import BOOK, HOST, RATES, ROUTE_TIMEOUT_S, STANDING_ROUTES
+from .configuration import BOOK, HOST, RATES, ROUTE_TIMEOUT_S, STANDING_ROUTES, WORKSPACES
 from .ledger import Attempt, End
 from .promises.answers import judge_answer
 from .world import World
@@ -69,6 +69,7 @@
         self.number = number
         self.rng = rng
         self.clings = clings
+        self.workspace = WORKSPACES[number % len(WORKSPACES)]
         self.region = rng.choice(("east", "west"))
         self.sent = 0
         self._vm: Optional[str] = None
@@ -81,7 +82,8 @@
         timeout = aiohttp.ClientTimeout(total=_LONGEST_S)
         async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
             while True:
-                await asyncio.sleep(self.rng.expovariate(RATE_PER_S))
+                rate = RATE_PER_S * self.world.hot.get(self.workspace, 1.0)
+                await asyncio.sleep(self.rng.expovariate(rate))
                 await self._send(session, await self._choose(session))
 
     async def _choose(self, session: aiohttp.ClientSession) -> str:
@@ -119,7 +121,9 @@
         """Send one request to an entry VM, and record what came of it."""
         self.sent += 1
         route = self._route()
-        attempt = Attempt(f"c{self.number}-{self.sent}", route, name, self.world.loop.time())
+        key = self.rng.choice(self.world.configuration.keys[self.workspace])
+        request_id = f"c{self.number}-{self.sent}"
+        attempt = Attempt(request_id, route, name, self.world.loop.time(), key=key)
         self.world.ledger.attempts.append(attempt)
         try:
             await self._exchange(session, attempt)
@@ -142,6 +146,8 @@
             "X-Request-Id": attempt.request_id,
             "X-Request-Deadline-Ms": str(int(_LONGEST_S * _MS_PER_S)),
             "Cookie": f"X-Affinity-Key={self.rng.randrange(_OBJECTS)}",
+            "Api-Key": attempt.key,
+            "X-Tenant-Name": "forged",
         }
         method = "POST" if books else "GET"
         data = b"x" * self.rng.choice(_BODY_SIZES) if books else None
--- a/tools/soak/configuration.py
+++ b/tools/soak/configuration.py
@@ -1,8 +1,9 @@
 """The configuration of the soak's deployment, and the versions of it that operators write.
 
 Owns the names of host, services and standing routes, which service each route has at the moment,
-and the number of the version in force. Each version goes to the stand-in of the store and into the
-ledger, by which `promises` knows what may decide a request.
+the workspaces with their keys and rates, and the number of the version in force. Each version goes
+to the stand-in of the store and into the ledger, by which `promises` knows what may decide a
+request.
 """
 
 import asyncio
@@ -31,6 +32,21 @@
 _COLD_PER_S = 20.0
 """Requests a second that a cold backend server bears. A guess, never measured."""
 
+KEY_START = "key-of-"
+"""Start of every API key, by which one is found where none may stand."""
+
+WORKSPACES = ("shipper", "broker", "desk")
+"""Workspaces, in order of size."""
+
+RATES_PER_S = {"shipper": 100.0, "broker": 70.0, "desk": 50.0}
+"""Requests a second that each may send: more than its callers send while nobody is hot."""
+
+QUOTA_OVER = 0.1
+"""Part of a limit that may be passed in a window. Bound `QuotaOver` of the platform's example."""
+
+QUOTA_SLACK = 20.0
+"""Requests beyond that. Bound `QuotaSlack` of the platform's example."""
+
 _FIRST_VERSION = 3
 """Number before that of the first configuration; versions need not begin at 1."""
 
@@ -45,6 +61,8 @@
 
     def __init__(self, store: StoreStandIn, ledger: Ledger) -> None:
         self.services = {RATES: "rates", BOOK: "booking"}
+        self.keys = {name: [first_key(name)] for name in WORKSPACES}
+        self.rates_per_s = dict(RATES_PER_S)
         self._store = store
         self._ledger = ledger
         self._version = _FIRST_VERSION
@@ -54,7 +72,10 @@
         self._version += 1
         self._store.put("op/config", json.dumps(self._table()).encode())
         now = asyncio.get_running_loop().time()
-        self._ledger.versions.append(Version(self._version, now, dict(self.services)))
+        keys = frozenset(key for held in self.keys.values() for key in held)
+        self._ledger.versions.append(
+            Version(self._version, now, dict(self.services), keys, dict(self.rates_per_s))
+        )
 
     def _table(self) -> dict[str, Any]:
         rules = [
@@ -73,8 +94,18 @@
             "Services": rules,
             "Limits": {"IdleTimeout": "15000ms"},
             "Hosts": [{"Hostname": HOST, "Paths": paths}],
+            "Tenants": [self._workspace(name) for name in WORKSPACES],
         }
 
+    def _workspace(self, name: str) -> dict[str, Any]:
+        rate = self.rates_per_s[name]
+        return {"Name": name, "ApiKeys": self.keys[name], "RatePerS": rate, "Burst": rate}
+
+
+def first_key(workspace: str) -> str:
+    """Return the key that a workspace has in every version."""
+    return f"{KEY_START}{workspace}-that-stays"
+
 
 def _path(name: str, service: str) -> dict[str, Any]:
     return {
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -16,6 +16,7 @@
 from .ledger import Broken
 from .promises.evidence import Evidence, gather_runs
 from .promises.judge import judge
+from .shown_keys import judge_shown_keys
 from .troubles.kinds import kinds_of
 from .troubles.operators import Change
 from .troubles.trouble import Trouble
@@ -137,6 +138,7 @@
         if not await world.keeper.until_all_ready():
             raise SoakError("the entry VMs do not start", "look at a log in the folder out/soak")
         await _traffic(world, planned, seed)
+        await judge_shown_keys(world)
         runs = gather_runs(world.backends.ever())
         broken = tuple(judge(Evidence(world.ledger, runs, world.loop.time())))
     finally:
--- a/tools/soak/ledger.py
+++ b/tools/soak/ledger.py
@@ -7,7 +7,8 @@
 
 import enum
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from types import MappingProxyType
 from typing import NamedTuple, Optional
 
 STORE = "store"
@@ -43,11 +44,15 @@
         route: Name of the route that it is for.
         vm: Entry VM that it was sent to.
         sent_at: When it was sent, as monotonic time in seconds.
+        key: API key that it carries; empty for none.
     """
 
-    __slots__ = ("end", "ended_at", "request_id", "route", "sent_at", "status", "vm")
+    __slots__ = ("end", "ended_at", "key", "request_id", "route", "sent_at", "status", "vm")
 
-    def __init__(self, request_id: str, route: str, vm: str, sent_at: float) -> None:
+    def __init__(
+        self, request_id: str, route: str, vm: str, sent_at: float, *, key: str = ""
+    ) -> None:
+        self.key = key
         self.request_id = request_id
         self.route = route
         self.vm = vm
@@ -82,11 +87,15 @@
         number: Its number.
         acknowledged_at: When the store took it, as monotonic time in seconds.
         services: Service of each route, by the route's name.
+        keys: All API keys.
+        rates_per_s: Requests a second that each workspace may send, by its name.
     """
 
     number: int
     acknowledged_at: float
     services: dict[str, str]
+    keys: frozenset[str] = frozenset()
+    rates_per_s: Mapping[str, float] = MappingProxyType({})
 
 
 class Leaving(NamedTuple):
--- a/tools/soak/promises/answers.py
+++ b/tools/soak/promises/answers.py
@@ -10,7 +10,7 @@
 from standins.scripted_server import Run
 
 from ..backend_servers import body_of
-from ..configuration import STANDING_ROUTES
+from ..configuration import STANDING_ROUTES, WORKSPACES, first_key
 from ..ledger import Attempt, Ledger
 
 _FAULT = HTTPStatus.INTERNAL_SERVER_ERROR
@@ -19,6 +19,12 @@
 _FORBIDDEN = (400, 401, 403, 404, 413, 431)
 """Statuses that the requests of these callers never deserve on routes that always exist."""
 
+_COME_BACK = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+"""Statuses that say when to come back."""
+
+_STANDING_KEYS = frozenset(map(first_key, WORKSPACES))
+"""Keys that every version has."""
+
 _CRASHES_SERVERS = b"crashes-servers"
 """Reason that none of these callers' requests may be refused for."""
 
@@ -32,11 +38,13 @@
     if status == HTTPStatus.OK:
         if not _is_own(request_id, body, headers):
             ledger.breaks("MIXED", f"{request_id} got {body[:60]!r}")
+    elif status == HTTPStatus.UNAUTHORIZED and attempt.key not in _STANDING_KEYS:
+        return  # Judged by `workspaces`, which knows the versions.
     elif status in _FORBIDDEN and attempt.route in STANDING_ROUTES:
         ledger.breaks("DENIED", f"{request_id} got {status}")
     elif status == _FAULT and _SIGNATURE not in headers:
         ledger.breaks("FAULT", f"{request_id} at {attempt.vm} got {_FAULT:d}")
-    elif status == HTTPStatus.SERVICE_UNAVAILABLE and "Retry-After" not in headers:
+    elif status in _COME_BACK and "Retry-After" not in headers:
         ledger.breaks("COME BACK", f"{request_id} is not told when to come back")
     elif status == HTTPStatus.SERVICE_UNAVAILABLE and _CRASHES_SERVERS in body:
         ledger.breaks("INNOCENT", f"{request_id} was refused as one that crashes servers")
--- a/tools/soak/promises/evidence.py
+++ b/tools/soak/promises/evidence.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from ..backend_servers import SoakServer
+from ..configuration import KEY_START
 from ..ledger import Attempt, Ledger
 
 CONTACT_S = 3.0
@@ -24,12 +25,26 @@
 """Seconds added to bounds for late readings of the soak's own clock. A guess, never measured."""
 
 
+_WORKSPACE_HEADER = "x-tenant-name"
+"""Header that names a request's workspace."""
+
+
 class Seen(NamedTuple):
-    """One run of a request at a backend server."""
+    """One run of a request at a backend server.
+
+    Args:
+        server_id: The server.
+        service: Its service.
+        at: When it began, as monotonic time in seconds.
+        workspace: The workspace in whose name it ran; empty for none.
+        key_shown: True when an API key reached the server.
+    """
 
     server_id: str
     service: str
     at: float
+    workspace: str = ""
+    key_shown: bool = False
 
 
 class Evidence(NamedTuple):
@@ -63,6 +78,9 @@
     runs: dict[str, list[Seen]] = defaultdict(list)
     for server in servers:
         for run in server.stand_in.runs:
-            seen = Seen(server.stand_in.server_id, server.service, run.at)
+            workspace = run.headers.get(_WORKSPACE_HEADER, "")
+            shown = any(KEY_START in value for value in run.headers.values())
+            stand_in = server.stand_in
+            seen = Seen(stand_in.server_id, server.service, run.at, workspace, shown)
             runs[run.request_id].append(seen)
     return dict(runs)
--- a/tools/soak/promises/judge.py
+++ b/tools/soak/promises/judge.py
@@ -14,6 +14,7 @@
 from .runs import at_most_once, refused_never_ran, right_service
 from .stops import no_end_of_its_own, nothing_cut_off, stops_in_time
 from .waiting import held_no_longer
+from .workspaces import known_keys, own_name, within_limits
 
 _CHECKS: tuple[Callable[[Evidence], None], ...] = (
     at_most_once,
@@ -28,6 +29,9 @@
     stops_in_time,
     recovers,
     sent_on_rarely,
+    own_name,
+    known_keys,
+    within_limits,
 )
 
 
--- /dev/null
+++ b/tools/soak/promises/workspaces.py
@@ -0,0 +1,91 @@
+"""Judges keys and limits of workspaces: who ran in whose name, how much, and that no key is shown.
+
+Owns the promises UNASKED, KEY and QUOTA. Only KEY is bound to VMs in touch: elsewhere a key that
+was taken away may go on working, and the two others hold all the same.
+"""
+
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Iterator
+from http import HTTPStatus
+
+from ..configuration import QUOTA_OVER, QUOTA_SLACK, WORKSPACES, first_key
+from ..ledger import Attempt, Version
+from .evidence import SLACK_S, Evidence
+
+_CONFIGURED_S = 2.0
+"""Seconds until a configuration is in force. Bound `ConfigApply` of the platform's example."""
+
+_WINDOW_S = 5.0
+"""Window of a limit, in seconds. Bound `QuotaWindow` of the platform's example."""
+
+
+def own_name(evidence: Evidence) -> None:
+    """Judge that what ran did so under the name of its key's workspace, and without the key."""
+    for attempt in evidence.ledger.attempts:
+        for seen in evidence.runs_of(attempt):
+            if seen.workspace != workspace_of(attempt.key) or seen.key_shown:
+                what = f"{attempt.request_id} ran as {seen.workspace!r}"
+                evidence.ledger.breaks("UNASKED", what)
+
+
+def known_keys(evidence: Evidence) -> None:
+    """Judge that in touch no key that is gone is accepted, and none that is there is not."""
+    for attempt in evidence.ledger.attempts:
+        if not attempt.key:
+            continue
+        known = [attempt.key in held.keys for held in _in_force(evidence.ledger.versions, attempt)]
+        in_touch = evidence.in_touch(attempt.vm, attempt.sent_at, attempt.sent_at)
+        if in_touch and evidence.runs_of(attempt) and not any(known):
+            evidence.ledger.breaks("KEY", f"{attempt.request_id} ran under a key that was gone")
+        if in_touch and attempt.status == HTTPStatus.UNAUTHORIZED and all(known):
+            evidence.ledger.breaks("KEY", f"{attempt.request_id} got 401 with a key that is there")
+
+
+def within_limits(evidence: Evidence) -> None:
+    """Judge that no workspace passed its limit in any window, at all VMs together."""
+    times: dict[str, list[float]] = defaultdict(list)
+    for attempt in evidence.ledger.attempts:
+        if evidence.runs_of(attempt):
+            times[workspace_of(attempt.key)].append(attempt.sent_at)
+    for name, sent in times.items():
+        if name:
+            _judge_limit(evidence, name, sorted(sent))
+
+
+def _judge_limit(evidence: Evidence, name: str, sent: list[float]) -> None:
+    for index, start in enumerate(sent):
+        count = bisect_right(sent, start + _WINDOW_S) - index
+        rate = max(_rates(evidence.ledger.versions, name, start))
+        bound = (rate * _WINDOW_S + rate) * (1 + QUOTA_OVER) + QUOTA_SLACK
+        if count > bound:
+            evidence.ledger.breaks("QUOTA", f"{name} ran {count} in {_WINDOW_S} s, {bound:g} may")
+            return
+
+
+def _rates(versions: list[Version], name: str, start: float) -> Iterator[float]:
+    """Return the limits of a workspace that may bind within a window.
+
+    A lower one binds a window after it is in force everywhere.
+    """
+    ends = [later.acknowledged_at for later in versions[1:]] + [float("inf")]
+    late = _CONFIGURED_S + _WINDOW_S + SLACK_S
+    for version, end in zip(versions, ends, strict=True):
+        if version.acknowledged_at <= start + _WINDOW_S and start <= end + late:
+            yield version.rates_per_s.get(name, float("inf"))
+
+
+def _in_force(versions: list[Version], attempt: Attempt) -> list[Version]:
+    """Return the versions that may decide an attempt at a VM in touch."""
+    ends = [later.acknowledged_at for later in versions[1:]] + [float("inf")]
+    late = _CONFIGURED_S + SLACK_S
+    return [
+        version
+        for version, end in zip(versions, ends, strict=True)
+        if attempt.sent_at <= end + late and version.acknowledged_at <= attempt.ended_at
+    ]
+
+
+def workspace_of(key: str) -> str:
+    """Return the workspace of a key; empty for none."""
+    return next((name for name in WORKSPACES if key.startswith(first_key(name))), "")
--- a/tools/soak/troubles/kinds.py
+++ b/tools/soak/troubles/kinds.py
@@ -30,6 +30,7 @@
 )
 from .store import CutFromStore, StoreFaulty, StoreForgets, StoreSlow, TurnedAway
 from .trouble import Trouble
+from .workspaces import HotWorkspace, Keys, LowerRate
 
 KINDS: tuple[type[Trouble], ...] = (
     Stop,
@@ -67,10 +68,19 @@
 """First seed whose day draws from `CRASH_KINDS` too."""
 
 
+WORKSPACE_KINDS: tuple[type[Trouble], ...] = (Keys, HotWorkspace, HotWorkspace, LowerRate)
+"""Trouble with workspaces: a hot one is drawn more often."""
+
+FIRST_SEED_OF_WORKSPACE_KINDS = 300_000
+"""First seed whose day draws from `WORKSPACE_KINDS` too."""
+
+
 def kinds_of(seed: int) -> tuple[type[Trouble], ...]:
     """Return the kinds that the day of a seed draws from."""
     if seed < FIRST_SEED_OF_ADDED_KINDS:
         return KINDS
     if seed < FIRST_SEED_OF_CRASH_KINDS:
         return (*KINDS, *ADDED_KINDS)
-    return (*KINDS, *ADDED_KINDS, *CRASH_KINDS)
+    if seed < FIRST_SEED_OF_WORKSPACE_KINDS:
+        return (*KINDS, *ADDED_KINDS, *CRASH_KINDS)
+    return (*KINDS, *ADDED_KINDS, *CRASH_KINDS, *WORKSPACE_KINDS)
--- a/tools/soak/troubles/servers.py
+++ b/tools/soak/troubles/servers.py
@@ -12,7 +12,7 @@
 from standins.scripted_server import Spoil
 
 from ..backend_servers import SoakServer
-from ..configuration import HOST, RATES
+from ..configuration import HOST, RATES, WORKSPACES, first_key
 from ..ledger import SERVERS, SickSend
 from .links import spoil_link
 from .trouble import EVEN, Trouble
@@ -119,6 +119,7 @@
     async def _try(self, session: aiohttp.ClientSession, send: SickSend) -> None:
         """Send the request once; what comes of it is judged by what reached servers."""
         headers = {"Host": HOST, "X-Request-Id": send.request_id, "Cookie": "X-Affinity-Key=sick"}
+        headers["Api-Key"] = first_key(WORKSPACES[0])
         url = self.world.vms[send.vm].url("Front", send.target)
         try:
             async with session.get(url, headers=headers) as response:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -36,7 +36,11 @@
 
 
 class World:
-    """All of one day."""
+    """All of one day.
+
+    Attributes:
+        hot: How many times its usual each workspace sends; those that are not named, once.
+    """
 
     def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
@@ -49,6 +53,7 @@
         self.vms: dict[str, EntryVm] = {}
         self.store_links: dict[str, Relay] = {}
         self.keeper = VmKeeper(self.vms, self.ledger)
+        self.hot: dict[str, float] = {}
 
     async def start(self) -> None:
         """Start everything; entry VMs may take a while to be ready."""
