Ask one VM of another region before the others, so that fewer requests are given in vain

Cause: where a VM's own region had none left, all owners elsewhere were asked at once and each gave one, of which all but one were lost. Change: one at random first, then the others. The model of a fleet does the regular upkeep of its VMs too: without it owners that were seldom asked took each pause for one of their own and began again. Ruled out: more parts for a small workspace (chance empties them one by one).

--- a/sprucewinch/gateway/workspaces/quota_leases.py
+++ b/sprucewinch/gateway/workspaces/quota_leases.py
@@ -5,14 +5,16 @@
 each, which of them had nothing left and until when, time in monotonic seconds.
 
 Rule: what was given is used first. Else the owner of this VM's own hall is asked, then those of its
-region, then all others at once: one after the other they would take longer than a request's target
-allows. An owner that had nothing is left alone for the time that it stated. For
+region, then one of another region at random, then all others at once. One after the other they
+would take longer than a request's target allows; all at once they would give more than is used. An
+owner that had nothing is left alone for the time that it stated. For
 one request as many are asked for as this VM is likely to
 send within `HOLD_S`, as what is not used by then is lost.
 
 Constants: `_MOST_ASKED`, `_RATE_WINDOW_S`. Tests: tests/test_gateway_quota.py.
 """
 
+import random
 from collections import deque
 from collections.abc import Iterable
 from typing import Optional
@@ -106,18 +108,21 @@
 
 
 def asking_groups(
-    owners: Iterable[Owner], *, hall: str, regions: dict[str, str]
-) -> tuple[list[Owner], list[Owner], list[Owner]]:
-    """Return the owners that a VM asks first, those that it asks next, and those asked last.
+    owners: Iterable[Owner], *, hall: str, regions: dict[str, str], rng: random.Random
+) -> tuple[list[Owner], ...]:
+    """Return the owners that a VM asks first, next and so on; those of a group are asked at once.
 
     Args:
         owners: The owners of a workspace's parts.
         hall: Data hall of the VM that asks.
         regions: Region of each data hall.
+        rng: Chooses among those of other regions.
     """
     region = regions.get(hall)
     groups: tuple[list[Owner], list[Owner], list[Owner]] = ([], [], [])
     for owner in owners:
         near = 0 if owner.hall == hall else 1 if regions.get(owner.hall) == region else 2
         groups[near].append(owner)
-    return groups
+    own, near_by, far = groups
+    rng.shuffle(far)
+    return own, near_by, far[:1], far[1:]
--- a/sprucewinch/gateway/workspaces/quotas.py
+++ b/sprucewinch/gateway/workspaces/quotas.py
@@ -192,7 +192,8 @@
     async def _ask_for_more(self, workspace: Workspace, lease: WorkspaceLease) -> bool:
         """Ask owners, near ones first, until one gives something."""
         answering = self._answering(workspace, self.timing.monotonic())
-        for group in asking_groups(answering, hall=self.hall, regions=self.regions):
+        rng = self.timing.rng
+        for group in asking_groups(answering, hall=self.hall, regions=self.regions, rng=rng):
             now = self.timing.monotonic()
             asked = [owner for owner in group if lease.is_open(owner, now)]
             given = await asyncio.gather(*(self._ask(owner, workspace, lease) for owner in asked))
--- a/tools/quota_model/demand.py
+++ b/tools/quota_model/demand.py
@@ -7,6 +7,7 @@
 import random
 from typing import Optional
 
+from sprucewinch._hash import hash64
 from sprucewinch.gateway.resources import Workspace
 from sprucewinch.gateway.workspaces.quotas import QuotaEnd
 
@@ -61,7 +62,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _caller(self, name: str, number: int, callers: int) -> None:
-        home = self.fleet.halls[hash((name, number)) % len(self.fleet.halls)]
+        home = self.fleet.halls[hash64(f"{name}|{number}") % len(self.fleet.halls)]
         vm, until = None, 0.0
         while True:
             rate = self.rates[name] * self.use * self.factor.get(name, 1.0) / callers
--- a/tools/quota_model/fleet.py
+++ b/tools/quota_model/fleet.py
@@ -34,6 +34,9 @@
 _HANDLE_S = 0.001
 """Time for which a datagram waits until its VM handles it, in seconds."""
 
+_TICK_S = 0.2
+"""Time between two ticks of a VM's upkeep, in seconds."""
+
 _UDP_HEADER_BYTES = 28
 """Bytes of the headers of IP and UDP."""
 
@@ -155,6 +158,7 @@
         self.by_address: dict[str, ModelVm] = {}
         for number in range(count):
             self._add(number)
+        self.upkeep = loop.create_task(self._keep_up())
         if way == "shared-counts":
             self.sharing = loop.create_task(self._share())
 
@@ -217,6 +221,15 @@
         same = sender.member.region == receiver.member.region
         return _DELAYS_S[1] if same else _DELAYS_S[2]
 
+    async def _keep_up(self) -> None:
+        """Let each VM that does not stand still do its regular upkeep."""
+        while True:
+            now = self.loop.time()
+            for vm in self.vms.values():
+                if isinstance(vm.quotas, FleetQuotas) and now >= vm.frozen_until:
+                    vm.quotas.exchange.parts.tick(now)
+            await asyncio.sleep(_TICK_S)
+
     async def _share(self) -> None:
         """Send the counts of `SharedCounts` from each VM to all others."""
         while True:
--- a/tools/vulture_names.py
+++ b/tools/vulture_names.py
@@ -46,4 +46,4 @@
 _.asyncSetUp
 
 # Keeps a task alive: asyncio holds tasks by weak references.
-(_.relaying, _.sharing)
+(_.relaying, _.sharing, _.upkeep)
