Let a part of a limit gain from when a VM holds it, not from its first request

Cause: buckets were made at the first ask and began nearly empty, so the first requests of a workspace after a quiet time, and of all of them in the first seconds of traffic, met parts that had stood unused for as long as their VM ran. Change: a new bucket gains from the time since which this VM holds the part: the last change of the VMs in touch, the last pause or the start of the process; the upkeep looks at who is in touch, so that this time is known. Ruled out: buckets made for all workspaces at a start (10,000 of them).

--- a/sprucewinch/gateway/workspaces/quota_owners.py
+++ b/sprucewinch/gateway/workspaces/quota_owners.py
@@ -74,6 +74,9 @@
         regions: Region of each data hall.
         name: Name of this VM.
         started_at: Monotonic time of this process's start, in seconds.
+
+    Attributes:
+        changed_at: Monotonic time since which all owners are the same, in seconds.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         self._region_count = 0
         self._kept: dict[tuple[str, int], tuple[Owner, ...]] = {}
         self._looked_at = float("-inf")
+        self.changed_at = started_at
 
     def of(self, workspace: str, capacity: float, now: float) -> tuple[Owner, ...]:
         """Return the owners of a workspace's parts; none where no VM is registered.
@@ -103,7 +107,7 @@
             capacity: Most requests that all parts hold.
             now: Monotonic time, in seconds.
         """
-        self._look(now)
+        self.look(now)
         wanted = max(self._region_count, int(capacity / LEAST_CAPACITY))
         most = min(MOST_PARTS, len(self._halls), wanted, max(1, int(capacity)))
         key = (workspace, most)
@@ -121,13 +125,19 @@
         """Return how many VMs are registered."""
         return sum(hall.registered for hall in self._halls.values())
 
-    def _look(self, now: float) -> None:
+    def look(self, now: float) -> None:
+        """Look which VMs are in touch, unless that was done a moment ago.
+
+        Args:
+            now: Monotonic time, in seconds.
+        """
         if now - self._looked_at < _LOOK_S:
             return
         self._looked_at = now
         halls = self._halls_now(now)
         if halls != self._halls:
             self._halls = halls
+            self.changed_at = now
             self._region_count = len({self.regions.get(hall) for hall in halls})
             self._kept.clear()
 
--- a/sprucewinch/gateway/workspaces/quota_parts.py
+++ b/sprucewinch/gateway/workspaces/quota_parts.py
@@ -3,7 +3,7 @@
 Owns a bucket for each workspace whose part is this VM's. Relies on `quota_owners` for which parts
 those are and on `quota_bucket` for what each gives. A part that goes to another VM is dropped, and
 begins anew if it comes back; so do all after a pause of this process, in which another VM may have
-taken its place.
+taken its place. One that nobody has asked before has gained since this VM holds it.
 """
 
 from typing import NamedTuple, Optional
@@ -44,10 +44,13 @@
         self.bounds = bounds
         self.buckets: dict[str, QuotaBucket] = {}
         self._ticked_at = now
+        self._began_at = now
 
     def tick(self, now: float) -> None:
-        """Begin all parts again when this process has stood still since the last tick."""
+        """Look who is in touch; begin all parts again if this process stood still since."""
+        self.owners.look(now)
         if now - self._ticked_at > _PAUSE_S:
+            self._began_at = now
             for bucket in self.buckets.values():
                 bucket.restart(now)
         self._ticked_at = now
@@ -79,7 +82,9 @@
             self.buckets.pop(workspace.name, None)
             return None
         if bucket is None:
-            bucket = self.buckets[workspace.name] = QuotaBucket(limit, part, now)
+            # It has been this VM's since then, and nobody has asked for any of it.
+            since = max(self._began_at, self.owners.changed_at)
+            bucket = self.buckets[workspace.name] = QuotaBucket(limit, part, since)
         elif bucket.part != part or bucket.limit != limit:
             bucket.resize(limit, part, now)
         return bucket
--- a/tests/test_gateway_quota.py
+++ b/tests/test_gateway_quota.py
@@ -177,6 +177,30 @@
             held += self.owners(members, f"vm{number}", gone).own_part(f"w{workspace}", 40.0, 0.0)
         self.assertLessEqual(held, 1.0 + 1e-9)
 
+    def test_a_part_gains_before_it_is_asked_for_the_first_time(self) -> None:
+        parts = QuotaParts(self.owners(self.members(1), "vm0"), WIDE, 0.0)
+        at_once = parts.give(LARGE, 1000, 0.1)
+        for tenth in range(1, 100):
+            parts.tick(tenth / 10)
+        later = parts.give(LARGE._replace(name="asked later"), 1000, 10.0)
+        assert at_once is not None and later is not None
+        self.assertLess(at_once.count, 25)
+        self.assertEqual(later.count, int(quota_limit(LARGE, WIDE).capacity))
+
+    def test_a_part_that_came_later_gains_from_then_on(self) -> None:
+        members, gone = self.members(2, halls=1), set()
+        owners = {name: self.owners(members, name, gone) for name in members}
+        first = owners["vm0"].of("large", 40.0, 0.0)[0].name
+        [second] = [name for name in members if name != first]
+        parts = QuotaParts(owners[second], WIDE, 0.0)
+        for tenth in range(100):
+            parts.tick(tenth / 10)
+        gone.add(first)
+        parts.tick(10.3)
+        given = parts.give(LARGE, 1000, 10.4)
+        assert given is not None
+        self.assertLess(given.count, quota_limit(LARGE, WIDE).capacity / 2)
+
     def test_a_pause_of_the_process_begins_its_parts_again(self) -> None:
         parts = QuotaParts(self.owners(self.members(1), "vm0"), WIDE, 0.0)
         parts.tick(99.9)
