Test callers that leave while their workspace's limit is asked for, and in the middle of a body

Cause: both are new places in which a request waits; nothing may be sent after its caller has left. Change: tests alone; what the request took is given back.

--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -278,6 +278,45 @@
 
         run_virtual(main)
 
+    def test_a_caller_that_leaves_while_its_limit_is_asked_for(self) -> None:
+        class SlowQuotas(FreeQuotas):
+            async def take(self, workspace: Workspace) -> QuotaDecision:
+                await pass_time(0.1)
+                return await super().take(workspace)
+
+        async def main(loop: VirtualLoop) -> None:
+            vm = VirtualGateway(loop, servers=1)
+            quotas = vm.gateway.requests.pipeline.admission.quotas = SlowQuotas()
+            vm.store.put("op/config", KEYED)
+            vm.start()
+            await pass_time(3.0)
+            caller = (*CALLER, ("api-key", KEY))
+            for method, path in (("GET", "/rates/a"), ("POST", "/book/1")):
+                leaves = loop.create_task(pass_time(0.05))
+                answer = await vm.ask(path, method=method, headers=caller, leaves=leaves)
+                self.assertEqual(answer.status, 0)
+            await pass_time(1.0)
+            self.assertEqual(vm.servers[0].runs, [])
+            self.assertEqual(quotas.given_back, ["shipper", "shipper"])
+
+        run_virtual(main)
+
+    def test_a_caller_that_leaves_in_the_middle_of_its_body(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            vm = VirtualGateway(loop, servers=1)
+            quotas = vm.gateway.requests.pipeline.admission.quotas = FreeQuotas()
+            vm.store.put("op/config", KEYED)
+            vm.start()
+            await pass_time(3.0)
+            caller = (*CALLER, ("api-key", KEY))
+            await vm.ask(
+                "/book/1", method="POST", headers=caller, stalls=True, leaves=pass_time(0.05)
+            )
+            self.assertEqual((quotas.taken, quotas.given_back), (["shipper"], ["shipper"]))
+            self.assertEqual(vm.servers[0].runs, [])
+
+        run_virtual(main)
+
     def test_an_unusable_configuration_tells_no_key(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             vm = VirtualGateway(loop, servers=1)
