--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import json
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -153,6 +154,20 @@
             named = {name.lower(): value for name, value in response.headers.items()}
             return response.status, await response.read(), named
 
+    async def operate(self, *words: str) -> tuple[int, str]:
+        """Run an operators' command; returns its exit status and what it prints."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "platform/operate.py",
+            *words,
+            f"--store={self.store_address}",
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await process.communicate()
+        return process.returncode or 0, output.decode()
+
     def runs(self, request_id: str) -> int:
         """Return how often a request has run."""
         return sum(r.request_id == request_id for b in self.backends for r in b.runs)
--- a/tests/test_process_crashing_requests.py
+++ b/tests/test_process_crashing_requests.py
@@ -1,13 +1,12 @@
 """A request that crashes servers, with the real program as processes and real sockets."""
 
 import asyncio
-import sys
 import time
 import unittest
 
 from standins.scripted_server import Run, ScriptedServer
 
-from .gateway_process import ROOT, GatewayCase
+from .gateway_process import GatewayCase
 
 _SICK = "/rates/sick"
 _DOWN_S = 1.5
@@ -85,7 +84,7 @@
 
     async def _lists_it(self) -> None:
         """Check what the operators' command shows."""
-        status, output = await self._operate("quarantined")
+        status, output = await self.operate("quarantined")
         self.assertEqual(status, 0, output)
         self.assertRegex(output, r"^[0-9a-f]{32}  GET /rates/sick\n  refused since .* trials made")
         self.assertRegex(output, r"ended i-\d+\+?, process not stated, .* s before, seen by vm\d")
@@ -94,10 +93,10 @@
     async def _is_let_go(self) -> None:
         """Check that the operators' command lets it go, and refuses a name that is none."""
         self.mended = True
-        status, output = await self._operate("release", "00ff")
+        status, output = await self.operate("release", "00ff")
         self.assertEqual(status, 2)
         self.assertIn("no such request is refused", output)
-        status, output = await self._operate("release", self.fingerprint)
+        status, output = await self.operate("release", self.fingerprint)
         self.assertEqual(status, 0, output)
 
         async def served() -> bool:
@@ -106,19 +105,6 @@
 
         await self.until(served, "all VMs to let it go")
 
-    async def _operate(self, *words: str) -> tuple[int, str]:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "platform/operate.py",
-            *words,
-            f"--store={self.store_address}",
-            cwd=ROOT,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
-        )
-        output, _ = await process.communicate()
-        return process.returncode or 0, output.decode()
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_process_workspaces.py
+++ b/tests/test_process_workspaces.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import json
-import sys
 import unittest
 from collections import Counter
 
-from .gateway_process import CONFIGURATION, HOST, ROOT, GatewayCase
+from .gateway_process import CONFIGURATION, HOST, GatewayCase
 
 _KEY = "key-of-the-shipper"
 _OTHER = "key-of-the-desk"
@@ -30,7 +29,8 @@
             self.assertTrue(all(0.05 <= seconds <= 2.5 for seconds in later), later)
             self.assertTrue(await self.answers(_OTHER, 200))
         with self.subTest("what operators see of it, without a key"):
-            output = await self.operate("workspaces")
+            status, output = await self.operate("workspaces")
+            self.assertEqual(status, 0, output)
             self.assertIn("shipper: 4 a second and 4 at once", output)
             self.assertRegex(output, r"refused at vm\d \(\d+\)")
             self.assertNotIn("key-of", output)
@@ -72,21 +72,6 @@
             await response.read()
             return response.status, float(response.headers.get("Retry-After", 0))
 
-    async def operate(self, *words: str) -> str:
-        """Run an operators' command; returns what it prints."""
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "platform/operate.py",
-            *words,
-            f"--store={self.store_address}",
-            cwd=ROOT,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
-        )
-        output, _ = await process.communicate()
-        self.assertEqual(process.returncode, 0, output)
-        return output.decode()
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak/promises/configuration.py
+++ b/tools/soak/promises/configuration.py
@@ -10,7 +10,7 @@
 from ..ledger import Attempt, End, Version
 from .evidence import SLACK_S, Evidence
 
-_CONFIGURED_S = 2.0
+CONFIGURED_S = 2.0
 """Seconds until a configuration is in force. Bound `ConfigApply` of the platform's example."""
 
 _REGRESS_S = 0.3
@@ -26,7 +26,7 @@
     for attempt in evidence.ledger.attempts:
         if not evidence.in_touch(attempt.vm, attempt.sent_at, attempt.sent_at):
             continue
-        versions = _may_be_in_force(evidence.ledger.versions, attempt)
+        versions = may_be_in_force(evidence.ledger.versions, attempt)
         allowed = [version.services.get(attempt.route) for version in versions]
         for seen in evidence.runs_of(attempt):
             if seen.service not in allowed:
@@ -36,10 +36,10 @@
             evidence.ledger.breaks("CONFIG", f"{attempt.request_id} got 404, allowed {allowed}")
 
 
-def _may_be_in_force(versions: list[Version], attempt: Attempt) -> Iterable[Version]:
+def may_be_in_force(versions: list[Version], attempt: Attempt) -> Iterable[Version]:
     """Return the versions that may decide an attempt at an entry VM in touch."""
     ends = [later.acknowledged_at for later in versions[1:]] + [float("inf")]
-    late = _CONFIGURED_S + SLACK_S
+    late = CONFIGURED_S + SLACK_S
     return [
         version
         for version, end in zip(versions, ends, strict=True)
--- a/tools/soak/promises/workspaces.py
+++ b/tools/soak/promises/workspaces.py
@@ -10,12 +10,10 @@
 from http import HTTPStatus
 
 from ..configuration import QUOTA_OVER, QUOTA_SLACK, WORKSPACES, first_key
-from ..ledger import Attempt, Version
+from ..ledger import Version
+from .configuration import CONFIGURED_S, may_be_in_force
 from .evidence import SLACK_S, Evidence
 
-_CONFIGURED_S = 2.0
-"""Seconds until a configuration is in force. Bound `ConfigApply` of the platform's example."""
-
 _WINDOW_S = 5.0
 """Window of a limit, in seconds. Bound `QuotaWindow` of the platform's example."""
 
@@ -34,7 +32,8 @@
     for attempt in evidence.ledger.attempts:
         if not attempt.key:
             continue
-        known = [attempt.key in held.keys for held in _in_force(evidence.ledger.versions, attempt)]
+        versions = may_be_in_force(evidence.ledger.versions, attempt)
+        known = [attempt.key in version.keys for version in versions]
         in_touch = evidence.in_touch(attempt.vm, attempt.sent_at, attempt.sent_at)
         if in_touch and evidence.runs_of(attempt) and not any(known):
             evidence.ledger.breaks("KEY", f"{attempt.request_id} ran under a key that was gone")
@@ -69,23 +68,12 @@
     A lower one binds a window after it is in force everywhere.
     """
     ends = [later.acknowledged_at for later in versions[1:]] + [float("inf")]
-    late = _CONFIGURED_S + _WINDOW_S + SLACK_S
+    late = CONFIGURED_S + _WINDOW_S + SLACK_S
     for version, end in zip(versions, ends, strict=True):
         if version.acknowledged_at <= start + _WINDOW_S and start <= end + late:
             yield version.rates_per_s.get(name, float("inf"))
 
 
-def _in_force(versions: list[Version], attempt: Attempt) -> list[Version]:
-    """Return the versions that may decide an attempt at a VM in touch."""
-    ends = [later.acknowledged_at for later in versions[1:]] + [float("inf")]
-    late = _CONFIGURED_S + SLACK_S
-    return [
-        version
-        for version, end in zip(versions, ends, strict=True)
-        if attempt.sent_at <= end + late and version.acknowledged_at <= attempt.ended_at
-    ]
-
-
 def workspace_of(key: str) -> str:
     """Return the workspace of a key; empty for none."""
     return next((name for name in WORKSPACES if key.startswith(first_key(name))), "")
