Forget what is held of a workspace that sends no more; heads of the modules true to the code

Times of used requests were dropped only when a request was refused, so that a busy workspace below its limit grew a list without end; leases of workspaces stayed for good (some 1 kB each, 10,000 of them). Two heads named parts that are gone or wrapped badly. Found by reading, seen nowhere.

--- a/sprucewinch/gateway/workspaces/admission.py
+++ b/sprucewinch/gateway/workspaces/admission.py
@@ -1,8 +1,8 @@
 """Step: who calls, and whether its workspace may send one more request.
 
 Owns the order of the two questions and what a request takes along: its workspace, and what it took
-of the workspace's limit. Asked once for a request, before its body is read; `still_known` is asked
-again before each send, as a key may be taken away meanwhile. Relies on `key_table` and `quotas` for
+of the workspace's limit. Asked once for a request, before its body is read; `workspace` is asked
+again before each send, as one may be taken away meanwhile. Relies on `key_table` and `quotas` for
 the decisions, and on the view of the store for the configuration and its age. Keys stand in no
 line: a caller that guesses shows in the counter `requests_unknown-key` and, at most every
 `_GUESSES_EVERY_S`, in the event `unknown-keys`. Tests: tests/test_gateway_keys.py.
--- a/sprucewinch/gateway/workspaces/quota_bucket.py
+++ b/sprucewinch/gateway/workspaces/quota_bucket.py
@@ -9,14 +9,15 @@
 Why so: all buckets together give at most rate x T + width in a time T, whoever asks and whatever is
 lost on the way, as parts add up to one; a VM may use a request that was given to it for `HOLD_S`,
 and give it back unused for `RETURN_S`, so a window of requests takes what was given in the window
-and `RETURN_S`. Two starts of a VM in one
-window add twice what buckets begin with. The burst is in the rate, not in the width: a workspace
-that goes on above its rate is served as much as a window allows, and one that sends its whole burst
-at once gets it spread over some tenths of a second. A count over the window would give both, and
-would give a whole window anew when the VMs that counted are killed.
-
-Constants: `HOLD_S`, `RETURN_S`, `_USED_PART`, `_WIDTH_PART`, `_FIRST_PART`. Shows in: `operate.py
-workspaces`. Tests: tests/test_gateway_quota.py.
+and `RETURN_S`. Two starts of a VM in one window add twice what buckets begin with. The burst is in
+the rate, not in the width: a workspace that goes on above its rate is served as much as a window
+allows, and one that sends its whole burst at once gets it spread over some tenths of a second. A
+count over the window would give both, and would give a whole window anew when the VMs that counted
+are killed.
+
+Constants: `HOLD_S`, `RETURN_S`, `_USED_PART`, `_WIDTH_PART`, `_FIRST_PART`, `_LEAST_MARGIN`,
+`_LEAST_WAIT_S`, `MOST_WAIT_S`. Shows in: `operate.py workspaces`. Tests:
+tests/test_gateway_quota.py.
 """
 
 from typing import NamedTuple
@@ -48,7 +49,6 @@
 MOST_WAIT_S = 2.0
 """Longest time for which an owner that has nothing left is not asked again, in seconds."""
 
-
 _LEAST_MARGIN = 5.0
 """Least margin that is kept for the width of buckets, in requests: one narrower than a request
 would never give any."""
--- a/sprucewinch/gateway/workspaces/quota_leases.py
+++ b/sprucewinch/gateway/workspaces/quota_leases.py
@@ -7,9 +7,8 @@
 Rule: what was given is used first. Else the owner of this VM's own hall is asked, then those of its
 region, then one of another region at random, then all others at once. One after the other they
 would take longer than a request's target allows; all at once they would give more than is used. An
-owner that had nothing is left alone for the time that it stated. For
-one request as many are asked for as this VM is likely to
-send within `HOLD_S`; what is not used by then is given back.
+owner that had nothing is left alone for the time that it stated. As many are asked for as this VM
+is likely to send within `HOLD_S`; what is not used by then is given back.
 
 Constants: `_MOST_ASKED`, `_RATE_WINDOW_S`. Tests: tests/test_gateway_quota.py.
 """
@@ -76,7 +75,7 @@
     def arrived(self, now: float) -> None:
         """Count a request that a caller sends."""
         self._sent.append(now)
-        self._drop_old(now)
+        _drop_old(self._sent, now)
 
     def use(self, now: float) -> Optional[Given]:
         """Use one request that was given.
@@ -88,6 +87,7 @@
             if grant.usable(now):
                 grant.count -= 1
                 self._used.append(now)
+                _drop_old(self._used, now)
                 return Given(grant.owner, 1, grant.at)
         return None
 
@@ -108,7 +108,7 @@
             waiting: Requests that wait for one.
             now: Monotonic time, in seconds.
         """
-        self._drop_old(now)
+        _drop_old(self._sent, now)
         soon = int(len(self._sent) / _RATE_WINDOW_S * HOLD_S)
         return min(_MOST_ASKED, max(waiting, soon, 1))
 
@@ -122,13 +122,18 @@
 
     def used_per_s(self, now: float) -> float:
         """Return how many requests a second were sent lately."""
-        while self._used and self._used[0] <= now - _RATE_WINDOW_S:
-            self._used.popleft()
+        _drop_old(self._used, now)
         return len(self._used) / _RATE_WINDOW_S
 
-    def _drop_old(self, now: float) -> None:
-        while self._sent and self._sent[0] <= now - _RATE_WINDOW_S:
-            self._sent.popleft()
+    def idle(self, now: float) -> bool:
+        """Return whether nothing is held, and nothing was sent lately."""
+        _drop_old(self._sent, now)
+        return not self.given and not self._sent
+
+
+def _drop_old(times: deque[float], now: float) -> None:
+    while times and times[0] <= now - _RATE_WINDOW_S:
+        times.popleft()
 
 
 def asking_groups(
--- a/sprucewinch/gateway/workspaces/quotas.py
+++ b/sprucewinch/gateway/workspaces/quotas.py
@@ -8,7 +8,7 @@
 no backend server has run it.
 
 Shows in: event `request`, `outcome` `over-quota` or `no-quota`; metrics `quota_asks`. Tests:
-tests/test_gateway_quota.py, tests/test_gateway_quota_fleet.py.
+tests/test_gateway_quota.py, tests/test_process_workspaces.py.
 """
 
 import abc
@@ -177,15 +177,21 @@
         if decision.given is None:
             return
         self.used[workspace.name] -= 1
-        lease = self.leases.get(workspace.name)
-        if lease is not None:
-            lease.add(decision.given)
-            self._return_unused(workspace.name, lease)
+        lease = self._lease(workspace.name)
+        lease.add(decision.given)
+        self._return_unused(workspace.name, lease)
 
     def sweep(self) -> None:
-        """Give back what was not used, so that other VMs may; to be called a few times a second."""
-        for name, lease in self.leases.items():
+        """Give back what was not used, so that other VMs may, and forget workspaces that are idle.
+
+        To be called a few times a second.
+        """
+        now = self.timing.monotonic()
+        for name, lease in list(self.leases.items()):
             self._return_unused(name, lease)
+            if lease.idle(now) and not self._waiting[name]:
+                del self.leases[name], self._waiting[name]
+                self._turns.pop(name, None)
 
     def _return_unused(self, name: str, lease: WorkspaceLease) -> None:
         if not lease.given:
--- a/tests/test_gateway_quota.py
+++ b/tests/test_gateway_quota.py
@@ -309,6 +309,20 @@
         most = max(sum(at <= other <= at + 5.0 for other in ran) for at in ran)
         self.assertLessEqual(most, allowed_in_window(LARGE, WIDE))
 
+    def test_a_workspace_that_sends_no_more_is_forgotten(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = ModelFleet(loop, 12, {"small": SMALL}, WIDE)
+            vm = next(iter(fleet.vms.values()))
+            decision = await vm.quotas.take(SMALL)
+            vm.quotas.give_back(SMALL, decision)
+            self.assertEqual(list(vm.quotas.leases), ["small"])
+            await pass_time(3.0)
+            self.assertEqual(list(vm.quotas.leases), [])
+            self.assertEqual(vm.quotas.used["small"], 0)
+            self.assertIs((await vm.quotas.take(SMALL)).end, QuotaEnd.ADMITTED)
+
+        run_virtual(main)
+
     def test_a_hall_that_is_cut_off_serves_its_part(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             fleet = ModelFleet(loop, 12, {"large": LARGE}, WIDE)
