--- a/tools/soak/troubles/processes.py
+++ b/tools/soak/troubles/processes.py
@@ -125,7 +125,8 @@
         clock = self.vm.settings.with_suffix(CLOCK_SUFFIX)
         clock.write_text(str(self.rng.uniform(-4, 4)), encoding="utf-8")
         await asyncio.sleep(self.for_s)
-        clock.unlink()
+        # Another step of the same VM's clock may have ended meanwhile.
+        clock.unlink(missing_ok=True)
 
 
 class Suspend(Pause):
