--- a/sprucewinch/config/_check.py
+++ b/sprucewinch/config/_check.py
@@ -32,45 +32,42 @@
 """Versions of the internet protocol, as `ipaddress` numbers them; blocks of two never overlap."""
 
 _DEADLINE_MS = _Range(1, 3_600_000)
-"""A service's deadline, in milliseconds, up to an hour. A guess, never measured."""
+"""A service's deadline, in milliseconds, up to an hour."""
 
 _MAX_WAIT_MS = _Range(0, 60_000)
-"""A service's longest wait for a slot, in milliseconds; 0 refuses at once. A guess, never
-measured."""
+"""A service's longest wait for a slot, in milliseconds; 0 refuses at once."""
 
 _SHIFT_CAP = _Range(0.001, 1)
-"""Part of the callers that may move in one window. It cannot exceed 1, all of them; a cap of
-0 would freeze steering. The lower bound is a guess, never measured."""
+"""Part of the callers that may move in one window. It cannot exceed 1, all of them; a cap of 0
+would freeze steering."""
 
 _SLOTS = _Range(1, 10_000)
-"""Requests that one backend server runs at once. A guess, never measured; the brief's have 4."""
+"""Requests that one backend server runs at once. The brief's have 4."""
 
 _CONNECTIONS = _Range(1, 100_000)
-"""Connections to one backend server. A guess, never measured; the brief's take 120 to 130."""
+"""Connections to one backend server. The brief's take 120 to 130."""
 
 _ONE_WAY_MS = _Range(0, 10_000)
-"""A link's time one way, in milliseconds. A guess, never measured; the brief's take 10 to 35."""
+"""A link's time one way, in milliseconds. The brief's take 10 to 35."""
 
 _LINK_REQUESTS_PER_S = _Range(0, 1e9)
-"""Requests a second over a link; 0 closes it. A guess, never measured: keeps infinity out."""
+"""Requests a second over a link; 0 closes it. Keeps infinity out."""
 
 _TTL_MS = _Range(100, 600_000)
-"""Time that callers keep a look-up answer, in milliseconds. A guess, never measured."""
+"""Time that callers keep a look-up answer, in milliseconds."""
 
 _SHIFT_WINDOW_S = _Range(1, 3600)
 """Window of the shift cap, in seconds; planning rounds are a second apart, so a shorter window
-holds no step. The upper bound is a guess, never measured."""
+holds no step."""
 
 _CEILING = _Range(0.05, 1)
-"""Part of a region's slots that steering plans to use; above 1 is overload. The lower bound is a
-guess, never measured."""
+"""Part of a region's slots that steering plans to use; above 1 is overload."""
 
 _STALE_S = _Range(1, 3600)
-"""Age in seconds beyond which measures let no region gain. A guess, never measured."""
+"""Age in seconds beyond which measures let no region gain."""
 
 _WARM_STEP = _Range(0.01, 1)
-"""Part of a region's slots' worth of callers gained in one window; 1 is all of them. The lower
-bound is a guess, never measured."""
+"""Part of a region's slots' worth of callers gained in one window; 1 is all of them."""
 
 
 def check_configuration(configuration: Configuration, source: str) -> None:
--- a/sprucewinch/config/settings.py
+++ b/sprucewinch/config/settings.py
@@ -18,7 +18,7 @@
 
 
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Limits of every listener. The defaults are guesses, never measured.
+    """Limits of every listener.
 
     Args:
         header_bytes: Most bytes of a request's headers.
@@ -37,8 +37,7 @@
     """How a planned stop proceeds.
 
     Args:
-        report_s: Seconds between log lines that name what still holds the stop up. The default
-            is a guess, never measured.
+        report_s: Seconds between log lines that name what still holds the stop up.
     """
 
     report_s: float = 5.0
@@ -77,8 +76,7 @@
 
 
 _MIN_TOKEN = 16
-"""Fewest characters of the operators' token: 64 bits when it is written in hexadecimal. A guess,
-never measured."""
+"""Fewest characters of the operators' token: 64 bits when it is written in hexadecimal."""
 
 _ADDRESSES = ("caller_address", "peer_address", "operators_address", "platform_address")
 _LOG_FORMATS = ("text", "json")
--- a/sprucewinch/daemon.py
+++ b/sprucewinch/daemon.py
@@ -37,24 +37,23 @@
 
 _INCARNATION_RANDOM_BITS = 12
 """Random low bits of an incarnation, below the wall clock's milliseconds: two processes of one name
-that start in the same millisecond differ but for one case in 4096. A guess, never measured."""
+that start in the same millisecond differ but for one case in 4096."""
 
 _TICKET_KEY_BYTES = 32
 """Length of the key of this process's tickets, in bytes: 256 bits, as is usual for such keys."""
 
 _LEAVING_FANOUT = 8
-"""VMs of other halls that a stopping VM informs at once. A guess, never measured."""
+"""VMs of other halls that a stopping VM informs at once."""
 
 _START_POLL_S = 0.01
-"""Time between two checks that the listeners have started, in seconds. A guess, never measured."""
+"""Time between two checks that the listeners have started, in seconds."""
 
 _STOP_POLL_S = 0.1
-"""Time between two checks of a stop's progress or of a newer process of this name, in seconds. A
-guess, never measured."""
+"""Time between two checks of a stop's progress or of a newer process of this name, in seconds."""
 
 _SPREAD_S = 1.5
 """Time until the other VMs know that this one leaves, in seconds, on top of the time for which
-callers cache look-ups: one and a half rounds of `loops.EXCHANGE_S`. A guess, never measured."""
+callers cache look-ups: one and a half rounds of `loops.EXCHANGE_S`."""
 
 _MS_PER_S = 1000
 """Milliseconds in a second."""
--- a/sprucewinch/gateway/crashes/crash_check.py
+++ b/sprucewinch/gateway/crashes/crash_check.py
@@ -19,7 +19,7 @@
 
 CHECK_S = 0.2
 """Longest wait for the new connection, in seconds, for which a retry waits too: nearly three ways
-there and back of 70 ms. Worked out, never measured."""
+there and back of 70 ms."""
 
 
 class CrashCheck:
--- a/sprucewinch/gateway/crashes/crash_log.py
+++ b/sprucewinch/gateway/crashes/crash_log.py
@@ -15,23 +15,21 @@
 from typing import NamedTuple, Optional
 
 _KEPT_S = 900.0
-"""How long a crash counts, in seconds: a caller may come back after minutes. A guess, never
-measured."""
+"""How long a crash counts, in seconds: a caller may come back after minutes."""
 
 _ONE_CRASH_S = 0.75
 """Time between two reports of one crash at the most, in seconds: the way of reports, and a VM that
-was busy; half of what a server takes at the least to start again. A guess, never measured."""
+was busy; half of what a server takes at the least to start again."""
 
 _MOST_CRASHES = 256
-"""Crashes that are kept at the most. With the requests of full servers they take some 0.5 MB
-(worked out)."""
+"""Crashes that are kept at the most. With the requests of full servers they take some 0.5 MB."""
 
 _MOST_REQUESTS = 32
 """Requests that are kept of one crash: more than a server runs and queues at once. Those that came
 first are kept, as the server had begun to run them."""
 
 _MOST_GOOD_ENDS = 1024
-"""Good ends that are kept at the most, the newest. A guess, never measured."""
+"""Good ends that are kept at the most, the newest."""
 
 
 class ServerProcess(NamedTuple):
--- a/sprucewinch/gateway/crashes/crash_reports.py
+++ b/sprucewinch/gateway/crashes/crash_reports.py
@@ -20,11 +20,11 @@
 
 _GATHER_S = 0.02
 """Time for which requests that lost one server are gathered into one report, in seconds: their
-connections end within a millisecond. Never measured."""
+connections end within a millisecond."""
 
 _REPEATS_S = (0.3, 1.0)
 """Times after a report at which one on a request that lost a server before is sent again, in
-seconds: with a tenth of the datagrams lost, one VM in 1,000 gets none of three (worked out)."""
+seconds: with a tenth of the datagrams lost, one VM in 1,000 gets none of three."""
 
 _MOST_SUSPECTS = 10
 """Requests in one message, so that it fits one packet."""
--- a/sprucewinch/gateway/crashes/guilt.py
+++ b/sprucewinch/gateway/crashes/guilt.py
@@ -16,10 +16,10 @@
 Reason. One good end clears a request, so a popular one is never near the limit. Stays that overlap
 count once, as servers that die together have a cause of their own. A request that lost one server
 and is sent to the next dies there by chance with 3 in 100, where one of twelve servers dies every
-second and it runs half a second (worked out): twice in a row is 1 in 1,000, and the deaths without
-it raise what is needed. Of six requests that lose one of twelve servers with the sick one, one in
-twenty meets it at the next two as well (worked out); the next copy that runs alone tells them
-apart. Callers and operators bear up to six crashes, so the limit stays below.
+second and it runs half a second: twice in a row is 1 in 1,000, and the deaths without it raise what
+is needed. Of six requests that lose one of twelve servers with the sick one, one in twenty meets it
+at the next two as well; the next copy that runs alone tells them apart. Callers and operators bear
+up to six crashes, so the limit stays below.
 
 Shows in: event `request-quarantined`. Tests: `test_gateway_guilt`. Owns nothing; relies on what
 `crash_log` holds.
@@ -40,15 +40,15 @@
 counted."""
 
 _MOST_MORE = 2
-"""Crashes beyond `CRASHES` that are needed at the most, which leaves one trial. Worked out."""
+"""Crashes beyond `CRASHES` that are needed at the most, which leaves one trial."""
 
 _SKEW_S = 0.04
 """Error of times that another VM has reported, in seconds: a report is on its way for up to 35 ms,
-and a crash seems as much later than this VM's own. Worked out."""
+and a crash seems as much later than this VM's own."""
 
 _TOGETHER_S = 0.25
 """Crashes closer to each other than that count as one time, in seconds: a data hall that loses
-power ends its servers within it. A guess, never measured."""
+power ends its servers within it."""
 
 
 class Judgement(NamedTuple):
--- a/sprucewinch/gateway/crashes/held.py
+++ b/sprucewinch/gateway/crashes/held.py
@@ -21,7 +21,7 @@
 HOLDS_S = (60.0, 600.0, 3600.0)
 """Times for which a request is refused before its first, second and third trial, in seconds. The
 first is longer than servers take to come back and warm up; a release that mends the service takes
-minutes to hours. Guesses, never measured."""
+minutes to hours."""
 
 NO_TRIAL_RETRY_S = 3600.0
 """Retry-After of a request that has no trial left, in seconds: an operator has to let it go."""
@@ -29,7 +29,7 @@
 
 UNSTORED_HOLD_S = 600.0
 """Time for which a VM refuses a request that the store does not hold, in seconds: long beside a
-restart of the store, short beside a service that has been mended. A guess, never measured."""
+restart of the store, short beside a service that has been mended."""
 
 
 class Held(NamedTuple):
--- a/sprucewinch/gateway/crashes/quarantine.py
+++ b/sprucewinch/gateway/crashes/quarantine.py
@@ -45,11 +45,11 @@
 
 MOST_HELD = 256
 """Requests that are held at once at the most; the one held longest goes, so that callers who send
-many cost no memory. 0.2 MB at each VM (worked out)."""
+many cost no memory. 0.2 MB at each VM."""
 
 _GOOD_END_HOLDS_S = 5.0
 """Time after a good end in which a request is not refused on older evidence, in seconds: a VM that
-did not know of the good end may still write the item. Several ways through the store; a guess."""
+did not know of the good end may still write the item. Several ways through the store."""
 
 _AGE_DIGITS = 3
 """Digits after the point of ages: milliseconds."""
--- a/sprucewinch/gateway/crashes/quarantine_store.py
+++ b/sprucewinch/gateway/crashes/quarantine_store.py
@@ -24,20 +24,20 @@
 from .quarantine import MOST_HELD, Quarantine
 
 _LOOK_S = 0.5
-"""Longest time between two looks for a write that is due, in seconds. A guess, never measured."""
+"""Longest time between two looks for a write that is due, in seconds."""
 
 _OTHERS_S = 1.5
 """Time after which VMs that follow the store write what no witness has written, in seconds: half of
-the time in which all VMs have to know. Worked out, never measured."""
+the time in which all VMs have to know."""
 
 _ABSENT = 0
 """Revision of a key that is not in the store."""
 
 _BACKOFF_BASE_S = 0.3
-"""Longest random pause after the first failed call, in seconds. A guess, never measured."""
+"""Longest random pause after the first failed call, in seconds."""
 
 _MOST_BACKOFF_S = 3.0
-"""Longest random pause after a failed call, in seconds. A guess, never measured."""
+"""Longest random pause after a failed call, in seconds."""
 
 
 class QuarantineStore:
--- a/sprucewinch/gateway/crashes/suspects.py
+++ b/sprucewinch/gateway/crashes/suspects.py
@@ -18,7 +18,7 @@
 
 SETTLE_S = 0.15
 """Age from which a crash counts, in seconds: two ways between regions of 35 ms and the time in
-which a report is gathered, twice as long for safety. Worked out."""
+which a report is gathered, twice as long for safety."""
 
 _MOST_WHAT = 100
 """Characters of a request's method and path that operators are shown."""
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -33,7 +33,7 @@
 _TICK_S = 0.2
 """Time between two ticks, and between a loop's failure and its next run, in seconds.
 
-A guess, never measured. A tenth of the shift cap's window, so shares move in small steps.
+A tenth of the shift cap's window, so shares move in small steps.
 """
 
 
--- a/sprucewinch/gateway/following/deltas.py
+++ b/sprucewinch/gateway/following/deltas.py
@@ -27,13 +27,13 @@
 """Path of the peer listener that answers a single item."""
 
 LARGE_ITEM_BYTES = 16_384
-"""Length of a value beyond which its item is fetched by itself, in bytes: 26 ms of a link of
-5 Mbit/s. A guess, not measured against others; backend servers' entries are under 1 kB."""
+"""Length of a value beyond which its item is fetched by itself, in bytes: 26 ms of a link of 5
+Mbit/s. Backend servers' entries are under 1 kB."""
 
 _PATIENCE = Patience(first_s=0.6, silence_s=0.6, most_s=10.0)
-"""How long a delta of a peer may take, in seconds. Until the first byte, and in silence: guesses,
-never measured; with 0.6 s a change is in force within 2 s beside peers that fail
-(`test_gateway_following`). In all: a whole delta of a VM of an older version, 1 MB at 1 Mbit/s."""
+"""How long a delta of a peer may take, in seconds. Until the first byte, and in silence: short, so
+that a change is in force within 2 s beside peers that fail (`test_gateway_following`). In all: a
+whole delta of a VM of an older version, 1 MB at 1 Mbit/s."""
 
 _ITEM_PATIENCE = Patience(first_s=2.0, silence_s=2.0, most_s=60.0)
 """How long a large item may take, in seconds. Longer than a delta, as all VMs may fetch it from
@@ -158,8 +158,7 @@
     """Return an item as compressed bytes for a peer.
 
     Compressed, as all VMs may fetch it over the sender's link at once: 74 VMs take 6 MB instead of
-    70 MB of a link of 200 Mbit/s, 0.2 s instead of 2.8 s (worked out from the sizes at
-    `_COMPRESSION_LEVEL`).
+    70 MB of a link of 200 Mbit/s, 0.2 s instead of 2.8 s (from the sizes at `_COMPRESSION_LEVEL`).
     """
     return zlib.compress(msgspec.msgpack.encode(item), _COMPRESSION_LEVEL)
 
--- a/sprucewinch/gateway/following/fetch_failures.py
+++ b/sprucewinch/gateway/following/fetch_failures.py
@@ -9,7 +9,7 @@
 from ..events import EventLog
 
 _FAILURE_LINE_S = 5.0
-"""Shortest time between two lines on failed fetches, in seconds. A guess, never measured."""
+"""Shortest time between two lines on failed fetches, in seconds."""
 
 
 class FetchFailures:
--- a/sprucewinch/gateway/following/follow_role.py
+++ b/sprucewinch/gateway/following/follow_role.py
@@ -37,38 +37,33 @@
 from ..state.store_view import StoreView
 
 NOTICE_S = 0.3
-"""Pause between two notices of a store follower, in seconds. Never measured by itself; three fit
-into `NOTICE_SILENCE_S`."""
+"""Pause between two notices of a store follower, in seconds. Three fit into `NOTICE_SILENCE_S`."""
 
 NOTICE_SILENCE_S = 1.0
-"""Time without a fresh notice after which a VM follows the store itself, in seconds. Never measured
-by itself; changes stay within 2 s with it when all store followers are killed
-(`test_gateway_following`)."""
+"""Time without a fresh notice after which a VM follows the store itself, in seconds. Changes stay
+within 2 s with it when all store followers are killed (`test_gateway_following`)."""
 
 NOTICE_MAX_AGE_S = ANSWER_MAX_AGE_S
 """Age of the store's answer beyond which a notice is ignored, in seconds."""
 
 _MIN_STORE_FOLLOWERS = 3
-"""Store followers of the whole fleet at the least, so that the loss of one leaves two. The count is
-a guess, never measured against others."""
+"""Store followers of the whole fleet at the least, so that the loss of one leaves two."""
 
 _CATCH_UP_S = 0.8
 """Time for which a VM may stay behind an announced revision before it follows the store itself, in
-seconds. Never measured by itself; changes stay within 2 s with it when peers give empty deltas
-(`test_gateway_following`)."""
+seconds. Changes stay within 2 s with it when peers give empty deltas (`test_gateway_following`)."""
 
 _TRANSFER_S = 0.7
 """Time since it is behind for which progress of a large item keeps a VM from asking the store, in
 seconds: with `_CATCH_UP_S` it asks after 1.5 s, half the operators' bound, though a slow peer still
-sends. A large item of 80 kB takes 0.13 s of a link of 5 Mbit/s. Worked out, never measured."""
+sends. A large item of 80 kB takes 0.13 s of a link of 5 Mbit/s."""
 
 _DISTRUST_S = 3.0
-"""Time for which a VM follows the store itself after a peer failed to give a delta, in seconds. A
-guess, never measured."""
+"""Time for which a VM follows the store itself after a peer failed to give a delta, in seconds."""
 
 _OTHER_REGIONS = 16
-"""VMs of other regions that get each notice without a change. A guess, never measured; it keeps a
-follower's notices at 4.7 KB/s with 89 VMs (docs/CAPACITY.md, worked out)."""
+"""VMs of other regions that get each notice without a change. It keeps a follower's notices at 4.7
+KB/s with 89 VMs (docs/CAPACITY.md)."""
 
 _MS_PER_S = 1000
 """Milliseconds in a second."""
--- a/sprucewinch/gateway/following/peer_follower.py
+++ b/sprucewinch/gateway/following/peer_follower.py
@@ -29,17 +29,15 @@
 from .notices import ProgressNotices
 
 _PEER_POLL_S = 0.3
-"""Longest pause between two looks for a peer that holds more, in seconds: one notice interval. A
-guess, never measured."""
+"""Longest pause between two looks for a peer that holds more, in seconds: one notice interval."""
 
 _STORE_FIRST_S = 0.5
-"""Time that the store has to answer a VM that starts before a peer is asked, in seconds. A guess,
-never measured; with a peer asked after it, a VM that starts in an outage holds a configuration
-within 2 s (`test_gateway_following.Outages`)."""
+"""Time that the store has to answer a VM that starts before a peer is asked, in seconds. With a
+peer asked after it, a VM that starts in an outage holds a configuration within 2 s
+(`test_gateway_following.Outages`)."""
 
 _BATCH_PAUSE_S = 0.1
-"""Pause after a delta, in seconds, so that the next one brings several changes. A guess, never
-measured."""
+"""Pause after a delta, in seconds, so that the next one brings several changes."""
 
 
 class PeerFollower:
--- a/sprucewinch/gateway/following/store_follower.py
+++ b/sprucewinch/gateway/following/store_follower.py
@@ -32,34 +32,31 @@
 Longer watches save calls and bring changes late."""
 
 BATCH_PAUSE_S = 0.3
-"""Pause after a change, in seconds, so that the next watch brings several changes in one call. A
-guess, never measured by itself."""
+"""Pause after a change, in seconds, so that the next watch brings several changes in one call."""
 
 _FIRST_BATCH_PAUSE_S = 0.5
-"""Pause after the first listing, in seconds, as all VMs register when a fleet starts. A guess,
-never measured."""
+"""Pause after the first listing, in seconds, as all VMs register when a fleet starts."""
 
 _ROLE_POLL_S = 0.1
-"""Pause between two looks at the role while peers keep this VM up to date, in seconds. A guess,
-never measured."""
+"""Pause between two looks at the role while peers keep this VM up to date, in seconds."""
 
 _REJOIN_S = 10.0
 """Time after a failed call at which a VM that relies on peers looks whether the store answers it
-again, in seconds; it cannot be elected before. A guess, never measured."""
+again, in seconds; it cannot be elected before."""
 
 _MIN_BACKOFF_S = 0.05
-"""Part of the pause after a failed call that is not random, in seconds. A guess, never measured."""
+"""Part of the pause after a failed call that is not random, in seconds."""
 
 _BACKOFF_BASE_S = 0.1
-"""Longest random pause after the first failed call, in seconds. A guess, never measured."""
+"""Longest random pause after the first failed call, in seconds."""
 
 _MAX_BACKOFF_S = 1.0
 """Longest random pause of a VM that is first in line to follow the store, or has to list it, in
-seconds. A guess, never measured."""
+seconds."""
 
 _MAX_BACKOFF_BESIDE_S = 3.0
 """Longest random pause of any other VM, in seconds: notices of store followers bring the store's
-return to it. A guess, never measured."""
+return to it."""
 
 
 class StoreFollower:
--- a/sprucewinch/gateway/internal_apps.py
+++ b/sprucewinch/gateway/internal_apps.py
@@ -17,7 +17,7 @@
 
 _MAX_ENCODED = 4
 """Encoded items kept for peers at the most. Large ones are configurations and policies, of which
-peers ask for the newest. A guess, never measured."""
+peers ask for the newest."""
 
 
 async def send_bytes(send: Send, status: int, body: bytes, kind: str = "text/plain") -> None:
--- a/sprucewinch/gateway/lifecycle/shutdown.py
+++ b/sprucewinch/gateway/lifecycle/shutdown.py
@@ -32,24 +32,21 @@
 _LINGER_S = 3.2
 """How long a stopping VM goes on serving callers that still hold its address, in seconds.
 
-A guess, never measured. Callers hold an address for `membership.directory.LOOKUP_TTL_S`
-(1 s) at most, as the directory tells them.
+Callers hold an address for `membership.directory.LOOKUP_TTL_S` (1 s) at most, as the directory
+tells them.
 """
 
 _STOP_MARGIN_S = 0.7
-"""Safety margin on the grace time, in seconds: for final answers and the end of the process.
-
-A guess, never measured.
-"""
+"""Safety margin on the grace time, in seconds: for final answers and the end of the process."""
 
 _FINAL_ANSWERS_S = 0.3
 """How long the final answers of requests that a stop gives up may take, in seconds.
 
-A guess, never measured; a part of `_STOP_MARGIN_S`.
+A part of `_STOP_MARGIN_S`.
 """
 
 _STOP_POLL_S = 0.05
-"""Time between two looks at what a stop waits for, in seconds. A guess, never measured."""
+"""Time between two looks at what a stop waits for, in seconds."""
 
 
 class StopTimes(NamedTuple):
--- a/sprucewinch/gateway/lifecycle/upkeep.py
+++ b/sprucewinch/gateway/lifecycle/upkeep.py
@@ -9,7 +9,7 @@
 from ..composition import Regions, Servers, State, Workspaces
 
 _SWEEP_S = 1.0
-"""Time between two sweeps, in seconds. A guess, never measured."""
+"""Time between two sweeps, in seconds."""
 
 
 class Upkeep:
--- a/sprucewinch/gateway/listeners.py
+++ b/sprucewinch/gateway/listeners.py
@@ -13,34 +13,25 @@
 from .state.store_view import Change
 
 _CONNECTIONS_PART = 0.5
-"""Part of the descriptors that callers' connections may take. A guess, never measured.
+"""Part of the descriptors that callers' connections may take.
 
 The rest is for connections to backend servers, the store and other VMs.
 """
 
 _FIRST_HEADER_BYTES = 65_536
-"""Most bytes of headers before a configuration is known. A guess, never measured."""
+"""Most bytes of headers before a configuration is known."""
 
 _HEADER_SLACK_BYTES = 1024
-"""Safety margin on the header limit that callers are told, in bytes.
-
-A guess, never measured.
-"""
+"""Safety margin on the header limit that callers are told, in bytes."""
 
 _HEADER_SLACK_S = 1.0
-"""Safety margin on the header time that callers are told, in seconds.
-
-A guess, never measured.
-"""
+"""Safety margin on the header time that callers are told, in seconds."""
 
 _IDLE_SLACK_S = 5.0
-"""Safety margin on the idle time of a kept connection that callers are told, in seconds.
-
-A guess, never measured.
-"""
+"""Safety margin on the idle time of a kept connection that callers are told, in seconds."""
 
 _LOOK_S = 0.005
-"""Time between two looks at whether a listener has started, in seconds. A guess, never measured."""
+"""Time between two looks at whether a listener has started, in seconds."""
 
 
 class Listeners:
--- a/sprucewinch/gateway/membership/directory.py
+++ b/sprucewinch/gateway/membership/directory.py
@@ -25,7 +25,7 @@
 
 LOOKUP_TTL_S = 1.0
 """Longest time for which callers keep an answer, in seconds: short, so that they soon leave a VM
-that stops. A guess, never measured."""
+that stops."""
 
 
 class DirectoryAnswer(NamedTuple):
--- a/sprucewinch/gateway/membership/gossip.py
+++ b/sprucewinch/gateway/membership/gossip.py
@@ -28,34 +28,32 @@
 import msgspec
 
 HEARTBEAT_S = 0.5
-"""Pause between two heartbeats of a VM, in seconds. A guess, never measured; each of 89 VMs
-sends 19 KB/s with it (docs/CAPACITY.md, worked out)."""
+"""Pause between two heartbeats of a VM, in seconds. Each of 89 VMs sends 19 KB/s with it
+(docs/CAPACITY.md)."""
 
 SILENCE_S = 2.5
-"""Time without a newer heartbeat after which a VM is out of touch, in seconds: five heartbeats.
-Never measured against others; no VM that runs is dropped at 12 and 90 VMs without loss
-(`test_gateway_gossip`)."""
+"""Time without a newer heartbeat after which a VM is out of touch, in seconds: five heartbeats. No
+VM that runs is dropped at 12 and 90 VMs without loss (`test_gateway_gossip`)."""
 
 _FANOUT = 3
-"""VMs that get each heartbeat. Never measured against others; 90 VMs know each other within 4 s
-(`test_gateway_gossip`)."""
+"""VMs that get each heartbeat. 90 VMs know each other within 4 s (`test_gateway_gossip`)."""
 
 _FAR_PAUSE_S = 0.5
 """Mean time between two messages that a VM gets from each other region, in seconds: within
-`SILENCE_S` none comes in 7 of 1,000 cases (worked out for random senders), and then look-ups for
-that region name this region's VMs, until the next one."""
+`SILENCE_S` none comes in 7 of 1,000 cases (for random senders), and then look-ups for that region
+name this region's VMs, until the next one."""
 
 _MOST_FAR = 4
 """Most VMs of other regions that get one heartbeat, so that a region with few VMs beside a large
-one does not spend its links on heartbeats. Never measured against others."""
+one does not spend its links on heartbeats."""
 
 _DROP_ROW_S = 60.0
-"""Time without a newer heartbeat after which a VM's row is dropped, in seconds. A guess, never
-measured; its link width is kept until then."""
+"""Time without a newer heartbeat after which a VM's row is dropped, in seconds. Its link width is
+kept until then."""
 
 _OWN_PAUSE_S = 1.0
 """Delay of this VM's own heartbeat beyond which this process counts as having stood still, in
-seconds. A guess, never measured."""
+seconds."""
 
 T = TypeVar("T")
 
--- a/sprucewinch/gateway/membership/heartbeats.py
+++ b/sprucewinch/gateway/membership/heartbeats.py
@@ -54,7 +54,7 @@
         """Tell all VMs at once whether this one accepts callers, and nothing of others.
 
         At a stop every VM does this. With the rows of all others it sends 195 times 7 kB, which
-        takes a link of 20 Mbit/s for 0.6 s (worked out), beside the answers that callers wait for.
+        takes a link of 20 Mbit/s for 0.6 s, beside the answers that callers wait for.
         """
         members = self.store_view.members
         self._send(self._next(()), (name for name in members if name != self.gossip.name))
--- a/sprucewinch/gateway/membership/registrar.py
+++ b/sprucewinch/gateway/membership/registrar.py
@@ -18,16 +18,16 @@
 from .registration import Register, RegistrationRule, Remove
 
 _REGISTER_S = 2.0
-"""Pause between two looks for a write that is due, in seconds. A guess, never measured."""
+"""Pause between two looks for a write that is due, in seconds."""
 
 _MIN_BACKOFF_S = 0.1
-"""Part of the pause after a failed call that is not random, in seconds. A guess, never measured."""
+"""Part of the pause after a failed call that is not random, in seconds."""
 
 _BACKOFF_BASE_S = 0.2
-"""Longest random pause after the first failed call, in seconds. A guess, never measured."""
+"""Longest random pause after the first failed call, in seconds."""
 
 _MAX_BACKOFF_S = 1.0
-"""Longest random pause after a failed call, in seconds. A guess, never measured."""
+"""Longest random pause after a failed call, in seconds."""
 
 
 class Registrar:
--- a/sprucewinch/gateway/membership/registration.py
+++ b/sprucewinch/gateway/membership/registration.py
@@ -32,8 +32,7 @@
 from .gossip import Gossip
 
 _REMOVE_MEMBER_S = 30.0
-"""Time out of touch after which a VM's registration is removed, in seconds. A guess, never
-measured."""
+"""Time out of touch after which a VM's registration is removed, in seconds."""
 
 
 class Register(NamedTuple):
--- a/sprucewinch/gateway/regions/region_reports.py
+++ b/sprucewinch/gateway/regions/region_reports.py
@@ -26,20 +26,17 @@
 from ..servers.backend_server import BackendServer
 
 REPORT_S = 1.0
-"""Time between two reports of a region, in seconds. A guess, never measured."""
+"""Time between two reports of a region, in seconds."""
 
 REPORT_MAX_AGE_S = 10.0
-"""Age up to which a report is held, in seconds. A guess, never measured.
+"""Age up to which a report is held, in seconds.
 
 Twice the age at which the guard treats figures as missing (`GuardLimits.stale_s`), so the guard
 decides first.
 """
 
 _SEEN_S = 5.0
-"""Age of a backend server's last answer up to which its latency counts, in seconds.
-
-A guess, never measured.
-"""
+"""Age of a backend server's last answer up to which its latency counts, in seconds."""
 
 _MS_PER_S = 1000.0
 """Milliseconds in a second."""
--- a/sprucewinch/gateway/regions/shares.py
+++ b/sprucewinch/gateway/regions/shares.py
@@ -34,21 +34,18 @@
 """Window of the shift cap, in seconds: the platform's bound on shifts counts in such windows."""
 
 _CAP_SAFETY = 0.8
-"""Safety margin on the shift cap: the part of it that changes of shares may use.
-
-A guess, never measured.
-"""
+"""Safety margin on the shift cap: the part of it that changes of shares may use."""
 
 _HOME_MS = 1.0
 """Distance that policies are given for the callers' own region, in milliseconds one way.
 
-A guess, never measured: distances between regions are not measured on the platform.
+Distances between regions are not measured on the platform.
 """
 
 _AWAY_MS = 10.0
 """Distance that policies are given for every other region, in milliseconds one way.
 
-A guess, never measured, as `_HOME_MS`; all other regions count as equally far.
+As `_HOME_MS`; all other regions count as equally far.
 """
 
 
--- a/sprucewinch/gateway/requests/attempt_feedback.py
+++ b/sprucewinch/gateway/requests/attempt_feedback.py
@@ -33,11 +33,10 @@
 SHED_PAUSE_S = 0.05
 """Pause of a server that refused to run a request as it is full, or as it may be, in seconds. One
 that refuses and reports free slots fails for another reason: less load would not help it, and its
-pause sends objects to servers that do not know them. A guess, never measured."""
+pause sends objects to servers that do not know them."""
 
 MISDIRECTED_PAUSE_S = 60.0
-"""Pause of a server whose address now belongs to another server, in seconds. A guess, never
-measured."""
+"""Pause of a server whose address now belongs to another server, in seconds."""
 
 
 class AttemptFeedback:
--- a/sprucewinch/gateway/requests/callers/body_admission.py
+++ b/sprucewinch/gateway/requests/callers/body_admission.py
@@ -18,7 +18,7 @@
 import enum
 
 MAX_BODIES_PART = 0.25
-"""Part of the process's memory that bodies of requests may take. A guess, never measured."""
+"""Part of the process's memory that bodies of requests may take."""
 
 
 class BodyAdmission(enum.Enum):
--- a/sprucewinch/gateway/requests/connection_age.py
+++ b/sprucewinch/gateway/requests/connection_age.py
@@ -20,7 +20,7 @@
 ONCE_REST_S = 3.0
 """Longest rest of a connection that carries a request that must not run twice, in seconds: well
 under the time for which any kept connection may rest (`servers.pool`). Against a new one for each
-such request it serves more requests in time; other values were not measured (docs/CONSTANTS.md)."""
+such request it serves more requests in time (docs/CONSTANTS.md)."""
 
 
 def most_rest_s(request: ClientRequest, route: Route) -> float:
--- a/sprucewinch/gateway/requests/outcome/final_answer.py
+++ b/sprucewinch/gateway/requests/outcome/final_answer.py
@@ -43,18 +43,17 @@
 
 RETRY_AFTER_RANGE_S = (0.25, 0.75)
 """Range of Retry-After when nothing says when there will be room, in seconds: spread, so that
-callers refused together do not return together, and late enough that there may be room. Never
-measured by itself."""
+callers refused together do not return together, and late enough that there may be room."""
 
 STARTING_RETRY_AFTER_S = 0.3
-"""Retry-After of a VM that has no configuration yet, in seconds. A guess, never measured."""
+"""Retry-After of a VM that has no configuration yet, in seconds."""
 
 NO_MEMORY_RETRY_AFTER_S = 1.0
-"""Retry-After of a request whose body finds no memory, in seconds. A guess, never measured."""
+"""Retry-After of a request whose body finds no memory, in seconds."""
 
 LEAST_TRIAL_RETRY_AFTER_S = 1.0
 """Least Retry-After of a request that crashes servers, in seconds: its trial may be due, and wait
-for the store. A guess, never measured."""
+for the store."""
 
 _RETRY_AFTER_DIGITS = 3
 """Decimal places of Retry-After, in seconds: a millisecond."""
--- a/sprucewinch/gateway/requests/outcome/hold_time.py
+++ b/sprucewinch/gateway/requests/outcome/hold_time.py
@@ -36,14 +36,14 @@
 from ..client_request import ClientRequest
 
 DEFAULT_WAIT_S = 10.0
-"""Assumed wait of a caller that states none, in seconds. A guess, never measured."""
+"""Assumed wait of a caller that states none, in seconds."""
 
 MAX_WAIT_S = 300.0
-"""Longest wait that a caller's header may set, in seconds. A guess, never measured."""
+"""Longest wait that a caller's header may set, in seconds."""
 
 ANSWER_MARGIN_S = 0.04
 """How long before a caller leaves it gets its final answer, in seconds: a safety margin for the way
-back. Never measured by itself."""
+back."""
 
 MS_PER_S = 1000
 """Milliseconds in a second: deadlines are stated in milliseconds."""
--- a/sprucewinch/gateway/requests/outcome/retry_decision.py
+++ b/sprucewinch/gateway/requests/outcome/retry_decision.py
@@ -37,12 +37,11 @@
 )
 
 MAX_UNREACHABLE = 3
-"""How many servers that cannot be reached one request tries. A guess, never measured."""
+"""How many servers that cannot be reached one request tries."""
 
 MOST_CRASHES_OF_A_TRY = 2
 """Servers that may crash under a request, at this VM or others, before a crash is its end here: one
-crash is most often another request's, two in a row are with 3 in 100 (worked out in
-`crashes.guilt`)."""
+crash is most often another request's, two in a row are with 3 in 100 (in `crashes.guilt`)."""
 
 SERVER_FAILED_STATUS = 500
 """Lowest HTTP status that states a failure of the server, by the HTTP standard."""
--- a/sprucewinch/gateway/requests/outcome/return_times.py
+++ b/sprucewinch/gateway/requests/outcome/return_times.py
@@ -23,11 +23,11 @@
 
 LEAST_RETURN_S = 0.1
 """Shortest time until a refused caller returns, in seconds, and the spread of each return. That of
-the own interface; a guess, never measured against others."""
+the own interface."""
 
 MOST_RETURN_S = 1.0
 """Longest time until a refused caller returns, in seconds: callers wait a third of their time at
-most, so a later moment would be lost on them. A guess, never measured against others."""
+most, so a later moment would be lost on them."""
 
 
 class ReturnTimes:
--- a/sprucewinch/gateway/requests/retry_budget.py
+++ b/sprucewinch/gateway/requests/retry_budget.py
@@ -20,15 +20,15 @@
 
 SAFETY_PART = 0.75
 """Part of the limit that is used: a margin for counts of callers and of backend servers, which
-differ at the windows' edges. A guess, never measured."""
+differ at the windows' edges."""
 
 REQUEST_WINDOW_PART = 0.9
 """Part of the limit's window over which requests are counted: a margin for requests that fall out
-of a window elsewhere first. A guess, never measured."""
+of a window elsewhere first."""
 
 RETRY_WINDOW_PART = 1.1
 """Part of the limit's window over which retries are counted: a margin for retries that fall out of
-a window elsewhere last. A guess, never measured."""
+a window elsewhere last."""
 
 
 class WindowRetryBudget:
--- a/sprucewinch/gateway/requests/room.py
+++ b/sprucewinch/gateway/requests/room.py
@@ -30,12 +30,11 @@
 from .client_request import BlockedReason, ClientRequest
 
 DEFAULT_LATENCY_TARGET_S = 0.4
-"""Latency target of a route that sets none, in seconds. A guess, never measured."""
+"""Latency target of a route that sets none, in seconds."""
 
 ROOM_WAIT_PART = 0.1
 """Part of a route's latency target that a request waits for room: short, so that a caller that is
-refused learns it early enough to be served in time elsewhere or later. Measured against 0.2
-(docs/CONSTANTS.md)."""
+refused learns it early enough to be served in time elsewhere or later."""
 
 KEPT_FREE_PART = 0.34
 """Part of a server's limit that a workspace ahead of its share leaves to others: one of three
@@ -43,7 +42,7 @@
 
 LOOK_AGAIN_S = 0.02
 """Longest time between two looks for room, in seconds: room may also come from a server's load
-report, which wakes no waiting request. A guess, never measured."""
+report, which wakes no waiting request."""
 
 
 def no_room_reason(
--- a/sprucewinch/gateway/requests/server_order.py
+++ b/sprucewinch/gateway/requests/server_order.py
@@ -25,7 +25,7 @@
 """Number of values of the hash, which has 32 bits."""
 
 RANKINGS_KEPT = 4_000
-"""Rankings that are kept before all are dropped, to bound memory. A guess, never measured."""
+"""Rankings that are kept before all are dropped, to bound memory."""
 
 
 class Ranking(NamedTuple):
--- a/sprucewinch/gateway/requests/server_selection.py
+++ b/sprucewinch/gateway/requests/server_selection.py
@@ -39,8 +39,7 @@
 from .server_order import Ranking
 
 HELPER_FREE_PART = 0.5
-"""Part of its slots below which a server has some to spare for another of its region. The
-part was never measured against others."""
+"""Part of its slots below which a server has some to spare for another of its region."""
 
 HELPER_IDLE_PART = 0.34
 """Part of its slots below which it helps a server of another region that has no room at all. One
@@ -48,8 +47,7 @@
 
 SHARE_COLD_TURNS = 1.5
 """Requests for each slot of a busy server from which a helper shares an object that is new to it.
-Below that the wait for a slot is shorter than what a new object takes longer. Other values were
-not measured."""
+Below that the wait for a slot is shorter than what a new object takes longer."""
 
 
 class ServerSelector:
--- a/sprucewinch/gateway/requests/sliding_count.py
+++ b/sprucewinch/gateway/requests/sliding_count.py
@@ -7,8 +7,7 @@
 from collections import deque
 
 BUCKET_S = 0.25
-"""Length of a bucket, in seconds; an event counts for up to this much longer than the window. A
-guess, never measured."""
+"""Length of a bucket, in seconds; an event counts for up to this much longer than the window."""
 
 
 class SlidingCount:
--- a/sprucewinch/gateway/requests/split.py
+++ b/sprucewinch/gateway/requests/split.py
@@ -14,12 +14,10 @@
 from ..resources import Part, Route
 
 MAX_SHARE_EXCESS = 0.03
-"""How far a service's running share may lie above its weight, as a part of all requests. A guess,
-never measured."""
+"""How far a service's running share may lie above its weight, as a part of all requests."""
 
 DECAY_REQUESTS = 200.0
-"""Requests of a route after which an older one counts 1/e (a half after 139). A guess, never
-measured."""
+"""Requests of a route after which an older one counts 1/e (a half after 139)."""
 
 _HASH_SPACE = float(1 << 64)
 """Number of values of the hash, which has 64 bits."""
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -24,7 +24,7 @@
 _SPOILT_KEPT_S = 60.0
 """Time for which what is known of a server is kept while its entry cannot be read, in seconds. The
 server writes its entry anew within seconds; taken for a new one, it would count as cold and get a
-few requests a second instead of its share. Never measured."""
+few requests a second instead of its share."""
 
 
 class _Spoilt(NamedTuple):
--- a/sprucewinch/gateway/servers/backend_server.py
+++ b/sprucewinch/gateway/servers/backend_server.py
@@ -16,7 +16,7 @@
 from .service_times import OVERLOAD_QUEUE_RATIO, is_overloaded
 
 _LATENCY_WEIGHT = 0.2
-"""Weight of the last answer in the mean of a server's answer times. A guess, never measured."""
+"""Weight of the last answer in the mean of a server's answer times."""
 
 _SEED_MASK = 0xFFFFFFFF
 """Keeps 32 bits: the hash that orders servers takes a seed of that length."""
--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -30,38 +30,35 @@
 
 COLD_MARGIN_S = 0.5
 """How much longer than its entry states a backend server counts as cold, in seconds; a margin for
-the delay of the store's entry. A guess, never measured."""
+the delay of the store's entry."""
 
 _COLD_WINDOW_S = 1.15
 """Window of the limit at one VM, in seconds: the second of the platform's bound, and a margin for
-what the delays between send and arrival differ by. A guess, never measured."""
+what the delays between send and arrival differ by."""
 
 _COLD_SAFETY = 0.8
-"""Part of the platform's bound that is used; a margin for VMs that count the fleet differently.
-A guess, never measured."""
+"""Part of the platform's bound that is used; a margin for VMs that count the fleet differently."""
 
 _COLD_WEIGHT = 0.2
-"""Weight of the last request in the part that cold servers answer. A guess, never measured."""
+"""Weight of the last request in the part that cold servers answer."""
 
 _COLD_WORTH = 0.5
-"""Part of the requests to a service's cold servers that have to be answered for more to be sent.
-A guess; no gain beyond noise was seen (docs/CONSTANTS.md)."""
+"""Part of the requests to a service's cold servers that have to be answered for more to be sent. No
+gain beyond noise was seen (docs/CONSTANTS.md)."""
 
 _COLD_TRIALS = 2
-"""Requests a second, all VMs together, that try a cold server where most answers come too late.
-A guess; no gain beyond noise was seen (docs/CONSTANTS.md)."""
+"""Requests a second, all VMs together, that try a cold server where most answers come too late. No
+gain beyond noise was seen (docs/CONSTANTS.md)."""
 
 _NEAR_PART = 0.75
 """Part of the limit that the VMs of a cold server's region share, as most requests for its objects
-arrive there; the rest is for the VMs of other regions. Measured against equal parts for all VMs
-only (docs/CONSTANTS.md)."""
+arrive there; the rest is for the VMs of other regions."""
 
 _COLD_KEPT = 64
-"""Most times of requests that are kept for a server's allowance. A guess, never measured."""
+"""Most times of requests that are kept for a server's allowance."""
 
 _DEFAULT_WARMUP_S = 3.0
-"""Warm-up of a service that the configuration does not name, in seconds. A guess, never
-measured."""
+"""Warm-up of a service that the configuration does not name, in seconds."""
 
 _ALL_ANSWERED = 1.0
 """Part answered in time of a service whose cold servers got nothing yet."""
--- a/sprucewinch/gateway/servers/incarnations.py
+++ b/sprucewinch/gateway/servers/incarnations.py
@@ -25,12 +25,11 @@
 
 _OUTDATED_S = 10.0
 """Time after which an entry with a lower incarnation is believed, in seconds: beyond the seconds by
-which a write may be carried out late, and several pauses between two writings of a server. Never
-measured."""
+which a write may be carried out late, and several pauses between two writings of a server."""
 
 _REMEMBERED_S = 60.0
 """Time for which the incarnation of a server whose entry has gone is kept, in seconds, against
-writes that are carried out late. Longer costs memory only; never measured."""
+writes that are carried out late. Longer costs memory only."""
 
 
 class Succession(enum.Enum):
--- a/sprucewinch/gateway/servers/load.py
+++ b/sprucewinch/gateway/servers/load.py
@@ -17,18 +17,16 @@
 """
 
 _LOAD_HALF_LIFE_S = 0.6
-"""Half-life of a stated load in the estimate, in seconds. Not measured alone."""
+"""Half-life of a stated load in the estimate, in seconds."""
 
 _SHRINK = 0.7
-"""Factor on the limit at an overload. Not measured alone."""
+"""Factor on the limit at an overload."""
 
 _SHRINK_PAUSE_S = 0.2
-"""Least time between two decreases, in seconds: answers that come together show one overload.
-Not measured alone."""
+"""Least time between two decreases, in seconds: answers that come together show one overload."""
 
 _GROWTH = 0.5
-"""Requests by which the limit grows in about as many answers as it allows requests. Not measured
-alone."""
+"""Requests by which the limit grows in about as many answers as it allows requests."""
 
 _LEAST_LIMIT = 1.0
 """Least limit, in requests: with less, this VM would send the server nothing and get no load
--- a/sprucewinch/gateway/servers/load_reports.py
+++ b/sprucewinch/gateway/servers/load_reports.py
@@ -19,7 +19,7 @@
 from .service_times import ServiceTimes
 
 _REPORT_PAUSE_S = 0.2
-"""Least time between two reports on the same server, in seconds. Not measured alone."""
+"""Least time between two reports on the same server, in seconds."""
 
 
 class LoadReports:
--- a/sprucewinch/gateway/servers/outliers.py
+++ b/sprucewinch/gateway/servers/outliers.py
@@ -15,9 +15,8 @@
 shift cap. Judged beside the service, not by a fixed time, as services differ; by samples of all
 VMs, as one alone sees too few.
 
-No gain beyond noise is seen in the scores of the small sites (docs/FINDINGS.md). Shows in: the
-event `server-ejected`. Tests: `test_gateway_outliers`. Owns the samples; relies on the registry,
-and on `peer_reports` for other VMs.
+Shows in: the event `server-ejected`. Tests: `test_gateway_outliers`. Owns the samples; relies on
+the registry, and on `peer_reports` for other VMs.
 """
 
 from collections import OrderedDict, deque
@@ -36,53 +35,50 @@
 )
 
 _WINDOW_S = 2.5
-"""How long samples count, in seconds. A guess, never measured."""
+"""How long samples count, in seconds."""
 
 _LEAST_BAD = 4
-"""Least bad samples in the window of an ejected server. A guess, never measured."""
+"""Least bad samples in the window of an ejected server."""
 
 _BAD_FOR_EACH_GOOD = 3.0
-"""Bad samples for each good one of an ejected server. A guess, never measured."""
+"""Bad samples for each good one of an ejected server."""
 
 _SLOW_TIMES = 2.5
-"""Multiple of its service's usual work that makes a sample slow. A guess, never measured."""
+"""Multiple of its service's usual work that makes a sample slow."""
 
 _LEAST_SAMPLES = 20
-"""Samples of a service before its usual work is used. A guess, never measured."""
+"""Samples of a service before its usual work is used."""
 
 _STEP = 0.02
-"""Part by which the usual work moves with each sample: a running median. Never measured."""
+"""Part by which the usual work moves with each sample: a running median."""
 
 _WARM_S = 10.0
-"""How long a server is taken to keep an object warm, in seconds. A guess, never measured."""
+"""How long a server is taken to keep an object warm, in seconds."""
 
 _MOST_KEPT = 4000
-"""Most pairs of server and object that are kept, so that memory is bounded. A guess, never
-measured."""
+"""Most pairs of server and object that are kept, so that memory is bounded."""
 
 _FIRST_EJECTION_S = 2.0
-"""First ejection of a server, in seconds. A guess, never measured."""
+"""First ejection of a server, in seconds."""
 
 _MOST_EJECTION_S = 8.0
-"""Longest ejection, in seconds. A guess, never measured."""
+"""Longest ejection, in seconds."""
 
 _FORGIVEN_S = 15.0
-"""Time without an ejection after which the next is a first one again, in seconds. A guess, never
-measured."""
+"""Time without an ejection after which the next is a first one again, in seconds."""
 
 _MOST_PART = 0.2
-"""Largest part of a service's servers that is ejected at once. A guess, never measured."""
+"""Largest part of a service's servers that is ejected at once."""
 
 _MOST_PART_OF_REGION = 0.34
-"""The same within a region: a third, so that none is ejected where there are one or two. No
-difference in what callers get was measured beyond noise."""
+"""The same within a region: a third, so that none is ejected where there are one or two."""
 
 _TRIAL_S = 1.0
-"""How long one VM alone tries a server after its ejection, in seconds. Tried by
-all VMs at once it got 20 to 30 requests each time; the length is a guess, never measured."""
+"""How long one VM alone tries a server after its ejection, in seconds. Tried by all VMs at once it
+got 20 to 30 requests each time."""
 
 _REPORT_PAUSE_S = 0.1
-"""Least time between two failure reports on a server, in seconds. A guess, never measured."""
+"""Least time between two failure reports on a server, in seconds."""
 
 
 _MS = 1000
--- a/sprucewinch/gateway/servers/pool.py
+++ b/sprucewinch/gateway/servers/pool.py
@@ -21,21 +21,20 @@
 from ...net.connection import Connection, connect
 
 CONNECT_TIMEOUT_S = 0.35
-"""Longest wait for a new connection, in seconds. A guess, never measured."""
+"""Longest wait for a new connection, in seconds."""
 
 _IDLE_S = 7.5
-"""Longest rest of a kept connection, in seconds. A guess, never measured."""
+"""Longest rest of a kept connection, in seconds."""
 
 _IDLE_PART = 0.75
 """Part of the time that a server states for which a connection is kept; the rest is a margin for
-the delay of a request that meets the server's close. A guess, never measured."""
+the delay of a request that meets the server's close."""
 
 _IDLE_SHARE = 0.5
-"""Part of a server's connections that may rest; the others are for requests. A
-guess, never measured alone."""
+"""Part of a server's connections that may rest; the others are for requests."""
 
 MAX_IDLE = 24
-"""Most resting connections to one server. A guess, never measured."""
+"""Most resting connections to one server."""
 
 
 class ConnectionPool:
--- a/sprucewinch/gateway/servers/probe.py
+++ b/sprucewinch/gateway/servers/probe.py
@@ -26,10 +26,10 @@
 from .cold_limit import COLD_MARGIN_S, service_rule
 
 _LOOK_S = 0.05
-"""Pause between two looks for servers to ask, in seconds. A guess, never measured."""
+"""Pause between two looks for servers to ask, in seconds."""
 
 _TIMEOUT_S = 0.5
-"""Longest wait for an answer, in seconds. A guess, never measured."""
+"""Longest wait for an answer, in seconds."""
 
 _MS = 1000
 """Milliseconds in a second."""
--- a/sprucewinch/gateway/servers/rest.py
+++ b/sprucewinch/gateway/servers/rest.py
@@ -17,17 +17,16 @@
 from typing import Optional
 
 _FIRST_PAUSE_S = 0.5
-"""Rest after a first failure, in seconds. A guess, never measured."""
+"""Rest after a first failure, in seconds."""
 
 _MOST_PAUSE_S = 4.0
-"""Longest rest after failures, in seconds. A guess, never measured."""
+"""Longest rest after failures, in seconds."""
 
 _SILENT_S = 0.4
-"""Least time without any answer after which a server with requests counts as silent, in seconds.
-Not measured alone."""
+"""Least time without any answer after which a server with requests counts as silent, in seconds."""
 
 _SILENT_LATENCIES = 3.0
-"""The same as a multiple of the server's recent mean time of a request. A guess, never measured."""
+"""The same as a multiple of the server's recent mean time of a request."""
 
 
 class Rest:
--- a/sprucewinch/gateway/servers/room_queue.py
+++ b/sprucewinch/gateway/servers/room_queue.py
@@ -11,8 +11,8 @@
 its place, and no request passes one that stands before it (`stands_before`). A request that finds
 the queue full takes the place of the last one if that stands behind it, else it does not wait. One
 wakes for each request that ends: to wake all would let the last take the room before the others
-look. The queue's length is the server's slots, as more would wait for longer than one round of work
-(a guess, never measured).
+look. The queue's length is the server's slots, as more would wait for longer than one round of
+work.
 
 The result is a `WaitEnd`, which says why a wait ended. Shows in: `blocked` of the event `request`
 of a refused request. Tests: `test_gateway_usability.WaitsForRoom`,
--- a/sprucewinch/gateway/servers/service_times.py
+++ b/sprucewinch/gateway/servers/service_times.py
@@ -21,32 +21,31 @@
 
 OVERLOAD_QUEUE_RATIO = 0.34
 """Waiting requests for each slot beyond which a server is overloaded, unless all are still answered
-within their latency target. Not measured alone."""
+within their latency target."""
 
 _MOST_OVERLOAD_QUEUE_RATIO = 1.0
-"""The same where work is short: one request for each slot. Measured once, no gain beyond noise
-(docs/CONSTANTS.md)."""
+"""The same where work is short: one request for each slot."""
 
 _QUEUE_PER_SLOT = 1.0
-"""Requests that may wait at a server for each of its slots. A guess, never measured."""
+"""Requests that may wait at a server for each of its slots."""
 
 _TIMEOUT_PART = 0.8
 """Part of a route's timeout in which a request should be answered, those before it included; the
-rest is a margin for work that takes longer than usual. Not measured alone."""
+rest is a margin for work that takes longer than usual."""
 
 _WEIGHT = 0.2
-"""Weight of the last answer in a service's usual time. A guess, never measured."""
+"""Weight of the last answer in a service's usual time."""
 
 _LEAST_SAMPLES = 20
-"""Answers of a service before its least time is used. A guess, never measured."""
+"""Answers of a service before its least time is used."""
 
 _LEAST_FALL = 0.95
 """Factor on a service's least time at an answer that took less: it falls fast, as a least time that
-is too long refuses what could be served. A guess, never measured."""
+is too long refuses what could be served."""
 
 _LEAST_GROWTH = 1.001
 """Factor on it at any other answer. With `_LEAST_FALL` it settles where one answer in 50 takes
-less. A guess, never measured."""
+less."""
 
 
 class ServiceTimes:
--- a/sprucewinch/gateway/state/outages.py
+++ b/sprucewinch/gateway/state/outages.py
@@ -24,8 +24,7 @@
 from typing import Optional
 
 LAPSED_ENTRY_GRACE_S = 2.0
-"""Time after an outage for which entries of servers that run may still be missing, in seconds.
-Not measured against other values."""
+"""Time after an outage for which entries of servers that run may still be missing, in seconds."""
 
 
 ANSWER_MAX_AGE_S = 3.2
--- a/sprucewinch/gateway/state/replica.py
+++ b/sprucewinch/gateway/state/replica.py
@@ -19,8 +19,7 @@
 from typing import NamedTuple, Optional
 
 MAX_REMOVED = 4096
-"""Removed keys held at the most; a peer that is behind a dropped one needs a whole delta. A guess,
-never measured."""
+"""Removed keys held at the most; a peer that is behind a dropped one needs a whole delta."""
 
 
 class Item(NamedTuple):
--- a/sprucewinch/gateway/telemetry/latency_histograms.py
+++ b/sprucewinch/gateway/telemetry/latency_histograms.py
@@ -18,7 +18,7 @@
 """
 
 _DIGITS = 2
-"""Significant digits that a histogram keeps. A guess, never measured."""
+"""Significant digits that a histogram keeps."""
 
 _QUANTILES = (50, 90, 99)
 """Percentiles that are shown; others read them by these numbers."""
--- a/sprucewinch/gateway/telemetry/line_rate.py
+++ b/sprucewinch/gateway/telemetry/line_rate.py
@@ -16,13 +16,13 @@
 """
 
 _LINES_PER_S = 150.0
-"""Lines a second that are written in the long run. A guess, never measured."""
+"""Lines a second that are written in the long run."""
 
 _BURST = 300.0
-"""Lines that may be written at once: two seconds' worth. A guess, never measured."""
+"""Lines that may be written at once: two seconds' worth."""
 
 _PLAIN_RESERVE = _BURST / 2
-"""Lines that have to be left beside a plain one. A guess, never measured."""
+"""Lines that have to be left beside a plain one."""
 
 
 class LineRate:
--- a/sprucewinch/gateway/timing.py
+++ b/sprucewinch/gateway/timing.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 _JITTER = 0.1
-"""Fraction of a pause by which it is shortened or lengthened at most. A guess, never measured."""
+"""Fraction of a pause by which it is shortened or lengthened at most."""
 
 
 class Timing(NamedTuple):
--- a/sprucewinch/hall/loops.py
+++ b/sprucewinch/hall/loops.py
@@ -22,16 +22,16 @@
 from .store.store_reader import PlatformReader
 
 TICK_S = 0.5
-"""Time between two rounds of the node, in seconds. A guess, never measured; `slots.TRUST_S` and
-`slots.HOLD_S` depend on it."""
+"""Time between two rounds of the node, in seconds. A guess; `slots.TRUST_S` and `slots.HOLD_S`
+depend on it."""
 
 EXCHANGE_S = 1.0
-"""Mean time between two exchanges with peers, in seconds. A guess, never measured; it has to stay
-well below the 3 s of silence after which a VM counts as gone."""
+"""Mean time between two exchanges with peers, in seconds. It has to stay well below the 3 s of
+silence after which a VM counts as gone."""
 
 PLAN_S = 1.0
 """Mean time between two planning rounds, in seconds. docs/CAPACITY.md computes the store's writes
-from it; the figure itself is a guess, never measured."""
+from it."""
 
 PROBE_S = 1.0
 """Time between two probes of a backend server, in seconds: three within the 3 s in which a leaving
@@ -39,16 +39,16 @@
 
 _JITTER = 0.2
 """Part by which the time between two exchanges or plans varies, either way, so that VMs that start
-together drift apart. A guess, never measured."""
+together drift apart."""
 
 _FAR_PARTNERS = 2
-"""VMs of other halls in one exchange. A guess, never measured."""
+"""VMs of other halls in one exchange."""
 
 _CHANGE_FANOUT = 4
-"""VMs of other halls that learn of a newer document at once. A guess, never measured."""
+"""VMs of other halls that learn of a newer document at once."""
 
 _SEED_PARTNERS = 2
-"""Listed VMs that are asked while no peer is known. A guess, never measured."""
+"""Listed VMs that are asked while no peer is known."""
 
 _MESSAGES = 2
 """Messages of one exchange: what is known here, then what the other VM lacks."""
--- a/sprucewinch/hall/metrics.py
+++ b/sprucewinch/hall/metrics.py
@@ -14,25 +14,25 @@
 """Lowest value of a histogram, in microseconds or thousandths; HDR histograms start at 1."""
 
 _HIGHEST_US = 3_600_000_000
-"""Highest latency that a histogram holds, in microseconds: an hour. A guess, never measured."""
+"""Highest latency that a histogram holds, in microseconds: an hour."""
 
 _DIGITS = 2
 """Significant decimal digits that a histogram keeps, so that a value is off by at most 1%. A guess
-at what readers of a quantile need, never measured."""
+at what readers of a quantile need."""
 
 _QUANTILES = (50.0, 99.0, 99.9)
 """Quantiles in a report, in percent: those usual for service levels, not chosen by measurement."""
 
 _MAX_REFUSALS = 5000
-"""Most pairs of label and reason that are counted; beyond it the oldest is dropped. A bound
-on memory; the figure itself is a guess, never measured."""
+"""Most pairs of label and reason that are counted; beyond it the oldest is dropped. A bound on
+memory."""
 
 _MAX_LABELS = 200
-"""Most labels with histograms; beyond it the oldest is dropped. Without a bound the table
-grows with each change; the figure itself is a guess, never measured."""
+"""Most labels with histograms; beyond it the oldest is dropped. Without a bound the table grows
+with each change."""
 
 SMOOTHING_S = 3.0
-"""Time constant of a smoothed rate, in seconds. A guess, never measured."""
+"""Time constant of a smoothed rate, in seconds."""
 
 _US_PER_S = 1e6
 """Microseconds in a second."""
--- a/sprucewinch/hall/node.py
+++ b/sprucewinch/hall/node.py
@@ -30,11 +30,10 @@
 
 LEAVING_S = 10.0
 """Time for which a backend server's report that it is leaving counts, in seconds: ten probes of
-`loops.PROBE_S`. A guess, never measured; a shorter time lets a report lapse between probes."""
+`loops.PROBE_S`. A shorter time lets a report lapse between probes."""
 
 _PASSED_ON_LEAVING_S = LEAVING_S / 2
-"""The same for a report that another VM passes on, in seconds. The part of a half is a guess, never
-measured."""
+"""The same for a report that another VM passes on, in seconds. The part of a half is a guess."""
 
 
 class Node:
--- a/sprucewinch/hall/peers/exchange.py
+++ b/sprucewinch/hall/peers/exchange.py
@@ -22,7 +22,7 @@
 )
 
 OTHER_HALL_PARTNERS = 2
-"""VMs of other halls in a round of exchange. A guess, never measured."""
+"""VMs of other halls in a round of exchange."""
 
 _NO_VERSION = (0, 0)
 """Version of a member of which the other VM has no entry: below any that is sent."""
--- a/sprucewinch/hall/peers/frames.py
+++ b/sprucewinch/hall/peers/frames.py
@@ -13,7 +13,7 @@
 from .peer_pb2 import Accepted, End, Frame, Head, Header, Open, Refused
 
 CHUNK = 65_536
-"""Most bytes of body in one frame. A guess, never measured."""
+"""Most bytes of body in one frame."""
 
 Receive = Callable[[], Awaitable[Optional[Frame]]]
 """Returns the next frame; None when the stream has ended."""
--- a/sprucewinch/hall/peers/membership.py
+++ b/sprucewinch/hall/peers/membership.py
@@ -13,11 +13,10 @@
 SILENT_S = 3.0
 """Time without a newer entry after which a member is not live, in seconds: three rounds of exchange
 of 1 s. With the 1.5 s for which a VM trusts its list it stays under `slots.SlotShare`'s `hold_s` of
-5 s. A guess within that bound, never measured."""
+5 s."""
 
 FORGET_S = 60.0
-"""Time without a newer entry after which a member is dropped from the table, in seconds. A guess,
-never measured."""
+"""Time without a newer entry after which a member is dropped from the table, in seconds."""
 
 
 class MemberRecord:
--- a/sprucewinch/hall/peers/peer_client.py
+++ b/sprucewinch/hall/peers/peer_client.py
@@ -24,11 +24,11 @@
 from .peer_pb2 import ExchangeReply, ExchangeRequest, Frame, Member
 
 WINDOW = 1 << 20
-"""Bytes on their way on one connection between two entry VMs, and on one stream of it. A guess;
-with it a 1 GB upload was handed on at 165 MB/s and the two daemons grew by 2.2 and 2.0 MB."""
+"""Bytes on their way on one connection between two entry VMs, and on one stream of it. With it a 1
+GB upload was handed on at 165 MB/s and the two daemons grew by 2.2 and 2.0 MB."""
 
 _EXCHANGE_S = 2.0
-"""Longest time for an exchange, in seconds: two rounds of it. A guess, never measured."""
+"""Longest time for an exchange, in seconds: two rounds of it."""
 
 _FAILURES = (GRPCError, StreamTerminatedError, OSError, asyncio.TimeoutError)
 """Errors of a call to a VM that is gone, frozen or cut off."""
--- a/sprucewinch/hall/peers/peer_server.py
+++ b/sprucewinch/hall/peers/peer_server.py
@@ -33,7 +33,7 @@
 from .peer_pb2 import ExchangeReply, ExchangeRequest, Frame, Open
 
 MAX_REQUESTS = 1000
-"""Most requests in flight without a setting: as `limits.requests`. A guess, never measured."""
+"""Most requests in flight without a setting: as `limits.requests`."""
 
 
 class PeerServer(PeerBase):
--- a/sprucewinch/hall/peers/view.py
+++ b/sprucewinch/hall/peers/view.py
@@ -14,11 +14,10 @@
 from .peer_pb2 import LEAVING, SERVING, Member, ServiceLoad
 
 _IDLE_WEIGHT = 1.0
-"""Requests added to a member's own in the weight of its latency, so that an idle one counts too. A
-guess, never measured."""
+"""Requests added to a member's own in the weight of its latency, so that an idle one counts too."""
 
 KEEP_S = 60.0
-"""Age of a report above which it is left out of snapshots, in seconds. A guess, never measured."""
+"""Age of a report above which it is left out of snapshots, in seconds."""
 
 
 class _Sum:
--- a/sprucewinch/hall/planning/links.py
+++ b/sprucewinch/hall/planning/links.py
@@ -14,10 +14,10 @@
 
 HOLD_S = 10.0
 """Time for which a larger number of entry VMs is remembered, in seconds: longer than the 3 s of
-silence after which a peer counts as gone. The factor of about three is a guess, never measured."""
+silence after which a peer counts as gone. The factor of about three is a guess."""
 
 BURST_S = 0.25
-"""Requests that may cross at once, in seconds of the rate. A guess, never measured."""
+"""Requests that may cross at once, in seconds of the rate."""
 
 _REQUEST = 1.0
 """Tokens that one request takes, and the least that a bucket with any rate holds."""
--- a/sprucewinch/hall/planning/lookup.py
+++ b/sprucewinch/hall/planning/lookup.py
@@ -27,15 +27,15 @@
 from .topology import Topology
 
 MAX_ENTRY_VMS = 4
-"""Most entry VMs named in one answer. A guess at what a caller tries, never measured."""
+"""Most entry VMs named in one answer."""
 
 _MAX_KEYS = 8192
 """Most pairs of client and service whose keys are cached, some 300 bytes each; beyond it the cache
-starts empty. A bound on memory; the figure itself is a guess, never measured."""
+starts empty. A bound on memory."""
 
 _RETRY_MS = 1000
 """Time after which a caller may ask again when no VM serves, in milliseconds: one round of
-`loops.EXCHANGE_S`, in which VMs learn of each other. A guess, never measured."""
+`loops.EXCHANGE_S`, in which VMs learn of each other."""
 
 _V4_SUFFIX = ".0"
 """Last part of a /24 block's address, which stands for all callers of the block."""
--- a/sprucewinch/hall/planning/planner.py
+++ b/sprucewinch/hall/planning/planner.py
@@ -31,12 +31,12 @@
 
 _DEAD_BAND = 0.005
 """Part of the callers, in `[0, 1]`, below which a change is not worth a write and its spread to
-every VM. A guess, never measured; the leaving of a region is exempt."""
+every VM. The leaving of a region is exempt."""
 
 _MEASURE_LAG_S = 6.0
 """Time that measures take to be smoothed and to reach the planner, in seconds: twice the time
-constant `metrics.SMOOTHING_S`. A guess, never measured; that some lag has to be counted is
-shown by `tests.test_guard.NoDecisionOverloads`."""
+constant `metrics.SMOOTHING_S`. That some lag has to be counted is shown by
+`tests.test_guard.NoDecisionOverloads`."""
 
 
 class _ServiceDraft(NamedTuple):
--- a/sprucewinch/hall/planning/planner_lease.py
+++ b/sprucewinch/hall/planning/planner_lease.py
@@ -17,16 +17,15 @@
 from collections.abc import Iterable
 
 LEASE_S = 6.0
-"""Duration of the lease, in seconds: three times `RENEW_S`, so that two renewals may be lost. A
-guess, never measured."""
+"""Duration of the lease, in seconds: three times `RENEW_S`, so that two renewals may be lost."""
 
 RENEW_S = 2.0
 """Time between two renewals, in seconds. docs/CAPACITY.md computes 52 writes a second from it at
-2,800 VMs, of 400 that the store bears; the figure itself is a guess, never measured."""
+2,800 VMs, of 400 that the store bears."""
 
 CANDIDATES = 2
 """VMs of a region that ask for its lease: one that plans and one that replaces it. Bounded for the
-store's writes (docs/CAPACITY.md); the figure itself is a guess, never measured."""
+store's writes (docs/CAPACITY.md)."""
 
 
 def is_candidate(vm: str, serving: Iterable[str]) -> bool:
--- a/sprucewinch/hall/planning/regions.py
+++ b/sprucewinch/hall/planning/regions.py
@@ -16,7 +16,7 @@
 
 _RETRY_MS = 1000
 """Time after which a caller may ask again while there is no configuration, in milliseconds: one
-round of `loops.EXCHANGE_S`, in which a VM learns documents. A guess, never measured."""
+round of `loops.EXCHANGE_S`, in which a VM learns documents."""
 
 
 class RegionTables:
--- a/sprucewinch/hall/planning/topology.py
+++ b/sprucewinch/hall/planning/topology.py
@@ -15,14 +15,13 @@
 
 _FAR_MS = 1000.0
 """Distance between regions without a link, in milliseconds one way: above that of any real link, so
-that such a region is last. A guess, never measured."""
+that such a region is last."""
 
 _MAX_REMEMBERED = 8192
-"""Most callers whose region is cached; beyond it the cache starts empty. The figure
-itself is a guess, never measured."""
+"""Most callers whose region is cached; beyond it the cache starts empty."""
 
 _HOME_MS = 1.0
-"""Distance of a region to itself, in milliseconds one way. A guess, never measured."""
+"""Distance of a region to itself, in milliseconds one way."""
 
 
 class Topology:
--- a/sprucewinch/hall/requests/admission.py
+++ b/sprucewinch/hall/requests/admission.py
@@ -23,22 +23,20 @@
 from ...net.outcome import Reason, Refusal, not_run
 
 SHED_PAUSE_S = 0.25
-"""Time for which a backend server that shed a request gets no new one, in seconds. A guess, never
-measured."""
+"""Time for which a backend server that shed a request gets no new one, in seconds."""
 
 FAIL_PAUSE_S = 1.0
-"""Time for which a backend server that could not be reached gets no request, in seconds. A guess,
-never measured."""
+"""Time for which a backend server that could not be reached gets no request, in seconds."""
 
 COLD_S = 3.0
 """Time for which a server that was unreachable gets one request at once, in seconds, counted from
-the end of its pause. A guess, never measured."""
+the end of its pause."""
 
 MAX_WAITING = 64
-"""Most requests of one service that wait for a slot at this VM. A guess, never measured."""
+"""Most requests of one service that wait for a slot at this VM."""
 
 _LATENCY_WEIGHT = 0.1
-"""Weight of the newest request in a server's mean time, in [0, 1]. A guess, never measured."""
+"""Weight of the newest request in a server's mean time, in [0, 1]."""
 
 _COLD_SLOTS = 1
 """Slots of a cold server: the smallest number that still shows whether it answers."""
--- a/sprucewinch/hall/requests/backend.py
+++ b/sprucewinch/hall/requests/backend.py
@@ -26,23 +26,23 @@
 )
 
 _CHUNK_BYTES = 65_536
-"""Most bytes of an answer passed on at once. A guess, never measured."""
+"""Most bytes of an answer passed on at once."""
 
 _KEEPALIVE_S = 10.0
-"""Time after which an idle connection is closed, in seconds. A guess, never measured."""
+"""Time after which an idle connection is closed, in seconds."""
 
 _CONNECT_S = 1.0
-"""Longest time for opening a connection, in seconds. A guess, never measured."""
+"""Longest time for opening a connection, in seconds."""
 
 _PROBE_S = 1.0
-"""Longest time for a probe, in seconds. A guess, never measured."""
+"""Longest time for a probe, in seconds."""
 
 _MAX_CONNECTIONS = 100
-"""Most connections to one backend server. A guess, never measured."""
+"""Most connections to one backend server."""
 
 _READ_BUFFER_BYTES = 2**14
-"""Bytes of an answer above which reading pauses. A guess; with it a 500 MB answer grew the daemon
-by under 0.2 MB."""
+"""Bytes of an answer above which reading pauses. With it a 500 MB answer grew the daemon by under
+0.2 MB."""
 
 _NO_CONTENT = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 """Statuses of answers that have no body, by HTTP."""
--- a/sprucewinch/hall/requests/callers.py
+++ b/sprucewinch/hall/requests/callers.py
@@ -35,7 +35,7 @@
 """Slashes of a path before the target that the service sees: `/s/SERVICE/`."""
 
 _MAX_DEADLINE_MS = 24 * 3_600_000
-"""Longest deadline that a caller may set, in milliseconds: a day. A guess, never measured."""
+"""Longest deadline that a caller may set, in milliseconds: a day."""
 
 _KEPT_QUERIES = 8192
 """Query strings of look-ups that are kept parsed. The size is a guess; keeping them, with other
--- a/sprucewinch/hall/requests/local.py
+++ b/sprucewinch/hall/requests/local.py
@@ -17,7 +17,7 @@
 from .retry_rule import RetryRule
 
 _MAX_TRIES = 3
-"""Most backend servers of this hall that one request is sent to. A guess, never measured."""
+"""Most backend servers of this hall that one request is sent to."""
 
 
 class LocalHall:
--- a/sprucewinch/hall/requests/other_halls.py
+++ b/sprucewinch/hall/requests/other_halls.py
@@ -1,15 +1,13 @@
 """The rule on other data halls: which of them gets a request that this hall cannot run.
 
 Inputs: the last attempt, the live members with the slots and the use that each reports, and the
-order of the regions by distance in milliseconds.
-The rule: entry VMs of other halls that report free slots for the service are tried, those of the
-nearest region first and by most free slots within it; ties are broken at random. At most
-`_MAX_HAND_ONS` are tried, each only if `retry_rule` allows a repeat.
-Why: distance costs every request, while reported free slots are up to some rounds old. A longer
-list would send refused load around all halls while all are full.
-Constants: `_MAX_HAND_ONS` below, a guess.
-Where it shows: nowhere by itself; no line or counter names the hall that ran a request.
-Tests: `tests.test_process_requests`, `tests.test_process_faults`.
+order of the regions by distance in milliseconds. The rule: entry VMs of other halls that report
+free slots for the service are tried, those of the nearest region first and by most free slots
+within it; ties are broken at random. At most `_MAX_HAND_ONS` are tried, each only if `retry_rule`
+allows a repeat. Why: distance costs every request, while reported free slots are up to some rounds
+old. A longer list would send refused load around all halls while all are full. Constants:
+`_MAX_HAND_ONS` below. Where it shows: nowhere by itself; no line or counter names the hall that ran
+a request. Tests: `tests.test_process_requests`, `tests.test_process_faults`.
 """
 
 from collections.abc import Sequence
@@ -24,7 +22,7 @@
 from .retry_rule import RetryRule
 
 _MAX_HAND_ONS = 2
-"""Most entry VMs of other halls that one request is handed to. A guess, never measured."""
+"""Most entry VMs of other halls that one request is handed to."""
 
 
 class OtherHalls:
--- a/sprucewinch/hall/requests/return_time.py
+++ b/sprucewinch/hall/requests/return_time.py
@@ -1,16 +1,13 @@
 """The rule on Retry-After: when a refused caller may return.
 
 Inputs: the refusal, the slots this VM may use now, and the recent mean time of a request in
-milliseconds.
-The rule: slots divided by that time is the rate at which slots become free. Each refused caller
-gets the next free moment at that rate, in the order of the refusals. A refusal that already has a
-time keeps it, and one whose request may have run gets none.
-Why: one time for all refused callers brings them back together; the rate spreads them as fast as
-the servers can run them.
-Constants: `_UNMEASURED_REQUEST_S` below, a guess; the shortest and the longest time are those of
-`retry.ReturnSchedule`.
-Where it shows: `retry_after_ms` of the refusal's body and the `Retry-After` header.
-Tests: `tests.test_retry`, `tests.test_formats_own`.
+milliseconds. The rule: slots divided by that time is the rate at which slots become free. Each
+refused caller gets the next free moment at that rate, in the order of the refusals. A refusal that
+already has a time keeps it, and one whose request may have run gets none. Why: one time for all
+refused callers brings them back together; the rate spreads them as fast as the servers can run
+them. Constants: `_UNMEASURED_REQUEST_S` below; the shortest and the longest time are those of
+`retry.ReturnSchedule`. Where it shows: `retry_after_ms` of the refusal's body and the `Retry-After`
+header. Tests: `tests.test_retry`, `tests.test_formats_own`.
 """
 
 from ...clock import Clock
@@ -21,10 +18,10 @@
 
 RETRY_AFTER_MS = 1000
 """Retry-After where no rate is known, in milliseconds: no configuration, a VM that leaves or is
-full, a full link. A guess, never measured."""
+full, a full link."""
 
 _UNMEASURED_REQUEST_S = 0.02
-"""Time of a request while none has been measured, in seconds. A guess, never measured."""
+"""Time of a request while none has been measured, in seconds."""
 
 
 class ReturnTimes:
--- a/sprucewinch/hall/requests/tickets.py
+++ b/sprucewinch/hall/requests/tickets.py
@@ -27,26 +27,25 @@
 """Length of a ticket's keyed digest, in bytes: a guessed digest is right once in 2**80 times."""
 
 MAX_BATCH = 64
-"""Most tickets issued in one answer. A guess, never measured."""
+"""Most tickets issued in one answer."""
 
 LIFETIME_S = 300.0
-"""Time within which a ticket may be used, in seconds. A guess, never measured."""
+"""Time within which a ticket may be used, in seconds."""
 
 RETENTION_S = 600.0
-"""Time after the lifetime for which a ticket's outcome is kept, in seconds. A guess, never
-measured."""
+"""Time after the lifetime for which a ticket's outcome is kept, in seconds."""
 
 MAX_OPEN = 50_000
-"""Most tickets kept at once. A guess, never measured."""
+"""Most tickets kept at once."""
 
 KEPT_ANSWER_BYTES = 4 << 20
-"""Most bytes of answers kept for repeats. A guess, never measured."""
+"""Most bytes of answers kept for repeats."""
 
 _RUNNING_RETRY_AFTER_MS = 1000
-"""Retry-After of an operation that still runs, in milliseconds. A guess, never measured."""
+"""Retry-After of an operation that still runs, in milliseconds."""
 
 _SHORTEST_TABLE_WAIT_S = 1.0
-"""Shortest Retry-After of a full table, in seconds. A guess, never measured."""
+"""Shortest Retry-After of a full table, in seconds."""
 
 
 class Ticket(NamedTuple):
--- a/sprucewinch/hall/slots.py
+++ b/sprucewinch/hall/slots.py
@@ -27,11 +27,11 @@
 HOLD_S = 5.0
 """Time for which slots of a dropped VM are left alone, in seconds: the 3 s of silence after which
 the other side drops this VM too (`peers.membership.SILENT_S`), plus `TRUST_S`, plus 0.5 s. The
-margin of 0.5 s is one round of `loops.TICK_S`; whether it suffices is a guess, never measured."""
+margin of 0.5 s is one round of `loops.TICK_S`."""
 
 TRUST_S = 1.5
 """Time for which a list of VMs counts without being renewed, in seconds: three rounds of
-`loops.TICK_S`. That three are enough on a busy host is a guess, never measured."""
+`loops.TICK_S`."""
 
 
 def slot_owner(server: str, index: int, members: tuple[str, ...]) -> str:
--- a/sprucewinch/hall/store/http_store.py
+++ b/sprucewinch/hall/store/http_store.py
@@ -17,7 +17,7 @@
 _Answer = TypeVar("_Answer")
 
 _TIMEOUT_S = 3.0
-"""Longest wait for an answer, in seconds, on top of a watch's own wait. A guess, never measured."""
+"""Longest wait for an answer, in seconds, on top of a watch's own wait."""
 
 _REMEDY = "check that the platform's service runs and try again"
 _MISMATCH = 409
--- a/sprucewinch/hall/store/store_reader.py
+++ b/sprucewinch/hall/store/store_reader.py
@@ -25,23 +25,22 @@
 from .store import Entry, Platform, VmListing
 
 WATCH_S = 20.0
-"""Longest wait of one watch, in seconds. A guess, never measured."""
+"""Longest wait of one watch, in seconds."""
 
 POLL_S = 30.0
 """Longest time between two reads of a VM that does not watch, in seconds. docs/CAPACITY.md computes
-the calls at 2,800 VMs from it; the figure itself is a guess, never measured."""
+the calls at 2,800 VMs from it."""
 
 _POLL_LEAST = 0.5
-"""Shortest time between two such reads, as a part of `POLL_S`: spreads the VMs' reads. A guess,
-never measured."""
+"""Shortest time between two such reads, as a part of `POLL_S`: spreads the VMs' reads."""
 
 _LISTING_HOLD = 2
 """Polls for which the list's mark of a leaving server counts, so that one lost poll does not undo
-it. A guess, never measured."""
+it."""
 
 READ_ALL_S = 60.0
-"""Time between two reads of everything, in seconds. For a restored store that counts
-versions anew; the figure itself is a guess, never measured."""
+"""Time between two reads of everything, in seconds. For a restored store that counts versions
+anew."""
 
 
 class PlatformReader:
--- a/sprucewinch/net/_answer_reader.py
+++ b/sprucewinch/net/_answer_reader.py
@@ -12,7 +12,7 @@
 import httptools
 
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
-"""Longest body of an answer that is kept in memory, in bytes. A guess, never measured."""
+"""Longest body of an answer that is kept in memory, in bytes."""
 
 FIRST_FINAL_STATUS = 200
 """Lowest status of a final answer: HTTP announces that one follows with 100 to 199 (RFC 9110)."""
--- a/sprucewinch/net/_stall_timeout.py
+++ b/sprucewinch/net/_stall_timeout.py
@@ -16,7 +16,7 @@
 STALL_S = 0.05
 """Seconds by which a timer is late once this process counts as having stood still.
 
-A guess, never measured; the stops that the rule was tried with lasted 0.45 s.
+The stops that the rule was tried with lasted 0.45 s.
 """
 
 T = TypeVar("T")
--- a/sprucewinch/net/connection.py
+++ b/sprucewinch/net/connection.py
@@ -34,14 +34,11 @@
 """Shortest body, in bytes, whose unsent rest makes an answered connection unusable.
 
 A server that answers before it has read a long body may go on reading it; what is written next
-would be taken for the rest of that body. A guess, never measured.
+would be taken for the rest of that body.
 """
 
 _SILENT_PEER_MS = 3000
-"""Milliseconds for which sent bytes may stay unacknowledged until the system ends the connection.
-
-A guess, never measured.
-"""
+"""Milliseconds for which sent bytes may stay unacknowledged before the system ends a connection."""
 
 
 class NoAnswer(NamedTuple):
--- a/sprucewinch/net/http_server.py
+++ b/sprucewinch/net/http_server.py
@@ -26,13 +26,13 @@
 """Key of the ASGI scope that holds a request's target as it was sent, not decoded."""
 
 _BACKLOG = 2048
-"""Connections that wait to be accepted. The default of uvicorn; never measured here."""
+"""Connections that wait to be accepted. The default of uvicorn."""
 
 _KEEPALIVE_S = 30
-"""Seconds that a connection may rest between requests. A guess, never measured."""
+"""Seconds that a connection may rest between requests."""
 
 _RETRY_AFTER_S = 1
-"""Retry-After of a refused connection, in seconds: the least whole number. Never measured."""
+"""Retry-After of a refused connection, in seconds: the least whole number."""
 
 _MS_PER_S = 1000
 """Milliseconds in a second."""
--- a/sprucewinch/operators/_messages.py
+++ b/sprucewinch/operators/_messages.py
@@ -14,11 +14,10 @@
 from ..errors import ConfigurationError
 
 _MAX_BODY = 2_000_000
-"""Largest body of a call, in bytes: twice the megabyte that the platform holds. A guess, never
-measured."""
+"""Largest body of a call, in bytes: twice the megabyte that the platform holds."""
 
 _MAX_NAME = 64
-"""Longest name of an operator in the audit trail, in characters. A guess, never measured."""
+"""Longest name of an operator in the audit trail, in characters."""
 
 _UNNAMED = "unnamed"
 
--- a/sprucewinch/operators/_tables.py
+++ b/sprucewinch/operators/_tables.py
@@ -14,8 +14,7 @@
 from ._base_revision import base_line
 
 _PIPE_COLUMNS = 200
-"""Width of tables that no terminal shows, in characters, so that rows stay on one line. A guess,
-never measured."""
+"""Width of tables that no terminal shows, in characters, so that rows stay on one line."""
 
 
 class Printer:
--- a/sprucewinch/operators/client.py
+++ b/sprucewinch/operators/client.py
@@ -26,8 +26,7 @@
 from ..net.address import is_address
 
 _TIMEOUT_S = 15.0
-"""Longest call, in seconds; a change takes several calls to the platform. A guess, never
-measured."""
+"""Longest call, in seconds; a change takes several calls to the platform."""
 
 _ERRORS: dict[str, type[SprucewinchError]] = {
     kind.__name__: kind
--- a/sprucewinch/operators/writer.py
+++ b/sprucewinch/operators/writer.py
@@ -38,22 +38,20 @@
 from .changes import Change
 
 MAX_RECORDS = 200
-"""Most audit records kept in the document itself. A guess, never measured."""
+"""Most audit records kept in the document itself."""
 
 _ARCHIVED = 100
 """Records moved to a key of their own at once: half of `MAX_RECORDS`, so that one write in a
-hundred costs two. A guess, never measured."""
+hundred costs two."""
 
 _TRIES = 5
-"""Writes of one change, each on top of a newer document, before the operator has to decide. A
-guess, never measured."""
+"""Writes of one change, each on top of a newer document, before the operator has to decide."""
 
 _MAX_VALUE = 1_000_000
 """Largest document, in bytes: the brief's platform holds values up to a megabyte."""
 
 _SHOWN_CHANGES = 5
-"""Newest changes named in a conflict, so that the message stays on one line. A guess, never
-measured."""
+"""Newest changes named in a conflict, so that the message stays on one line."""
 
 
 class Accepted(NamedTuple):
--- a/sprucewinch/retry.py
+++ b/sprucewinch/retry.py
@@ -13,35 +13,33 @@
 `backoff_s`: full jitter under a bound that doubles with each failure, so that VMs that lost the
 platform together do not return together.
 
-Each object owns its own count; time and random source are arguments. All figures are guesses, never
-measured. Shows in: `retry_after_ms` of refusals. Tests: `tests.test_retry`.
+Each object owns its own count; time and random source are arguments. All figures are guesses. Shows
+in: `retry_after_ms` of refusals. Tests: `tests.test_retry`.
 """
 
 import random
 
 _MAX_TOKENS = 10.0
-"""Most retries saved up, in tokens. A guess, never measured."""
+"""Most retries saved up, in tokens."""
 
 _FIRST_TOKENS = 1.0
-"""Tokens at the start, so that the first failure of a process may be retried. A guess, never
-measured."""
+"""Tokens at the start, so that the first failure of a process may be retried."""
 
 _RETRY_RATIO = 0.1
-"""Tokens that one success adds: a tenth of the load at most is retries. A guess, never measured."""
+"""Tokens that one success adds: a tenth of the load at most is retries."""
 
 _LEAST_RETURN_MS = 100.0
-"""Shortest time until a refused caller returns, and the spread of each return, in milliseconds. A
-guess, never measured."""
+"""Shortest time until a refused caller returns, and the spread of each return, in milliseconds."""
 
 _MOST_RETURN_MS = 30_000.0
-"""Longest time until a refused caller returns, in milliseconds. A guess, never measured."""
+"""Longest time until a refused caller returns, in milliseconds."""
 
 _BACKOFF_BASE_S = 0.5
-"""Base of the bound of waits, in seconds; doubles with each failure, so the first wait is below
-1 s. A guess, never measured."""
+"""Base of the bound of waits, in seconds; doubles with each failure, so the first wait is below 1
+s."""
 
 _BACKOFF_MOST_S = 30.0
-"""Upper bound of all waits, in seconds. A guess, never measured."""
+"""Upper bound of all waits, in seconds."""
 
 _MOST_DOUBLINGS = 16
 """Doublings of the base; only keeps the power small, as the upper bound is reached long
--- a/sprucewinch/steering/_sandbox.py
+++ b/sprucewinch/steering/_sandbox.py
@@ -15,11 +15,10 @@
 from RestrictedPython import RestrictingNodeTransformer, compile_restricted_exec
 
 MAX_SOURCE = 16_384
-"""Longest program, in characters. A guess, never measured."""
+"""Longest program, in characters."""
 
 MAX_DISPLAY = 64
-"""Most elements written out in one list, tuple or dictionary; writing them is not counted. A guess,
-never measured."""
+"""Most elements written out in one list, tuple or dictionary; writing them is not counted."""
 
 _MAX_NUMBER = 2.0**53
 """Largest number in a program: up to it, every whole number has an exact double."""
@@ -145,7 +144,7 @@
 """Operations of augmented assignments, by symbol."""
 
 _MAX_RANGE = 10_000
-"""Longest range, in elements: half of a run's steps. A guess, never measured."""
+"""Longest range, in elements: half of a run's steps."""
 
 _METHODS = {dict: ("get", "items", "keys", "values"), list: ("append",)}
 
--- a/sprucewinch/steering/guard.py
+++ b/sprucewinch/steering/guard.py
@@ -17,7 +17,7 @@
 only delay that overload. Refusing is left to the regions, which know their slots exactly.
 
 Constants: `GuardLimits` comes from the configuration; its defaults, `_DEFAULT_LATENCY_MS` and
-`_LEAST_SLOT_S` are guesses, never measured.
+`_LEAST_SLOT_S` are guesses.
 
 Shows in: the notes of `Granted`, which `sprucewinch explain` and `compare` print as `limits` and
 `/state` of the routed path lists by service. No log line: a limit takes effect in every round.
@@ -39,16 +39,15 @@
 far below the share of one caller."""
 
 _DEFAULT_LATENCY_MS = 50.0
-"""Time that a request is taken to hold a slot while nothing is measured, in milliseconds. A guess,
-never measured."""
+"""Time that a request is taken to hold a slot while nothing is measured, in milliseconds."""
 
 _LEAST_SLOT_S = 1e-4
 """Shortest time that a request is taken to hold a slot, in seconds; keeps a region that measures 0
-from being granted any number of requests. A guess, never measured."""
+from being granted any number of requests."""
 
 
 class GuardLimits(NamedTuple):
-    """Limits of the guard, from the configuration. The defaults are guesses, never measured.
+    """Limits of the guard, from the configuration.
 
     Args:
         ceiling: Largest part of a region's slots that steering plans to use; the rest is a margin
--- a/sprucewinch/steering/placement.py
+++ b/sprucewinch/steering/placement.py
@@ -12,8 +12,7 @@
 counting, and nothing moves between regions whose weights stay in proportion. With thresholds on one
 hash, leaving one of three regions also moved keys between the two others, 1.5 times what is needed.
 
-Constants: `_HASH_SPACE` follows from the hash, `_BISECTIONS` and `_SEEDS` are guesses, never
-measured.
+Constants: `_HASH_SPACE` follows from the hash, `_BISECTIONS` and `_SEEDS` are guesses.
 
 Shows in: `sprucewinch explain`, as `key` and `region`.
 
@@ -37,11 +36,10 @@
 """Values of the 32-bit hash."""
 
 _BISECTIONS = 30
-"""Halvings of the line between two shares: a step is found to a billionth of the line. A guess,
-never measured."""
+"""Halvings of the line between two shares: a step is found to a billionth of the line."""
 
 _SEEDS = 1024
-"""Region names whose hashes are kept, far above the regions of a fleet. A guess, never measured."""
+"""Region names whose hashes are kept, far above the regions of a fleet."""
 
 _IPV4 = 4
 """Version 4 of the internet protocol, as `ipaddress` numbers it."""
--- a/sprucewinch/steering/policy.py
+++ b/sprucewinch/steering/policy.py
@@ -14,14 +14,14 @@
 steps but does not bound memory, and expressions alone say too little to compare policies, so
 programs are Python whose every operation `_sandbox` counts.
 
-Constants: `STEP_LIMIT`, and the figures of the trial snapshots; guesses, never measured.
+Constants: `STEP_LIMIT`, and the figures of the trial snapshots.
 
 Figures inside the shipped programs (`policies/`) are choices that operators may copy and edit.
 `capacity` keeps no more callers at home than home's part of all slots: with a third more, the
-poorest region's callers met 0.62 where others met 0.78 to 0.87 (no unit
-is recorded). Its 0.7 of that part, above which a region takes callers of others, and the figures of
-the other programs are guesses, never measured. They are explained here and not beside the code, as
-`gateway.regions.policies` searches a program's text, comments included, for names of measures.
+poorest region's callers met 0.62 where others met 0.78 to 0.87 (no unit is recorded). Its 0.7 of
+that part, above which a region takes callers of others, and the figures of the other programs are
+guesses. They are explained here and not beside the code, as `gateway.regions.policies` searches a
+program's text, comments included, for names of measures.
 
 Shows in: `event=policy-fault` of the log, `fault` of `sprucewinch explain` and `compare`, and the
 notes `policy-fault:...` in `/state` of the routed path.
@@ -40,8 +40,8 @@
 
 STEP_LIMIT = 20_000
 """Most steps of one run of a program; `_sandbox` counts each loop step, call, comparison and
-operation as one or more. A guess: 34 hostile programs were refused or stopped under it within 10 ms
-in a trial, but no larger or smaller limit was tried."""
+operation as one or more. 34 hostile programs were refused or stopped under it within 10 ms in a
+trial, but no larger or smaller limit was tried."""
 
 _UNMEASURED = -1.0
 """What a program sees in place of a time that is not measured; no measured time is below 0."""
@@ -50,7 +50,7 @@
 _SUFFIX = ".py.txt"
 
 _TRIAL_HOMES = 3
-"""Client regions that a trial run takes, the first ones. A guess, never measured."""
+"""Client regions that a trial run takes, the first ones."""
 
 _TRIAL_HOME_MS = 3.0
 """Time one way to the callers' own region in trial snapshots, in milliseconds: the brief's 3 ms
@@ -61,7 +61,7 @@
 between the freight consortium's regions."""
 
 _TRIAL_DEMAND_PER_S = 100.0
-"""Requests a second in trial snapshots. A guess, never measured."""
+"""Requests a second in trial snapshots."""
 
 _TRIAL_MEASURES = (
     RegionMeasures(capacity=40, in_use=10, latency_ms=20.0, arrivals_per_s=100.0, age_s=0.5),
@@ -69,7 +69,7 @@
     RegionMeasures(capacity=40, in_use=40, latency_ms=900.0, arrivals_per_s=400.0, age_s=30.0),
 )
 """Regions of trial snapshots: fresh, unmeasured, and full with old measures. 40 slots are ten
-servers of the brief's four; the other figures are guesses, never measured."""
+servers of the brief's four; the other figures are guesses."""
 
 
 class PolicyFault(NamedTuple):
