Decode what a server states of itself once, and log it: limit, leaving, rest

Callers saw: nothing yet; this is sight. From the lines of all VMs nobody could have told whether a server's limit had been heard. One typed value, read from the answer with the check whose word it is, replaces the readings of load and kept connections; events server-limit, server-leaving and server-asks-rest tell the hypotheses apart. A load in an answer to another request or without a signature is no longer believed. The test of a refusing server passes the statement, as the decision reads it from there. Decisions on servers are unchanged: nobody follows the three yet.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -420,6 +420,7 @@
         context.monotonic,
         context.events,
         crashes.quarantine,
+        wall=context.clock.wall,
     )
 
 
--- a/sprucewinch/gateway/header_names.py
+++ b/sprucewinch/gateway/header_names.py
@@ -16,6 +16,8 @@
         expected: Backend server that alone may run the request.
         signature: Set by a backend server on each answer of its own.
         not_run: Set by a backend server that did not run the request.
+        limit: Requests a second that a backend server takes from all VMs together.
+        leaving: 1 when a backend server leaves.
         load: A backend server's load: running, waiting, slots.
         cold_ms: In answers to probes, how much longer a server is cold, in milliseconds.
         instance: In answers to probes, the server's id.
@@ -29,6 +31,8 @@
     expected: str = "sprucewinch-expected"
     signature: str = "sprucewinch-signature"
     not_run: str = "sprucewinch-not-run"
+    limit: str = "sprucewinch-limit"
+    leaving: str = "sprucewinch-leaving"
     load: str = "sprucewinch-load"
     cold_ms: str = "sprucewinch-cold-ms"
     instance: str = "sprucewinch-instance"
--- a/sprucewinch/gateway/requests/attempt_feedback.py
+++ b/sprucewinch/gateway/requests/attempt_feedback.py
@@ -11,10 +11,10 @@
 
 from ..crashes.quarantine import Quarantine
 from ..events import EventLog
-from ..header_names import HeaderNames
 from ..servers.backend_registry import BackendRegistry
 from ..servers.backend_server import BackendServer
 from ..servers.outliers import OutlierDetector
+from ..statements.statement import ServerStatement
 from .client_request import (
     ANSWERED,
     MISDIRECTED,
@@ -28,7 +28,6 @@
     Verdict,
 )
 from .outcome.retry_decision import SERVER_FAILED_STATUS
-from .verdict import load_report
 
 SHED_PAUSE_S = 0.05
 """Pause of a server that refused to run a request as it is full, or as it may be, in seconds. One
@@ -46,7 +45,6 @@
         registry: Backend servers.
         outliers: Gets every attempt at a warm server as a sample.
         quarantine: Gets the good ends of requests.
-        names: Names of headers.
         monotonic: Source of time, in seconds.
         events: Logs when a server rests after a failure.
     """
@@ -56,14 +54,12 @@
         registry: BackendRegistry,
         outliers: OutlierDetector,
         quarantine: Quarantine,
-        names: HeaderNames,
         monotonic: Callable[[], float],
         events: EventLog,
     ) -> None:
         self.registry = registry
         self.outliers = outliers
         self.quarantine = quarantine
-        self.names = names
         self.monotonic = monotonic
         self.events = events
 
@@ -79,12 +75,34 @@
         if attempt.why == RESTARTED:
             # The process that this tells of has ended; the next one starts with nothing.
             return
+        self._note_statement(request, server, attempt.statement)
         self._learn(request, server, attempt, started, now)
         if server.cold(started):
             self._note_cold(server, attempt)
         else:
             self._sample(server, attempt, request.key, now)
 
+    def _note_statement(
+        self, request: ClientRequest, server: BackendServer, statement: ServerStatement
+    ) -> None:
+        """Log what a server states of itself, where it has not stated so before."""
+        if not statement.by_server:
+            return
+        before, server.stated = server.stated, statement
+        server_id = server.backend.id
+        if statement.limit_per_s != before.limit_per_s:
+            self.events.state(
+                "server-limit", server=server_id, per_s=statement.limit_per_s, id=request.id
+            )
+        if statement.leaving and not before.leaving:
+            self.events.state("server-leaving", server=server_id, id=request.id)
+        if statement.rest_s is not None:
+            self.events.count("server_rests_asked")
+            if before.rest_s is None:
+                self.events.state(
+                    "server-asks-rest", server=server_id, rest_s=statement.rest_s, id=request.id
+                )
+
     def _note_cold(self, server: BackendServer, attempt: Attempt) -> None:
         """Note the end of an attempt at a cold server; it does not count as an outlier sample."""
         if attempt.verdict is Verdict.ANSWERED or attempt.why == TIMED_OUT:
@@ -100,7 +118,7 @@
             if attempt.answer.status >= SERVER_FAILED_STATUS:
                 self.outliers.record_failure(server, now)
                 return
-            load = load_report(attempt.answer, self.names)
+            load = attempt.statement.load
             requests_there = load.running + load.waiting if load else 0
             self.outliers.record_success(server, key, attempt.seconds, requests_there, now)
 
@@ -112,7 +130,7 @@
         started: float,
         now: float,
     ) -> None:
-        load = load_report(attempt.answer, self.names) if attempt.answer is not None else None
+        load = attempt.statement.load
         if load is not None:
             self.registry.record_load(server, load.running, load.waiting, now)
         if attempt.verdict is Verdict.ANSWERED:
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -12,6 +12,7 @@
 from ...net.connection import Answer
 from ..resources import Route
 from ..servers.backend_server import BackendServer
+from ..statements.statement import NOTHING_STATED, ServerStatement
 from ..workspaces.admission import CallerRequest
 
 TIMED_OUT = "timeout"
@@ -174,6 +175,7 @@
         why: Cause of the verdict, for the log.
         answer: The whole answer, when there is one.
         seconds: How long it took.
+        statement: What its answer states of the server.
     """
 
     server_id: str
@@ -182,6 +184,7 @@
     why: str
     answer: Optional[Answer] = None
     seconds: float = 0.0
+    statement: ServerStatement = NOTHING_STATED
 
 
 class RefusalReason(enum.Enum):
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -27,6 +27,7 @@
 from ..servers.backend_server import BackendServer
 from ..servers.outliers import OutlierDetector
 from ..servers.pool import ConnectionPool
+from ..statements.statement import keep_alive_s, read_statement
 from .attempt_feedback import AttemptFeedback
 from .client_request import (
     CRASHED,
@@ -47,9 +48,6 @@
 MIN_DEADLINE_MS = 1
 """Least deadline that is sent to a server, in milliseconds, so that none is 0 or less."""
 
-_KEEP_ALIVE = "timeout="
-"""Field of the keep-alive header that holds the time, in seconds."""
-
 _BODYLESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 """Methods whose empty body is sent without a length."""
 
@@ -65,9 +63,10 @@
         monotonic: Source of time, in seconds.
         events: Logs when a server rests after a failure; None to log nothing.
         quarantine: Requests that crash servers; None for one that this part has alone.
+        wall: Source of the time of day, in seconds since the epoch; `monotonic` by default.
     """
 
-    def __init__(
+    def __init__(  # noqa: PLR0913  one argument a part
         self,
         registry: BackendRegistry,
         outliers: OutlierDetector,
@@ -76,19 +75,20 @@
         monotonic: Callable[[], float],
         events: Optional[EventLog] = None,
         quarantine: Optional[Quarantine] = None,
+        *,
+        wall: Optional[Callable[[], float]] = None,
     ) -> None:
         self.registry = registry
         self.pool = pool
         self.names = names
         self.monotonic = monotonic
+        self.wall = wall or monotonic
         self.events = events or NoEvents()
         self.crash_check = CrashCheck(pool)
         self.quarantine = quarantine or Quarantine(
             registry.store_view, "", names.request_id, monotonic=monotonic, wall=monotonic
         )
-        self.feedback = AttemptFeedback(
-            registry, outliers, self.quarantine, names, monotonic, self.events
-        )
+        self.feedback = AttemptFeedback(registry, outliers, self.quarantine, monotonic, self.events)
         self._at_work: dict[BackendServer, set[Connection]] = {}
         registry.on_restart.append(self._end_attempts)
 
@@ -159,9 +159,10 @@
         except ExchangeFailedError as error:
             why = ENDED if error.ended else str(error)
             return Attempt(backend.id, Verdict.UNKNOWN, True, why)
-        self.pool.give_back(backend.address, connection, _keep_alive_s(answer))
+        self.pool.give_back(backend.address, connection, keep_alive_s(answer))
         judged = judge_answer(answer, self.names, request.id)
-        return Attempt(backend.id, judged.verdict, True, judged.why, answer)
+        statement = read_statement(answer, self.names, request.id, self.wall())
+        return Attempt(backend.id, judged.verdict, True, judged.why, answer, statement=statement)
 
     async def _look_for_crash(
         self, request: ClientRequest, selection: Selection, attempt: Attempt, started: float
@@ -232,16 +233,3 @@
         if request.body or request.method not in _BODYLESS_METHODS:
             lines.append(f"content-length: {len(request.body)}")
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + request.body
-
-
-def _keep_alive_s(answer: Answer) -> float:
-    """Return how long a server keeps a connection open, in seconds; infinite when it states none.
-
-    An unreadable time is ignored without a log line: a connection that the server closes is
-    replaced.
-    """
-    text = answer.header("keep-alive") or ""
-    for word in text.replace(" ", "").split(","):
-        if word.startswith(_KEEP_ALIVE) and word.removeprefix(_KEEP_ALIVE).isdigit():
-            return float(word.removeprefix(_KEEP_ALIVE))
-    return float("inf")
--- a/sprucewinch/gateway/requests/verdict.py
+++ b/sprucewinch/gateway/requests/verdict.py
@@ -10,10 +10,11 @@
 (`SpoiltAnswers`, `Ends`).
 """
 
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 from ...net.connection import Answer
 from ..header_names import HeaderNames
+from ..statements.statement import SUCCESS_STATUSES
 from .client_request import ANSWERED, MISDIRECTED, SHED, Verdict
 
 BAD_REQUEST_STATUS = 400
@@ -23,9 +24,6 @@
 """HTTP status of an answer from a server other than the one that was meant, by the HTTP
 standard."""
 
-SUCCESS_STATUSES = range(200, 300)
-"""HTTP statuses of success, by the HTTP standard."""
-
 
 class AnswerJudgement(NamedTuple):
     """The verdict on an answer.
@@ -39,20 +37,6 @@
     why: str
 
 
-class LoadReport(NamedTuple):
-    """The load that a backend server reports in an answer.
-
-    Args:
-        running: Requests that it runs.
-        waiting: Requests that wait there.
-        slots: Requests that it can run at once.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-
-
 def judge_answer(answer: Answer, names: HeaderNames, request_id: str) -> AnswerJudgement:
     """Return what an answer proves about a request.
 
@@ -74,17 +58,3 @@
     if answer.status in SUCCESS_STATUSES and not answer.header(names.signature):
         return AnswerJudgement(Verdict.UNKNOWN, "unsigned")
     return AnswerJudgement(Verdict.ANSWERED, ANSWERED)
-
-
-def load_report(answer: Answer, names: HeaderNames) -> Optional[LoadReport]:
-    """Return the load that an answer reports; None when it reports none that can be read.
-
-    An unreadable report is ignored without a log line: the server's next answer brings another one.
-    """
-    text = answer.header(names.load)
-    if text is None:
-        return None
-    words = text.split(",")
-    if len(words) != len(LoadReport._fields) or not all(word.strip().isdigit() for word in words):
-        return None
-    return LoadReport(*(int(word) for word in words))
--- a/sprucewinch/gateway/servers/backend_server.py
+++ b/sprucewinch/gateway/servers/backend_server.py
@@ -9,6 +9,7 @@
 
 from ..._hash import hash64
 from ..resources import BackendEntry
+from ..statements.statement import NOTHING_STATED
 from .cold_limit import ColdSends
 from .load import ConcurrencyLimit, LoadEstimate
 from .rest import Rest, is_silent
@@ -44,6 +45,7 @@
         "room",
         "seed",
         "started",
+        "stated",
     )
 
     def __init__(self, backend: BackendEntry) -> None:
@@ -51,6 +53,7 @@
         self.seed = hash64(backend.id) & _SEED_MASK
         self.in_flight = 0
         self.started: list[float] = []
+        self.stated = NOTHING_STATED
         self.answered_at = float("-inf")
         self.latency_s: Optional[float] = None
         self.cold_until = float("-inf")
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -66,6 +66,11 @@
         server_id: Its id.
         work_s: Time of one run, in seconds.
         slots: Requests that it runs at once; beyond, it refuses.
+
+    Attributes:
+        says: Headers that it adds to all its answers to requests.
+        turns_away: Returns whether it turns the next request away, with `rest` as Retry-After.
+        rest: What it asks for then; empty for none.
     """
 
     def __init__(
@@ -94,6 +99,9 @@
         self.cold_factor = 2.0
         self.probes = 0
         self.misdirected_not_run = False
+        self.says: dict[str, str] = {}
+        self.turns_away: Callable[[], bool] = _never
+        self.rest = ""
         self.open: set[asyncio.Transport] = set()
 
     def accept(self) -> asyncio.Protocol:
@@ -128,6 +136,11 @@
             reset(transport)
 
 
+def _never() -> bool:
+    """Turn no request away."""
+    return False
+
+
 def _nothing(_run: Run) -> None:
     """Do nothing when a run begins."""
 
@@ -205,6 +218,10 @@
             self._write(421, run.request_id, b"", extra=extra)
         elif not request_id:
             self._write(400, "", b"", extra="X-Not-Executed: 1\r\n")
+        elif server.turns_away():
+            server.refused += 1
+            rest = f"Retry-After: {server.rest}\r\n" if server.rest else ""
+            self._write(503, run.request_id, b"", extra=f"X-Not-Executed: 1\r\n{rest}")
         elif server.running >= server.slots:
             server.refused += 1
             self._write(503, run.request_id, b"", extra="X-Not-Executed: 1\r\n")
@@ -276,6 +293,7 @@
         extra: str = "",
     ) -> bytes:
         head = f"HTTP/1.1 {status} X\r\nX-Request-Id: {request_id}\r\n{extra}"
+        head += "".join(f"{name}: {value}\r\n" for name, value in self.server.says.items())
         if signed:
             head += f"X-Response-Signature: {self.server.server_id}.{request_id}\r\n"
         if framed:
--- a/tests/test_gateway_server_selection.py
+++ b/tests/test_gateway_server_selection.py
@@ -7,6 +7,7 @@
 from sprucewinch.gateway.resources import BackendEntry
 from sprucewinch.gateway.servers.backend_server import BackendServer
 from sprucewinch.net.connection import Answer
+from sprucewinch.gateway.statements.statement import read_statement
 from standins.scripted_server import Spoil
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
@@ -152,10 +153,11 @@
         path = Path(loop, servers=1)
         path.world.configure(route(repeatable=False))
         server = path.world.registry.servers["s0"]
-        headers = ((NAMES.load, load),) if load else ()
+        headers = ((NAMES.request_id, "q"), *(((NAMES.load, load),) if load else ()))
         answer = Answer(503, headers, b"")
-        attempt = Attempt("s0", Verdict.NOT_RUN, True, f"{SHED}-503", answer)
         now = loop.time()
+        statement = read_statement(answer, NAMES, "q", now)
+        attempt = Attempt("s0", Verdict.NOT_RUN, True, f"{SHED}-503", answer, statement=statement)
         path.sender.feedback._learn(path.request("q"), server, attempt, now, now)
         self.assertEqual(server.paused_until > loop.time(), load != "2,0,6")
         return server.limit.value
--- /dev/null
+++ b/tests/test_gateway_statements.py
@@ -0,0 +1,91 @@
+"""What an answer states of its server: whose word counts, and what is no value."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sprucewinch.gateway.header_names import HeaderNames
+from sprucewinch.gateway.statements.statement import (
+    MOST_REST_S,
+    NOTHING_STATED,
+    LoadReport,
+    ServerStatement,
+    keep_alive_s,
+    read_statement,
+)
+from sprucewinch.net.connection import Answer
+
+NAMES = HeaderNames()
+WALL = 1_800_000_000.0
+
+
+def answer(status: int = 200, *, request_id: str = "q", signed: bool = True, **headers: str):
+    """Return an answer with some headers, named as parts of `HeaderNames` or by themselves."""
+    rows = [(NAMES.request_id, request_id)]
+    if signed:
+        rows.append((NAMES.signature, "s"))
+    for name, value in headers.items():
+        wire = getattr(NAMES, name, name.replace("_", "-"))
+        rows.append((wire, value))
+    return Answer(status, tuple(rows), b"")
+
+
+def stated(status: int = 200, **headers) -> ServerStatement:
+    """Return what such an answer states to the request `q`."""
+    return read_statement(answer(status, **headers), NAMES, "q", WALL)
+
+
+class WhoseWord(unittest.TestCase):
+    def test_only_the_asked_process_speaks_for_itself(self) -> None:
+        said = {"limit": "3", "leaving": "1", "load": "1,2,3"}
+        self.assertEqual(
+            stated(**said), ServerStatement(True, LoadReport(1, 2, 3), 3.0, True, None)
+        )
+        self.assertEqual(stated(421, **said), NOTHING_STATED)
+        self.assertEqual(stated(request_id="other", **said), NOTHING_STATED)
+        self.assertEqual(stated(signed=False, **said), NOTHING_STATED)
+
+    def test_a_failure_and_a_refusal_are_its_word_too(self) -> None:
+        for status in (500, 503, 504, 429):
+            self.assertEqual(stated(status, signed=False, limit="2.5").limit_per_s, 2.5)
+
+
+class Values(unittest.TestCase):
+    def test_what_is_no_amount_states_nothing(self) -> None:
+        for text in ("many", "-1", "nan", "1e999", "inf", "", "1_0", "Wed, 21 Oct 2037 07:28:00"):
+            with self.subTest(text=text):
+                self.assertIsNone(stated(limit=text).limit_per_s)
+        for text in ("0", "yes", "", "11", "-1"):
+            self.assertFalse(stated(leaving=text).leaving)
+
+    def test_rest_is_asked_for_by_a_503_alone_in_seconds_or_as_a_date(self) -> None:
+        self.assertEqual(stated(503, retry_after="2.5").rest_s, 2.5)
+        self.assertIsNone(stated(200, retry_after="2.5").rest_s)
+        self.assertIsNone(stated(429, retry_after="2.5").rest_s)
+        for text in ("0", "many", "-1", "nan", "1e999", "soon"):
+            self.assertIsNone(stated(503, retry_after=text).rest_s)
+        date = {"retry_after": "Fri, 15 Jan 2027 08:00:10 GMT"}
+        self.assertAlmostEqual(stated(503, **date).rest_s or 0.0, 10.0)
+        date["date"] = "Fri, 15 Jan 2027 08:00:06 GMT"
+        self.assertAlmostEqual(stated(503, **date).rest_s or 0.0, 4.0)
+        self.assertIsNone(stated(503, retry_after="Fri, 15 Jan 2021 08:00:10 GMT").rest_s)
+
+    def test_a_rest_without_measure_is_held_to_the_most(self) -> None:
+        self.assertEqual(stated(503, retry_after="86400").rest_s, MOST_REST_S)
+
+    @given(st.text(st.characters(min_codepoint=32, max_codepoint=255), max_size=40))
+    def test_no_text_breaks_the_reading(self, text: str) -> None:
+        found = stated(503, limit=text, leaving=text, load=text, retry_after=text, date=text)
+        self.assertTrue(found.by_server)
+        self.assertGreaterEqual(found.limit_per_s or 0.0, 0.0)
+        self.assertLessEqual(found.rest_s or 0.0, MOST_REST_S)
+
+    def test_the_time_of_a_kept_connection(self) -> None:
+        self.assertEqual(keep_alive_s(answer(**{"keep-alive": "max=5, timeout=7"})), 7.0)
+        self.assertEqual(keep_alive_s(answer()), float("inf"))
+        self.assertEqual(keep_alive_s(answer(**{"keep-alive": "timeout=x"})), float("inf"))
+
+
+if __name__ == "__main__":
+    unittest.main()
