Failing test: servers that state limits get their usual load

Callers saw: servers in need got 16 requests a second whatever they stated. On four whole VMs and eight servers on a virtual clock: 68 requests in 4 s where 35 and 23 are allowed, 16.75 a second while 3.6 is the most.

--- /dev/null
+++ b/tests/speaking_servers.py
@@ -0,0 +1,102 @@
+"""Callers of a fleet whose backend servers state limits, that they leave, or ask for rest.
+
+Owns what arrives at each server, by VM, and the bounds from the servers' own point of view.
+"""
+
+import asyncio
+from bisect import bisect_left
+from collections.abc import Iterable
+
+from standins.scripted_server import ScriptedServer
+from standins.virtual import VirtualLoop, pass_time
+
+from .crash_fleet import Callers, CrashFleet
+
+WINDOW_S = 4.0
+"""Window of the bound on what a server gets, in seconds."""
+
+OBJECTS = 24
+CALLS_PER_S = 80.0
+
+
+class SpeakingFleet:
+    """A fleet under a steady load: 80 requests a second on 24 objects, VM after VM.
+
+    Args:
+        fleet: The fleet, ready.
+        calls_per_s: Requests a second.
+    """
+
+    def __init__(self, fleet: CrashFleet, *, calls_per_s: float = CALLS_PER_S) -> None:
+        self.fleet = fleet
+        self.callers = SteadyCallers(fleet, pause_s=1.0 / calls_per_s)
+        self.work = asyncio.create_task(self.callers.run())
+
+    @classmethod
+    async def start(
+        cls, loop: VirtualLoop, *, vms: int = 4, servers: int = 8, calls_per_s: float = CALLS_PER_S
+    ) -> "SpeakingFleet":
+        """Return a fleet whose servers know their objects."""
+        fleet = await CrashFleet(loop, vms=vms, servers=servers).ready()
+        speaking = cls(fleet, calls_per_s=calls_per_s)
+        await pass_time(4.0)
+        return speaking
+
+    @property
+    def now(self) -> float:
+        """Return the virtual time, in seconds."""
+        return self.fleet.loop.time()
+
+    def servers(self) -> list[ScriptedServer]:
+        """Return the servers, the one with the most requests first."""
+        return sorted(self.fleet.servers.values(), key=lambda s: -len(s.arrivals))
+
+    def served(self, since: float, until: float) -> float:
+        """Return the part of the requests sent in a time that was answered by a server."""
+        rows = [row for row in self.callers.rows if since <= row[0] < until]
+        return sum(row[2] == 200 for row in rows) / max(1, len(rows))
+
+
+class SteadyCallers(Callers):
+    """Callers that ask VM after VM for one of 24 objects, and keep when each was answered how.
+
+    Attributes:
+        rows: For each request: when it was sent, how long it took in seconds, its status, and
+            when its caller may come back in seconds, None for no time.
+    """
+
+    def __init__(self, fleet: CrashFleet, *, pause_s: float) -> None:
+        super().__init__(fleet, pause_s=pause_s)
+        self.rows: list[tuple[float, float, int, float | None]] = []
+
+    async def _ask(self, number: int, target: str) -> None:
+        sent = self.fleet.loop.time()
+        reply = await self.fleet.ask(number, target, key=f"lane-{number % OBJECTS}")
+        took_s = self.fleet.loop.time() - sent
+        self.rows.append((sent, took_s, reply.status, reply.retry_after_s))
+
+
+def most_in_window(arrivals: Iterable[float], since: float, until: float = float("inf")) -> int:
+    """Return the most arrivals in any window that begins in a time."""
+    times = sorted(at for at in arrivals if since <= at < until)
+    return max(
+        (bisect_left(times, at + WINDOW_S) - index for index, at in enumerate(times)), default=0
+    )
+
+
+def allowed(limit_per_s: float) -> float:
+    """Return the most requests that a server with a limit may get in a window."""
+    return 1.5 * limit_per_s * WINDOW_S + 5
+
+
+def broken_bounds(**figures: tuple[float, str, float]) -> list[str]:
+    """Return the figures that are beyond their bounds.
+
+    Args:
+        **figures: Each figure, `<=` or `>=`, and its bound.
+    """
+    return [
+        f"{name}: {found:.2f}, bound {sign} {bound:.2f}"
+        for name, (found, sign, bound) in figures.items()
+        if (found > bound if sign == "<=" else found < bound)
+    ]
--- a/tests/test_gateway_server_selection.py
+++ b/tests/test_gateway_server_selection.py
@@ -6,8 +6,8 @@
 from sprucewinch.gateway.requests.client_request import SHED, Attempt, Verdict
 from sprucewinch.gateway.resources import BackendEntry
 from sprucewinch.gateway.servers.backend_server import BackendServer
-from sprucewinch.net.connection import Answer
 from sprucewinch.gateway.statements.statement import read_statement
+from sprucewinch.net.connection import Answer
 from standins.scripted_server import Spoil
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
