Move the quotas to a room of their own: no change of logic

Limits of servers will be kept by the same buckets, owners and leases as those of workspaces, so they stand beside both users.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -26,6 +26,10 @@
 from .membership.heartbeats import Heartbeats
 from .membership.registrar import Registrar
 from .platform_adapter import PlatformAdapter
+from .quotas.exchange import QuotaExchange
+from .quotas.owners import QuotaOwners
+from .quotas.parts import QuotaParts
+from .quotas.quotas import FleetQuotas
 from .regions.policies import PolicyTable
 from .regions.region_reporter import OwnRegion, RegionReporter
 from .regions.region_reports import RegionReports
@@ -46,10 +50,6 @@
 from .state.store_view import StoreView
 from .timing import Timing
 from .workspaces.admission import WorkspaceAdmission
-from .workspaces.quota_exchange import QuotaExchange
-from .workspaces.quota_owners import QuotaOwners
-from .workspaces.quota_parts import QuotaParts
-from .workspaces.quotas import FleetQuotas
 
 
 class Context(NamedTuple):
--- a/sprucewinch/gateway/workspaces/quota_exchange.py
+++ b/sprucewinch/gateway/quotas/exchange.py
@@ -1,7 +1,7 @@
 """Asks the owners of parts of workspaces' limits, and answers for the parts of this VM.
 
 Owns the messages `QuotaAsk`, `QuotaAnswer` and `QuotaReturn` and the asks under way. What an answer
-gives that comes too late is not used. Relies on `quota_parts` for what this VM gives and on
+gives that comes too late is not used. Relies on `parts` for what this VM gives and on
 `datagrams`.
 """
 
@@ -15,8 +15,8 @@
 from ..resources import Member, Workspace
 from ..state.store_view import StoreView
 from ..timing import Timing
-from .quota_owners import Owner
-from .quota_parts import Grant, QuotaParts
+from .owners import Owner
+from .parts import Grant, QuotaParts
 
 _MS_PER_S = 1000
 """Milliseconds in a second; times in messages are in milliseconds."""
--- a/sprucewinch/gateway/workspaces/quota_leases.py
+++ b/sprucewinch/gateway/quotas/leases.py
@@ -19,8 +19,8 @@
 from typing import Optional
 
 from ...retry import ReturnSchedule
-from .quota_bucket import HOLD_S, RETURN_S
-from .quota_owners import Owner
+from .bucket import HOLD_S, RETURN_S
+from .owners import Owner
 
 _MOST_ASKED = 64
 """Most requests that are asked for at once."""
--- a/sprucewinch/gateway/workspaces/quota_parts.py
+++ b/sprucewinch/gateway/quotas/parts.py
@@ -1,7 +1,7 @@
 """The parts of workspaces' limits that this VM holds, and what it gives of them.
 
-Owns a bucket for each workspace whose part is this VM's. Relies on `quota_owners` for which parts
-those are and on `quota_bucket` for what each gives. A part that goes to another VM is dropped, and
+Owns a bucket for each workspace whose part is this VM's. Relies on `owners` for which parts
+those are and on `bucket` for what each gives. A part that goes to another VM is dropped, and
 begins anew if it comes back; so do all after a pause of this process, in which another VM may have
 taken its place. One that nobody has asked before has gained since this VM holds it.
 """
@@ -10,8 +10,8 @@
 
 from ..resources import Workspace
 from ..settings import Bounds
-from .quota_bucket import QuotaBucket, quota_limit
-from .quota_owners import QuotaOwners
+from .bucket import QuotaBucket, quota_limit
+from .owners import QuotaOwners
 
 _PAUSE_S = 1.0
 """Time between two ticks beyond which this process counts as having stood still, in seconds: less
--- a/sprucewinch/gateway/workspaces/quotas.py
+++ b/sprucewinch/gateway/quotas/quotas.py
@@ -2,8 +2,8 @@
 
 Question: may this request of a workspace be sent, and if not, when may its caller return? Owns what
 this VM holds of each workspace's limit and the order in which its requests get it: the first that
-came is the first served. The decisions are `quota_leases` (what is used, who is asked) and
-`quota_bucket` (what owners give); `quota_exchange` carries the asks. Nothing is counted twice: a
+came is the first served. The decisions are `leases` (what is used, who is asked) and
+`bucket` (what owners give); `exchange` carries the asks. Nothing is counted twice: a
 retry of this VM's own takes no further request, and what a caller's request took is given back when
 no backend server has run it.
 
@@ -21,10 +21,10 @@
 from ..resources import Workspace
 from ..settings import Bounds
 from ..timing import Timing
-from .quota_bucket import quota_limit
-from .quota_exchange import QuotaExchange
-from .quota_leases import Given, WorkspaceLease, asking_groups
-from .quota_owners import Owner, QuotaOwners
+from .bucket import quota_limit
+from .exchange import QuotaExchange
+from .leases import Given, WorkspaceLease, asking_groups
+from .owners import Owner, QuotaOwners
 
 LONGEST_S = 0.2
 """Longest time that a request waits for its turn and for answers of owners, in seconds: most
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -2,7 +2,7 @@
 
 Owns the order and the state that steps share: the route table, split balances, retry budgets. Key
 and quota come once, before the body is read (`admit`), the others in `run`. Each rule is a module
-of its own: `workspaces.key_table`, `workspaces.quotas`, `workspaces.allowed_regions`, `routes`,
+of its own: `workspaces.key_table`, `quotas.quotas`, `workspaces.allowed_regions`, `routes`,
 `crashes.quarantine`, `split`, `outcome.hold_time`,
 `outcome.time_left`, `server_order`, `server_selection`, `room`, `outcome.retry_decision`,
 `retry_budget`, `outcome.final_answer`, `outcome.return_times`. A request that waited for room,
@@ -14,6 +14,7 @@
 from typing import Optional, Union
 
 from ..crashes.held import Held
+from ..quotas.quotas import QuotaEnd
 from ..resources import Route, RouteConfiguration
 from ..servers.backend_registry import BackendRegistry
 from ..settings import Bounds
@@ -23,7 +24,6 @@
 from ..workspaces.allowed_regions import allowed_regions
 from ..workspaces.fair_order import FairOrder
 from ..workspaces.key_table import KeyProblem
-from ..workspaces.quotas import QuotaEnd
 from .client_request import CRASHED, Attempt, ClientRequest, RefusalReason, Reply, Selection
 from .connection_age import most_rest_s
 from .outcome import final_answer
--- a/sprucewinch/gateway/workspaces/admission.py
+++ b/sprucewinch/gateway/workspaces/admission.py
@@ -12,11 +12,11 @@
 from typing import NamedTuple, Optional
 
 from ..events import EventLog
+from ..quotas.quotas import QuotaDecision, Quotas
 from ..resources import Route, RouteConfiguration, Workspace
 from ..settings import Bounds
 from ..state.store_view import Change, StoreView
 from .key_table import Caller, KeyTable
-from .quotas import QuotaDecision, Quotas
 
 _GUESSES_EVERY_S = 10.0
 """Least time between two lines that tell of requests with unknown keys, in seconds."""
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -5,6 +5,7 @@
 from typing import Optional
 
 from sprucewinch.gateway.events import NoEvents
+from sprucewinch.gateway.quotas.quotas import QuotaDecision, QuotaEnd, Quotas
 from sprucewinch.gateway.regions.policies import PolicyTable
 from sprucewinch.gateway.regions.region_reports import RegionReports
 from sprucewinch.gateway.regions.shares import RegionShares
@@ -36,7 +37,6 @@
 from sprucewinch.gateway.state.store_view import Decoder, StoreView
 from sprucewinch.gateway.timing import Timing
 from sprucewinch.gateway.workspaces.admission import WorkspaceAdmission
-from sprucewinch.gateway.workspaces.quotas import QuotaDecision, QuotaEnd, Quotas
 from standins.scripted_server import ScriptedServer
 from standins.virtual import VirtualLoop
 
--- a/tests/test_formats_workspaces.py
+++ b/tests/test_formats_workspaces.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
+from sprucewinch.gateway.quotas.exchange import QuotaAnswer, QuotaAsk, QuotaReturn
 from sprucewinch.gateway.resources import Workspace
 from sprucewinch.gateway.state.replica import Item
 from sprucewinch.gateway.workspaces.keys import key_digest
-from sprucewinch.gateway.workspaces.quota_exchange import QuotaAnswer, QuotaAsk, QuotaReturn
 
 from . import adapter  # noqa: F401 - makes the next import possible
 
--- a/tests/test_gateway_datagrams.py
+++ b/tests/test_gateway_datagrams.py
@@ -13,9 +13,9 @@
 from sprucewinch.gateway.events import EventLog
 from sprucewinch.gateway.following.follow_role import ProgressNotice
 from sprucewinch.gateway.membership.gossip import Heartbeat, HeartbeatRow
+from sprucewinch.gateway.quotas.exchange import QuotaAnswer, QuotaAsk, QuotaReturn
 from sprucewinch.gateway.regions.region_reports import RegionReport
 from sprucewinch.gateway.servers.peer_reports import FailureReport, OverloadReport
-from sprucewinch.gateway.workspaces.quota_exchange import QuotaAnswer, QuotaAsk, QuotaReturn
 
 _SENDER = ("10.0.0.2", 7000)
 _UNREADABLE = "datagrams_unreadable"
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from sprucewinch.gateway.events import EventLog
+from sprucewinch.gateway.quotas.quotas import QuotaDecision, QuotaEnd
 from sprucewinch.gateway.requests.callers.request_reader import RequestReader
 from sprucewinch.gateway.requests.client_request import ClientRequest, RefusalReason
 from sprucewinch.gateway.resources import Workspace
@@ -14,7 +15,6 @@
 from sprucewinch.gateway.workspaces.allowed_regions import allowed_regions
 from sprucewinch.gateway.workspaces.key_table import KeyProblem, KeyTable
 from sprucewinch.gateway.workspaces.keys import key_digest
-from sprucewinch.gateway.workspaces.quotas import QuotaDecision, QuotaEnd
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .formats_gateway import CONFIGURATION, VirtualGateway
--- a/tests/test_gateway_quota.py
+++ b/tests/test_gateway_quota.py
@@ -8,13 +8,13 @@
 from hypothesis import strategies as st
 
 from sprucewinch.gateway.membership.gossip import SILENCE_S
+from sprucewinch.gateway.quotas.bucket import HOLD_S, RETURN_S, QuotaBucket, quota_limit
+from sprucewinch.gateway.quotas.leases import Given, WorkspaceLease, asking_groups
+from sprucewinch.gateway.quotas.owners import MOST_PARTS, Owner, QuotaOwners
+from sprucewinch.gateway.quotas.parts import QuotaParts
+from sprucewinch.gateway.quotas.quotas import QuotaEnd
 from sprucewinch.gateway.resources import Member, Workspace
 from sprucewinch.gateway.settings import Bounds
-from sprucewinch.gateway.workspaces.quota_bucket import HOLD_S, RETURN_S, QuotaBucket, quota_limit
-from sprucewinch.gateway.workspaces.quota_leases import Given, WorkspaceLease, asking_groups
-from sprucewinch.gateway.workspaces.quota_owners import MOST_PARTS, Owner, QuotaOwners
-from sprucewinch.gateway.workspaces.quota_parts import QuotaParts
-from sprucewinch.gateway.workspaces.quotas import QuotaEnd
 from sprucewinch.retry import ReturnSchedule
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 from tools.quota_model.fleet import ModelFleet, ModelVm
--- a/tools/quota_model/demand.py
+++ b/tools/quota_model/demand.py
@@ -8,8 +8,8 @@
 from typing import Optional
 
 from sprucewinch._hash import hash64
+from sprucewinch.gateway.quotas.quotas import QuotaEnd
 from sprucewinch.gateway.resources import Workspace
-from sprucewinch.gateway.workspaces.quotas import QuotaEnd
 
 from .fleet import ModelFleet, ModelVm
 from .judge import Judge, Outcome
--- a/tools/quota_model/fleet.py
+++ b/tools/quota_model/fleet.py
@@ -14,14 +14,14 @@
 
 from sprucewinch.gateway.datagrams import Datagrams
 from sprucewinch.gateway.membership.gossip import SILENCE_S
+from sprucewinch.gateway.quotas.exchange import QuotaExchange
+from sprucewinch.gateway.quotas.owners import QuotaOwners
+from sprucewinch.gateway.quotas.parts import QuotaParts
+from sprucewinch.gateway.quotas.quotas import FleetQuotas, Quotas
 from sprucewinch.gateway.resources import Member, Workspace
 from sprucewinch.gateway.settings import Bounds
 from sprucewinch.gateway.state.store_view import Decoder, StoreView
 from sprucewinch.gateway.timing import Timing
-from sprucewinch.gateway.workspaces.quota_exchange import QuotaExchange
-from sprucewinch.gateway.workspaces.quota_owners import QuotaOwners
-from sprucewinch.gateway.workspaces.quota_parts import QuotaParts
-from sprucewinch.gateway.workspaces.quotas import FleetQuotas, Quotas
 
 from .ways import SHARE_S, EqualParts, SharedCounts
 
--- a/tools/quota_model/ways.py
+++ b/tools/quota_model/ways.py
@@ -8,10 +8,10 @@
 from collections import Counter, deque
 from collections.abc import Callable
 
+from sprucewinch.gateway.quotas.bucket import QuotaBucket, quota_limit
+from sprucewinch.gateway.quotas.quotas import QuotaDecision, QuotaEnd, Quotas
 from sprucewinch.gateway.resources import Workspace
 from sprucewinch.gateway.settings import Bounds
-from sprucewinch.gateway.workspaces.quota_bucket import QuotaBucket, quota_limit
-from sprucewinch.gateway.workspaces.quotas import QuotaDecision, QuotaEnd, Quotas
 
 SHARE_S = 0.5
 """Time between two messages with counts of `SharedCounts`, in seconds."""
--- a/tools/wrong_workspace_versions.py
+++ b/tools/wrong_workspace_versions.py
@@ -6,6 +6,7 @@
 from .wrong_version_list import WrongVersion
 
 _WORKSPACES = "sprucewinch/gateway/workspaces"
+_QUOTAS = "sprucewinch/gateway/quotas"
 _REQUESTS = "sprucewinch/gateway/requests"
 _KEYS = ("tests.test_gateway_keys",)
 _QUOTA = ("tests.test_gateway_quota",)
@@ -54,7 +55,7 @@
     WrongVersion(
         "QUOTA",
         "buckets begin with their whole burst, so that a restart gives it again",
-        f"{_WORKSPACES}/quota_bucket.py",
+        f"{_QUOTAS}/bucket.py",
         "self.level = limit.first * part",
         "self.level = limit.capacity * part",
         _QUOTA,
@@ -62,7 +63,7 @@
     WrongVersion(
         "QUOTA",
         "the time for which a VM may use what it was given is not counted",
-        f"{_WORKSPACES}/quota_bucket.py",
+        f"{_QUOTAS}/bucket.py",
         "margin = bound - rate * (bounds.quota_window_s + RETURN_S)",
         "margin = bound - rate * bounds.quota_window_s",
         _QUOTA,
@@ -70,7 +71,7 @@
     WrongVersion(
         "QUOTA",
         "a hall that falls apart gives its part several times",
-        f"{_WORKSPACES}/quota_owners.py",
+        f"{_QUOTAS}/owners.py",
         "part = len(vms.in_touch) / vms.registered / most",
         "part = 1 / most",
         _QUOTA,
@@ -78,7 +79,7 @@
     WrongVersion(
         "QUOTA",
         "after a pause a VM gives what it had saved up, though another took its place",
-        f"{_WORKSPACES}/quota_parts.py",
+        f"{_QUOTAS}/parts.py",
         "if now - self._ticked_at > _PAUSE_S:",
         "if False:",
         _QUOTA,
@@ -94,7 +95,7 @@
     WrongVersion(
         "QUOTA",
         "what a VM did not use is lost to the others",
-        f"{_WORKSPACES}/quotas.py",
+        f"{_QUOTAS}/quotas.py",
         "self.exchange.give_back(grant.owner, name, grant.count)",
         "pass",
         _QUOTA,
@@ -102,7 +103,7 @@
     WrongVersion(
         "QUOTA",
         "a part that nobody asked for begins to gain with its first request",
-        f"{_WORKSPACES}/quota_parts.py",
+        f"{_QUOTAS}/parts.py",
         "since = max(self._began_at, self.owners.changed_at)",
         "since = now",
         _QUOTA,
