--- a/sprucewinch/gateway/lifecycle/upkeep.py
+++ b/sprucewinch/gateway/lifecycle/upkeep.py
@@ -62,7 +62,7 @@
         self.servers.registry.take_up_standing(now)
         self.regions.shares.tick(now)
         self.workspaces.exchange.parts.tick(now)
-        self.quotas.quotas.sweep()
+        self.workspaces.quotas.sweep()
 
     def _sweep(self) -> None:
         """Close old connections, forget servers that are gone, look at the settings."""
--- a/sprucewinch/gateway/vm_state.py
+++ b/sprucewinch/gateway/vm_state.py
@@ -185,7 +185,7 @@
 
 
 def _workspaces(workspaces: Workspaces) -> tuple[WorkspaceState, ...]:
-    quotas, buckets = quotas.quotas, workspaces.exchange.parts.buckets
+    quotas, buckets = workspaces.quotas, workspaces.exchange.parts.buckets
     rows = []
     for name in sorted({*quotas.used, *quotas.refused, *buckets}):
         workspace = workspaces.admission.workspace(name)
