Let quotas be kept for more than workspaces

A server's limit over the fleet is the question of a workspace's with another key. Buckets, owners, leases and the exchange take a Quota now; a workspace makes one (workspaces/workspace_quota), a server another (statements/server_quotas), whose whole is given by one VM of the server's data hall. HallQuotaAsk says all that the owner has to know; QuotaAsk is as before on the wire.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -325,10 +325,10 @@
         name=settings.name,
         started_at=monotonic(),
     )
-    parts = QuotaParts(owners, settings.bounds, monotonic())
+    parts = QuotaParts(owners, monotonic())
     exchange = QuotaExchange(
         parts,
-        lambda name: admission.workspace(name),
+        lambda name: admission.quota(name),
         view,
         fleet.datagrams,
         context.timing,
--- a/sprucewinch/gateway/quotas/exchange.py
+++ b/sprucewinch/gateway/quotas/exchange.py
@@ -1,8 +1,8 @@
-"""Asks the owners of parts of workspaces' limits, and answers for the parts of this VM.
+"""Asks the owners of parts of quotas, and answers for the parts of this VM.
 
-Owns the messages `QuotaAsk`, `QuotaAnswer` and `QuotaReturn` and the asks under way. What an answer
-gives that comes too late is not used. Relies on `parts` for what this VM gives and on
-`datagrams`.
+Owns the messages `QuotaAsk`, `HallQuotaAsk`, `QuotaAnswer`, `QuotaReturn` and the asks under way.
+What an answer gives that comes too late is not used. Relies on `parts` for what this VM gives and
+on `datagrams`.
 """
 
 import asyncio
@@ -12,11 +12,12 @@
 import msgspec
 
 from ..datagrams import Datagrams
-from ..resources import Member, Workspace
+from ..resources import Member
 from ..state.store_view import StoreView
 from ..timing import Timing
 from .owners import Owner
 from .parts import Grant, QuotaParts
+from .quota import Quota, hall_quota
 
 _MS_PER_S = 1000
 """Milliseconds in a second; times in messages are in milliseconds."""
@@ -39,6 +40,27 @@
     count: int
 
 
+class HallQuotaAsk(msgspec.Struct, array_like=True, frozen=True, tag="hall-quota-ask"):
+    """A VM asks for requests of a quota that one data hall's VMs keep.
+
+    It says all that the owner has to know, which may never have heard of the quota. Its tag on the
+    wire is `hall-quota-ask`.
+
+    Args:
+        number: Names the ask at its sender.
+        name: Names the quota.
+        count: Requests that it asks for.
+        rate_per_s: Requests a second that the quota allows.
+        hall: The data hall.
+    """
+
+    number: int
+    name: str
+    count: int
+    rate_per_s: float
+    hall: str
+
+
 class QuotaAnswer(msgspec.Struct, array_like=True, frozen=True, tag="quota-answer"):
     """The answer to an ask; its tag on the wire is `quota-answer`.
 
@@ -46,7 +68,7 @@
         number: Names the ask.
         count: Requests that the asker may send.
         wait_ms: When it may ask again if it got none, in milliseconds; `_NOT_OWNER` when the sender
-            holds no part of the workspace's limit.
+            holds no part of the quota.
     """
 
     number: int
@@ -71,7 +93,7 @@
 
     Args:
         parts: The parts that this VM holds.
-        workspace_of: Returns the workspace of a name; None when the configuration has none.
+        quota_of: Returns the quota of a workspace's name; None when the configuration has none.
         store_view: Addresses of other VMs.
         datagrams: The endpoint between VMs.
         timing: Sources of time and randomness.
@@ -81,7 +103,7 @@
     def __init__(
         self,
         parts: QuotaParts,
-        workspace_of: Callable[[str], Optional[Workspace]],
+        quota_of: Callable[[str], Optional[Quota]],
         store_view: StoreView,
         datagrams: Datagrams,
         timing: Timing,
@@ -89,7 +111,7 @@
         name: str,
     ) -> None:
         self.parts = parts
-        self.workspace_of = workspace_of
+        self.quota_of = quota_of
         self.store_view = store_view
         self.datagrams = datagrams
         self.timing = timing
@@ -98,17 +120,18 @@
         self._number = 0
         self._asks: dict[int, asyncio.Future[QuotaAnswer]] = {}
         datagrams.register(QuotaAsk, self._on_ask)
+        datagrams.register(HallQuotaAsk, self._on_hall_ask)
         datagrams.register(QuotaAnswer, self._on_answer)
         datagrams.register(QuotaReturn, self._on_return)
 
     async def ask(
-        self, owner: Owner, workspace: Workspace, count: int, longest_s: float
+        self, owner: Owner, quota: Quota, count: int, longest_s: float
     ) -> Optional[Grant]:
         """Ask an owner for requests.
 
         Args:
             owner: The owner; this VM itself is asked at once.
-            workspace: The workspace.
+            quota: The quota.
             count: How many.
             longest_s: Longest time for its answer, in seconds.
 
@@ -116,41 +139,41 @@
             What it gives; None when it holds no part, or gave no answer in time.
         """
         if owner.name == self.name:
-            return self.parts.give(workspace, count, self.timing.monotonic())
+            return self.parts.give(quota, count, self.timing.monotonic())
         member = self.store_view.members.get(owner.name)
         if member is None:
             return None
-        answer = await self._exchange(member, workspace.name, count, longest_s)
+        answer = await self._exchange(member, quota, count, longest_s)
         if answer is None or answer.wait_ms == _NOT_OWNER:
             return None
         return Grant(answer.count, answer.wait_ms / _MS_PER_S)
 
-    def give_back(self, owner: Owner, workspace: str, count: int) -> None:
+    def give_back(self, owner: Owner, name: str, count: int) -> None:
         """Give an owner back what was not used; a lost message loses it.
 
         Args:
             owner: Who gave it.
-            workspace: The workspace.
+            name: Name of the quota.
             count: Requests.
         """
         if owner.name == self.name:
-            self.parts.take_back(workspace, count, self.timing.monotonic())
+            self.parts.take_back(name, count, self.timing.monotonic())
             return
         member = self.store_view.members.get(owner.name)
         if member is not None:
-            self.datagrams.send(QuotaReturn(workspace, count), (member.peer_address,))
+            self.datagrams.send(QuotaReturn(name, count), (member.peer_address,))
 
     def _on_return(self, message: QuotaReturn, now: float) -> None:
         self.parts.take_back(message.workspace, message.count, now)
 
     async def _exchange(
-        self, member: Member, workspace: str, count: int, longest_s: float
+        self, member: Member, quota: Quota, count: int, longest_s: float
     ) -> Optional[QuotaAnswer]:
         self._number += 1
         number = self._number
         self.asked += 1
         future = self._asks[number] = asyncio.get_running_loop().create_future()
-        self.datagrams.send(QuotaAsk(number, workspace, count), (member.peer_address,))
+        self.datagrams.send(_ask_for(quota, number, count), (member.peer_address,))
         try:
             async with asyncio.timeout(longest_s):
                 return await future
@@ -161,13 +184,18 @@
             del self._asks[number]
 
     def _on_ask(self, ask: QuotaAsk, now: float) -> None:
+        self._reply(ask.number, self.quota_of(ask.workspace), ask.count, now)
+
+    def _on_hall_ask(self, ask: HallQuotaAsk, now: float) -> None:
+        self._reply(ask.number, hall_quota(ask.name, ask.rate_per_s, ask.hall), ask.count, now)
+
+    def _reply(self, number: int, quota: Optional[Quota], count: int, now: float) -> None:
         sender = self.datagrams.last_sender
-        workspace = self.workspace_of(ask.workspace)
-        grant = self.parts.give(workspace, ask.count, now) if workspace else None
+        grant = self.parts.give(quota, count, now) if quota else None
         if grant is None:
-            answer = QuotaAnswer(ask.number, 0, _NOT_OWNER)
+            answer = QuotaAnswer(number, 0, _NOT_OWNER)
         else:
-            answer = QuotaAnswer(ask.number, grant.count, int(grant.wait_s * _MS_PER_S))
+            answer = QuotaAnswer(number, grant.count, int(grant.wait_s * _MS_PER_S))
         if sender is not None:
             self.datagrams.send(answer, (sender,))
 
@@ -175,3 +203,10 @@
         asked = self._asks.get(answer.number)
         if asked is not None and not asked.done():
             asked.set_result(answer)
+
+
+def _ask_for(quota: Quota, number: int, count: int) -> QuotaAsk | HallQuotaAsk:
+    """Return the message that asks for requests of a quota."""
+    if not quota.hall:
+        return QuotaAsk(number, quota.name, count)
+    return HallQuotaAsk(number, quota.name, count, quota.rate_per_s, quota.hall)
--- a/sprucewinch/gateway/quotas/leases.py
+++ b/sprucewinch/gateway/quotas/leases.py
@@ -1,4 +1,4 @@
-"""Rule: what a VM may send of a workspace now, and whom it asks for more.
+"""Rule: what a VM may send of a quota now, and whom it asks for more.
 
 Question: may this request be sent, and if not, which owner of a part is asked next? Inputs: the
 requests that owners gave to this VM and until when, the owners with the data hall and region of
@@ -54,8 +54,8 @@
         return self.count > 0 and now < self.at + RETURN_S
 
 
-class WorkspaceLease:
-    """What one VM holds of one workspace's limit.
+class QuotaLease:
+    """What one VM holds of one quota.
 
     Attributes:
         given: Grants of which something is left, the oldest first.
@@ -120,6 +120,11 @@
         """Return whether an owner may be asked now."""
         return self.dry_until.get(owner.hall, 0.0) <= now
 
+    def open_in_s(self, owners: Iterable[Owner], now: float) -> float:
+        """Return when one of some owners may be asked again, in seconds; 0 for now."""
+        first = min((self.dry_until.get(owner.hall, 0.0) for owner in owners), default=0.0)
+        return max(0.0, first - now)
+
     def used_per_s(self, now: float) -> float:
         """Return how many requests a second were sent lately."""
         _drop_old(self._used, now)
--- a/sprucewinch/gateway/quotas/owners.py
+++ b/sprucewinch/gateway/quotas/owners.py
@@ -1,8 +1,8 @@
-"""Rule: which VMs hold the parts of a workspace's limit, and how large each part is.
+"""Rule: which VMs hold the parts of a quota, and how large each part is.
 
-Question: whom does a VM ask for requests of a workspace, and may this VM answer? Inputs: registered
-VMs with their data halls, whether a VM is in touch, the workspace's name and capacity in requests,
-time in monotonic seconds.
+Question: whom does a VM ask for requests of a workspace or server, and may this VM answer? Inputs:
+registered VMs with their data halls, whether a VM is in touch, the quota's name and capacity in
+requests, time in monotonic seconds.
 
 Rule: data halls hold equal parts, at most `MOST_PARTS` of them, and no more than leave each part
 `LEAST_CAPACITY` requests, but one a region; which ones is drawn by hash, region by region. Within
@@ -16,6 +16,9 @@
 far less than one request for most workspaces, and its callers are not spread evenly. Not one owner
 in the fleet: when it dies nobody serves the workspace until that is known.
 
+A server's quota is a few requests a second, too few to be divided. One VM of the server's own hall
+gives them: whoever is cut off from that VM is mostly cut off from the server too.
+
 Constants: `MOST_PARTS`, `LEAST_CAPACITY`, `_LOOK_S`. Tests: tests/test_gateway_quota.py.
 """
 
@@ -26,6 +29,7 @@
 from ..._hash import hash64
 from ..membership.gossip import SILENCE_S
 from ..resources import Member
+from .quota import Quota
 
 MOST_PARTS = 6
 """Most data halls that hold parts of one workspace's limit: a VM that finds parts empty asks one
@@ -35,6 +39,9 @@
 """Least capacity of a part, in requests, beyond one part a region: a small bucket is often empty by
 chance, and then another region has to be asked."""
 
+_WHOLE = 0
+"""Number of parts in the key of a quota that has one owner."""
+
 _LOOK_S = 0.25
 """Time between two looks at which VMs are in touch, in seconds."""
 
@@ -116,9 +123,25 @@
             found = self._kept[key] = self._owners(workspace, most)
         return found
 
-    def own_part(self, workspace: str, capacity: float, now: float) -> float:
+    def of_quota(self, quota: Quota, now: float) -> tuple[Owner, ...]:
+        """Return the owners of a quota's parts; a hall's quota has one owner.
+
+        Args:
+            quota: The quota.
+            now: Monotonic time, in seconds.
+        """
+        if not quota.hall:
+            return self.of(quota.name, quota.limit.capacity, now)
+        self.look(now)
+        key = (quota.name, _WHOLE)
+        found = self._kept.get(key)
+        if found is None:
+            found = self._kept[key] = self._whole_owner(quota)
+        return found
+
+    def own_part(self, quota: Quota, now: float) -> float:
         """Return the part that this VM itself holds; 0 for none."""
-        owners = self.of(workspace, capacity, now)
+        owners = self.of_quota(quota, now)
         return sum(owner.part for owner in owners if owner.name == self.name)
 
     def vm_count(self) -> int:
@@ -157,14 +180,35 @@
             return True
         return self.in_touch(name, now)
 
+    def _whole_owner(self, quota: Quota) -> tuple[Owner, ...]:
+        """Return the one VM that gives all of a hall's quota: of that hall where any is in touch.
+
+        Else of its region, else of another one. It gives the whole also where VMs of the hall are
+        missing: a hall whose VMs lose each other is the exception, and a restart of one is not.
+        """
+        region = self.regions.get(quota.hall)
+        halls = [hall for hall, vms in self._halls.items() if vms.in_touch]
+        if not halls:
+            return ()
+
+        def distance(hall: str) -> tuple[bool, bool, int]:
+            away = self.regions.get(hall) != region
+            return hall != quota.hall, away, hash64(f"part|{quota.name}|{hall}")
+
+        nearest = min(halls, key=distance)
+        return (Owner(nearest, self._first(quota.name, nearest), 1.0),)
+
+    def _first(self, name: str, hall: str) -> str:
+        """Return the first VM by hash of those in touch in a hall."""
+        return min(self._halls[hall].in_touch, key=lambda vm: hash64(f"quota|{name}|{vm}"))
+
     def _owners(self, workspace: str, most: int) -> tuple[Owner, ...]:
         found = []
         for hall in self._drawn(workspace)[:most]:
             vms = self._halls[hall]
             if vms.in_touch:
-                first = min(vms.in_touch, key=lambda vm: hash64(f"quota|{workspace}|{vm}"))
                 part = len(vms.in_touch) / vms.registered / most
-                found.append(Owner(hall, first, part))
+                found.append(Owner(hall, self._first(workspace, hall), part))
         return tuple(found)
 
     def _drawn(self, workspace: str) -> list[str]:
--- a/sprucewinch/gateway/workspaces/admission.py
+++ b/sprucewinch/gateway/workspaces/admission.py
@@ -12,11 +12,14 @@
 from typing import NamedTuple, Optional
 
 from ..events import EventLog
+from ..quotas.quota import Quota
 from ..quotas.quotas import QuotaDecision, Quotas
 from ..resources import Route, RouteConfiguration, Workspace
 from ..settings import Bounds
 from ..state.store_view import Change, StoreView
+from ..statements.server_quotas import is_server_quota
 from .key_table import Caller, KeyTable
+from .workspace_quota import workspace_quota
 
 _GUESSES_EVERY_S = 10.0
 """Least time between two lines that tell of requests with unknown keys, in seconds."""
@@ -66,7 +69,6 @@
     def set_bounds(self, bounds: Bounds) -> None:
         """Use other figures of the fleet from now on."""
         self.bounds = bounds
-        self.quotas.set_bounds(bounds)
 
     def workspace(self, name: str) -> Optional[Workspace]:
         """Return a workspace of the configuration in force; None when it has none of this name."""
@@ -93,12 +95,21 @@
 
     async def take_quota(self, workspace: Workspace) -> QuotaDecision:
         """Return whether a workspace may send one more request."""
-        return await self.quotas.take(workspace)
+        return await self.quotas.take(workspace_quota(workspace, self.bounds))
 
     def give_back(self, taken: CallerRequest) -> None:
         """Count a request no longer that no backend server has run."""
         if taken.workspace is not None and taken.quota is not None:
-            self.quotas.give_back(taken.workspace, taken.quota)
+            self.quotas.give_back(workspace_quota(taken.workspace, self.bounds), taken.quota)
+
+    def quota(self, name: str) -> Optional[Quota]:
+        """Return the quota of a workspace by name; None when the configuration has none."""
+        workspace = self.workspace(name)
+        return workspace_quota(workspace, self.bounds) if workspace else None
+
+    def _is_unknown(self, name: str) -> bool:
+        """Return whether a quota is that of a workspace that the configuration has no longer."""
+        return self.workspace(name) is None and not is_server_quota(name)
 
     def _note_guess(self) -> None:
         self._guesses += 1
@@ -111,4 +122,4 @@
     def _on_change(self, change: Change) -> None:
         if isinstance(change.after, RouteConfiguration):
             self.table = KeyTable(change.after)
-            self.quotas.keep_only(set(self.table.by_name))
+            self.quotas.drop(self._is_unknown)
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -2,9 +2,11 @@
 
 import itertools
 import random
+from collections.abc import Callable
 from typing import Optional
 
 from sprucewinch.gateway.events import NoEvents
+from sprucewinch.gateway.quotas.quota import Quota
 from sprucewinch.gateway.quotas.quotas import QuotaDecision, QuotaEnd, Quotas
 from sprucewinch.gateway.regions.policies import PolicyTable
 from sprucewinch.gateway.regions.region_reports import RegionReports
@@ -21,7 +23,6 @@
     Route,
     RouteConfiguration,
     ServiceRule,
-    Workspace,
 )
 from sprucewinch.gateway.servers.backend_registry import BackendRegistry
 from sprucewinch.gateway.servers.outliers import OutlierDetector
@@ -67,19 +68,16 @@
         self.taken: list[str] = []
         self.given_back: list[str] = []
 
-    async def take(self, workspace: Workspace) -> QuotaDecision:
-        self.taken.append(workspace.name)
+    async def take(self, quota: Quota) -> QuotaDecision:
+        self.taken.append(quota.name)
         return self.decision
 
-    def give_back(self, workspace: Workspace, decision: QuotaDecision) -> None:
-        self.given_back.append(workspace.name)
+    def give_back(self, quota: Quota, decision: QuotaDecision) -> None:
+        self.given_back.append(quota.name)
 
-    def keep_only(self, names: set[str]) -> None:
+    def drop(self, unknown: Callable[[str], bool]) -> None:
         """Hold nothing."""
 
-    def set_bounds(self, bounds: Bounds) -> None:
-        """Need none."""
-
 
 class RecordedReports(ReportSender):
     """Keeps what would be sent to other VMs."""
--- a/tests/test_gateway_quota.py
+++ b/tests/test_gateway_quota.py
@@ -8,13 +8,15 @@
 from hypothesis import strategies as st
 
 from sprucewinch.gateway.membership.gossip import SILENCE_S
-from sprucewinch.gateway.quotas.bucket import HOLD_S, RETURN_S, QuotaBucket, quota_limit
-from sprucewinch.gateway.quotas.leases import Given, WorkspaceLease, asking_groups
+from sprucewinch.gateway.quotas.bucket import HOLD_S, RETURN_S, QuotaBucket
+from sprucewinch.gateway.quotas.leases import Given, QuotaLease, asking_groups
 from sprucewinch.gateway.quotas.owners import MOST_PARTS, Owner, QuotaOwners
 from sprucewinch.gateway.quotas.parts import QuotaParts
+from sprucewinch.gateway.quotas.quota import Quota, QuotaLimit
 from sprucewinch.gateway.quotas.quotas import QuotaEnd
 from sprucewinch.gateway.resources import Member, Workspace
 from sprucewinch.gateway.settings import Bounds
+from sprucewinch.gateway.workspaces.workspace_quota import quota_limit, workspace_quota
 from sprucewinch.retry import ReturnSchedule
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 from tools.quota_model.fleet import ModelFleet, ModelVm
@@ -23,6 +25,8 @@
 STRICT = Bounds(quota_window_s=5.0)
 SMALL = Workspace("small", (), rate_per_s=8, burst=8)
 LARGE = Workspace("large", (), rate_per_s=181, burst=181)
+SMALL_QUOTA = workspace_quota(SMALL, WIDE)
+LARGE_QUOTA = workspace_quota(LARGE, WIDE)
 
 
 def allowed_in_window(workspace: Workspace, bounds: Bounds) -> float:
@@ -31,9 +35,9 @@
     return usual * (1 + bounds.quota_over) + bounds.quota_slack
 
 
-def lease() -> WorkspaceLease:
+def lease() -> QuotaLease:
     """Return an empty lease."""
-    return WorkspaceLease(ReturnSchedule(random.Random(1)))
+    return QuotaLease(ReturnSchedule(random.Random(1)))
 
 
 class Buckets(unittest.TestCase):
@@ -171,18 +175,19 @@
     ) -> None:
         """Each VM reaches its own group alone; what all of them hold is added up."""
         members = self.members(len(groups))
+        quota = Quota(f"w{workspace}", QuotaLimit(40.0, 40.0, 1.0), 40.0)
         held = 0.0
         for number, group in enumerate(groups):
             gone = {f"vm{n}" for n, other in enumerate(groups) if other != group}
-            held += self.owners(members, f"vm{number}", gone).own_part(f"w{workspace}", 40.0, 0.0)
+            held += self.owners(members, f"vm{number}", gone).own_part(quota, 0.0)
         self.assertLessEqual(held, 1.0 + 1e-9)
 
     def test_a_part_gains_before_it_is_asked_for_the_first_time(self) -> None:
-        parts = QuotaParts(self.owners(self.members(1), "vm0"), WIDE, 0.0)
-        at_once = parts.give(LARGE, 1000, 0.1)
+        parts = QuotaParts(self.owners(self.members(1), "vm0"), 0.0)
+        at_once = parts.give(LARGE_QUOTA, 1000, 0.1)
         for tenth in range(1, 100):
             parts.tick(tenth / 10)
-        later = parts.give(LARGE._replace(name="asked later"), 1000, 10.0)
+        later = parts.give(workspace_quota(LARGE._replace(name="asked later"), WIDE), 1000, 10.0)
         assert at_once is not None and later is not None
         self.assertLess(at_once.count, 25)
         self.assertEqual(later.count, int(quota_limit(LARGE, WIDE).capacity))
@@ -192,28 +197,28 @@
         owners = {name: self.owners(members, name, gone) for name in members}
         first = owners["vm0"].of("large", 40.0, 0.0)[0].name
         [second] = [name for name in members if name != first]
-        parts = QuotaParts(owners[second], WIDE, 0.0)
+        parts = QuotaParts(owners[second], 0.0)
         for tenth in range(100):
             parts.tick(tenth / 10)
         gone.add(first)
         parts.tick(10.3)
-        given = parts.give(LARGE, 1000, 10.4)
+        given = parts.give(LARGE_QUOTA, 1000, 10.4)
         assert given is not None
         self.assertLess(given.count, quota_limit(LARGE, WIDE).capacity / 2)
 
     def test_a_pause_of_the_process_begins_its_parts_again(self) -> None:
-        parts = QuotaParts(self.owners(self.members(1), "vm0"), WIDE, 0.0)
+        parts = QuotaParts(self.owners(self.members(1), "vm0"), 0.0)
         parts.tick(99.9)
         parts.tick(100.0)
-        self.assertIsNotNone(parts.give(LARGE, 1, 100.0))
+        self.assertIsNotNone(parts.give(LARGE_QUOTA, 1, 100.0))
         for tenth in range(1001, 1300):
             parts.tick(tenth / 10)
-        later = parts.give(LARGE, 1000, 130.0)
+        later = parts.give(LARGE_QUOTA, 1000, 130.0)
         assert later is not None
         self.assertGreater(later.count, 20)
         for tenth in range(1300, 1600):
             parts.tick(tenth / 10)
-        after_pause = parts.give(LARGE, 1000, 165.0)
+        after_pause = parts.give(LARGE_QUOTA, 1000, 165.0)
         assert after_pause is not None
         self.assertLess(after_pause.count, later.count / 2)
 
@@ -266,7 +271,7 @@
             vms = list(fleet.vms.values())
             ends = []
             for number in range(60):
-                ends.append(await vms[number % 12].quotas.take(SMALL))
+                ends.append(await vms[number % 12].quotas.take(SMALL_QUOTA))
             admitted = [end for end in ends if end.end is QuotaEnd.ADMITTED]
             self.assertGreaterEqual(len(admitted), 8)
             self.assertLessEqual(len(admitted), allowed_in_window(SMALL, WIDE))
@@ -287,13 +292,13 @@
 
             async def caller(vm: ModelVm, number: int) -> None:
                 while True:
-                    decision = await vm.quotas.take(LARGE)
+                    decision = await vm.quotas.take(LARGE_QUOTA)
                     number += 1
                     if decision.end is QuotaEnd.ADMITTED and number % 2:
                         ran.append(loop.time())
                     elif decision.end is QuotaEnd.ADMITTED:
                         await pass_time(0.03)
-                        vm.quotas.give_back(LARGE, decision)
+                        vm.quotas.give_back(LARGE_QUOTA, decision)
                     await pass_time(0.02)
 
             callers = list(enumerate([*fleet.vms.values()] * 4))
@@ -313,13 +318,13 @@
         async def main(loop: VirtualLoop) -> None:
             fleet = ModelFleet(loop, 12, {"small": SMALL}, WIDE)
             vm = next(iter(fleet.vms.values()))
-            decision = await vm.quotas.take(SMALL)
-            vm.quotas.give_back(SMALL, decision)
+            decision = await vm.quotas.take(SMALL_QUOTA)
+            vm.quotas.give_back(SMALL_QUOTA, decision)
             self.assertEqual(list(vm.quotas.leases), ["small"])
             await pass_time(3.0)
             self.assertEqual(list(vm.quotas.leases), [])
             self.assertEqual(vm.quotas.used["small"], 0)
-            self.assertIs((await vm.quotas.take(SMALL)).end, QuotaEnd.ADMITTED)
+            self.assertIs((await vm.quotas.take(SMALL_QUOTA)).end, QuotaEnd.ADMITTED)
 
         run_virtual(main)
 
@@ -332,7 +337,7 @@
             await pass_time(5.0)
             served = 0
             for _ in range(50):
-                served += (await hall[0].quotas.take(LARGE)).end is QuotaEnd.ADMITTED
+                served += (await hall[0].quotas.take(LARGE_QUOTA)).end is QuotaEnd.ADMITTED
                 await pass_time(0.1)
             self.assertGreater(served, 40)
 
@@ -347,12 +352,12 @@
             first = next(vm for vm in vms if vm.name not in {owner.name for owner in owners})
             fleet.kill(vms, 100.0)
             first.restart()
-            early = await first.quotas.take(SMALL)
+            early = await first.quotas.take(SMALL_QUOTA)
             self.assertIs(early.end, QuotaEnd.UNKNOWN)
             for vm in vms:
                 vm.restart()
             await pass_time(early.retry_after_s)
-            self.assertIs((await first.quotas.take(SMALL)).end, QuotaEnd.ADMITTED)
+            self.assertIs((await first.quotas.take(SMALL_QUOTA)).end, QuotaEnd.ADMITTED)
 
         run_virtual(main)
 
@@ -364,7 +369,7 @@
             for vm in vms[1:]:
                 vm.alive = False
                 vm.changed_at = loop.time()
-            ends = [await vms[0].quotas.take(SMALL) for _ in range(4)]
+            ends = [await vms[0].quotas.take(SMALL_QUOTA) for _ in range(4)]
             self.assertIn(QuotaEnd.UNKNOWN, {end.end for end in ends})
 
         run_virtual(main)
--- a/tools/quota_model/demand.py
+++ b/tools/quota_model/demand.py
@@ -10,6 +10,7 @@
 from sprucewinch._hash import hash64
 from sprucewinch.gateway.quotas.quotas import QuotaEnd
 from sprucewinch.gateway.resources import Workspace
+from sprucewinch.gateway.workspaces.workspace_quota import workspace_quota
 
 from .fleet import ModelFleet, ModelVm
 from .judge import Judge, Outcome
@@ -84,7 +85,8 @@
         workspace: Workspace = self.fleet.workspaces[name]
         at = self.fleet.loop.time()
         owed = self.judge.owed(workspace, at)
-        decision = await vm.quotas.take(workspace)
+        quota = workspace_quota(workspace, self.fleet.bounds)
+        decision = await vm.quotas.take(quota)
         waited_s = self.fleet.loop.time() - at
         admitted = decision.end is QuotaEnd.ADMITTED
         self.judge.note(name, Outcome(at, admitted, owed, waited_s))
--- a/tools/quota_model/fleet.py
+++ b/tools/quota_model/fleet.py
@@ -17,11 +17,13 @@
 from sprucewinch.gateway.quotas.exchange import QuotaExchange
 from sprucewinch.gateway.quotas.owners import QuotaOwners
 from sprucewinch.gateway.quotas.parts import QuotaParts
+from sprucewinch.gateway.quotas.quota import Quota
 from sprucewinch.gateway.quotas.quotas import FleetQuotas, Quotas
 from sprucewinch.gateway.resources import Member, Workspace
 from sprucewinch.gateway.settings import Bounds
 from sprucewinch.gateway.state.store_view import Decoder, StoreView
 from sprucewinch.gateway.timing import Timing
+from sprucewinch.gateway.workspaces.workspace_quota import workspace_quota
 
 from .ways import SHARE_S, EqualParts, SharedCounts
 
@@ -76,9 +78,9 @@
     def _keeping(self, way: str) -> Quotas:
         fleet = self.fleet
         if way == "equal-parts":
-            return EqualParts(lambda: len(fleet.vms), fleet.bounds, fleet.loop.time)
+            return EqualParts(lambda: len(fleet.vms), fleet.loop.time)
         if way == "shared-counts":
-            return SharedCounts(fleet.bounds, fleet.loop.time)
+            return SharedCounts(fleet.workspaces, fleet.bounds, fleet.loop.time)
         return self._owners()
 
     def _owners(self) -> FleetQuotas:
@@ -96,8 +98,8 @@
         self.datagrams.transport = self  # type: ignore[assignment]
         timing = Timing(fleet.loop.time, fleet.rng)
         exchange = QuotaExchange(
-            QuotaParts(owners, fleet.bounds, now),
-            fleet.workspaces.get,
+            QuotaParts(owners, now),
+            fleet.quota,
             view,
             self.datagrams,
             timing,
@@ -170,6 +172,11 @@
         vm = self.vms[member.name] = ModelVm(self, member, self.way)
         self.by_address[address] = vm
 
+    def quota(self, name: str) -> Optional[Quota]:
+        """Return the quota of a workspace; None for a name that is none."""
+        workspace = self.workspaces.get(name)
+        return workspace_quota(workspace, self.bounds) if workspace else None
+
     def in_hall(self, hall: str) -> list[ModelVm]:
         """Return the living VMs of a hall."""
         return [vm for vm in self.vms.values() if vm.member.hall == hall and vm.alive]
--- a/tools/quota_model/ways.py
+++ b/tools/quota_model/ways.py
@@ -6,9 +6,10 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
-from sprucewinch.gateway.quotas.bucket import QuotaBucket, quota_limit
+from sprucewinch.gateway.quotas.bucket import QuotaBucket
+from sprucewinch.gateway.quotas.quota import Quota
 from sprucewinch.gateway.quotas.quotas import QuotaDecision, QuotaEnd, Quotas
 from sprucewinch.gateway.resources import Workspace
 from sprucewinch.gateway.settings import Bounds
@@ -26,63 +27,64 @@
 class ModelWay(Quotas):
     """A way whose workspaces and bounds stay as they are for a whole play."""
 
-    def keep_only(self, _names: set[str]) -> None:
+    def drop(self, _unknown: Callable[[str], bool]) -> None:
         """Keep all."""
 
-    def set_bounds(self, _bounds: Bounds) -> None:
-        """Keep those of the start."""
-
 
 class EqualParts(ModelWay):
     """Gives each registered VM the same part of a limit.
 
     Args:
         vm_count: Returns how many VMs are registered.
-        bounds: The fleet's figures.
         monotonic: Source of time, in seconds.
     """
 
-    def __init__(
-        self, vm_count: Callable[[], int], bounds: Bounds, monotonic: Callable[[], float]
-    ) -> None:
+    def __init__(self, vm_count: Callable[[], int], monotonic: Callable[[], float]) -> None:
         self.vm_count = vm_count
-        self.bounds = bounds
         self.monotonic = monotonic
         self.buckets: dict[str, QuotaBucket] = {}
 
-    async def take(self, workspace: Workspace) -> QuotaDecision:
+    async def take(self, quota: Quota) -> QuotaDecision:
         """Return whether this VM's part allows one more request."""
         now = self.monotonic()
-        limit = quota_limit(workspace, self.bounds)
+        limit = quota.limit
         part = 1.0 / max(1, self.vm_count())
-        bucket = self.buckets.get(workspace.name)
+        bucket = self.buckets.get(quota.name)
         if bucket is None:
-            bucket = self.buckets[workspace.name] = QuotaBucket(limit, part, now)
+            bucket = self.buckets[quota.name] = QuotaBucket(limit, part, now)
         bucket.resize(limit, part, now)
         return _ADMITTED if bucket.take(1, now) else _REFUSED
 
-    def give_back(self, workspace: Workspace, _decision: QuotaDecision) -> None:
+    def give_back(self, quota: Quota, _decision: QuotaDecision) -> None:
         """Give a request back."""
-        self.buckets[workspace.name].level += 1
+        self.buckets[quota.name].level += 1
 
 
 class SharedCounts(ModelWay):
     """Admits while the counts of all VMs are below the limit.
 
     Args:
+        workspaces: All workspaces, by name.
         bounds: The fleet's figures.
         monotonic: Source of time, in seconds.
     """
 
-    def __init__(self, bounds: Bounds, monotonic: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        workspaces: Mapping[str, Workspace],
+        bounds: Bounds,
+        monotonic: Callable[[], float],
+    ) -> None:
+        self.workspaces = workspaces
         self.bounds = bounds
         self.monotonic = monotonic
         self.seen: dict[str, deque[tuple[float, int]]] = {}
         self.unsent: Counter[str] = Counter()
 
-    async def take(self, workspace: Workspace) -> QuotaDecision:
+    async def take(self, quota: Quota) -> QuotaDecision:
         """Return whether the counts that this VM knows allow one more request."""
         now = self.monotonic()
+        workspace = self.workspaces[quota.name]
         allowed = workspace.rate_per_s * self.bounds.quota_window_s + workspace.burst
         seen = self.seen.setdefault(workspace.name, deque())
         while seen and seen[0][0] <= now - self.bounds.quota_window_s:
@@ -93,9 +95,9 @@
         self.unsent[workspace.name] += 1
         return _ADMITTED
 
-    def give_back(self, workspace: Workspace, _decision: QuotaDecision) -> None:
+    def give_back(self, quota: Quota, _decision: QuotaDecision) -> None:
         """Count one less."""
-        self.unsent[workspace.name] -= 1
+        self.unsent[quota.name] -= 1
 
     def counts(self) -> dict[str, int]:
         """Return what was admitted since the last message, by workspace."""
--- a/tools/wrong_workspace_versions.py
+++ b/tools/wrong_workspace_versions.py
@@ -63,7 +63,7 @@
     WrongVersion(
         "QUOTA",
         "the time for which a VM may use what it was given is not counted",
-        f"{_QUOTAS}/bucket.py",
+        f"{_WORKSPACES}/workspace_quota.py",
         "margin = bound - rate * (bounds.quota_window_s + RETURN_S)",
         "margin = bound - rate * bounds.quota_window_s",
         _QUOTA,
