LIMIT: let a server that states a limit get no more than that from the whole fleet

Callers saw: nothing at first, then a server in need that fell over; servers got their usual 8 to 16 requests a second, 68 in 4 s where 35 are allowed. Cause: nothing read the limit. Class: what a server says of itself was read header by header, each as far as one rule needed it, so a new word had no place to be heard. Change: one decoded statement; what it says of a process is kept apart from the store's entry (statements/told), told to other VMs (tag stated), and kept over the fleet by the quotas that keep workspaces' limits: one VM of the server's data hall gives out its requests. A server without one is passed over, its objects go to the next in their order; all at their limits: 503 at once with the first moment at which one takes a request. Asked again before the first byte; what was not sent is given back; an end is followed by a rate that doubles. Ruled out: retries and the last resort as cause (119 of 121 sends were answered first tries); asking every server in turn (0.61 s until a refusal), so a request asks four at most.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -48,6 +48,9 @@
 from .state.outages import StoreOutages
 from .state.store import Store
 from .state.store_view import StoreView
+from .statements.server_quotas import FleetServerQuotas, ServerQuotas
+from .statements.statement_report import StatementReport
+from .statements.statements import Statements
 from .timing import Timing
 from .workspaces.admission import WorkspaceAdmission
 
@@ -110,6 +113,7 @@
 
     registry: BackendRegistry
     outliers: OutlierDetector
+    statements: Statements
     pool: ConnectionPool
     prober: Prober
 
@@ -264,9 +268,12 @@
     outliers = OutlierDetector(registry, reports, context.events)
     fleet.datagrams.register(OverloadReport, registry.load_reports.on_overload_report)
     fleet.datagrams.register(FailureReport, outliers.on_failure_report)
+    statements = Statements(registry.told, reports.send_statement, context.events)
+    fleet.datagrams.register(StatementReport, statements.on_report)
     return Servers(
         registry=registry,
         outliers=outliers,
+        statements=statements,
         pool=ConnectionPool(names.request_id, context.monotonic),
         prober=Prober(
             registry,
@@ -389,7 +396,8 @@
     """
     settings = context.settings
     ranker = ServerRanker(servers.registry, regions.shares, settings.regions)
-    sender = _sender(context, servers, crashes)
+    server_quotas = FleetServerQuotas(workspaces.quotas, context.monotonic)
+    sender = _sender(context, servers, crashes, server_quotas)
     pipeline = Pipeline(
         state.view,
         servers.registry,
@@ -411,7 +419,9 @@
     return Requests(pipeline, app)
 
 
-def _sender(context: Context, servers: Servers, crashes: Crashes) -> Sender:
+def _sender(
+    context: Context, servers: Servers, crashes: Crashes, server_quotas: ServerQuotas
+) -> Sender:
     return Sender(
         servers.registry,
         servers.outliers,
@@ -421,6 +431,8 @@
         context.events,
         crashes.quarantine,
         wall=context.clock.wall,
+        statements=servers.statements,
+        server_quotas=server_quotas,
     )
 
 
--- a/sprucewinch/gateway/requests/attempt_feedback.py
+++ b/sprucewinch/gateway/requests/attempt_feedback.py
@@ -14,7 +14,7 @@
 from ..servers.backend_registry import BackendRegistry
 from ..servers.backend_server import BackendServer
 from ..servers.outliers import OutlierDetector
-from ..statements.statement import ServerStatement
+from ..statements.statements import ServerAnswer, Statements
 from .client_request import (
     ANSWERED,
     MISDIRECTED,
@@ -45,6 +45,7 @@
         registry: Backend servers.
         outliers: Gets every attempt at a warm server as a sample.
         quarantine: Gets the good ends of requests.
+        statements: Takes in what servers state of themselves.
         monotonic: Source of time, in seconds.
         events: Logs when a server rests after a failure.
     """
@@ -54,12 +55,14 @@
         registry: BackendRegistry,
         outliers: OutlierDetector,
         quarantine: Quarantine,
+        statements: Statements,
         monotonic: Callable[[], float],
         events: EventLog,
     ) -> None:
         self.registry = registry
         self.outliers = outliers
         self.quarantine = quarantine
+        self.statements = statements
         self.monotonic = monotonic
         self.events = events
 
@@ -75,34 +78,14 @@
         if attempt.why == RESTARTED:
             # The process that this tells of has ended; the next one starts with nothing.
             return
-        self._note_statement(request, server, attempt.statement)
+        told = ServerAnswer(attempt.statement, started, request.id)
+        self.statements.answered(server.backend, server.told, told, now)
         self._learn(request, server, attempt, started, now)
         if server.cold(started):
             self._note_cold(server, attempt)
         else:
             self._sample(server, attempt, request.key, now)
 
-    def _note_statement(
-        self, request: ClientRequest, server: BackendServer, statement: ServerStatement
-    ) -> None:
-        """Log what a server states of itself, where it has not stated so before."""
-        if not statement.by_server:
-            return
-        before, server.stated = server.stated, statement
-        server_id = server.backend.id
-        if statement.limit_per_s != before.limit_per_s:
-            self.events.state(
-                "server-limit", server=server_id, per_s=statement.limit_per_s, id=request.id
-            )
-        if statement.leaving and not before.leaving:
-            self.events.state("server-leaving", server=server_id, id=request.id)
-        if statement.rest_s is not None:
-            self.events.count("server_rests_asked")
-            if before.rest_s is None:
-                self.events.state(
-                    "server-asks-rest", server=server_id, rest_s=statement.rest_s, id=request.id
-                )
-
     def _note_cold(self, server: BackendServer, attempt: Attempt) -> None:
         """Note the end of an attempt at a cold server; it does not count as an outlier sample."""
         if attempt.verdict is Verdict.ANSWERED or attempt.why == TIMED_OUT:
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -12,6 +12,7 @@
 from ...net.connection import Answer
 from ..resources import Route
 from ..servers.backend_server import BackendServer
+from ..statements.server_quotas import UNLIMITED, ServerGrant
 from ..statements.statement import NOTHING_STATED, ServerStatement
 from ..workspaces.admission import CallerRequest
 
@@ -79,6 +80,7 @@
         api_key: Digest of its caller's API key; None when it has none.
         caller: Its workspace, and what it took of that one's limit.
         ahead: Steps by which its workspace is ahead of its share; 0 for not at all.
+        vain_asks: Servers with a limit that had nothing left for it.
     """
 
     id: str
@@ -100,6 +102,7 @@
     api_key: Optional[bytes] = None
     caller: CallerRequest = CallerRequest()
     ahead: int = 0
+    vain_asks: int = 0
 
     def tried_servers(self) -> set[str]:
         """Return the backend servers that were tried."""
@@ -134,6 +137,8 @@
         load: Requests that the server probably holds, of all VMs.
         load_age_s: Age of the server's last reported load, in seconds; infinite when it reported
             none.
+        until: Monotonic time until which no server takes a request by its own word, in seconds;
+            None where that is not the reason. Not part of the log line.
     """
 
     server_id: str
@@ -142,6 +147,7 @@
     concurrency_limit: float = 0.0
     load: float = 0.0
     load_age_s: float = 0.0
+    until: Optional[float] = None
 
     def log_fields(self) -> dict[str, Union[str, float]]:
         """Return the fields of a request's line; others read their names, so those stay."""
@@ -246,8 +252,10 @@
         server: Backend server.
         service: Service.
         reason: Why this server.
+        grant: The right to send there, where the server states a limit.
     """
 
     server: BackendServer
     service: str
     reason: SelectionReason = SelectionReason.FIRST_CHOICE
+    grant: ServerGrant = UNLIMITED
--- a/sprucewinch/gateway/requests/outcome/return_times.py
+++ b/sprucewinch/gateway/requests/outcome/return_times.py
@@ -29,6 +29,10 @@
 """Longest time until a refused caller returns, in seconds: callers wait a third of their time at
 most, so a later moment would be lost on them."""
 
+UNKNOWN_RATE_PER_S = 20.0
+"""Rate at which callers return after all servers took nothing, in requests a second: one after the
+other, and soon enough that what the servers take then is used."""
+
 
 class ReturnTimes:
     """Gives callers refused for one server the moments at which it frees room.
@@ -42,6 +46,7 @@
         self.registry = registry
         self.rng = rng
         self.schedules: dict[str, ReturnSchedule] = {}
+        self._routes: dict[str, ReturnSchedule] = {}
         self._generation = -1
 
     def retry_after_s(self, server_id: str, now: float) -> Optional[float]:
@@ -61,17 +66,38 @@
         rate_per_s = max(1, int(server.concurrency_limit)) / server.latency_s
         return self._schedule(server_id).retry_after_ms(now, rate_per_s) / MS_PER_S
 
+    def after_s(self, route: str, until: float, now: float) -> float:
+        """Return when the next caller may return that was refused as no server takes requests.
+
+        Args:
+            route: Name of its route.
+            until: Monotonic time at which the first server takes one again, in seconds.
+            now: Monotonic time, in seconds.
+
+        Returns:
+            Time from now, in seconds.
+        """
+        schedule = self._routes.get(route)
+        if schedule is None:
+            schedule = self._routes[route] = self._new_schedule()
+        wait_s = schedule.retry_after_ms(now, UNKNOWN_RATE_PER_S) / MS_PER_S
+        return max(until - now, 0.0) + wait_s
+
     def _schedule(self, server_id: str) -> ReturnSchedule:
         schedule = self.schedules.get(server_id)
         if schedule is None:
-            schedule = self.schedules[server_id] = ReturnSchedule(
-                self.rng, least_ms=LEAST_RETURN_S * MS_PER_S, most_ms=MOST_RETURN_S * MS_PER_S
-            )
+            schedule = self.schedules[server_id] = self._new_schedule()
         return schedule
 
+    def _new_schedule(self) -> ReturnSchedule:
+        return ReturnSchedule(
+            self.rng, least_ms=LEAST_RETURN_S * MS_PER_S, most_ms=MOST_RETURN_S * MS_PER_S
+        )
+
     def _drop_gone(self) -> None:
         """Drop the schedules of servers that are gone, so that memory is bounded."""
         if self._generation != self.registry.generation:
             self._generation = self.registry.generation
             held = self.registry.servers
+            self._routes.clear()
             self.schedules = {name: s for name, s in self.schedules.items() if name in held}
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -11,6 +11,7 @@
 Relies on the rules, the registry and the sender.
 """
 
+import asyncio
 from typing import Optional, Union
 
 from ..crashes.held import Held
@@ -45,6 +46,9 @@
 }
 """What callers get whose key is not accepted."""
 
+_LEAST_WAIT_S = 0.001
+"""Least time for which a request waits for a server that takes none now, in seconds."""
+
 _QUOTA_REFUSALS = {
     QuotaEnd.OVER: RefusalReason.OVER_QUOTA,
     QuotaEnd.UNKNOWN: RefusalReason.NO_QUOTA,
@@ -151,7 +155,12 @@
                 continue
             if isinstance(selection, RefusalReason):
                 return self._not_served(request, route, selection)
-            attempt = await self._send(request, route, selection, until)
+            server = selection.server
+            grant = await self.sender.server_quotas.take(server.backend, server.told)
+            if grant is None:
+                request.vain_asks += 1
+                continue
+            attempt = await self._send(request, route, selection._replace(grant=grant), until)
             decision = self._decide_retry(request, route, service, attempt)
             if decision.again:
                 continue
@@ -226,11 +235,24 @@
             key = self.quarantine.names.fingerprint_of(request).hex()
         ranking = self.ranker.place(service, key, route.regions, now)
         selection = self.selector.choose(request, ranking, service, now, route)
+        if selection is RefusalReason.NO_SERVER and await self._wait_for_word(request, route, now):
+            return None
         if selection is not RefusalReason.NO_ROOM:
             return selection
         waited = await self._wait_for_room(request, route, ranking, now)
         return None if waited else selection
 
+    async def _wait_for_word(self, request: ClientRequest, route: Route, now: float) -> bool:
+        """Wait until the first server takes requests again; False when that is too late.
+
+        Only where all servers take none by their own word.
+        """
+        until = request.blocked.until if request.blocked else None
+        if until is None or until <= now or until - now > room_wait_s(request, route, now):
+            return False
+        await asyncio.sleep(max(_LEAST_WAIT_S, until - now))
+        return True
+
     async def _wait_for_room(
         self, request: ClientRequest, route: Route, ranking: Ranking, now: float
     ) -> bool:
@@ -269,10 +291,14 @@
 
     def _not_served(self, request: ClientRequest, route: Route, refusal: RefusalReason) -> Reply:
         reply = final_answer.not_served(request, route, refusal, self.rng)
-        if reply.refusal is not RefusalReason.NO_ROOM or request.blocked is None:
+        if request.blocked is None:
             return reply
-        room_s = self.return_times.retry_after_s(request.blocked.server_id, self.monotonic())
-        return reply if room_s is None else reply._replace(retry_after_s=room_s)
+        known_s = None
+        if reply.refusal is RefusalReason.NO_ROOM:
+            known_s = self.return_times.retry_after_s(request.blocked.server_id, self.monotonic())
+        elif reply.refusal is RefusalReason.NO_SERVER and request.blocked.until is not None:
+            known_s = self.return_times.after_s(route.name, request.blocked.until, self.monotonic())
+        return reply if known_s is None else reply._replace(retry_after_s=known_s)
 
     def _budget(self, service: str) -> WindowRetryBudget:
         budget = self.budgets.get(service)
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -27,7 +27,10 @@
 from ..servers.backend_server import BackendServer
 from ..servers.outliers import OutlierDetector
 from ..servers.pool import ConnectionPool
+from ..statements.server_quotas import NoServerQuotas, ServerQuotas
 from ..statements.statement import keep_alive_s, read_statement
+from ..statements.statement_report import StatementReport
+from ..statements.statements import Statements
 from .attempt_feedback import AttemptFeedback
 from .client_request import (
     CRASHED,
@@ -64,6 +67,8 @@
         events: Logs when a server rests after a failure; None to log nothing.
         quarantine: Requests that crash servers; None for one that this part has alone.
         wall: Source of the time of day, in seconds since the epoch; `monotonic` by default.
+        statements: Takes in what servers state; None to report nothing to other VMs.
+        server_quotas: Limits that servers state; None to keep none.
     """
 
     def __init__(  # noqa: PLR0913  one argument a part
@@ -77,6 +82,8 @@
         quarantine: Optional[Quarantine] = None,
         *,
         wall: Optional[Callable[[], float]] = None,
+        statements: Optional[Statements] = None,
+        server_quotas: Optional[ServerQuotas] = None,
     ) -> None:
         self.registry = registry
         self.pool = pool
@@ -88,7 +95,11 @@
         self.quarantine = quarantine or Quarantine(
             registry.store_view, "", names.request_id, monotonic=monotonic, wall=monotonic
         )
-        self.feedback = AttemptFeedback(registry, outliers, self.quarantine, monotonic, self.events)
+        told = statements or Statements(registry.told, _send_nothing, self.events)
+        self.server_quotas = server_quotas or NoServerQuotas()
+        self.feedback = AttemptFeedback(
+            registry, outliers, self.quarantine, told, monotonic, self.events
+        )
         self._at_work: dict[BackendServer, set[Connection]] = {}
         registry.on_restart.append(self._end_attempts)
 
@@ -113,6 +124,8 @@
         attempt = await self._attempt(request, selection, started, until, most_rest_s)
         request.at_server = False
         attempt = attempt._replace(seconds=self.monotonic() - started)
+        if not attempt.arrived:
+            self.server_quotas.give_back(selection.grant)
         self.feedback.conclude(request, server, attempt, started)
         return await self._look_for_crash(request, selection, attempt, started)
 
@@ -144,8 +157,9 @@
             connection = await self.pool.take(backend.address, most_rest_s=most_rest_s)
         except ConnectFailedError:
             return Attempt(backend.id, Verdict.NOT_RUN, False, UNREACHABLE)
-        # While the connection came up, the server may have left or its data hall been evacuated.
-        if not self.registry.offers(selection.server, selection.service):
+        # While the connection came up, the server may have left, its data hall been evacuated, or
+        # the server may have stated a limit.
+        if not self._may_send(selection):
             connection.close()
             return Attempt(backend.id, Verdict.NOT_RUN, False, NOT_OFFERED)
         if self.quarantine.refusal(request) is not None:
@@ -164,6 +178,13 @@
         statement = read_statement(answer, self.names, request.id, self.wall())
         return Attempt(backend.id, judged.verdict, True, judged.why, answer, statement=statement)
 
+    def _may_send(self, selection: Selection) -> bool:
+        """Return whether the server still takes the request, now that its first byte is due."""
+        if not self.registry.offers(selection.server, selection.service):
+            return False
+        granted = selection.grant.quota is not None
+        return granted or not selection.server.told.is_limited(self.monotonic())
+
     async def _look_for_crash(
         self, request: ClientRequest, selection: Selection, attempt: Attempt, started: float
     ) -> Attempt:
@@ -233,3 +254,7 @@
         if request.body or request.method not in _BODYLESS_METHODS:
             lines.append(f"content-length: {len(request.body)}")
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + request.body
+
+
+def _send_nothing(_report: StatementReport, _to_all: bool) -> None:
+    """Report nothing; for a part that is built alone."""
--- a/sprucewinch/gateway/requests/server_selection.py
+++ b/sprucewinch/gateway/requests/server_selection.py
@@ -3,10 +3,11 @@
 Question: which server of the ranking gets this request now? Inputs: the request with its attempts,
 its ranking, its route, time in monotonic seconds. Rule: the first untried server that can be used;
 one that rests, is silent, ejected or cold past its allowance gives its objects to the next. When
-none can be used, the first untried one that is not cold is tried all the same; when all are
-cold, none. A server without room shares its objects with the next in their order, always the same
-one, as long as that one has slots to spare. One with room but no free slot does so only where the
-next is of the same region and keeps the object warm, or half as many wait as there are slots.
+none can be used, the first untried one is tried all the same that is not cold and takes requests by
+its own word; when there is none, the request is refused until the first takes one. A server without
+room shares its objects with the next in their order, always the same one, as long as that one has
+slots to spare. One with room but no free slot does so only where the next is of the same region and
+keeps the object warm, or half as many wait as there are slots.
 Otherwise the request is refused, or waits (`room`).
 
 Why so: work at a server that has not seen its object takes three times as long and pushes out what
@@ -45,6 +46,10 @@
 """Part of its slots below which it helps a server of another region that has no room at all. One
 half was no better (docs/CONSTANTS.md)."""
 
+MOST_VAIN_ASKS = 4
+"""Servers with a limit that one request asks in vain, one after the other: each may take the time
+of a way to another region and back, and its caller is to be refused early."""
+
 SHARE_COLD_TURNS = 1.5
 """Requests for each slot of a busy server from which a helper shares an object that is new to it.
 Below that the wait for a slot is shorter than what a new object takes longer."""
@@ -80,7 +85,7 @@
         """
         server = self.candidate(request, ranking, now)
         if server is None:
-            request.blocked = Blocked("")
+            request.blocked = Blocked("", until=self._first_return(request, ranking, now))
             return RefusalReason.NO_SERVER
         no_room = no_room_reason(server, request, route, self.times, now)
         if no_room is not None or server.load(now) >= server.backend.capacity:
@@ -101,11 +106,23 @@
         tried_servers = request.tried_servers()
         untried = [s for s in ranking.servers if s.backend.id not in tried_servers]
         for server in untried:
-            if self._reachable(server, now):
+            if self._reachable(request, server, now):
                 return server
-        resting = [server for server in untried if not server.cold(now)]
+        resting = [s for s in untried if not s.cold(now) and refused_until(request, s, now) is None]
         return resting[0] if resting else None
 
+    def _first_return(
+        self, request: ClientRequest, ranking: Ranking, now: float
+    ) -> Optional[float]:
+        """Return when the first server takes requests again that takes none by its own word.
+
+        None when there is no such server.
+        """
+        tried_servers = request.tried_servers()
+        untried = (s for s in ranking.servers if s.backend.id not in tried_servers)
+        ends = (refused_until(request, server, now) for server in untried)
+        return min((end for end in ends if end is not None), default=None)
+
     def _help(
         self,
         request: ClientRequest,
@@ -145,15 +162,35 @@
         if at >= len(ranking.servers):
             return None
         server = ranking.servers[at]
-        if server.backend.id in request.tried_servers() or not self._reachable(server, now):
+        if server.backend.id in request.tried_servers() or not self._reachable(
+            request, server, now
+        ):
             return None
         part = HELPER_FREE_PART if at < ranking.near else HELPER_IDLE_PART
         return server if server.load(now) < server.backend.capacity * part else None
 
-    def _reachable(self, server: BackendServer, now: float) -> bool:
+    def _reachable(self, request: ClientRequest, server: BackendServer, now: float) -> bool:
+        if refused_until(request, server, now) is not None:
+            return False
         return unusable_reason(server, now, self.ejected, self.cold_allowance) is None
 
 
+def refused_until(request: ClientRequest, server: BackendServer, now: float) -> Optional[float]:
+    """Return until when a server takes nothing by its own word; None when it may take a request.
+
+    A request that has asked for room in the limits of several servers asks for no more of them.
+
+    Args:
+        request: The request.
+        server: The server.
+        now: Monotonic time, in seconds.
+    """
+    until = server.told.refused_until(now)
+    if until is None and request.vain_asks >= MOST_VAIN_ASKS and server.told.is_limited(now):
+        return now
+    return until
+
+
 def _blocked(server: BackendServer, reason: BlockedReason, now: float) -> Blocked:
     return Blocked(
         server.backend.id,
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -12,6 +12,7 @@
 from ..settings import Bounds
 from ..state.outages import StoreOutages
 from ..state.store_view import Change, StoreView
+from ..statements.told import ServerProcessId, ToldTable
 from .backend_server import BackendServer
 from .cold_limit import ColdLimit, ColdStart, ColdStarts
 from .incarnations import Incarnations, Succession
@@ -61,6 +62,7 @@
         self.to_probe: list[BackendServer] = []
         self.servers: dict[str, BackendServer] = {}
         self.by_service: dict[str, tuple[BackendServer, ...]] = {}
+        self.told = ToldTable()
         self.times = ServiceTimes()
         self.lapsed_entries = LapsedEntries(outages)
         self.cold_limit = ColdLimit(store_view, bounds, name, regions)
@@ -132,6 +134,8 @@
     def take_up_standing(self, now: float) -> None:
         """Believe entries of lower incarnations that have stood for long; see `incarnations`."""
         self.incarnations.forget_old(now)
+        held = {ServerProcessId.of(server.backend) for server in self.servers.values()}
+        self.told.forget_old(held, now)
         self._spoilt = {n: s for n, s in self._spoilt.items() if now - s.since < _SPOILT_KEPT_S}
         believed = self.incarnations.standing(now)
         for backend in believed:
@@ -201,7 +205,8 @@
         server = self.servers.get(backend.id) or (spoilt.server if spoilt else None)
         new = server is None
         if server is None:
-            server = BackendServer(backend)
+            told = self.told.of(ServerProcessId.of(backend))
+            server = BackendServer(backend, told)
         self.servers[backend.id] = server
         server.backend = backend
         server.gone_at = None
--- a/sprucewinch/gateway/servers/backend_server.py
+++ b/sprucewinch/gateway/servers/backend_server.py
@@ -9,7 +9,7 @@
 
 from ..._hash import hash64
 from ..resources import BackendEntry
-from ..statements.statement import NOTHING_STATED
+from ..statements.told import Told
 from .cold_limit import ColdSends
 from .load import ConcurrencyLimit, LoadEstimate
 from .rest import Rest, is_silent
@@ -28,6 +28,7 @@
 
     Args:
         backend: The store's entry.
+        told: What was told of this process; a new row by default.
     """
 
     __slots__ = (
@@ -45,15 +46,15 @@
         "room",
         "seed",
         "started",
-        "stated",
+        "told",
     )
 
-    def __init__(self, backend: BackendEntry) -> None:
+    def __init__(self, backend: BackendEntry, told: Optional[Told] = None) -> None:
         self.backend = backend
+        self.told = told or Told()
         self.seed = hash64(backend.id) & _SEED_MASK
         self.in_flight = 0
         self.started: list[float] = []
-        self.stated = NOTHING_STATED
         self.answered_at = float("-inf")
         self.latency_s: Optional[float] = None
         self.cold_until = float("-inf")
--- a/sprucewinch/gateway/servers/peer_reports.py
+++ b/sprucewinch/gateway/servers/peer_reports.py
@@ -11,6 +11,7 @@
 from ..datagrams import Datagrams
 from ..following.follow_role import FollowRole
 from ..resources import BackendEntry
+from ..statements.statement_report import StatementReport
 
 
 class OverloadReport(msgspec.Struct, array_like=True, frozen=True, tag="crowded"):
@@ -67,6 +68,10 @@
     def send_overload(self, report: OverloadReport) -> None:
         """Report that requests wait at a server."""
 
+    @abc.abstractmethod
+    def send_statement(self, report: StatementReport, to_all: bool) -> None:
+        """Report what a server states; to all VMs, or to this region's and a few more."""
+
     @abc.abstractmethod
     def send_failure(self, report: FailureReport) -> None:
         """Report a request that failed at a server or took long."""
@@ -92,8 +97,12 @@
         """Report a request that failed at a server or took long."""
         self._send(report)
 
-    def _send(self, report: msgspec.Struct) -> None:
-        recipients = self.follow_role.recipients(changed=False)
+    def send_statement(self, report: StatementReport, to_all: bool) -> None:
+        """Report what a server states."""
+        self._send(report, to_all=to_all)
+
+    def _send(self, report: msgspec.Struct, *, to_all: bool = False) -> None:
+        recipients = self.follow_role.recipients(changed=to_all)
         self.datagrams.send(report, [member.peer_address for member in recipients])
 
 
@@ -105,3 +114,6 @@
 
     def send_failure(self, report: FailureReport) -> None:
         """Drop a report."""
+
+    def send_statement(self, report: StatementReport, to_all: bool) -> None:
+        """Drop a report."""
--- a/sprucewinch/gateway/servers/usability.py
+++ b/sprucewinch/gateway/servers/usability.py
@@ -5,13 +5,14 @@
 monotonic, in seconds.
 
 Rule, in two steps. When the store's items change: a server that drains, or whose data hall is
-evacuated, is not offered at all. For each request: a server that rests, is silent, is ejected, or
-is cold and has had its allowance, is skipped. The first reason that holds is the answer. Two
-steps, as the first changes with the store only and the second with each request. The first is asked
-again before a request's first byte (`requests.sender`); the second is not, as the request itself
-counts there, and a server that is skipped may have been tried all the same. Room is a question of
-its own, as a request may wait for room but not for a server to come back. When every server of
-a request is skipped, `server_selection` tries the first that is not cold all the same.
+evacuated, is not offered at all. For each request: a server that takes nothing by its own word,
+rests, is silent, is ejected, or is cold and has had its allowance, is skipped. The first reason
+that holds is the answer. Two steps, as the first changes with the store only and the second with
+each request. The first, and what a server says itself, is asked again before a request's first byte
+(`requests.sender`); the others are not, as the request itself counts there, and a server that is
+skipped may have been tried all the same. Room is a question of its own, as a request may wait for
+room but not for a server to come back. When every server of a request is skipped,
+`server_selection` tries the first all the same that is not cold and takes requests by its own word.
 
 Constants: none here; those of `rest`, `outliers` and `cold_limit`. Shows in: the outcome
 `no-server` and `not-offered` in `sends` of the event `request`, `paused` and `cold` of a VM's
@@ -33,6 +34,7 @@
 
     DRAINING = "draining"
     EVACUATED = "evacuated"
+    LIMITED = "limited"
     RESTING = "resting"
     SILENT = "silent"
     EJECTED = "ejected"
@@ -68,6 +70,8 @@
         cold_allowance: Returns how many requests a cold server may get from this VM in the
             window of `cold_limit`.
     """
+    if server.told.refused_until(now) is not None:
+        return UnusableReason.LIMITED
     if server.rest.until > now:
         return UnusableReason.RESTING
     if server.started and server.silent(now):
--- /dev/null
+++ b/sprucewinch/gateway/statements/statements.py
@@ -0,0 +1,108 @@
+"""Takes in what servers state of themselves, here and as other VMs report it.
+
+Owns when a statement is logged and reported: a change at once to all VMs, but at most once in
+`_CHANGE_PAUSE_S` for a process; what goes on being stated once in `_REPEAT_S`, to the VMs of this
+region and a few others. Only what the server itself told this VM is reported, so no report feeds
+another one, and their number is bounded by the answers of servers that state something. Relies on
+`stated_limit` for the decision and on `told` for the rows. Shows in: event `server-limit`. Tests:
+tests/test_gateway_statements.py.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple, Optional
+
+from ..events import EventLog
+from ..resources import BackendEntry
+from .statement import ServerStatement
+from .statement_report import MS_PER_S, StatementReport
+from .told import ServerProcessId, Told, ToldTable
+
+_CHANGE_PAUSE_S = 0.2
+"""Least time between two reports on the same process, in seconds."""
+
+_REPEAT_S = 1.0
+"""Least time between two reports that say the same, in seconds: a quarter of the time for which
+they count."""
+
+SendReport = Callable[[StatementReport, bool], None]
+"""Sends a report; to all VMs when true, else to this region's and a few more."""
+
+
+class ServerAnswer(NamedTuple):
+    """One answer of a server, as far as it states something.
+
+    Args:
+        statement: What it states.
+        started: Monotonic time at which its request began, in seconds.
+        request_id: Id of that request.
+    """
+
+    statement: ServerStatement
+    started: float
+    request_id: str
+
+
+class Statements:
+    """Takes in statements.
+
+    Args:
+        table: What was told of each process.
+        send: Sends reports to other VMs.
+        events: Takes lines for changes.
+    """
+
+    def __init__(self, table: ToldTable, send: SendReport, events: EventLog) -> None:
+        self.table = table
+        self.send = send
+        self.events = events
+
+    def answered(self, backend: BackendEntry, told: Told, answer: ServerAnswer, now: float) -> None:
+        """Take in an answer of a server.
+
+        Args:
+            backend: The server's entry.
+            told: What was told of its process.
+            answer: The answer.
+            now: Monotonic time, in seconds.
+        """
+        if not answer.statement.by_server:
+            return
+        limit_per_s = answer.statement.limit_per_s
+        changed = told.limit.answered(limit_per_s, answer.started, now)
+        if changed:
+            self.events.state(
+                "server-limit", server=backend.id, per_s=limit_per_s, id=answer.request_id
+            )
+        if changed or limit_per_s is not None:
+            told.touched_at = now
+            age_s = 0.0 if limit_per_s is not None else now - answer.started
+            self._report(backend, told, limit_per_s, age_s, now, changed=changed)
+
+    def on_report(self, report: StatementReport, now: float) -> None:
+        """Take in what another VM was told.
+
+        Args:
+            report: The message.
+            now: Monotonic time, in seconds.
+        """
+        told = self.table.of(ServerProcessId(report.server, report.incarnation))
+        told.touched_at = now
+        told.limit.reported(report.limit_per_s, report.age_ms / MS_PER_S, now)
+
+    def _report(  # noqa: PLR0913  one argument a part of a report
+        self,
+        backend: BackendEntry,
+        told: Told,
+        limit_per_s: Optional[float],
+        age_s: float,
+        now: float,
+        *,
+        changed: bool,
+    ) -> None:
+        if now - told.reported_at < (_CHANGE_PAUSE_S if changed else _REPEAT_S):
+            return
+        told.reported_at = now
+        process = ServerProcessId.of(backend)
+        age_ms = int(age_s * MS_PER_S)
+        report = StatementReport(process.server_id, process.incarnation, age_ms, limit_per_s)
+        self.send(report, changed)
--- /dev/null
+++ b/sprucewinch/gateway/statements/told.py
@@ -0,0 +1,93 @@
+"""What this VM was told of processes of backend servers, by them and by other VMs.
+
+Owns one row a process, which outlasts the server's entry in the store: an entry that lapses, is
+spoilt or written again is no word of the process and must not undo one. Another process under the
+same id has a row of its own. Relies on `stated_limit`; the rows are filled by `statements`.
+"""
+
+from collections.abc import Collection
+from typing import NamedTuple, Optional
+
+from ..resources import BackendEntry
+from .stated_limit import StatedLimit
+
+_KEPT_S = 600.0
+"""Time for which a row is kept of a server that has no entry, in seconds: far longer than a server
+that leaves serves on, or than an outage of the store lasts in which its entry lapses."""
+
+
+class ServerProcessId(NamedTuple):
+    """Names one process of a server.
+
+    Args:
+        server_id: Id of the server.
+        incarnation: Which process it is, where the server states it; else 0.
+    """
+
+    server_id: str
+    incarnation: int
+
+    @classmethod
+    def of(cls, backend: BackendEntry) -> "ServerProcessId":
+        """Return the process of an entry."""
+        return cls(backend.id, backend.incarnation or 0)
+
+
+class Told:
+    """What was told of one process.
+
+    Attributes:
+        limit: The limit that it states.
+        no_token_until: Monotonic time until which its quota has nothing for this VM, in seconds.
+        reported_at: Monotonic time of this VM's last report on it, in seconds.
+        touched_at: Monotonic time at which anything was last told, in seconds.
+    """
+
+    __slots__ = ("limit", "no_token_until", "reported_at", "touched_at")
+
+    def __init__(self) -> None:
+        self.limit = StatedLimit()
+        self.no_token_until = float("-inf")
+        self.reported_at = float("-inf")
+        self.touched_at = float("-inf")
+
+    def is_limited(self, now: float) -> bool:
+        """Return whether the process takes only some requests a second."""
+        return self.limit.rate_per_s(now) is not None
+
+    def refused_until(self, now: float) -> Optional[float]:
+        """Return until when the server takes nothing from this VM, by its own word.
+
+        Args:
+            now: Monotonic time, in seconds.
+
+        Returns:
+            Monotonic time, in seconds; None when it takes requests.
+        """
+        if self.no_token_until > now and self.is_limited(now):
+            return self.no_token_until
+        return None
+
+
+class ToldTable:
+    """The rows of all processes."""
+
+    def __init__(self) -> None:
+        self.rows: dict[ServerProcessId, Told] = {}
+
+    def of(self, process: ServerProcessId) -> Told:
+        """Return the row of a process, made if there is none."""
+        return self.rows.setdefault(process, Told())
+
+    def forget_old(self, held: Collection[ServerProcessId], now: float) -> None:
+        """Drop rows of processes that have no entry and of which nothing was told for long.
+
+        Args:
+            held: Processes that have entries.
+            now: Monotonic time, in seconds.
+        """
+        self.rows = {
+            process: told
+            for process, told in self.rows.items()
+            if process in held or now - told.touched_at < _KEPT_S
+        }
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -36,6 +36,7 @@
 from sprucewinch.gateway.state.outages import StoreOutages
 from sprucewinch.gateway.state.replica import Delta, Item, Removal
 from sprucewinch.gateway.state.store_view import Decoder, StoreView
+from sprucewinch.gateway.statements.statement_report import StatementReport
 from sprucewinch.gateway.timing import Timing
 from sprucewinch.gateway.workspaces.admission import WorkspaceAdmission
 from standins.scripted_server import ScriptedServer
@@ -85,6 +86,7 @@
     def __init__(self) -> None:
         self.overloads: list[OverloadReport] = []
         self.failures: list[FailureReport] = []
+        self.statements: list[StatementReport] = []
 
     def send_overload(self, report: OverloadReport) -> None:
         self.overloads.append(report)
@@ -92,6 +94,9 @@
     def send_failure(self, report: FailureReport) -> None:
         self.failures.append(report)
 
+    def send_statement(self, report: StatementReport, to_all: bool) -> None:
+        self.statements.append(report)
+
 
 class World:
     """What a VM holds of the store, fed by a test.
