Failing test: servers that leave by their own word, or ask for rest, get requests

Callers saw: refusals of servers that had asked for rest before, and requests that ran on a server that was about to end.

--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -8,7 +8,7 @@
 import asyncio
 import enum
 from collections.abc import Callable
-from typing import Optional
+from typing import NamedTuple, Optional
 
 import httptools
 
@@ -58,6 +58,14 @@
         self.at = at
 
 
+class Answered(NamedTuple):
+    """One answer: when, to which request, with which status."""
+
+    at: float
+    request_id: str
+    status: int
+
+
 class ScriptedServer:
     """One incarnation of a backend server.
 
@@ -68,6 +76,8 @@
         slots: Requests that it runs at once; beyond, it refuses.
 
     Attributes:
+        arrived: When each request arrived, and its id.
+        answered: All its answers.
         says: Headers that it adds to all its answers to requests.
         turns_away: Returns whether it turns the next request away, with `rest` as Retry-After.
         rest: What it asks for then; empty for none.
@@ -89,6 +99,8 @@
         self.runs: list[Run] = []
         self.refused = 0
         self.arrivals: list[float] = []
+        self.arrived: list[tuple[float, str]] = []
+        self.answered: list[Answered] = []
         self.running = 0
         self.cancelled = 0
         self.answer_bytes = b"the whole answer"
@@ -205,6 +217,7 @@
         server = self.server
         server.arrivals.append(server.loop.time())
         request_id = self.headers.get("x-request-id", "")
+        server.arrived.append((server.loop.time(), request_id))
         expected = self.headers.get("x-expected-instance", server.server_id)
         method = self.parser.get_method().decode()
         run = Run(
@@ -292,6 +305,7 @@
         framed: bool = True,
         extra: str = "",
     ) -> bytes:
+        self.server.answered.append(Answered(self.server.loop.time(), request_id, status))
         head = f"HTTP/1.1 {status} X\r\nX-Request-Id: {request_id}\r\n{extra}"
         head += "".join(f"{name}: {value}\r\n" for name, value in self.server.says.items())
         if signed:
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -136,6 +136,7 @@
         self.sick: set[str] = {SICK, SICK_BOOKING}
         self.sent: dict[str, list[Sent]] = {}
         self.crashes: dict[str, list[float]] = {}
+        self.asked: dict[str, str] = {}
         self.bytes_sent: Counter[str] = Counter()
         self.lose_part = 0.0
         self.cut: set[str] = set()
@@ -179,9 +180,10 @@
         self, number: int, target: str, *, key: str = "lane-1", method: str = "GET"
     ) -> Reply:
         """Send a request to a VM and return its final answer."""
-        return await self.vms[number % len(self.vms)].gateway.requests.pipeline.run(
-            self.request(target, key=key, method=method)
-        )
+        vm = self.vms[number % len(self.vms)]
+        request = self.request(target, key=key, method=method)
+        self.asked[request.id] = vm.name
+        return await vm.gateway.requests.pipeline.run(request)
 
     def request(self, target: str, *, key: str = "lane-1", method: str = "GET") -> ClientRequest:
         """Return a request that arrives now, with an id of its own."""
--- a/tests/speaking_servers.py
+++ b/tests/speaking_servers.py
@@ -76,6 +76,44 @@
         self.rows.append((sent, took_s, reply.status, reply.retry_after_s))
 
 
+def sent_after_told(fleet: CrashFleet, server: ScriptedServer, since: float, bound_s: float) -> int:
+    """Return the requests from VMs that a server had told something for longer than a bound.
+
+    Args:
+        fleet: The fleet.
+        server: The server, which has said it in all answers since some time.
+        since: That time, in seconds.
+        bound_s: Time from the first such answer to a VM, in seconds.
+    """
+    told: dict[str, float] = {}
+    for answer in server.answered:
+        vm = fleet.asked.get(answer.request_id)
+        if vm is not None and answer.at >= since:
+            told.setdefault(vm, answer.at)
+    return sum(
+        at > told.get(fleet.asked.get(request_id, ""), float("inf")) + bound_s
+        for at, request_id in server.arrived
+    )
+
+
+def sent_in_rests(fleet: CrashFleet, server: ScriptedServer, rest_s: float) -> int:
+    """Return the requests beyond the two that a server may get from a VM that it asked for rest.
+
+    Counted from half a second after each refusal to the end of the rest that it asked for.
+    """
+    beyond = 0
+    for answer in server.answered:
+        vm = fleet.asked.get(answer.request_id)
+        if answer.status != 503 or vm is None:
+            continue
+        within = sum(
+            answer.at + 0.5 < at < answer.at + rest_s and fleet.asked.get(request_id) == vm
+            for at, request_id in server.arrived
+        )
+        beyond = max(beyond, within - 2)
+    return beyond
+
+
 def most_in_window(arrivals: Iterable[float], since: float, until: float = float("inf")) -> int:
     """Return the most arrivals in any window that begins in a time."""
     times = sorted(at for at in arrivals if since <= at < until)
