DRAIN: leave a server alone from its own word on, whatever its entry says

Callers saw: requests that ran on a server about to end; VMs that it had told sent it 97 more, later than 2 s, while its entry said ready; 40 where the entry lapsed and came back. Cause: a server left by its entry in the store alone, and the store was away; its word in answers was read by nobody. Class: a word of the process kept nowhere, or in what others write. Change: the row of the process, which outlasts its entry, holds that it leaves, for good; it is not offered from then on and asked again before the first byte; other VMs are told at once. Another process under the id has a row of its own. Ruled out: a pause of a minute as for a misdirected address: a server may take longer to end.

--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -193,7 +193,7 @@
         A server that is offered no more ends as was planned.
         """
         server = selection.server
-        if attempt.why == RESTARTED and not server.backend.draining:
+        if attempt.why == RESTARTED and not server.leaving:
             self._note_crash(request, server, attempt, started)
         if attempt.why != ENDED or not self.registry.offers(server, selection.service):
             return attempt
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -62,7 +62,7 @@
         self.to_probe: list[BackendServer] = []
         self.servers: dict[str, BackendServer] = {}
         self.by_service: dict[str, tuple[BackendServer, ...]] = {}
-        self.told = ToldTable()
+        self.told = ToldTable(on_leaving=self._regroup)
         self.times = ServiceTimes()
         self.lapsed_entries = LapsedEntries(outages)
         self.cold_limit = ColdLimit(store_view, bounds, name, regions)
@@ -236,6 +236,7 @@
     groups: dict[str, list[BackendServer]] = {}
     for server in servers:
         group = groups.setdefault(server.backend.service, [])
-        if unlisted_reason(server.backend, evacuated) is None:
+        leaving = server.told.leaving_since is not None
+        if unlisted_reason(server.backend, evacuated, leaving=leaving) is None:
             group.append(server)
     return {service: tuple(group) for service, group in groups.items()}
--- a/sprucewinch/gateway/servers/backend_server.py
+++ b/sprucewinch/gateway/servers/backend_server.py
@@ -66,6 +66,11 @@
         self.rest = Rest()
         self.room = RoomQueue()
 
+    @property
+    def leaving(self) -> bool:
+        """Return whether it is about to end, by its entry or by its own word."""
+        return self.backend.draining or self.told.leaving_since is not None
+
     @property
     def paused_until(self) -> float:
         """Return the monotonic time until which it rests, in seconds."""
--- a/sprucewinch/gateway/servers/usability.py
+++ b/sprucewinch/gateway/servers/usability.py
@@ -4,15 +4,16 @@
 rest and silence, whether it is ejected, its sends while cold and what it may get then; times are
 monotonic, in seconds.
 
-Rule, in two steps. When the store's items change: a server that drains, or whose data hall is
-evacuated, is not offered at all. For each request: a server that takes nothing by its own word,
-rests, is silent, is ejected, or is cold and has had its allowance, is skipped. The first reason
-that holds is the answer. Two steps, as the first changes with the store only and the second with
-each request. The first, and what a server says itself, is asked again before a request's first byte
-(`requests.sender`); the others are not, as the request itself counts there, and a server that is
-skipped may have been tried all the same. Room is a question of its own, as a request may wait for
-room but not for a server to come back. When every server of a request is skipped,
-`server_selection` tries the first all the same that is not cold and takes requests by its own word.
+Rule, in two steps. When the store's items change, or a server says that it leaves: a server that
+drains or leaves, or whose data hall is evacuated, is not offered at all. For each request: a server
+that takes nothing by its own word, rests, is silent, is ejected, or is cold and has had its
+allowance, is skipped. The first reason that holds is the answer. Two steps, as the first changes
+rarely and the second with each request. The first, and what a server says itself, is asked again
+before a request's first byte (`requests.sender`); the others are not, as the request itself counts
+there, and a server that is skipped may have been tried all the same. Room is a question of its own,
+as a request may wait for room but not for a server to come back. When every server of a request is
+skipped, `server_selection` tries the first all the same that is not cold and takes requests by its
+own word.
 
 Constants: none here; those of `rest`, `outliers` and `cold_limit`. Shows in: the outcome
 `no-server` and `not-offered` in `sends` of the event `request`, `paused` and `cold` of a VM's
@@ -33,6 +34,7 @@
     """Why a server gets no new request."""
 
     DRAINING = "draining"
+    LEAVING = "leaving"
     EVACUATED = "evacuated"
     LIMITED = "limited"
     RESTING = "resting"
@@ -41,15 +43,21 @@
     COLD = "cold"
 
 
-def unlisted_reason(backend: BackendEntry, evacuated: Collection[str]) -> Optional[UnusableReason]:
+def unlisted_reason(
+    backend: BackendEntry, evacuated: Collection[str], *, leaving: bool = False
+) -> Optional[UnusableReason]:
     """Return why a server is not offered to any request; None when it is.
 
     Args:
         backend: The store's entry.
         evacuated: Data halls that are evacuated.
+        leaving: True when its process has said that it leaves.
     """
     if backend.draining:
         return UnusableReason.DRAINING
+    if leaving:
+        # Its entry may go on saying ready while the store is away, or be written again.
+        return UnusableReason.LEAVING
     if backend.hall in evacuated:
         return UnusableReason.EVACUATED
     return None
--- a/sprucewinch/gateway/statements/statement_report.py
+++ b/sprucewinch/gateway/statements/statement_report.py
@@ -20,9 +20,11 @@
         incarnation: Which process of it; 0 when that is not known.
         age_ms: Time since it was stated, in milliseconds.
         limit_per_s: Requests a second that it takes from all VMs together; None for no limit.
+        leaving: True when it leaves.
     """
 
     server: str
     incarnation: int
     age_ms: int
     limit_per_s: Optional[float] = None
+    leaving: bool = False
--- a/sprucewinch/gateway/statements/statements.py
+++ b/sprucewinch/gateway/statements/statements.py
@@ -4,12 +4,13 @@
 `_CHANGE_PAUSE_S` for a process; what goes on being stated once in `_REPEAT_S`, to the VMs of this
 region and a few others. Only what the server itself told this VM is reported, so no report feeds
 another one, and their number is bounded by the answers of servers that state something. Relies on
-`stated_limit` for the decision and on `told` for the rows. Shows in: event `server-limit`. Tests:
+`stated_limit` for the decision and on `told` for the rows. Shows in: events `server-limit`,
+`server-leaving`. Tests:
 tests/test_gateway_statements.py.
 """
 
 from collections.abc import Callable
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 from ..events import EventLog
 from ..resources import BackendEntry
@@ -73,10 +74,12 @@
             self.events.state(
                 "server-limit", server=backend.id, per_s=limit_per_s, id=answer.request_id
             )
-        if changed or limit_per_s is not None:
+        if answer.statement.leaving and self.table.note_leaving(told, now):
+            changed = True
+            self.events.state("server-leaving", server=backend.id, id=answer.request_id)
+        if changed or limit_per_s is not None or answer.statement.leaving:
             told.touched_at = now
-            age_s = 0.0 if limit_per_s is not None else now - answer.started
-            self._report(backend, told, limit_per_s, age_s, now, changed=changed)
+            self._report(backend, told, answer, now, changed=changed)
 
     def on_report(self, report: StatementReport, now: float) -> None:
         """Take in what another VM was told.
@@ -87,22 +90,25 @@
         """
         told = self.table.of(ServerProcessId(report.server, report.incarnation))
         told.touched_at = now
+        if report.leaving:
+            self.table.note_leaving(told, now)
         told.limit.reported(report.limit_per_s, report.age_ms / MS_PER_S, now)
 
-    def _report(  # noqa: PLR0913  one argument a part of a report
-        self,
-        backend: BackendEntry,
-        told: Told,
-        limit_per_s: Optional[float],
-        age_s: float,
-        now: float,
-        *,
-        changed: bool,
+    def _report(
+        self, backend: BackendEntry, told: Told, answer: ServerAnswer, now: float, *, changed: bool
     ) -> None:
         if now - told.reported_at < (_CHANGE_PAUSE_S if changed else _REPEAT_S):
             return
         told.reported_at = now
         process = ServerProcessId.of(backend)
-        age_ms = int(age_s * MS_PER_S)
-        report = StatementReport(process.server_id, process.incarnation, age_ms, limit_per_s)
+        limit_per_s = answer.statement.limit_per_s
+        # The end of a limit is as old as the request whose answer stated none.
+        age_s = 0.0 if limit_per_s is not None else now - answer.started
+        report = StatementReport(
+            process.server_id,
+            process.incarnation,
+            int(age_s * MS_PER_S),
+            limit_per_s,
+            told.leaving_since is not None,
+        )
         self.send(report, changed)
--- a/sprucewinch/gateway/statements/told.py
+++ b/sprucewinch/gateway/statements/told.py
@@ -5,7 +5,7 @@
 same id has a row of its own. Relies on `stated_limit`; the rows are filled by `statements`.
 """
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import NamedTuple, Optional
 
 from ..resources import BackendEntry
@@ -38,15 +38,18 @@
 
     Attributes:
         limit: The limit that it states.
+        leaving_since: Monotonic time at which it was first told that it leaves, in seconds; None
+            while it was not. Nothing ends it but another process.
         no_token_until: Monotonic time until which its quota has nothing for this VM, in seconds.
         reported_at: Monotonic time of this VM's last report on it, in seconds.
         touched_at: Monotonic time at which anything was last told, in seconds.
     """
 
-    __slots__ = ("limit", "no_token_until", "reported_at", "touched_at")
+    __slots__ = ("leaving_since", "limit", "no_token_until", "reported_at", "touched_at")
 
     def __init__(self) -> None:
         self.limit = StatedLimit()
+        self.leaving_since: Optional[float] = None
         self.no_token_until = float("-inf")
         self.reported_at = float("-inf")
         self.touched_at = float("-inf")
@@ -70,15 +73,33 @@
 
 
 class ToldTable:
-    """The rows of all processes."""
+    """The rows of all processes.
 
-    def __init__(self) -> None:
+    Args:
+        on_leaving: Called when a process has been told to leave.
+    """
+
+    def __init__(self, on_leaving: Callable[[], None] = lambda: None) -> None:
+        self.on_leaving = on_leaving
         self.rows: dict[ServerProcessId, Told] = {}
 
     def of(self, process: ServerProcessId) -> Told:
         """Return the row of a process, made if there is none."""
         return self.rows.setdefault(process, Told())
 
+    def note_leaving(self, told: Told, now: float) -> bool:
+        """Note that a process leaves; returns True when that is new.
+
+        Args:
+            told: Its row.
+            now: Monotonic time, in seconds.
+        """
+        if told.leaving_since is not None:
+            return False
+        told.leaving_since = now
+        self.on_leaving()
+        return True
+
     def forget_old(self, held: Collection[ServerProcessId], now: float) -> None:
         """Drop rows of processes that have no entry and of which nothing was told for long.
 
