BUDGET: let a server rest that asks for it, for as long as it asks

Callers saw: requests refused by one resting server after the other, 76 of 243 in a second, and each refusal cost a retry; a server that wanted 3 s of rest got 11 to 13 requests from a VM. Cause: a 503 made a pause of 50 ms whatever it asked for, any answer ended a pause, and the last resort of a request without a usable server went to a resting one. Class: a word of the process that is not read, or kept where other words undo it. Change: the row of the process holds the end of the rest, the latest that was asked for; no answer ends it; nothing goes there meanwhile, no probe, no last resort, and what waited for a connection is asked again before its first byte. All at rest: 503 at once with the end of the first rest. A rest is this VM's alone, as the server asks each. Ruled out: telling other VMs of a rest: it is asked of one VM, and would starve the server.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -268,7 +268,7 @@
     outliers = OutlierDetector(registry, reports, context.events)
     fleet.datagrams.register(OverloadReport, registry.load_reports.on_overload_report)
     fleet.datagrams.register(FailureReport, outliers.on_failure_report)
-    statements = Statements(registry.told, reports.send_statement, context.events)
+    statements = Statements(registry.told, reports.send_statement, context.events, context.rng)
     fleet.datagrams.register(StatementReport, statements.on_report)
     return Servers(
         registry=registry,
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Optional
 
@@ -95,7 +96,7 @@
         self.quarantine = quarantine or Quarantine(
             registry.store_view, "", names.request_id, monotonic=monotonic, wall=monotonic
         )
-        told = statements or Statements(registry.told, _send_nothing, self.events)
+        told = statements or Statements(registry.told, _send_nothing, self.events, random.Random(0))
         self.server_quotas = server_quotas or NoServerQuotas()
         self.feedback = AttemptFeedback(
             registry, outliers, self.quarantine, told, monotonic, self.events
@@ -158,7 +159,7 @@
         except ConnectFailedError:
             return Attempt(backend.id, Verdict.NOT_RUN, False, UNREACHABLE)
         # While the connection came up, the server may have left, its data hall been evacuated, or
-        # the server may have stated a limit.
+        # the server may have stated a limit or asked for rest.
         if not self._may_send(selection):
             connection.close()
             return Attempt(backend.id, Verdict.NOT_RUN, False, NOT_OFFERED)
@@ -180,10 +181,11 @@
 
     def _may_send(self, selection: Selection) -> bool:
         """Return whether the server still takes the request, now that its first byte is due."""
-        if not self.registry.offers(selection.server, selection.service):
+        told, now = selection.server.told, self.monotonic()
+        if not self.registry.offers(selection.server, selection.service) or told.rest_until > now:
             return False
         granted = selection.grant.quota is not None
-        return granted or not selection.server.told.is_limited(self.monotonic())
+        return granted or not told.is_limited(now)
 
     async def _look_for_crash(
         self, request: ClientRequest, selection: Selection, attempt: Attempt, started: float
--- a/sprucewinch/gateway/servers/probe.py
+++ b/sprucewinch/gateway/servers/probe.py
@@ -88,6 +88,8 @@
 
     async def ask(self, server: BackendServer) -> None:
         """Ask one server how long it stays cold; without a clear answer it counts as cold."""
+        if self._wants_nothing(server):
+            return
         rule = service_rule(self.registry.store_view, server.backend.service)
         if rule is None or not rule.health_path:
             return
@@ -98,6 +100,11 @@
             server.cold_until = self.monotonic() + left_s + COLD_MARGIN_S if left_s else 0.0
         self.events.state("probe", server=server.backend.id, status=found.status, cold_s=left_s)
 
+    def _wants_nothing(self, server: BackendServer) -> bool:
+        """Return whether a server leaves, rests or takes only some requests, by its own word."""
+        now, told = self.monotonic(), server.told
+        return server.leaving or told.rest_until > now or told.is_limited(now)
+
     async def _get(self, server: BackendServer, path: str) -> Union[Answer, NoAnswer]:
         return await get(server.backend.address, path, Patience.in_all(_TIMEOUT_S))
 
--- a/sprucewinch/gateway/servers/usability.py
+++ b/sprucewinch/gateway/servers/usability.py
@@ -36,6 +36,7 @@
     DRAINING = "draining"
     LEAVING = "leaving"
     EVACUATED = "evacuated"
+    ASKED_REST = "asked-rest"
     LIMITED = "limited"
     RESTING = "resting"
     SILENT = "silent"
@@ -79,7 +80,8 @@
             window of `cold_limit`.
     """
     if server.told.refused_until(now) is not None:
-        return UnusableReason.LIMITED
+        rests = server.told.rest_until > now
+        return UnusableReason.ASKED_REST if rests else UnusableReason.LIMITED
     if server.rest.until > now:
         return UnusableReason.RESTING
     if server.started and server.silent(now):
--- a/sprucewinch/gateway/statements/statements.py
+++ b/sprucewinch/gateway/statements/statements.py
@@ -5,10 +5,11 @@
 region and a few others. Only what the server itself told this VM is reported, so no report feeds
 another one, and their number is bounded by the answers of servers that state something. Relies on
 `stated_limit` for the decision and on `told` for the rows. Shows in: events `server-limit`,
-`server-leaving`. Tests:
+`server-leaving`, `server-asks-rest`; counter `server_rests_asked`. Tests:
 tests/test_gateway_statements.py.
 """
 
+import random
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -25,6 +26,12 @@
 """Least time between two reports that say the same, in seconds: a quarter of the time for which
 they count."""
 
+_SPREAD_PART = 0.1
+"""Part of a rest by which VMs come back later than it ends, at the most."""
+
+_MOST_SPREAD_S = 0.5
+"""Longest time by which they come back later, in seconds."""
+
 SendReport = Callable[[StatementReport, bool], None]
 """Sends a report; to all VMs when true, else to this region's and a few more."""
 
@@ -50,12 +57,16 @@
         table: What was told of each process.
         send: Sends reports to other VMs.
         events: Takes lines for changes.
+        rng: Spreads the ends of rests, so that VMs do not come back together.
     """
 
-    def __init__(self, table: ToldTable, send: SendReport, events: EventLog) -> None:
+    def __init__(
+        self, table: ToldTable, send: SendReport, events: EventLog, rng: random.Random
+    ) -> None:
         self.table = table
         self.send = send
         self.events = events
+        self.rng = rng
 
     def answered(self, backend: BackendEntry, told: Told, answer: ServerAnswer, now: float) -> None:
         """Take in an answer of a server.
@@ -77,10 +88,24 @@
         if answer.statement.leaving and self.table.note_leaving(told, now):
             changed = True
             self.events.state("server-leaving", server=backend.id, id=answer.request_id)
+        self._rest(backend, told, answer, now)
         if changed or limit_per_s is not None or answer.statement.leaving:
             told.touched_at = now
             self._report(backend, told, answer, now, changed=changed)
 
+    def _rest(self, backend: BackendEntry, told: Told, answer: ServerAnswer, now: float) -> None:
+        """Let a server rest that has asked this VM for it; it has not asked the others."""
+        rest_s = answer.statement.rest_s
+        if rest_s is None:
+            return
+        self.events.count("server_rests_asked")
+        told.touched_at = now
+        spread_s = self.rng.uniform(0.0, min(_MOST_SPREAD_S, _SPREAD_PART * rest_s))
+        if told.ask_rest(rest_s + spread_s, now):
+            self.events.state(
+                "server-asks-rest", server=backend.id, rest_s=rest_s, id=answer.request_id
+            )
+
     def on_report(self, report: StatementReport, now: float) -> None:
         """Take in what another VM was told.
 
--- a/sprucewinch/gateway/statements/told.py
+++ b/sprucewinch/gateway/statements/told.py
@@ -40,16 +40,26 @@
         limit: The limit that it states.
         leaving_since: Monotonic time at which it was first told that it leaves, in seconds; None
             while it was not. Nothing ends it but another process.
+        rest_until: Monotonic time until which it wants nothing from this VM, in seconds. An answer to
+            an earlier request does not end that.
         no_token_until: Monotonic time until which its quota has nothing for this VM, in seconds.
         reported_at: Monotonic time of this VM's last report on it, in seconds.
         touched_at: Monotonic time at which anything was last told, in seconds.
     """
 
-    __slots__ = ("leaving_since", "limit", "no_token_until", "reported_at", "touched_at")
+    __slots__ = (
+        "leaving_since",
+        "limit",
+        "no_token_until",
+        "reported_at",
+        "rest_until",
+        "touched_at",
+    )
 
     def __init__(self) -> None:
         self.limit = StatedLimit()
         self.leaving_since: Optional[float] = None
+        self.rest_until = float("-inf")
         self.no_token_until = float("-inf")
         self.reported_at = float("-inf")
         self.touched_at = float("-inf")
@@ -67,9 +77,23 @@
         Returns:
             Monotonic time, in seconds; None when it takes requests.
         """
-        if self.no_token_until > now and self.is_limited(now):
-            return self.no_token_until
-        return None
+        until = self.rest_until
+        if self.is_limited(now):
+            until = max(until, self.no_token_until)
+        return until if until > now else None
+
+    def ask_rest(self, rest_s: float, now: float) -> bool:
+        """Rest as the process has asked; returns True when it did not rest before.
+
+        A later end holds, a shorter rest that is asked for meanwhile does not cut it.
+
+        Args:
+            rest_s: Time of the rest, in seconds.
+            now: Monotonic time, in seconds.
+        """
+        rested = self.rest_until > now
+        self.rest_until = max(self.rest_until, now + rest_s)
+        return not rested
 
 
 class ToldTable:
