Raise the limit of a server that states no load again by its answers

Callers saw: after a server had turned requests away it kept a fraction of its usual load for good: 6.5 of 16.7 requests a second. Cause: refusals lower the concurrency limit of any server, and only stated loads raised it; services that state none never gained it back. Why it works: each answer raises the limit as one with a load does.

--- a/sprucewinch/gateway/requests/attempt_feedback.py
+++ b/sprucewinch/gateway/requests/attempt_feedback.py
@@ -117,6 +117,9 @@
         if load is not None:
             self.registry.record_load(server, load.running, load.waiting, now)
         if attempt.verdict is Verdict.ANSWERED:
+            if load is None:
+                # Its refusals lower the limit, so its answers have to raise it again.
+                server.limit.increase(server.backend.capacity)
             self.registry.record_success(server, attempt.seconds, now)
             if attempt.why == ANSWERED:
                 # Not where the server has not run it: such an answer clears nobody.
--- a/sprucewinch/gateway/statements/told.py
+++ b/sprucewinch/gateway/statements/told.py
@@ -40,8 +40,8 @@
         limit: The limit that it states.
         leaving_since: Monotonic time at which it was first told that it leaves, in seconds; None
             while it was not. Nothing ends it but another process.
-        rest_until: Monotonic time until which it wants nothing from this VM, in seconds. An answer to
-            an earlier request does not end that.
+        rest_until: Monotonic time until which it wants nothing from this VM, in seconds. An answer
+            to an earlier request does not end that.
         no_token_until: Monotonic time until which its quota has nothing for this VM, in seconds.
         reported_at: Monotonic time of this VM's last report on it, in seconds.
         touched_at: Monotonic time at which anything was last told, in seconds.
--- a/tests/test_gateway_server_selection.py
+++ b/tests/test_gateway_server_selection.py
@@ -148,6 +148,20 @@
             with self.subTest(load=load):
                 self.assertAlmostEqual(run_virtual(lambda loop, x=load: self._shed(loop, x)), limit)
 
+    def test_a_server_that_states_no_load_gets_more_again_once_it_answers(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=1)
+            path.world.configure(route())
+            server = path.world.registry.servers["s0"]
+            for second in range(20):
+                server.limit.decrease(float(second))
+            self.assertEqual(server.limit.value, 1.0)
+            for number in range(80):
+                await path.pipeline.run(path.request(f"q{number}"))
+            self.assertEqual(server.limit.value, 6.0)
+
+        run_virtual(main)
+
     async def _shed(self, loop: VirtualLoop, load: str) -> float:
         """Return a server's limit after it refused one request and reported a load."""
         path = Path(loop, servers=1)
