Show operators what servers state, and let a VM that starts ask for it

A VM that starts asks three others (tags stated-ask, stated-end) until one has answered: without it each start cost limited and leaving servers one request each. Tests: all of 12 VMs know 0.1 s after one was told, and one that starts within 2 s; at most a report a second and process for what goes on being stated.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -49,6 +49,7 @@
 from .state.store import Store
 from .state.store_view import StoreView
 from .statements.server_quotas import FleetServerQuotas, ServerQuotas
+from .statements.start_asks import StartAsks
 from .statements.statement_report import StatementReport
 from .statements.statements import Statements
 from .timing import Timing
@@ -114,6 +115,7 @@
     registry: BackendRegistry
     outliers: OutlierDetector
     statements: Statements
+    start_asks: StartAsks
     pool: ConnectionPool
     prober: Prober
 
@@ -270,10 +272,12 @@
     fleet.datagrams.register(FailureReport, outliers.on_failure_report)
     statements = Statements(registry.told, reports.send_statement, context.events, context.rng)
     fleet.datagrams.register(StatementReport, statements.on_report)
+    start_asks = StartAsks(registry.told, fleet.datagrams, fleet.follow_role, context.monotonic)
     return Servers(
         registry=registry,
         outliers=outliers,
         statements=statements,
+        start_asks=start_asks,
         pool=ConnectionPool(names.request_id, context.monotonic),
         prober=Prober(
             registry,
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -169,6 +169,7 @@
             self.fleet.large_items.run,
             self.fleet.registrar.run,
             self.servers.prober.run,
+            self.servers.start_asks.run,
             self.fleet.heartbeats.run,
             self.fleet.notices.run,
             self.reporter.run,
--- /dev/null
+++ b/sprucewinch/gateway/statements/start_asks.py
@@ -0,0 +1,101 @@
+"""Asks other VMs, after a start, what servers have stated; answers VMs that have just started.
+
+Owns the message `StatementsAsk` and when it is sent: to `_ASKED` VMs every `_PAUSE_S`, until one
+has answered or `_LONGEST_S` are over. Without it a VM that starts would ask limited, resting and
+leaving servers itself, one request each. Relies on `told` for the rows and on `follow_role` for the
+VMs. Tests: tests/test_gateway_statements.py.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from ..datagrams import Datagrams
+from ..following.follow_role import FollowRole
+from .statement_report import MS_PER_S, StatementReport
+from .told import ServerProcessId, Told, ToldTable
+
+_ASKED = 3
+"""VMs that are asked at once: one may be down, one may have just started itself."""
+
+_PAUSE_S = 0.2
+"""Time between two asks, in seconds: an answer takes a tenth of it."""
+
+_LONGEST_S = 3.0
+"""Time after the start until which is asked, in seconds."""
+
+_NO_END_S = 600.0
+"""Age of a report without a limit, in seconds: it is no news of the end of any."""
+
+_MOST_REPORTS = 64
+"""Most reports in answer to one ask; few servers state something at a time."""
+
+
+class StatementsAsk(msgspec.Struct, array_like=True, frozen=True, tag="stated-ask"):
+    """A VM that has started asks what servers have stated; its tag on the wire is `stated-ask`."""
+
+
+class StatementsEnd(msgspec.Struct, array_like=True, frozen=True, tag="stated-end"):
+    """All that a VM was told has been sent; its tag on the wire is `stated-end`."""
+
+
+class StartAsks:
+    """Asks after a start, and answers.
+
+    Args:
+        table: What was told of each process.
+        datagrams: The endpoint between VMs.
+        follow_role: Chooses whom to ask.
+        monotonic: Source of time, in seconds.
+    """
+
+    def __init__(
+        self,
+        table: ToldTable,
+        datagrams: Datagrams,
+        follow_role: FollowRole,
+        monotonic: Callable[[], float],
+    ) -> None:
+        self.table = table
+        self.datagrams = datagrams
+        self.follow_role = follow_role
+        self.monotonic = monotonic
+        self.until = monotonic() + _LONGEST_S
+        self._answered = asyncio.Event()
+        datagrams.register(StatementsAsk, self._on_ask)
+        datagrams.register(StatementsEnd, self._on_end)
+
+    async def run(self) -> None:
+        """Ask until a VM has answered or the time is over, then wait to be cancelled."""
+        while self.monotonic() < self.until and not self._answered.is_set():
+            asked = list(self.follow_role.recipients(changed=False))[:_ASKED]
+            self.datagrams.send(StatementsAsk(), [member.peer_address for member in asked])
+            await asyncio.sleep(_PAUSE_S)
+        await asyncio.Event().wait()
+
+    def _on_ask(self, _ask: StatementsAsk, now: float) -> None:
+        sender = self.datagrams.last_sender
+        if sender is None:
+            return
+        rows = [(process, told) for process, told in self.table.rows.items() if told.speaks(now)]
+        for process, told in rows[-_MOST_REPORTS:]:
+            self.datagrams.send(_report(process, told, now), (sender,))
+        self.datagrams.send(StatementsEnd(), (sender,))
+
+    def _on_end(self, _end: StatementsEnd, _now: float) -> None:
+        self._answered.set()
+
+
+def _report(process: ServerProcessId, told: Told, now: float) -> StatementReport:
+    """Return what is known of a process; the age of a limit is that of the server's own word."""
+    limit = told.limit
+    stated = limit.per_s if limit.is_stated(now) else None
+    age_s = now - limit.stated_at if stated is not None else _NO_END_S
+    return StatementReport(
+        process.server_id,
+        process.incarnation,
+        int(age_s * MS_PER_S),
+        stated,
+        told.leaving_since is not None,
+    )
--- a/sprucewinch/gateway/statements/stated_limit.py
+++ b/sprucewinch/gateway/statements/stated_limit.py
@@ -71,7 +71,7 @@
         """
         if per_s is None:
             return self._ends(started, now)
-        overlaps = self._is_stated(now) and started < self.stated_at
+        overlaps = self.is_stated(now) and started < self.stated_at
         held = self.per_s if overlaps and self.per_s is not None else per_s
         changed = self._states(min(per_s, held), now, now)
         self.own = True
@@ -102,17 +102,18 @@
             return None
         least = max(LEAST_PER_S, self.per_s)
         if self.ended_at is None:
-            return least if self._is_stated(now) else None
+            return least if self.is_stated(now) else None
         passed_s = now - self.ended_at
         return least * 2 ** (passed_s / _DOUBLING_S) if passed_s < _RETURN_S else None
 
-    def _is_stated(self, now: float) -> bool:
+    def is_stated(self, now: float) -> bool:
+        """Return whether the server goes on stating a limit, as far as is known here."""
         if self.per_s is None or self.ended_at is not None:
             return False
         return self.own or now - self.stated_at < REPORTED_KEPT_S
 
     def _states(self, per_s: float, at: float, now: float) -> bool:
-        began = not self._is_stated(now)
+        began = not self.is_stated(now)
         changed = began or per_s != self.per_s
         if began:
             self.since = now
@@ -124,7 +125,7 @@
 
     def _ends(self, began_at: float, now: float) -> bool:
         """End the limit if it was last stated before a request began that stated none."""
-        if not self._is_stated(now) or began_at < self.stated_at:
+        if not self.is_stated(now) or began_at < self.stated_at:
             return False
         self.ended_at = now
         return True
--- a/sprucewinch/gateway/statements/told.py
+++ b/sprucewinch/gateway/statements/told.py
@@ -68,6 +68,10 @@
         """Return whether the process takes only some requests a second."""
         return self.limit.rate_per_s(now) is not None
 
+    def speaks(self, now: float) -> bool:
+        """Return whether the process leaves, rests or is limited, by its own word."""
+        return self.leaving_since is not None or self.rest_until > now or self.is_limited(now)
+
     def refused_until(self, now: float) -> Optional[float]:
         """Return until when the server takes nothing from this VM, by its own word.
 
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -25,6 +25,17 @@
         "backend_servers": len(view.backends),
         "requests_held": len(parts.crashes.quarantine.held),
         "quota_asks": parts.workspaces.exchange.asked,
+        **_statement_gauges(parts, now),
         "neighbour_deltas": parts.fleet.peer_follower.deltas_applied,
     }
     return context.events.report(gauges)
+
+
+def _statement_gauges(parts: Parts, now: float) -> dict[str, float]:
+    """Return how many backend servers state something, as far as this VM was told."""
+    rows = parts.servers.registry.told.rows.values()
+    return {
+        "servers_leaving": sum(told.leaving_since is not None for told in rows),
+        "servers_limited": sum(told.is_limited(now) for told in rows),
+        "servers_resting": sum(told.rest_until > now for told in rows),
+    }
--- a/sprucewinch/gateway/vm_state.py
+++ b/sprucewinch/gateway/vm_state.py
@@ -5,11 +5,12 @@
 alone: `policy`, `shares` and `limits` of each service.
 """
 
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Optional
 
 import msgspec
 
 from .composition import Context, Crashes, Parts, Regions, Servers, Workspaces
+from .statements.told import ServerProcessId, Told
 
 _HIGHEST_AGE_S = 1e9
 """Age shown when the store has never answered, in seconds: JSON has no infinity."""
@@ -121,6 +122,32 @@
     left: float
 
 
+class StatementState(NamedTuple):
+    """What one process of a backend server has stated, as far as this VM was told.
+
+    Args:
+        server: Id of the server.
+        incarnation: Which process of it; 0 when that is not known.
+        limit_per_s: Requests a second that it takes from all VMs; None for no limit.
+        by_server: True when it has told this VM itself, False when other VMs have.
+        limit_since_s: Time since this VM was first told of the limit, in seconds.
+        limit_age_s: Time since the server last stated it, in seconds.
+        no_token_s: Time for which it gets nothing from here, as its limit is used, in seconds.
+        leaving_s: Time since it was told to leave, in seconds; None when it was not.
+        rests_s: Time for which it wants nothing from this VM, in seconds.
+    """
+
+    server: str
+    incarnation: int
+    limit_per_s: Optional[float]
+    by_server: bool
+    limit_since_s: float
+    limit_age_s: float
+    no_token_s: float
+    leaving_s: Optional[float]
+    rests_s: float
+
+
 class VmState(NamedTuple):
     """Everything that an operator asks of one VM.
 
@@ -137,6 +164,7 @@
         backend_servers: All that are known.
         quarantined: Requests that are refused, as they crash servers.
         workspaces: Those with a limit that were asked for here, or of which it holds a part.
+        statements: Backend servers that leave, rest or limit themselves by their own word.
     """
 
     name: str
@@ -151,6 +179,7 @@
     backend_servers: tuple[BackendState, ...]
     quarantined: tuple[QuarantinedState, ...]
     workspaces: tuple[WorkspaceState, ...]
+    statements: tuple[StatementState, ...]
 
     def to_json(self) -> str:
         """Return it as a JSON object."""
@@ -160,6 +189,7 @@
             "backend_servers": [server.shown() for server in self.backend_servers],
             "quarantined": [request._asdict() for request in self.quarantined],
             "workspaces": [workspace._asdict() for workspace in self.workspaces],
+            "statements": [statement._asdict() for statement in self.statements],
         }
         return msgspec.json.encode(table).decode()
 
@@ -181,9 +211,36 @@
         backend_servers=_backend_servers(parts.servers, now),
         quarantined=_quarantined(parts.crashes, now),
         workspaces=_workspaces(parts.workspaces),
+        statements=_statements(parts.servers, now),
     )
 
 
+def _statements(servers: Servers, now: float) -> tuple[StatementState, ...]:
+    rows = sorted(servers.registry.told.rows.items())
+    return tuple(_statement(process, told, now) for process, told in rows if told.speaks(now))
+
+
+def _statement(process: ServerProcessId, told: Told, now: float) -> StatementState:
+    limit = told.limit
+    limited = told.is_limited(now)
+    leaving = told.leaving_since
+    return StatementState(
+        server=process.server_id,
+        incarnation=process.incarnation,
+        limit_per_s=limit.per_s if limited else None,
+        by_server=limit.own,
+        limit_since_s=_seconds(now - limit.since) if limited else 0.0,
+        limit_age_s=_seconds(now - limit.stated_at) if limited else 0.0,
+        no_token_s=_seconds(told.no_token_until - now) if limited else 0.0,
+        leaving_s=None if leaving is None else _seconds(now - leaving),
+        rests_s=_seconds(told.rest_until - now),
+    )
+
+
+def _seconds(seconds: float) -> float:
+    return round(max(0.0, seconds), _AGE_DIGITS)
+
+
 def _workspaces(workspaces: Workspaces) -> tuple[WorkspaceState, ...]:
     quotas, buckets = workspaces.quotas, workspaces.exchange.parts.buckets
     rows = []
--- a/tests/test_formats_gateway.py
+++ b/tests/test_formats_gateway.py
@@ -227,6 +227,9 @@
 neighbour_deltas 0
 quota_asks 0
 requests_held 0
+servers_leaving 0
+servers_limited 0
+servers_resting 0
 store_age_s 0.334
 store_calls 5
 store_revision 4
@@ -242,7 +245,7 @@
     '{"service":"rates","policy":"capacity","shares":{"east":1.0,"west":0.0},"limits":[]}],'
     '"backend_servers":[{"id":"s0","service":"rates","zone":"east-a","in_flight":0,"load":0.0,'
     '"cold":false,"draining":false,"paused":false,"latency_ms":54.0}],'
-    '"quarantined":[],"workspaces":[]}'
+    '"quarantined":[],"workspaces":[],"statements":[]}'
 )
 
 
--- a/tests/test_gateway_statements.py
+++ b/tests/test_gateway_statements.py
@@ -1,5 +1,6 @@
 """What an answer states of its server: whose word counts, and what is no value."""
 
+import json
 import unittest
 
 from hypothesis import given
@@ -14,7 +15,11 @@
     keep_alive_s,
     read_statement,
 )
+from sprucewinch.gateway.statements.statement_report import StatementReport
 from sprucewinch.net.connection import Answer
+from standins.virtual import VirtualLoop, pass_time, run_virtual
+
+from .crash_fleet import CrashFleet
 
 NAMES = HeaderNames()
 WALL = 1_800_000_000.0
@@ -87,5 +92,50 @@
         self.assertEqual(keep_alive_s(answer(**{"keep-alive": "timeout=x"})), float("inf"))
 
 
+class BetweenVms(unittest.TestCase):
+    def test_what_one_vm_heard_all_know_and_one_that_starts_asks(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await CrashFleet(loop, vms=12, servers=6).ready()
+            for number in range(24):
+                await fleet.ask(0, "/rates/a", key=f"lane-{number}")
+            by_load = sorted(fleet.servers.values(), key=lambda s: -len(s.arrivals))
+            limited, leaving = by_load[:2]
+            limited.says["Server-Limit"] = "2.5"
+            leaving.says["Server-Leaving"] = "1"
+            for number in range(24):
+                await fleet.ask(0, "/rates/a", key=f"lane-{number}")
+            await pass_time(0.1)
+            self.assertEqual(known(fleet), {(limited.server_id, 2.5), (leaving.server_id, None)})
+            fleet.restart(5)
+            await pass_time(2.0)
+            self.assertEqual(known(fleet), {(limited.server_id, 2.5), (leaving.server_id, None)})
+
+        run_virtual(main)
+
+    def test_a_vm_gets_few_reports_of_a_server_that_goes_on_stating_a_limit(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await CrashFleet(loop, vms=2, servers=1).ready()
+            [server] = fleet.servers.values()
+            server.says["Server-Limit"] = "50"
+            reports = []
+            fleet.vms[1].gateway.fleet.datagrams.register(
+                StatementReport, lambda report, now: reports.append(now)
+            )
+            for _ in range(100):
+                await fleet.ask(0, "/rates/a")
+            self.assertLessEqual(len(reports), 2 + (loop.time() - reports[0]) / 1.0)
+
+        run_virtual(main)
+
+
+def known(fleet: CrashFleet) -> set[tuple[str, float | None]]:
+    """Return the statements that all VMs know: server and limit, None for one that leaves."""
+    rows = []
+    for vm in fleet.vms:
+        state = json.loads(vm.gateway._state())
+        rows.append({(row["server"], row["limit_per_s"]) for row in state["statements"]})
+    return set.intersection(*rows)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/vulture_names.py
+++ b/tools/vulture_names.py
@@ -37,7 +37,8 @@
 (_.refused_after, _.p50_ms, _.p99_ms, _.kb_per_s, _.messages_per_s)
 
 # Fields of `/state`, read as a whole by `_asdict`.
-(_.paused, _.store_revision, _.store_age_s)
+(_.paused, _.store_revision, _.store_age_s, _.limit_since_s, _.limit_age_s, _.no_token_s,
+ _.leaving_s, _.rests_s)
 
 # msgspec fills it, so that a configuration with this field is read by its outline.
 _.base_version
