--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -59,11 +59,23 @@
 
 
 class Answered(NamedTuple):
-    """One answer: when, to which request, with which status."""
+    """One answer, and what the server stated of itself in it.
+
+    Args:
+        at: When it was written, in seconds.
+        request_id: The request.
+        status: HTTP status.
+        limit_per_s: Requests a second that it takes; None for no limit.
+        leaving: True when it leaves.
+        rest_s: Rest that it asked for, in seconds; None for none.
+    """
 
     at: float
     request_id: str
     status: int
+    limit_per_s: Optional[float] = None
+    leaving: bool = False
+    rest_s: Optional[float] = None
 
 
 class ScriptedServer:
@@ -124,6 +136,19 @@
         """Return the body of a run's answer."""
         return self.answer_bytes if self.answer_of is None else self.answer_of(run)
 
+    def note_answer(self, request_id: str, status: int, *, rests: bool) -> None:
+        """Keep an answer with what it states."""
+        limit = self.says.get("Server-Limit")
+        answer = Answered(
+            self.loop.time(),
+            request_id,
+            status,
+            _number(limit),
+            self.says.get("Server-Leaving") == "1",
+            _number(self.rest) if rests else None,
+        )
+        self.answered.append(answer)
+
     def next_spoil(self) -> Spoil:
         """Return how the next answer is spoilt."""
         return self.spoils.pop(0) if self.spoils else Spoil.NONE
@@ -148,6 +173,11 @@
             reset(transport)
 
 
+def _number(text: Optional[str]) -> Optional[float]:
+    """Return a decimal number; None for a text that is none."""
+    return float(text) if text and text.replace(".", "", 1).isdigit() else None
+
+
 def _never() -> bool:
     """Turn no request away."""
     return False
@@ -305,7 +335,7 @@
         framed: bool = True,
         extra: str = "",
     ) -> bytes:
-        self.server.answered.append(Answered(self.server.loop.time(), request_id, status))
+        self.server.note_answer(request_id, status, rests="Retry-After" in extra)
         head = f"HTTP/1.1 {status} X\r\nX-Request-Id: {request_id}\r\n{extra}"
         head += "".join(f"{name}: {value}\r\n" for name, value in self.server.says.items())
         if signed:
--- a/tools/soak/backend_servers.py
+++ b/tools/soak/backend_servers.py
@@ -38,6 +38,9 @@
 _CRASH_AFTER_S = 0.04
 """Seconds that a run which crashes its server takes. A guess, never measured."""
 
+_HEARTBEAT_S = 0.7
+"""Seconds between two writings of an entry by its server."""
+
 _BACK_AFTER_S = 1.0
 """Seconds until another server takes the place of one that crashed. A guess, never measured."""
 
@@ -139,6 +142,23 @@
         self._store.remove(_key(server))
         server.link.cut()
 
+    async def leave_by_word(self, server: SoakServer, header: str, for_s: float) -> None:
+        """Let a backend server say in its answers alone that it leaves, and end.
+
+        Args:
+            server: The server; its entry is written again and says ready.
+            header: The header in which it says so.
+            for_s: How long it serves on, in seconds.
+        """
+        server.stand_in.says[header] = "1"
+        until = asyncio.get_running_loop().time() + for_s + _DRAIN_S
+        while asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(_HEARTBEAT_S)
+            if self.running.get(server.stand_in.server_id) is not server:
+                return
+            self._store.put(_key(server), server.entry())
+        self.crash(server)
+
     def crash(self, server: SoakServer) -> None:
         """Let a backend server end without draining; its entry goes."""
         self._goes(server)
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -140,7 +140,9 @@
         await _traffic(world, planned, seed)
         await judge_shown_keys(world)
         runs = gather_runs(world.backends.ever())
-        broken = tuple(judge(Evidence(world.ledger, runs, world.loop.time())))
+        stand_ins = tuple(server.stand_in for server in world.backends.ever())
+        evidence = Evidence(world.ledger, runs, world.loop.time(), stand_ins)
+        broken = tuple(judge(evidence))
     finally:
         await world.stop()
     attempts = world.ledger.attempts
--- a/tools/soak/ledger.py
+++ b/tools/soak/ledger.py
@@ -184,6 +184,16 @@
             for struck in self._strikes(start, end, (vm, EVERYBODY))
         )
 
+    def untouched(self, vm: str, start: float, end: float) -> bool:
+        """Return whether nothing struck an entry VM itself, planned work and starts included.
+
+        Args:
+            vm: The entry VM; the store may fail meanwhile.
+            start: Start, as monotonic time in seconds.
+            end: End, likewise.
+        """
+        return not any(self._strikes(start, end, (vm, EVERYBODY)))
+
     def _strikes(self, start: float, end: float, scopes: tuple[str, ...]) -> Iterator[Struck]:
         return (
             struck
--- a/tools/soak/promises/evidence.py
+++ b/tools/soak/promises/evidence.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from standins.scripted_server import ScriptedServer
+
 from ..backend_servers import SoakServer
 from ..configuration import KEY_START
 from ..ledger import Attempt, Ledger
@@ -54,11 +56,13 @@
         ledger: Record of the day.
         runs: Runs at backend servers, by request id, for those that ran.
         ended_at: End of the day, as monotonic time in seconds.
+        stand_ins: All backend servers of the day, with their own records.
     """
 
     ledger: Ledger
     runs: Mapping[str, list[Seen]]
     ended_at: float
+    stand_ins: tuple[ScriptedServer, ...] = ()
 
     def runs_of(self, attempt: Attempt) -> list[Seen]:
         """Return the runs of an attempt's request; empty for none."""
--- a/tools/soak/promises/judge.py
+++ b/tools/soak/promises/judge.py
@@ -12,6 +12,7 @@
 from .leavings import left_alone
 from .recovery import recovers
 from .runs import at_most_once, refused_never_ran, right_service
+from .statements import keeps_statements
 from .stops import no_end_of_its_own, nothing_cut_off, stops_in_time
 from .waiting import held_no_longer
 from .workspaces import known_keys, own_name, within_limits
@@ -32,6 +33,7 @@
     own_name,
     known_keys,
     within_limits,
+    keeps_statements,
 )
 
 
--- a/tools/soak/troubles/kinds.py
+++ b/tools/soak/troubles/kinds.py
@@ -28,6 +28,7 @@
     SpoilEntry,
     StartAgain,
 )
+from .statements import AskRest, LeaveByWord, LimitItself
 from .store import CutFromStore, StoreFaulty, StoreForgets, StoreSlow, TurnedAway
 from .trouble import Trouble
 from .workspaces import HotWorkspace, Keys, LowerRate
@@ -75,6 +76,13 @@
 """First seed whose day draws from `WORKSPACE_KINDS` too."""
 
 
+STATEMENT_KINDS: tuple[type[Trouble], ...] = (LimitItself, LimitItself, LeaveByWord, AskRest) * 2
+"""Servers that state something of themselves; drawn often, as other troubles are to overlap."""
+
+FIRST_SEED_OF_STATEMENT_KINDS = 400_000
+"""First seed whose day draws from `STATEMENT_KINDS` too."""
+
+
 def kinds_of(seed: int) -> tuple[type[Trouble], ...]:
     """Return the kinds that the day of a seed draws from."""
     if seed < FIRST_SEED_OF_ADDED_KINDS:
@@ -83,4 +91,6 @@
         return (*KINDS, *ADDED_KINDS)
     if seed < FIRST_SEED_OF_WORKSPACE_KINDS:
         return (*KINDS, *ADDED_KINDS, *CRASH_KINDS)
-    return (*KINDS, *ADDED_KINDS, *CRASH_KINDS, *WORKSPACE_KINDS)
+    if seed < FIRST_SEED_OF_STATEMENT_KINDS:
+        return (*KINDS, *ADDED_KINDS, *CRASH_KINDS, *WORKSPACE_KINDS)
+    return (*KINDS, *ADDED_KINDS, *CRASH_KINDS, *WORKSPACE_KINDS, *STATEMENT_KINDS)
