--- a/tools/vulture_names.py
+++ b/tools/vulture_names.py
@@ -34,7 +34,7 @@
 (_.handlers, _.caption)
 
 # Columns of the model of quotas, shown as a whole.
-(_.refused_after, _.p50_ms, _.p99_ms, _.kb_per_s, _.messages_per_s)
+(_.refused_after, _.p50_ms, _.p99_ms, _.kb_per_s, _.messages_per_s, _.most_messages_per_s)
 
 # Fields of `/state`, read as a whole by `_asdict`.
 (_.paused, _.store_revision, _.store_age_s, _.limit_since_s, _.limit_age_s, _.no_token_s,
