--- a/sprucewinch/gateway/lifecycle/upkeep.py
+++ b/sprucewinch/gateway/lifecycle/upkeep.py
@@ -68,6 +68,7 @@
         """Close old connections, forget servers that are gone, look at the settings."""
         self.servers.pool.sweep()
         self.servers.outliers.drop_gone()
+        self.servers.registry.forget_told(self.monotonic())
         self._share_connections()
         self.reload_if_changed()
 
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -134,8 +134,6 @@
     def take_up_standing(self, now: float) -> None:
         """Believe entries of lower incarnations that have stood for long; see `incarnations`."""
         self.incarnations.forget_old(now)
-        held = {ServerProcessId.of(server.backend) for server in self.servers.values()}
-        self.told.forget_old(held, now)
         self._spoilt = {n: s for n, s in self._spoilt.items() if now - s.since < _SPOILT_KEPT_S}
         believed = self.incarnations.standing(now)
         for backend in believed:
@@ -144,6 +142,11 @@
         if believed:
             self._regroup()
 
+    def forget_told(self, now: float) -> None:
+        """Forget what was told of servers that are gone for long; for the regular sweep."""
+        held = {ServerProcessId.of(server.backend) for server in self.servers.values()}
+        self.told.forget_old(held, now)
+
     def _on_change(self, change: Change) -> None:
         if isinstance(change.after, RouteConfiguration):
             self.times.set_latency_targets(change.after)
--- a/sprucewinch/gateway/statements/stated_limit.py
+++ b/sprucewinch/gateway/statements/stated_limit.py
@@ -25,8 +25,9 @@
 """Least rate at which a limited server is asked, in requests a second: it gets one request in four
 seconds also where it states less, as nobody would learn of the limit's end without any."""
 
-REPORTED_KEPT_S = 4.0
-"""Time for which a limit that only other VMs have heard of is kept, in seconds."""
+REPORTED_KEPT_S = 20.0
+"""Time for which a limit that only other VMs have heard of is kept, in seconds: reports go on
+reaching this region far more often, and one request that is let through tells whether it holds."""
 
 _TRANSIT_S = 0.5
 """Longest time that a report is on its way, in seconds."""
--- a/sprucewinch/gateway/statements/statements.py
+++ b/sprucewinch/gateway/statements/statements.py
@@ -23,7 +23,7 @@
 """Least time between two reports on the same process, in seconds."""
 
 _REPEAT_S = 1.0
-"""Least time between two reports that say the same, in seconds: a quarter of the time for which
+"""Least time between two reports that say the same, in seconds: far less than the time for which
 they count."""
 
 _SPREAD_PART = 0.1
