Split the choice of a granted server, and the note of a refusal, from longer functions

No change of logic. Pipeline.run and AttemptFeedback._learn had grown beyond 30 lines. Ran: pipeline, limits, leaving and rest, outliers, request rules: green.

--- a/sprucewinch/gateway/requests/attempt_feedback.py
+++ b/sprucewinch/gateway/requests/attempt_feedback.py
@@ -8,12 +8,14 @@
 """
 
 from collections.abc import Callable
+from typing import Optional
 
 from ..crashes.quarantine import Quarantine
 from ..events import EventLog
 from ..servers.backend_registry import BackendRegistry
 from ..servers.backend_server import BackendServer
 from ..servers.outliers import OutlierDetector
+from ..statements.statement import LoadReport
 from ..statements.statements import ServerAnswer, Statements
 from .client_request import (
     ANSWERED,
@@ -127,11 +129,16 @@
         elif attempt.why == MISDIRECTED:
             server.pause(now + MISDIRECTED_PAUSE_S)
         elif attempt.why.startswith(SHED):
-            if load is None or load.running + load.waiting >= server.backend.capacity:
-                server.pause(now + SHED_PAUSE_S)
-                server.limit.decrease(now)
+            _note_shed(server, load, now)
         elif attempt.why != TIMED_OUT or server.answered_at < started:
             server.record_failure(now)
             self.events.state(
                 "server-rests", server=server.backend.id, why=attempt.why, id=request.id
             )
+
+
+def _note_shed(server: BackendServer, load: Optional[LoadReport], now: float) -> None:
+    """Send less to a server that refused to run a request, unless it reports free slots."""
+    if load is None or load.running + load.waiting >= server.backend.capacity:
+        server.pause(now + SHED_PAUSE_S)
+        server.limit.decrease(now)
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -150,17 +150,12 @@
             until = hold_time(request, route).until
             if not has_time(until, now, self.registry.times.least_s(service)):
                 return self._not_served(request, route, RefusalReason.NO_TIME)
-            selection = await self._choose_or_wait(request, route, service, now)
+            selection = await self._granted(request, route, service, now)
             if selection is None:
                 continue
             if isinstance(selection, RefusalReason):
                 return self._not_served(request, route, selection)
-            server = selection.server
-            grant = await self.sender.server_quotas.take(server.backend, server.told)
-            if grant is None:
-                request.vain_asks += 1
-                continue
-            attempt = await self._send(request, route, selection._replace(grant=grant), until)
+            attempt = await self._send(request, route, selection, until)
             decision = self._decide_retry(request, route, service, attempt)
             if decision.again:
                 continue
@@ -221,6 +216,24 @@
             service = self.splits.service(route, request.key)
         return service
 
+    async def _granted(
+        self, request: ClientRequest, route: Route, service: str, now: float
+    ) -> Union[Selection, RefusalReason, None]:
+        """Choose a server that grants a request where it states a limit, else wait or refuse.
+
+        Returns:
+            None when the request has to look anew.
+        """
+        selection = await self._choose_or_wait(request, route, service, now)
+        if not isinstance(selection, Selection):
+            return selection
+        server = selection.server
+        grant = await self.sender.server_quotas.take(server.backend, server.told)
+        if grant is None:
+            request.vain_asks += 1
+            return None
+        return selection._replace(grant=grant)
+
     async def _choose_or_wait(
         self, request: ClientRequest, route: Route, service: str, now: float
     ) -> Union[Selection, RefusalReason, None]:
