Take a request with two API keys for one without a key

Callers saw: 200; it ran under the first of two keys, which proves neither workspace. Cause: the reader takes the first header of a name. Evidence: the new test was red before (the first key's digest) and is green. Why it works: without a single key there is no workspace, so routes that need one answer 401 before the body is read. Ruled out: 400, which would tell that keys are read.

--- a/sprucewinch/gateway/requests/callers/request_reader.py
+++ b/sprucewinch/gateway/requests/callers/request_reader.py
@@ -6,7 +6,7 @@
 and refuses nothing.
 """
 
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Optional
 
 from ....net.http_server import TARGET_KEY
 from ....net.request import end_to_end
@@ -55,7 +55,7 @@
         first_by_name = dict(reversed(headers))
         target = scope.get(TARGET_KEY, scope["raw_path"]).decode("latin-1")
         wait = caller_wait(first_by_name.get(self.names.deadline_ms))
-        api_key = first_by_name.get(self.names.api_key)
+        api_keys = [value for name, value in headers if name == self.names.api_key]
         request = ClientRequest(
             id=first_by_name.get(self.names.request_id, ""),
             method=scope["method"],
@@ -67,7 +67,7 @@
             arrived_at=arrived_at,
             deadline=arrived_at + wait.seconds,
             key=_cookie(first_by_name.get("cookie", ""), self.names.affinity),
-            api_key=key_digest(api_key) if api_key else None,
+            api_key=_digest(api_keys),
         )
         return ReadRequest(request, wait.source)
 
@@ -81,6 +81,13 @@
         )
 
 
+def _digest(api_keys: list[str]) -> Optional[bytes]:
+    """Return the digest of a request's API key; two keys are no proof of either workspace."""
+    if len(api_keys) != 1 or not api_keys[0]:
+        return None
+    return key_digest(api_keys[0])
+
+
 def _cookie(header: str, name: str) -> str:
     """Return the value of a cookie; empty when it is not there."""
     for pair in header.split(";"):
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -359,3 +359,11 @@
         self.assertEqual(request.headers, (("x-a", "1"),))
         self.assertEqual(request.api_key, key_digest(KEY))
         self.assertNotIn(KEY, repr(request))
+
+    def test_two_keys_are_no_proof_of_either(self) -> None:
+        for second in (KEY, "another"):
+            keys = [(b"api-key", KEY.encode()), (b"API-Key".lower(), second.encode())]
+            scope = {"method": "GET", "raw_path": b"/rates/a", "headers": keys}
+            request = RequestReader(NAMES).read(scope, b"", 0.0).request
+            self.assertIsNone(request.api_key)
+            self.assertEqual(request.headers, ())
