--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -208,9 +208,10 @@
         server = self.servers.get(backend.id) or (spoilt.server if spoilt else None)
         new = server is None
         if server is None:
-            told = self.told.of(ServerProcessId.of(backend))
-            server = BackendServer(backend, told)
+            server = BackendServer(backend)
         self.servers[backend.id] = server
+        # The row outlasts the entry; an entry may also name its process later than the first one.
+        server.told = self.told.rows.setdefault(ServerProcessId.of(backend), server.told)
         server.backend = backend
         server.gone_at = None
         _mark(server, self.cold_starts.on_entry(backend, now, new=new), self.to_probe)
--- a/sprucewinch/gateway/servers/backend_server.py
+++ b/sprucewinch/gateway/servers/backend_server.py
@@ -28,7 +28,6 @@
 
     Args:
         backend: The store's entry.
-        told: What was told of this process; a new row by default.
     """
 
     __slots__ = (
@@ -49,9 +48,9 @@
         "told",
     )
 
-    def __init__(self, backend: BackendEntry, told: Optional[Told] = None) -> None:
+    def __init__(self, backend: BackendEntry) -> None:
         self.backend = backend
-        self.told = told or Told()
+        self.told = Told()
         self.seed = hash64(backend.id) & _SEED_MASK
         self.in_flight = 0
         self.started: list[float] = []
--- /dev/null
+++ b/tools/wrong_statement_versions.py
@@ -0,0 +1,121 @@
+"""What follows from servers' statements made wrong in one place each, with tests that fail then.
+
+Owns these rows of the list; `wrong_versions` runs them beside those of `wrong_version_list`.
+"""
+
+from .wrong_version_list import WrongVersion
+
+_STATEMENTS = "sprucewinch/gateway/statements"
+_REQUESTS = "sprucewinch/gateway/requests"
+_SERVERS = "sprucewinch/gateway/servers"
+_LIMITS = ("tests.test_gateway_server_limits",)
+_STATED = ("tests.test_gateway_stated_limit",)
+_TOLD = ("tests.test_gateway_told",)
+_READ = ("tests.test_gateway_statements",)
+
+STATEMENT_VERSIONS = (
+    WrongVersion(
+        "LIMIT",
+        "each VM keeps a server's limit for itself",
+        f"{_STATEMENTS}/server_quotas.py",
+        "decision = await self.quotas.take(quota)",
+        "decision = QuotaDecision(QuotaEnd.ADMITTED)",
+        _LIMITS,
+    ),
+    WrongVersion(
+        "LIMIT",
+        "an answer to an earlier request ends a limit",
+        f"{_STATEMENTS}/stated_limit.py",
+        "if not self.is_stated(now) or began_at < self.stated_at:",
+        "if not self.is_stated(now):",
+        _STATED,
+    ),
+    WrongVersion(
+        "LIMIT",
+        "an older report changes what the server itself has said",
+        f"{_STATEMENTS}/stated_limit.py",
+        'elif at > max(self.stated_at, self.ended_at or float("-inf")):',
+        "else:",
+        _STATED,
+    ),
+    WrongVersion(
+        "LIMIT",
+        "a server gets its whole share at once when its limit ends",
+        f"{_STATEMENTS}/stated_limit.py",
+        "return least * 2 ** (passed_s / _DOUBLING_S) if passed_s < _RETURN_S else None",
+        "return None",
+        _STATED,
+    ),
+    WrongVersion(
+        "LIMIT",
+        "what was not sent after all is lost to the others",
+        f"{_STATEMENTS}/server_quotas.py",
+        "self.quotas.give_back(grant.quota, grant.decision)",
+        "pass",
+        ("tests.test_gateway_server_quotas",),
+    ),
+    WrongVersion(
+        "LIMIT",
+        "other VMs are not told",
+        f"{_STATEMENTS}/statements.py",
+        "self.send(report, changed)",
+        "pass",
+        _READ,
+    ),
+    WrongVersion(
+        "LIMIT",
+        "a VM that starts asks nobody",
+        f"{_STATEMENTS}/start_asks.py",
+        "self.datagrams.send(StatementsAsk(), [member.peer_address for member in asked])",
+        "pass",
+        _READ,
+    ),
+    WrongVersion(
+        "DRAIN",
+        "a server's word goes with its entry",
+        f"{_SERVERS}/backend_registry.py",
+        "server.told = self.told.rows.setdefault(ServerProcessId.of(backend), server.told)",
+        "pass",
+        _TOLD,
+    ),
+    WrongVersion(
+        "DRAIN",
+        "the word of a process holds for the next one under its id",
+        f"{_STATEMENTS}/told.py",
+        "return cls(backend.id, backend.incarnation or 0)",
+        "return cls(backend.id, 0)",
+        _TOLD,
+    ),
+    WrongVersion(
+        "BUDGET",
+        "a shorter rest that is asked for later cuts the one before",
+        f"{_STATEMENTS}/told.py",
+        "self.rest_until = max(self.rest_until, now + rest_s)",
+        "self.rest_until = now + rest_s",
+        _TOLD,
+    ),
+    WrongVersion(
+        "BUDGET",
+        "the last resort goes to a server that asked for rest",
+        f"{_REQUESTS}/server_selection.py",
+        "if not s.cold(now) and refused_until(request, s, now) is None",
+        "if not s.cold(now)",
+        _TOLD,
+    ),
+    WrongVersion(
+        "BUDGET",
+        "a rest is not looked at again before the first byte",
+        f"{_REQUESTS}/sender.py",
+        "or told.rest_until > now:",
+        "or False:",
+        _TOLD,
+    ),
+    WrongVersion(
+        "LIMIT",
+        "an answer to another request is taken for the server's word",
+        f"{_STATEMENTS}/statement.py",
+        "if request_id and answer.header(names.request_id) != request_id:",
+        "if False:",
+        _READ,
+    ),
+)
--- a/tools/wrong_versions.py
+++ b/tools/wrong_versions.py
@@ -20,10 +20,11 @@
 
 from sprucewinch.errors import SprucewinchError
 
+from .wrong_statement_versions import STATEMENT_VERSIONS
 from .wrong_version_list import VERSIONS, WrongVersion
 from .wrong_workspace_versions import WORKSPACE_VERSIONS
 
-ALL_VERSIONS = (*VERSIONS, *WORKSPACE_VERSIONS)
+ALL_VERSIONS = (*VERSIONS, *WORKSPACE_VERSIONS, *STATEMENT_VERSIONS)
 
 ROOT = Path(__file__).resolve().parent.parent
 _COPIED = ("sprucewinch", "platform", "standins", "tests", "tools")
