--- a/sprucewinch/gateway/requests/attempt_feedback.py
+++ b/sprucewinch/gateway/requests/attempt_feedback.py
@@ -1,7 +1,8 @@
 """What a VM learns of a backend server, and of a request, from one attempt.
 
 Owns which attempt tells what: load, latency, rest, outlier samples, the limit on cold servers, good
-ends of suspects. Relies on the registry, the outlier detector and the quarantine, which keep it.
+ends of suspects, what the server states. Relies on the registry, the outlier detector, the
+quarantine and `statements`, which keep it.
 `sender` gives it each attempt once it has ended. Shows in: event `server-rests`. Tests:
 tests/test_gateway_pipeline.py, tests/test_gateway_outliers.py,
 tests/test_gateway_taken_addresses.py.
--- a/sprucewinch/gateway/requests/outcome/final_answer.py
+++ b/sprucewinch/gateway/requests/outcome/final_answer.py
@@ -18,6 +18,9 @@
 
 - No server is allowed, or all servers are cold past this VM's allowance: 503 `no-server` at once,
   with a Retry-After from the range, which does not look at when the allowance allows one more.
+- All servers take nothing by their own word, as they limit themselves or rest: 503 `no-server` at
+  once, with the time at which the first one takes a request, one caller after the other. Where all
+  leave: 503 `no-server` with a Retry-After from the range, as nobody knows when another comes.
 - No server has room: 503 `no-room` after the wait of `room`, with the Retry-After of
   `return_times`, or from the range where nothing is known of the server's times.
 - The deadline is over, or less of it is left than any answer takes (`time_left`): 503
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -3,11 +3,11 @@
 Owns the order and the state that steps share: the route table, split balances, retry budgets. Key
 and quota come once, before the body is read (`admit`), the others in `run`. Each rule is a module
 of its own: `workspaces.key_table`, `quotas.quotas`, `workspaces.allowed_regions`, `routes`,
-`crashes.quarantine`, `split`, `outcome.hold_time`,
-`outcome.time_left`, `server_order`, `server_selection`, `room`, `outcome.retry_decision`,
-`retry_budget`, `outcome.final_answer`, `outcome.return_times`. A request that waited for room,
-whose server left while its connection came up, or whose attempt brought no answer, passes all steps
-again, so that it meets the newest configuration, servers and quarantine.
+`crashes.quarantine`, `split`, `outcome.hold_time`, `outcome.time_left`, `server_order`,
+`server_selection`, `room`, `statements.server_quotas`, `outcome.retry_decision`, `retry_budget`,
+`outcome.final_answer`, `outcome.return_times`. A request that waited for room, whose server had
+nothing left of its limit or left while its connection came up, or whose attempt brought no answer,
+passes all steps again, so that it meets the newest configuration, servers and quarantine.
 Relies on the rules, the registry and the sender.
 """
 
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -1,8 +1,9 @@
 """Sends a request to one backend server and returns the attempt.
 
 Owns one attempt: its connection, its encoding, its time, and whether the server crashed meanwhile.
-Once a connection is there it asks the registry whether the server is still offered and the
-quarantine whether the request may still be sent; from there to the first byte it waits for nothing.
+Once a connection is there it asks whether the server is still offered and takes requests by its own
+word, and the quarantine whether the request may still be sent; from there to the first byte it
+waits for nothing. What was granted by a server's quota and not sent it gives back.
 Relies on `verdict` for what an answer proves, on `attempt_feedback` for what the VM learns from an
 attempt, and on the connection pool. Decides on no retry. Shows in: event `server-crashed`;
 `not-offered`, `quarantined` and `server-crashed` in `sends` of the event `request`. Tests:
--- a/sprucewinch/gateway/servers/probe.py
+++ b/sprucewinch/gateway/servers/probe.py
@@ -6,7 +6,8 @@
 Rule: servers of a data hall whose evacuation has ended, and servers that appear while the store is
 away, count as cold and are asked once. An answer of that very server with a time left ends or sets
 the time; with any other answer, one of another process, or none, the server stays cold for its
-service's warm-up. Once and not in a loop, as each probe costs the server a new connection. Without
+service's warm-up. One that leaves, rests or limits itself by its own word is not asked. Once and
+not in a loop, as each probe costs the server a new connection. Without
 probes a data hall that was back from an evacuation warm got few requests for 3.5 s.
 
 Shows in: the event `probe` (status 0 for no answer), the metric `probes`. Tests:
