Let the soak's servers state limits long enough to be judged

A limit binds 3 s after it was first stated, and a trouble lasts 0.5 to 4 s: most phases ended before anything of them was judged. They last 5 s longer now.

--- a/tools/soak/troubles/statements.py
+++ b/tools/soak/troubles/statements.py
@@ -17,6 +17,10 @@
 _RESTS_S = (0.7, 2.5)
 """Range of the rests that servers ask for, in seconds."""
 
+_KNOWN_S = 5.0
+"""Seconds for which a limit is stated beyond the time of the trouble: for the first of them no VM is
+bound, and then a window has to pass."""
+
 _MOST_SERVERS = 3
 """Most servers that a trouble strikes at once."""
 
@@ -39,7 +43,7 @@
         chosen = self.some_servers()
         for server in chosen:
             server.stand_in.says[_LIMIT] = f"{self.rng.uniform(*_LIMITS_PER_S):.2f}"
-        await asyncio.sleep(self.for_s)
+        await asyncio.sleep(_KNOWN_S + self.for_s)
         for server in chosen:
             server.stand_in.says.pop(_LIMIT, None)
 
