--- a/tools/soak/troubles/statements.py
+++ b/tools/soak/troubles/statements.py
@@ -11,15 +11,15 @@
 
 _LIMIT = "Server-Limit"
 _LEAVING = "Server-Leaving"
-_LIMITS_PER_S = (0.8, 4.0)
+_LIMITS_PER_S = (0.4, 2.0)
 """Range of the limits that servers state, in requests a second: below what they usually get."""
 
 _RESTS_S = (0.7, 2.5)
 """Range of the rests that servers ask for, in seconds."""
 
-_KNOWN_S = 5.0
-"""Seconds for which a limit is stated beyond the time of the trouble: for the first of them no VM is
-bound, and then a window has to pass."""
+_KNOWN_S = 7.0
+"""Seconds for which a limit is stated beyond the time of the trouble: no VM is bound for the first
+of them, and then a window has to pass."""
 
 _MOST_SERVERS = 3
 """Most servers that a trouble strikes at once."""
