--- a/sprucewinch/gateway/statements/statement.py
+++ b/sprucewinch/gateway/statements/statement.py
@@ -149,7 +149,7 @@
 def _until_date_s(text: str, stated_now: Optional[str], wall: float) -> Optional[float]:
     """Return the time until an HTTP date, in seconds; None for a text that is none.
 
-    Counted from the server's own date where it states one: the clocks of two machines differ.
+    Counted from the server's own date where it states one: its clock and this VM's differ.
     """
     until = _timestamp(text)
     if until is None:
