Name what a process has stated ProcessStatements, and its table StatementTable

No change of logic: Told, ToldTable, server.told and the tests' SpeakingFleet needed explaining. Modules and tests renamed, docs followed; no wire name, metric or event changed.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -270,9 +270,13 @@
     outliers = OutlierDetector(registry, reports, context.events)
     fleet.datagrams.register(OverloadReport, registry.load_reports.on_overload_report)
     fleet.datagrams.register(FailureReport, outliers.on_failure_report)
-    statements = Statements(registry.told, reports.send_statement, context.events, context.rng)
+    statements = Statements(
+        registry.statement_table, reports.send_statement, context.events, context.rng
+    )
     fleet.datagrams.register(StatementReport, statements.on_report)
-    start_asks = StartAsks(registry.told, fleet.datagrams, fleet.follow_role, context.monotonic)
+    start_asks = StartAsks(
+        registry.statement_table, fleet.datagrams, fleet.follow_role, context.monotonic
+    )
     return Servers(
         registry=registry,
         outliers=outliers,
--- a/sprucewinch/gateway/requests/attempt_feedback.py
+++ b/sprucewinch/gateway/requests/attempt_feedback.py
@@ -81,8 +81,8 @@
         if attempt.why == RESTARTED:
             # The process that this tells of has ended; the next one starts with nothing.
             return
-        told = ServerAnswer(attempt.statement, started, request.id)
-        self.statements.answered(server.backend, server.told, told, now)
+        stated = ServerAnswer(attempt.statement, started, request.id)
+        self.statements.answered(server.backend, server.stated, stated, now)
         self._learn(request, server, attempt, started, now)
         if server.cold(started):
             self._note_cold(server, attempt)
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -228,7 +228,7 @@
         if not isinstance(selection, Selection):
             return selection
         server = selection.server
-        grant = await self.sender.server_quotas.take(server.backend, server.told)
+        grant = await self.sender.server_quotas.take(server.backend, server.stated)
         if grant is None:
             request.vain_asks += 1
             return None
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -97,10 +97,12 @@
         self.quarantine = quarantine or Quarantine(
             registry.store_view, "", names.request_id, monotonic=monotonic, wall=monotonic
         )
-        told = statements or Statements(registry.told, _send_nothing, self.events, random.Random(0))
+        stated = statements or Statements(
+            registry.statement_table, _send_nothing, self.events, random.Random(0)
+        )
         self.server_quotas = server_quotas or NoServerQuotas()
         self.feedback = AttemptFeedback(
-            registry, outliers, self.quarantine, told, monotonic, self.events
+            registry, outliers, self.quarantine, stated, monotonic, self.events
         )
         self._at_work: dict[BackendServer, set[Connection]] = {}
         registry.on_restart.append(self._end_attempts)
@@ -182,11 +184,11 @@
 
     def _may_send(self, selection: Selection) -> bool:
         """Return whether the server still takes the request, now that its first byte is due."""
-        told, now = selection.server.told, self.monotonic()
-        if not self.registry.offers(selection.server, selection.service) or told.rest_until > now:
+        stated, now = selection.server.stated, self.monotonic()
+        if not self.registry.offers(selection.server, selection.service) or stated.rest_until > now:
             return False
         granted = selection.grant.quota is not None
-        return granted or not told.is_limited(now)
+        return granted or not stated.is_limited(now)
 
     async def _look_for_crash(
         self, request: ClientRequest, selection: Selection, attempt: Attempt, started: float
--- a/sprucewinch/gateway/requests/server_selection.py
+++ b/sprucewinch/gateway/requests/server_selection.py
@@ -185,8 +185,8 @@
         server: The server.
         now: Monotonic time, in seconds.
     """
-    until = server.told.refused_until(now)
-    if until is None and request.vain_asks >= MOST_VAIN_ASKS and server.told.is_limited(now):
+    until = server.stated.refused_until(now)
+    if until is None and request.vain_asks >= MOST_VAIN_ASKS and server.stated.is_limited(now):
         return now
     return until
 
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -12,7 +12,7 @@
 from ..settings import Bounds
 from ..state.outages import StoreOutages
 from ..state.store_view import Change, StoreView
-from ..statements.told import ServerProcessId, ToldTable
+from ..statements.process_statements import ServerProcessId, StatementTable
 from .backend_server import BackendServer
 from .cold_limit import ColdLimit, ColdStart, ColdStarts
 from .incarnations import Incarnations, Succession
@@ -62,7 +62,7 @@
         self.to_probe: list[BackendServer] = []
         self.servers: dict[str, BackendServer] = {}
         self.by_service: dict[str, tuple[BackendServer, ...]] = {}
-        self.told = ToldTable(on_leaving=self._regroup)
+        self.statement_table = StatementTable(on_leaving=self._regroup)
         self.times = ServiceTimes()
         self.lapsed_entries = LapsedEntries(outages)
         self.cold_limit = ColdLimit(store_view, bounds, name, regions)
@@ -145,7 +145,7 @@
     def forget_told(self, now: float) -> None:
         """Forget what was told of servers that are gone for long; for the regular sweep."""
         held = {ServerProcessId.of(server.backend) for server in self.servers.values()}
-        self.told.forget_old(held, now)
+        self.statement_table.forget_old(held, now)
 
     def _on_change(self, change: Change) -> None:
         if isinstance(change.after, RouteConfiguration):
@@ -211,7 +211,9 @@
             server = BackendServer(backend)
         self.servers[backend.id] = server
         # The row outlasts the entry; an entry may also name its process later than the first one.
-        server.told = self.told.rows.setdefault(ServerProcessId.of(backend), server.told)
+        server.stated = self.statement_table.rows.setdefault(
+            ServerProcessId.of(backend), server.stated
+        )
         server.backend = backend
         server.gone_at = None
         _mark(server, self.cold_starts.on_entry(backend, now, new=new), self.to_probe)
@@ -240,7 +242,7 @@
     groups: dict[str, list[BackendServer]] = {}
     for server in servers:
         group = groups.setdefault(server.backend.service, [])
-        leaving = server.told.leaving_since is not None
+        leaving = server.stated.leaving_since is not None
         if unlisted_reason(server.backend, evacuated, leaving=leaving) is None:
             group.append(server)
     return {service: tuple(group) for service, group in groups.items()}
--- a/sprucewinch/gateway/servers/backend_server.py
+++ b/sprucewinch/gateway/servers/backend_server.py
@@ -9,7 +9,7 @@
 
 from ..._hash import hash64
 from ..resources import BackendEntry
-from ..statements.told import Told
+from ..statements.process_statements import ProcessStatements
 from .cold_limit import ColdSends
 from .load import ConcurrencyLimit, LoadEstimate
 from .rest import Rest, is_silent
@@ -45,12 +45,12 @@
         "room",
         "seed",
         "started",
-        "told",
+        "stated",
     )
 
     def __init__(self, backend: BackendEntry) -> None:
         self.backend = backend
-        self.told = Told()
+        self.stated = ProcessStatements()
         self.seed = hash64(backend.id) & _SEED_MASK
         self.in_flight = 0
         self.started: list[float] = []
@@ -68,7 +68,7 @@
     @property
     def leaving(self) -> bool:
         """Return whether it is about to end, by its entry or by its own word."""
-        return self.backend.draining or self.told.leaving_since is not None
+        return self.backend.draining or self.stated.leaving_since is not None
 
     @property
     def paused_until(self) -> float:
--- a/sprucewinch/gateway/servers/probe.py
+++ b/sprucewinch/gateway/servers/probe.py
@@ -103,8 +103,8 @@
 
     def _wants_nothing(self, server: BackendServer) -> bool:
         """Return whether a server leaves, rests or takes only some requests, by its own word."""
-        now, told = self.monotonic(), server.told
-        return server.leaving or told.rest_until > now or told.is_limited(now)
+        now, stated = self.monotonic(), server.stated
+        return server.leaving or stated.rest_until > now or stated.is_limited(now)
 
     async def _get(self, server: BackendServer, path: str) -> Union[Answer, NoAnswer]:
         return await get(server.backend.address, path, Patience.in_all(_TIMEOUT_S))
--- a/sprucewinch/gateway/servers/usability.py
+++ b/sprucewinch/gateway/servers/usability.py
@@ -79,8 +79,8 @@
         cold_allowance: Returns how many requests a cold server may get from this VM in the
             window of `cold_limit`.
     """
-    if server.told.refused_until(now) is not None:
-        rests = server.told.rest_until > now
+    if server.stated.refused_until(now) is not None:
+        rests = server.stated.rest_until > now
         return UnusableReason.ASKED_REST if rests else UnusableReason.LIMITED
     if server.rest.until > now:
         return UnusableReason.RESTING
--- a/sprucewinch/gateway/statements/told.py
+++ b/sprucewinch/gateway/statements/process_statements.py
@@ -33,7 +33,7 @@
         return cls(backend.id, backend.incarnation or 0)
 
 
-class Told:
+class ProcessStatements:
     """What was told of one process.
 
     Attributes:
@@ -68,7 +68,7 @@
         """Return whether the process takes only some requests a second."""
         return self.limit.rate_per_s(now) is not None
 
-    def speaks(self, now: float) -> bool:
+    def states_something(self, now: float) -> bool:
         """Return whether the process leaves, rests or is limited, by its own word."""
         return self.leaving_since is not None or self.rest_until > now or self.is_limited(now)
 
@@ -100,31 +100,31 @@
         return not rested
 
 
-class ToldTable:
+class StatementTable:
     """The rows of all processes.
 
     Args:
-        on_leaving: Called when a process has been told to leave.
+        on_leaving: Called when it is learnt that a process leaves.
     """
 
     def __init__(self, on_leaving: Callable[[], None] = lambda: None) -> None:
         self.on_leaving = on_leaving
-        self.rows: dict[ServerProcessId, Told] = {}
+        self.rows: dict[ServerProcessId, ProcessStatements] = {}
 
-    def of(self, process: ServerProcessId) -> Told:
+    def of(self, process: ServerProcessId) -> ProcessStatements:
         """Return the row of a process, made if there is none."""
-        return self.rows.setdefault(process, Told())
+        return self.rows.setdefault(process, ProcessStatements())
 
-    def note_leaving(self, told: Told, now: float) -> bool:
+    def note_leaving(self, stated: ProcessStatements, now: float) -> bool:
         """Note that a process leaves; returns True when that is new.
 
         Args:
-            told: Its row.
+            stated: Its row.
             now: Monotonic time, in seconds.
         """
-        if told.leaving_since is not None:
+        if stated.leaving_since is not None:
             return False
-        told.leaving_since = now
+        stated.leaving_since = now
         self.on_leaving()
         return True
 
@@ -136,7 +136,7 @@
             now: Monotonic time, in seconds.
         """
         self.rows = {
-            process: told
-            for process, told in self.rows.items()
-            if process in held or now - told.touched_at < _KEPT_S
+            process: stated
+            for process, stated in self.rows.items()
+            if process in held or now - stated.touched_at < _KEPT_S
         }
--- a/sprucewinch/gateway/statements/server_quotas.py
+++ b/sprucewinch/gateway/statements/server_quotas.py
@@ -20,7 +20,7 @@
 from ..quotas.quota import Quota, hall_quota
 from ..quotas.quotas import QuotaDecision, QuotaEnd, Quotas
 from ..resources import BackendEntry
-from .told import ServerProcessId, Told
+from .process_statements import ProcessStatements, ServerProcessId
 
 _PREFIX = "\x1fserver|"
 """Begins the names of servers' quotas; no workspace's name begins so."""
@@ -49,7 +49,7 @@
     """Lets requests pass to servers that state limits."""
 
     @abc.abstractmethod
-    async def take(self, backend: BackendEntry, told: Told) -> Optional[ServerGrant]:
+    async def take(self, backend: BackendEntry, stated: ProcessStatements) -> Optional[ServerGrant]:
         """Return the right to send one request to a server; None when it takes none now."""
 
     @abc.abstractmethod
@@ -60,7 +60,9 @@
 class NoServerQuotas(ServerQuotas):
     """Lets all pass; for a part that is built alone."""
 
-    async def take(self, _backend: BackendEntry, _told: Told) -> Optional[ServerGrant]:
+    async def take(
+        self, _backend: BackendEntry, _stated: ProcessStatements
+    ) -> Optional[ServerGrant]:
         """Return a right to send."""
         return UNLIMITED
 
@@ -80,16 +82,16 @@
         self.quotas = quotas
         self.monotonic = monotonic
 
-    async def take(self, backend: BackendEntry, told: Told) -> Optional[ServerGrant]:
+    async def take(self, backend: BackendEntry, stated: ProcessStatements) -> Optional[ServerGrant]:
         """Return the right to send one request; see `ServerQuotas`."""
-        rate_per_s = told.limit.rate_per_s(self.monotonic())
+        rate_per_s = stated.limit.rate_per_s(self.monotonic())
         if rate_per_s is None:
             return UNLIMITED
         quota = server_quota(backend, rate_per_s)
         decision = await self.quotas.take(quota)
         if decision.end is QuotaEnd.ADMITTED:
             return ServerGrant(quota, decision)
-        told.no_token_until = self.monotonic() + max(_LEAST_PAUSE_S, decision.ask_again_s)
+        stated.no_token_until = self.monotonic() + max(_LEAST_PAUSE_S, decision.ask_again_s)
         return None
 
     def give_back(self, grant: ServerGrant) -> None:
--- a/sprucewinch/gateway/statements/start_asks.py
+++ b/sprucewinch/gateway/statements/start_asks.py
@@ -2,8 +2,8 @@
 
 Owns the message `StatementsAsk` and when it is sent: to `_ASKED` VMs every `_PAUSE_S`, until one
 has answered or `_LONGEST_S` are over. Without it a VM that starts would ask limited, resting and
-leaving servers itself, one request each. Relies on `told` for the rows and on `follow_role` for the
-VMs. Tests: tests/test_gateway_statements.py.
+leaving servers itself, one request each. Relies on `process_statements` for the rows and on
+`follow_role` for the VMs. Tests: tests/test_gateway_statements.py.
 """
 
 import asyncio
@@ -13,8 +13,8 @@
 
 from ..datagrams import Datagrams
 from ..following.follow_role import FollowRole
+from .process_statements import ProcessStatements, ServerProcessId, StatementTable
 from .statement_report import MS_PER_S, StatementReport
-from .told import ServerProcessId, Told, ToldTable
 
 _ASKED = 3
 """VMs that are asked at once: one may be down, one may have just started itself."""
@@ -44,7 +44,7 @@
     """Asks after a start, and answers.
 
     Args:
-        table: What was told of each process.
+        table: What each process has stated.
         datagrams: The endpoint between VMs.
         follow_role: Chooses whom to ask.
         monotonic: Source of time, in seconds.
@@ -52,7 +52,7 @@
 
     def __init__(
         self,
-        table: ToldTable,
+        table: StatementTable,
         datagrams: Datagrams,
         follow_role: FollowRole,
         monotonic: Callable[[], float],
@@ -78,24 +78,28 @@
         sender = self.datagrams.last_sender
         if sender is None:
             return
-        rows = [(process, told) for process, told in self.table.rows.items() if told.speaks(now)]
-        for process, told in rows[-_MOST_REPORTS:]:
-            self.datagrams.send(_report(process, told, now), (sender,))
+        rows = [
+            (process, stated)
+            for process, stated in self.table.rows.items()
+            if stated.states_something(now)
+        ]
+        for process, stated in rows[-_MOST_REPORTS:]:
+            self.datagrams.send(_report(process, stated, now), (sender,))
         self.datagrams.send(StatementsEnd(), (sender,))
 
     def _on_end(self, _end: StatementsEnd, _now: float) -> None:
         self._answered.set()
 
 
-def _report(process: ServerProcessId, told: Told, now: float) -> StatementReport:
+def _report(process: ServerProcessId, stated: ProcessStatements, now: float) -> StatementReport:
     """Return what is known of a process; the age of a limit is that of the server's own word."""
-    limit = told.limit
-    stated = limit.per_s if limit.is_stated(now) else None
-    age_s = now - limit.stated_at if stated is not None else _NO_END_S
+    limit = stated.limit
+    limit_per_s = limit.per_s if limit.is_stated(now) else None
+    age_s = now - limit.stated_at if limit_per_s is not None else _NO_END_S
     return StatementReport(
         process.server_id,
         process.incarnation,
         int(age_s * MS_PER_S),
-        stated,
-        told.leaving_since is not None,
+        limit_per_s,
+        stated.leaving_since is not None,
     )
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -33,9 +33,9 @@
 
 def _statement_gauges(parts: Parts, now: float) -> dict[str, float]:
     """Return how many backend servers state something, as far as this VM was told."""
-    rows = parts.servers.registry.told.rows.values()
+    rows = parts.servers.registry.statement_table.rows.values()
     return {
-        "servers_leaving": sum(told.leaving_since is not None for told in rows),
-        "servers_limited": sum(told.is_limited(now) for told in rows),
-        "servers_resting": sum(told.rest_until > now for told in rows),
+        "servers_leaving": sum(stated.leaving_since is not None for stated in rows),
+        "servers_limited": sum(stated.is_limited(now) for stated in rows),
+        "servers_resting": sum(stated.rest_until > now for stated in rows),
     }
--- a/sprucewinch/gateway/vm_state.py
+++ b/sprucewinch/gateway/vm_state.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from .composition import Context, Crashes, Parts, Regions, Servers, Workspaces
-from .statements.told import ServerProcessId, Told
+from .statements.process_statements import ProcessStatements, ServerProcessId
 
 _HIGHEST_AGE_S = 1e9
 """Age shown when the store has never answered, in seconds: JSON has no infinity."""
@@ -133,7 +133,7 @@
         limit_since_s: Time since this VM was first told of the limit, in seconds.
         limit_age_s: Time since the server last stated it, in seconds.
         no_token_s: Time for which it gets nothing from here, as its limit is used, in seconds.
-        leaving_s: Time since it was told to leave, in seconds; None when it was not.
+        leaving_s: Time since this VM was told that it leaves, in seconds; None when it does not.
         rests_s: Time for which it wants nothing from this VM, in seconds.
     """
 
@@ -216,14 +216,16 @@
 
 
 def _statements(servers: Servers, now: float) -> tuple[StatementState, ...]:
-    rows = sorted(servers.registry.told.rows.items())
-    return tuple(_statement(process, told, now) for process, told in rows if told.speaks(now))
+    rows = sorted(servers.registry.statement_table.rows.items())
+    return tuple(
+        _statement(process, stated, now) for process, stated in rows if stated.states_something(now)
+    )
 
 
-def _statement(process: ServerProcessId, told: Told, now: float) -> StatementState:
-    limit = told.limit
-    limited = told.is_limited(now)
-    leaving = told.leaving_since
+def _statement(process: ServerProcessId, stated: ProcessStatements, now: float) -> StatementState:
+    limit = stated.limit
+    limited = stated.is_limited(now)
+    leaving = stated.leaving_since
     return StatementState(
         server=process.server_id,
         incarnation=process.incarnation,
@@ -231,9 +233,9 @@
         by_server=limit.own,
         limit_since_s=_seconds(now - limit.since) if limited else 0.0,
         limit_age_s=_seconds(now - limit.stated_at) if limited else 0.0,
-        no_token_s=_seconds(told.no_token_until - now) if limited else 0.0,
+        no_token_s=_seconds(stated.no_token_until - now) if limited else 0.0,
         leaving_s=None if leaving is None else _seconds(now - leaving),
-        rests_s=_seconds(told.rest_until - now),
+        rests_s=_seconds(stated.rest_until - now),
     )
 
 
--- a/tests/speaking_servers.py
+++ b/tests/statement_fleet.py
@@ -19,7 +19,7 @@
 CALLS_PER_S = 80.0
 
 
-class SpeakingFleet:
+class StatementFleet:
     """A fleet under a steady load: 80 requests a second on 24 objects, VM after VM.
 
     Args:
@@ -35,12 +35,12 @@
     @classmethod
     async def start(
         cls, loop: VirtualLoop, *, vms: int = 4, servers: int = 8, calls_per_s: float = CALLS_PER_S
-    ) -> "SpeakingFleet":
+    ) -> "StatementFleet":
         """Return a fleet whose servers know their objects."""
         fleet = await CrashFleet(loop, vms=vms, servers=servers).ready()
-        speaking = cls(fleet, calls_per_s=calls_per_s)
+        fleet_under_load = cls(fleet, calls_per_s=calls_per_s)
         await pass_time(4.0)
-        return speaking
+        return fleet_under_load
 
     @property
     def now(self) -> float:
--- a/tests/test_gateway_leaving_and_rest.py
+++ b/tests/test_gateway_leaving_and_rest.py
@@ -18,7 +18,7 @@
 
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
-from .speaking_servers import SpeakingFleet, broken_bounds, sent_after_told, sent_in_rests
+from .statement_fleet import StatementFleet, broken_bounds, sent_after_told, sent_in_rests
 
 DRAIN_S = 2.0
 """Time from a server's word until the VM that it told sends nothing more, in seconds."""
@@ -44,7 +44,7 @@
 
 
 async def _says(loop: VirtualLoop, name: str, text: str) -> list[str]:
-    fleet = await SpeakingFleet.start(loop)
+    fleet = await StatementFleet.start(loop)
     server = fleet.servers()[0]
     began = loop.time()
     usual = sum(began - 3.0 <= at for at in server.arrivals) / 3.0
@@ -57,7 +57,7 @@
 
 async def _leaves(loop: VirtualLoop) -> list[str]:
     """Return what is broken by a server whose entry goes on saying ready."""
-    fleet = await SpeakingFleet.start(loop)
+    fleet = await StatementFleet.start(loop)
     server = fleet.servers()[0]
     since = loop.time()
     server.says["Server-Leaving"] = "1"
@@ -69,7 +69,7 @@
 
 async def _entry_comes_back(loop: VirtualLoop) -> list[str]:
     """Return what is broken by a server whose entry goes and is there again."""
-    fleet = await SpeakingFleet.start(loop)
+    fleet = await StatementFleet.start(loop)
     server = fleet.servers()[0]
     since = loop.time()
     server.says["Server-Leaving"] = "1"
@@ -83,7 +83,7 @@
     return _left_alone(fleet, server, since)
 
 
-def _left_alone(fleet: SpeakingFleet, server, since: float) -> list[str]:
+def _left_alone(fleet: StatementFleet, server, since: float) -> list[str]:
     served = fleet.served(since, since + 7.0)
     return broken_bounds(
         late=(sent_after_told(fleet.fleet, server, since, DRAIN_S), "<=", 0),
@@ -91,7 +91,7 @@
     )
 
 
-def _write_ready(fleet: SpeakingFleet, server_id: str) -> None:
+def _write_ready(fleet: StatementFleet, server_id: str) -> None:
     """Write a server's entry again, as its heartbeat does."""
     key = f"servers/{server_id}"
     entry = json.loads(base64.b64decode(fleet.fleet.store.items[key]["Value"]))
@@ -101,7 +101,7 @@
 
 async def _all_leave(loop: VirtualLoop) -> list[str]:
     """Return what is broken when all servers leave: callers are refused at once with a time."""
-    fleet = await SpeakingFleet.start(loop)
+    fleet = await StatementFleet.start(loop)
     since = loop.time()
     for server in fleet.servers():
         server.says["Server-Leaving"] = "1"
@@ -112,7 +112,7 @@
 
 async def _one_rests(loop: VirtualLoop) -> list[str]:
     """Return what is broken by a server that turns half away for a while, and then none."""
-    fleet = await SpeakingFleet.start(loop)
+    fleet = await StatementFleet.start(loop)
     server = fleet.servers()[0]
     since = loop.time()
     usual = sum(since - 3.0 <= at for at in server.arrivals) / 3.0
@@ -133,7 +133,7 @@
 
 async def _all_rest(loop: VirtualLoop) -> list[str]:
     """Return what is broken when all servers ask for rest at once."""
-    fleet = await SpeakingFleet.start(loop)
+    fleet = await StatementFleet.start(loop)
     since = loop.time()
     for server in fleet.servers():
         server.turns_away = lambda: True
@@ -149,7 +149,7 @@
     return broken_bounds(beyond=(beyond, "<=", 0), served=(served, ">=", 0.99), **refusals)
 
 
-def _refusals(fleet: SpeakingFleet, since: float, until: float = float("inf")) -> dict:
+def _refusals(fleet: StatementFleet, since: float, until: float = float("inf")) -> dict:
     """Return the bounds on requests of a time in which no server takes any."""
     rows = [row for row in fleet.callers.rows if since <= row[0] < until]
     refused = [row for row in rows if row[2] == 503]
--- a/tests/test_gateway_told.py
+++ b/tests/test_gateway_process_statements.py
@@ -6,8 +6,12 @@
 from sprucewinch.gateway.resources import BackendEntry
 from sprucewinch.gateway.servers.backend_server import BackendServer
 from sprucewinch.gateway.servers.usability import UnusableReason, unusable_reason
+from sprucewinch.gateway.statements.process_statements import (
+    ProcessStatements,
+    ServerProcessId,
+    StatementTable,
+)
 from sprucewinch.gateway.statements.stated_limit import StatedLimit
-from sprucewinch.gateway.statements.told import ServerProcessId, Told, ToldTable
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .gateway_fakes import Path, route
@@ -17,7 +21,7 @@
 
 class Rows(unittest.TestCase):
     def test_each_process_has_a_row_and_keeps_it_without_an_entry(self) -> None:
-        table = ToldTable()
+        table = StatementTable()
         one = table.of(ServerProcessId.of(ENTRY))
         self.assertIs(table.of(ServerProcessId.of(ENTRY._replace(draining=True))), one)
         other = table.of(ServerProcessId.of(ENTRY._replace(incarnation=8)))
@@ -29,29 +33,31 @@
         self.assertEqual(list(table.rows.values()), [one])
 
     def test_a_later_end_of_a_rest_holds(self) -> None:
-        told = Told()
-        self.assertTrue(told.ask_rest(3.0, 100.0))
-        self.assertFalse(told.ask_rest(0.5, 101.0))
-        self.assertEqual(told.refused_until(102.9), 103.0)
-        self.assertIsNone(told.refused_until(103.0))
+        stated = ProcessStatements()
+        self.assertTrue(stated.ask_rest(3.0, 100.0))
+        self.assertFalse(stated.ask_rest(0.5, 101.0))
+        self.assertEqual(stated.refused_until(102.9), 103.0)
+        self.assertIsNone(stated.refused_until(103.0))
 
     def test_a_server_that_leaves_is_noted_once(self) -> None:
         calls = []
-        table = ToldTable(on_leaving=lambda: calls.append(1))
-        told = table.of(ServerProcessId.of(ENTRY))
-        self.assertEqual([table.note_leaving(told, 1.0), table.note_leaving(told, 2.0)], [True, 0])
-        self.assertEqual((told.leaving_since, calls), (1.0, [1]))
+        table = StatementTable(on_leaving=lambda: calls.append(1))
+        stated = table.of(ServerProcessId.of(ENTRY))
+        self.assertEqual(
+            [table.note_leaving(stated, 1.0), table.note_leaving(stated, 2.0)], [True, 0]
+        )
+        self.assertEqual((stated.leaving_since, calls), (1.0, [1]))
 
     def test_why_a_server_is_skipped(self) -> None:
         server = BackendServer(ENTRY)
-        server.told.limit.answered(3.0, 99.0, 100.0)
-        server.told.no_token_until = 101.0
+        server.stated.limit.answered(3.0, 99.0, 100.0)
+        server.stated.no_token_until = 101.0
         reason = unusable_reason(server, 100.5, lambda *_: False, lambda _: 1)
         self.assertIs(reason, UnusableReason.LIMITED)
-        server.told.ask_rest(1.0, 100.0)
+        server.stated.ask_rest(1.0, 100.0)
         reason = unusable_reason(server, 100.5, lambda *_: False, lambda _: 1)
         self.assertIs(reason, UnusableReason.ASKED_REST)
-        server.told.limit = StatedLimit()
+        server.stated.limit = StatedLimit()
         self.assertIsNone(unusable_reason(server, 101.0, lambda *_: False, lambda _: 1))
 
 
@@ -73,13 +79,13 @@
         task = loop.create_task(path.pipeline.run(request))
         await pass_time(0.05)
         registry = path.world.registry
-        told = registry.servers[first.server_id].told
+        stated = registry.servers[first.server_id].stated
         if word == "leaves":
-            registry.told.note_leaving(told, loop.time())
+            registry.statement_table.note_leaving(stated, loop.time())
         elif word == "rests":
-            told.ask_rest(5.0, loop.time())
+            stated.ask_rest(5.0, loop.time())
         else:
-            told.limit.answered(1.0, loop.time(), loop.time())
+            stated.limit.answered(1.0, loop.time(), loop.time())
         reply = await task
         self.assertEqual(first.runs, [])
         return reply.status, [attempt.why for attempt in request.attempts]
@@ -113,7 +119,7 @@
             path.world.configure(route())
             registry = path.world.registry
             for server in registry.servers.values():
-                server.told.ask_rest(2.0, loop.time())
+                server.stated.ask_rest(2.0, loop.time())
             replies = await asyncio.gather(
                 *(path.pipeline.run(path.request(f"q{number}")) for number in range(6))
             )
@@ -134,7 +140,7 @@
             registry = path.world.registry
             entry = registry.servers["s0"].backend._replace(incarnation=1)
             path.world.say("servers/s0", entry, loop.time())
-            registry.told.note_leaving(registry.servers["s0"].told, loop.time())
+            registry.statement_table.note_leaving(registry.servers["s0"].stated, loop.time())
             path.world.say("servers/s0", entry._replace(cold_for_s=0.1), loop.time())
             self.assertEqual(registry.usable("rates"), ())
             path.world.drop("servers/s0", loop.time())
--- a/tests/test_gateway_server_limits.py
+++ b/tests/test_gateway_server_limits.py
@@ -13,7 +13,7 @@
 
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
-from .speaking_servers import SpeakingFleet, allowed, broken_bounds, most_in_window
+from .statement_fleet import StatementFleet, allowed, broken_bounds, most_in_window
 
 CONTACT_S = 4.0
 """Time from the first statement of a limit until it holds over the fleet, in seconds."""
@@ -34,7 +34,7 @@
                 run_virtual(lambda loop, text=text: self._no_limit(loop, text))
 
     async def _no_limit(self, loop: VirtualLoop, text: str) -> None:
-        fleet = await SpeakingFleet.start(loop)
+        fleet = await StatementFleet.start(loop)
         server = fleet.servers()[0]
         began = loop.time()
         usual = sum(began - 3.0 <= at for at in server.arrivals) / 3.0
@@ -47,7 +47,7 @@
 
 async def _one_server(loop: VirtualLoop) -> list[str]:
     """Return what is broken while one server states a limit."""
-    fleet = await SpeakingFleet.start(loop)
+    fleet = await StatementFleet.start(loop)
     server = fleet.servers()[0]
     server.says["Server-Limit"] = "5"
     since = loop.time() + CONTACT_S
@@ -62,7 +62,7 @@
 
 async def _all_servers(loop: VirtualLoop) -> list[str]:
     """Return what is broken while all servers state limits far below what is asked for."""
-    fleet = await SpeakingFleet.start(loop)
+    fleet = await StatementFleet.start(loop)
     for server in fleet.servers():
         server.says["Server-Limit"] = "3"
     since = loop.time() + CONTACT_S
@@ -82,7 +82,7 @@
 
 async def _end(loop: VirtualLoop) -> list[str]:
     """Return what is broken after a server has stated a limit for a while."""
-    fleet = await SpeakingFleet.start(loop)
+    fleet = await StatementFleet.start(loop)
     server = fleet.servers()[0]
     began = loop.time()
     usual = sum(began - 3.0 <= at for at in server.arrivals) / 3.0
--- a/tests/test_gateway_server_quotas.py
+++ b/tests/test_gateway_server_quotas.py
@@ -12,17 +12,17 @@
 from sprucewinch.gateway.quotas.quotas import QuotaEnd
 from sprucewinch.gateway.resources import BackendEntry
 from sprucewinch.gateway.settings import Bounds
+from sprucewinch.gateway.statements.process_statements import ProcessStatements
 from sprucewinch.gateway.statements.server_quotas import (
     UNLIMITED,
     FleetServerQuotas,
     is_server_quota,
     server_quota,
 )
-from sprucewinch.gateway.statements.told import Told
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 from tools.quota_model.fleet import ModelFleet, ModelVm
 
-from .speaking_servers import allowed, most_in_window
+from .statement_fleet import allowed, most_in_window
 
 ENTRY = BackendEntry("s0", "rates", "10.0.0.1:80", "r0-1", 6, incarnation=7)
 CONTACT_S = 4.0
@@ -139,14 +139,14 @@
             fleet = ModelFleet(loop, 3, {}, Bounds())
             await pass_time(5.0)
             first, second = list(fleet.vms.values())[:2]
-            told = Told()
-            told.limit.answered(0.5, loop.time(), loop.time())
+            stated = ProcessStatements()
+            stated.limit.answered(0.5, loop.time(), loop.time())
             quotas = [FleetServerQuotas(vm.quotas, loop.time) for vm in (first, second)]
-            grants = [await quotas[0].take(ENTRY, told) for _ in range(3)]
+            grants = [await quotas[0].take(ENTRY, stated) for _ in range(3)]
             self.assertIsNone(grants[-1])
             [grant] = [grant for grant in grants if grant][-1:]
             quotas[0].give_back(grant)
-            again = await quotas[0].take(ENTRY, told)
+            again = await quotas[0].take(ENTRY, stated)
             self.assertIsNotNone(again)
 
         run_virtual(main)
@@ -156,7 +156,7 @@
             fleet = ModelFleet(loop, 3, {}, Bounds())
             vm = next(iter(fleet.vms.values()))
             quotas = FleetServerQuotas(vm.quotas, loop.time)
-            self.assertIs(await quotas.take(ENTRY, Told()), UNLIMITED)
+            self.assertIs(await quotas.take(ENTRY, ProcessStatements()), UNLIMITED)
             quotas.give_back(UNLIMITED)
             self.assertEqual(vm.messages, 0)
 
--- a/tools/wrong_statement_versions.py
+++ b/tools/wrong_statement_versions.py
@@ -10,7 +10,7 @@
 _SERVERS = "sprucewinch/gateway/servers"
 _LIMITS = ("tests.test_gateway_server_limits",)
 _STATED = ("tests.test_gateway_stated_limit",)
-_TOLD = ("tests.test_gateway_told",)
+_ROWS = ("tests.test_gateway_process_statements",)
 _READ = ("tests.test_gateway_statements",)
 
 STATEMENT_VERSIONS = (
@@ -74,25 +74,26 @@
         "DRAIN",
         "a server's word goes with its entry",
         f"{_SERVERS}/backend_registry.py",
-        "server.told = self.told.rows.setdefault(ServerProcessId.of(backend), server.told)",
+        "server.stated = self.statement_table.rows.setdefault(\n"
+        "            ServerProcessId.of(backend), server.stated\n        )",
         "pass",
-        _TOLD,
+        _ROWS,
     ),
     WrongVersion(
         "DRAIN",
         "the word of a process holds for the next one under its id",
-        f"{_STATEMENTS}/told.py",
+        f"{_STATEMENTS}/process_statements.py",
         "return cls(backend.id, backend.incarnation or 0)",
         "return cls(backend.id, 0)",
-        _TOLD,
+        _ROWS,
     ),
     WrongVersion(
         "BUDGET",
         "a shorter rest that is asked for later cuts the one before",
-        f"{_STATEMENTS}/told.py",
+        f"{_STATEMENTS}/process_statements.py",
         "self.rest_until = max(self.rest_until, now + rest_s)",
         "self.rest_until = now + rest_s",
-        _TOLD,
+        _ROWS,
     ),
     WrongVersion(
         "BUDGET",
@@ -100,15 +101,15 @@
         f"{_REQUESTS}/server_selection.py",
         "if not s.cold(now) and refused_until(request, s, now) is None",
         "if not s.cold(now)",
-        _TOLD,
+        _ROWS,
     ),
     WrongVersion(
         "BUDGET",
         "a rest is not looked at again before the first byte",
         f"{_REQUESTS}/sender.py",
-        "or told.rest_until > now:",
+        "or stated.rest_until > now:",
         "or False:",
-        _TOLD,
+        _ROWS,
     ),
     WrongVersion(
         "LIMIT",
