--- a/tools/soak/vm_keeper.py
+++ b/tools/soak/vm_keeper.py
@@ -71,10 +71,13 @@
 
     def signal(self, vm: EntryVm, number: signal.Signals) -> None:
         """Send a signal to an entry VM's process, if it runs."""
-        if vm.running:
-            now = asyncio.get_running_loop().time()
-            self._ledger.signalled[vm.name].append((now, int(number)))
+        if not vm.running:
+            return
+        now = asyncio.get_running_loop().time()
+        # A process may have ended whose exit status has not been read yet.
+        with contextlib.suppress(ProcessLookupError):
             vm.signal(number)
+            self._ledger.signalled[vm.name].append((now, int(number)))
 
     async def _keep(self, vm: EntryVm) -> None:
         """Start an entry VM again whenever it has ended."""
