--- a/sprucewinch/cli.py
+++ b/sprucewinch/cli.py
@@ -229,6 +229,8 @@
             "services": "services",
             "backend_servers": "backend servers",
             "quarantined": "requests refused for crashing servers",
+            "workspaces": "workspaces with a limit",
+            "statements": "servers that limit themselves, leave or rest",
         }
         self._printer.sections(answer, titles)
 
