A gateway's signals never meet their defaults: one that is told to stop again ends with 0

For callers nothing was lost, but whoever supervises the process sees a failure.

Cause: `ProcessSignals.ignore` let the event loop drop its handler, which sets the signal's default, and ignored the signal in a second call. A SIGTERM between the two ended the process. The loop also sets the default once more when it closes, if it still knows the signal.

Change: `sprucewinch/process_signals` (was `gateway/lifecycle/signals`) sets handlers of its own and reads the signals from a wake-up socket, so that one call replaces a handler by "ignore" and the loop has nothing to drop. It takes a table of actions, as the own interface needs other ones.

Ruled out: blocking the signals during the change: a mask holds for one thread, and others run.

--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -1,12 +1,13 @@
 """One entry VM of the routed request path: start, loops, settings in force, stop.
 
 Owns the process's life: the order of start and stop, listeners, supervised loops and the settings
-in force. Relies on `composition` for the parts, on `lifecycle` for signals, reload, upkeep and the
-stop, and on the adapter for what the platform decides. Read `Gateway.run` first.
+in force. Relies on `composition` for the parts, on `lifecycle` for reload, upkeep and the stop,
+on `process_signals`, and on the adapter for what the platform decides. Read `Gateway.run` first.
 """
 
 import asyncio
 import random
+import signal
 from collections.abc import Callable
 from typing import Optional
 
@@ -14,12 +15,12 @@
 from .._supervise import Step, forever
 from ..clock import Clock, SystemClock
 from ..net.http_server import AsgiApp
+from ..process_signals import ProcessSignals
 from .composition import Context, Parts, make_parts
 from .decision_log import DecisionLog
 from .internal_apps import DeltaApp, TextApp
 from .lifecycle.reload import Reloader
 from .lifecycle.shutdown import Shutdown
-from .lifecycle.signals import ProcessSignals
 from .lifecycle.upkeep import Upkeep
 from .listeners import Listeners
 from .platform_adapter import PlatformAdapter
@@ -80,11 +81,20 @@
         self.state.view.listeners.append(self.events.learned)
         self.state.view.listeners.append(self.listeners.on_change)
         self.reloader = Reloader(reread, self._apply_settings, self.events)
-        self.signals = ProcessSignals(self.stopping.set, self.reloader.reload)
+        self.signals = self._make_signals()
         self.upkeep = self._make_upkeep(parts)
         self.shutdown = self._make_shutdown()
         self._tasks: list[asyncio.Task] = []
 
+    def _make_signals(self) -> ProcessSignals:
+        return ProcessSignals(
+            {
+                signal.SIGTERM: self.stopping.set,
+                signal.SIGINT: self.stopping.set,
+                signal.SIGHUP: self.reloader.reload,
+            }
+        )
+
     def _make_upkeep(self, parts: Parts) -> Upkeep:
         return Upkeep(
             self.state,
--- /dev/null
+++ b/tests/test_process_signals.py
@@ -0,0 +1,85 @@
+"""A process's signals call their actions, and none meets its default before the process has ended.
+
+A gateway that was told to stop over and over ended with -15 instead of 0 on a busy machine. To
+ignore a signal it first let the event loop drop its handler, which sets the signal's default, and
+the next SIGTERM came between the two calls.
+"""
+
+import asyncio
+import os
+import signal
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+import uvloop
+
+from sprucewinch.boot_time_loop import BootTimeEventLoop
+from sprucewinch.process_signals import ProcessSignals
+
+_LOOPS: tuple[Callable[[], asyncio.AbstractEventLoop], ...] = (
+    BootTimeEventLoop,
+    uvloop.new_event_loop,
+)
+_NUMBERS = (signal.SIGTERM, signal.SIGHUP)
+_ACTED_S = 5.0
+
+
+class Signals(unittest.TestCase):
+    def setUp(self) -> None:
+        for number in _NUMBERS:
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        self.acted: list[signal.Signals] = []
+
+    def signals(self) -> ProcessSignals:
+        """Return handlers that note each signal."""
+        return ProcessSignals({number: self._action(number) for number in _NUMBERS})
+
+    def _action(self, number: signal.Signals) -> Callable[[], None]:
+        def act() -> None:
+            self.acted.append(number)
+            self.changed.set()
+
+        return act
+
+    async def _send(self, number: signal.Signals) -> None:
+        self.changed.clear()
+        os.kill(os.getpid(), number)
+        async with asyncio.timeout(_ACTED_S):
+            await self.changed.wait()
+
+    async def _signalled(self) -> None:
+        self.changed = asyncio.Event()
+        signals = self.signals()
+        signals.take()
+        for number in (*_NUMBERS, *_NUMBERS):
+            await self._send(number)
+        signals.ignore()
+        for number in _NUMBERS:
+            os.kill(os.getpid(), number)
+        await asyncio.sleep(0)
+
+    def test_each_does_what_it_is_for_until_all_are_ignored(self) -> None:
+        for loop in _LOOPS:
+            with self.subTest(loop=loop.__name__):
+                self.acted.clear()
+                with asyncio.Runner(loop_factory=loop) as runner:
+                    runner.run(self._signalled())
+                self.assertEqual(self.acted, [*_NUMBERS, *_NUMBERS])
+
+    def test_none_is_set_to_its_default_up_to_the_end_of_the_loop(self) -> None:
+        for loop in _LOOPS:
+            with (
+                self.subTest(loop=loop.__name__),
+                mock.patch("signal.signal", wraps=signal.signal) as change,
+            ):
+                with asyncio.Runner(loop_factory=loop) as runner:
+                    runner.run(self._signalled())
+                handlers = [call.args[1] for call in change.call_args_list]
+                self.assertNotIn(signal.SIG_DFL, handlers)
+                for number in _NUMBERS:
+                    self.assertEqual(signal.getsignal(number), signal.SIG_IGN)
+
+
+if __name__ == "__main__":
+    unittest.main()
