The own interface ends with 0 however often it is told to stop

What was seen: `sprucewinchd`, told to stop every 2 ms until it is gone, ended with -15, 3 of 3.

The daemon never ignored its signals; the event loop let them go when it closed, and what came until the interpreter had ended met the default.

Change: the daemon uses `ProcessSignals` and ignores the signals once all has been closed.

--- a/sprucewinch/daemon.py
+++ b/sprucewinch/daemon.py
@@ -1,8 +1,9 @@
 """The daemon `sprucewinchd`: one process for each entry VM; builds, starts and stops its parts.
 
 Owns the composition of the parts that do I/O, the three listeners and the order of a stop. Relies
-on `hall.node` for every decision, on `hall.loops` for the periodic work, and on `net.http_server`
-for bounded listeners. A stop cuts no request off: it ends when the last one has ended.
+on `hall.node` for every decision, on `hall.loops` for the periodic work, on `net.http_server` for
+bounded listeners, and on `process_signals`. A stop cuts no request off: it ends when the last one
+has ended.
 """
 
 import asyncio
@@ -34,6 +35,7 @@
 from .hall.store.http_store import HttpPlatform
 from .net.http_server import ListenerLimits, bind, make_listener
 from .operators.port import OperatorsApp
+from .process_signals import ProcessSignals
 
 _INCARNATION_RANDOM_BITS = 12
 """Random low bits of an incarnation, below the wall clock's milliseconds: two processes of one name
@@ -103,6 +105,9 @@
         self.servers = self._http_servers()
         self.peer_listener = self._peer_listener()
         self.serving: list[asyncio.Task] = []
+        self.signals = ProcessSignals(
+            {signal.SIGTERM: self._signalled, signal.SIGINT: self._signalled}
+        )
 
     async def run(self) -> None:
         """Serve until the daemon is told to stop, then stop without cutting anything off.
@@ -111,12 +116,13 @@
             SettingsError: When an address cannot be listened on.
         """
         await self._listen()
-        self._take_signals()
+        self.signals.take()
         self.loops.start()
         log.state(f"event=started vm={self.settings.vm} hall={self.settings.hall}")
         await self._until_stopped()
         await self._leave()
         await self._close()
+        self.signals.ignore()
 
     def _http_servers(self) -> dict[str, uvicorn.Server]:
         """Return the servers of callers and operators, by the setting of their address."""
@@ -149,11 +155,6 @@
         while not all(server.started for server in self.servers.values()):
             await asyncio.sleep(_START_POLL_S)
 
-    def _take_signals(self) -> None:
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._signalled)
-
     def _signalled(self) -> None:
         if self.stopping.is_set():
             log.state("event=stop-repeated note='already stopping; requests are finished first'")
--- a/tests/test_process_requests.py
+++ b/tests/test_process_requests.py
@@ -217,6 +217,16 @@
         self.assertEqual(status, 0, self.fleet.log_of(vm.name))
         self.assertIn("event=stop-repeated", self.fleet.log_of(vm.name))
 
+    async def test_being_told_to_stop_again_until_the_end_changes_nothing(self) -> None:
+        vm = self.vm(0)
+        process = self.fleet.processes[vm.name]
+        ending = asyncio.create_task(asyncio.to_thread(process.wait, 20))
+        while not ending.done():
+            with contextlib.suppress(ProcessLookupError):
+                self.fleet.signal(vm.name, signal.SIGTERM)
+            await asyncio.sleep(0.002)
+        self.assertEqual(await ending, 0, self.fleet.log_of(vm.name))
+
 
 if __name__ == "__main__":
     unittest.main()
