What a server says in the answer to a probe counts; tests that probes, reloads and listings keep its word

What was seen: a probe's answer with Server-Leaving, Server-Limit, or 503 with Retry-After moved nobody (found by writing the missing tests; no caller's report). A VM that had been told so by a probe alone went on sending until an answer to a request said it again.

Change: `statement_of` is the decoding without the check whose answer it is; the prober, which checks the process by its id and incarnation, gives the statement to `Statements`, as attempts do. A 503 without the server's id says nothing, as before.

Evidence: `test_gateway_probe.ServersOwnWord`, three tests, each red with its line taken out: probes spare a server that leaves, rests or limits itself; what the answer states counts; another process at the address is not heard.

Ruled out: taking a bare health answer of 503 for a word, as health answers lie.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -285,9 +285,11 @@
         pool=ConnectionPool(names.request_id, context.monotonic),
         prober=Prober(
             registry,
+            statements,
             names,
             context.events,
-            context.monotonic,
+            monotonic=context.monotonic,
+            wall=context.clock.wall,
             incarnation_of=context.adapter.probed_incarnation,
         ),
     )
--- a/sprucewinch/gateway/servers/probe.py
+++ b/sprucewinch/gateway/servers/probe.py
@@ -6,12 +6,14 @@
 Rule: servers of a data hall whose evacuation has ended, and servers that appear while the store is
 away, count as cold and are asked once. An answer of that very server with a time left ends or sets
 the time; with any other answer, one of another process, or none, the server stays cold for its
-service's warm-up. One that leaves, rests or limits itself by its own word is not asked. Once and
-not in a loop, as each probe costs the server a new connection. Without
-probes a data hall that was back from an evacuation warm got few requests for 3.5 s.
+service's warm-up. One that leaves, rests or limits itself by its own word is not asked, and what
+that very process states in its answer counts as in an answer to a request. Once and not in a loop,
+as each probe costs the server a new connection. Without probes a data hall that was back from an
+evacuation warm got few requests for 3.5 s.
 
 Shows in: the event `probe` (status 0 for no answer), the metric `probes`. Tests:
-`test_gateway_probe`. Relies on the registry for the servers to ask and on `net.connection`.
+`test_gateway_probe`. Relies on the registry for the servers to ask, on `statements` for what they
+state, and on `net.connection`.
 """
 
 import asyncio
@@ -22,6 +24,8 @@
 from ...net.connection import Answer, NoAnswer, Patience, get
 from ..events import EventLog
 from ..header_names import HeaderNames
+from ..statements.statement import statement_of
+from ..statements.statements import ServerAnswer, Statements
 from .backend_registry import BackendRegistry
 from .backend_server import BackendServer
 from .cold_limit import COLD_MARGIN_S, service_rule
@@ -35,6 +39,9 @@
 _MS = 1000
 """Milliseconds in a second."""
 
+_PROBE_ID = "probe"
+"""What the events of a server's statement name in place of a request."""
+
 _NO_ANSWER = 0
 """Status of a probe without an answer, as the event `probe` shows it."""
 
@@ -48,7 +55,7 @@
     """
 
     status: int
-    cold_left_s: Optional[float]
+    cold_left_s: Optional[float] = None
 
 
 class Prober:
@@ -56,9 +63,11 @@
 
     Args:
         registry: Backend servers.
+        statements: Takes in what the servers state.
         names: Names of headers.
         events: Takes a line for each answer.
         monotonic: Source of time, in seconds.
+        wall: Source of the time of day, in seconds since the epoch.
         incarnation_of: Returns which process has answered, from an answer's body; None when it does
             not say so.
     """
@@ -66,17 +75,21 @@
     def __init__(
         self,
         registry: BackendRegistry,
+        statements: Statements,
         names: HeaderNames,
         events: EventLog,
-        monotonic: Callable[[], float],
         *,
+        monotonic: Callable[[], float],
+        wall: Callable[[], float],
         incarnation_of: Callable[[bytes], Optional[int]] = lambda _body: None,
     ) -> None:
         self.registry = registry
+        self.statements = statements
         self.names = names
         self.incarnation_of = incarnation_of
         self.events = events
         self.monotonic = monotonic
+        self.wall = wall
 
     async def run(self) -> None:
         """Ask until cancelled."""
@@ -95,7 +108,9 @@
         if rule is None or not rule.health_path:
             return
         self.events.count("probes")
-        found = self._read(await self._get(server, rule.health_path), server)
+        started = self.monotonic()
+        answer = await get(server.backend.address, rule.health_path, Patience.in_all(_TIMEOUT_S))
+        found = self._read(answer, server, started)
         left_s = found.cold_left_s
         if left_s is not None:
             server.cold_until = self.monotonic() + left_s + COLD_MARGIN_S if left_s else 0.0
@@ -106,18 +121,25 @@
         now, stated = self.monotonic(), server.stated
         return server.leaving or stated.rest_until > now or stated.is_limited(now)
 
-    async def _get(self, server: BackendServer, path: str) -> Union[Answer, NoAnswer]:
-        return await get(server.backend.address, path, Patience.in_all(_TIMEOUT_S))
-
-    def _read(self, answer: Union[Answer, NoAnswer], server: BackendServer) -> ProbeResult:
+    def _read(
+        self, answer: Union[Answer, NoAnswer], server: BackendServer, started: float
+    ) -> ProbeResult:
         if isinstance(answer, NoAnswer):
-            return ProbeResult(_NO_ANSWER, None)
+            return ProbeResult(_NO_ANSWER)
+        if not self._same_process(answer, server):
+            return ProbeResult(answer.status)
+        self._take_statement(answer, server, started)
         left_ms = answer.header(self.names.cold_ms)
-        same = self._same_process(answer, server)
-        if answer.status != HTTPStatus.OK or not same or left_ms is None or not left_ms.isdigit():
-            return ProbeResult(answer.status, None)
+        if answer.status != HTTPStatus.OK or left_ms is None or not left_ms.isdigit():
+            return ProbeResult(answer.status)
         return ProbeResult(answer.status, int(left_ms) / _MS)
 
+    def _take_statement(self, answer: Answer, server: BackendServer, started: float) -> None:
+        """Take in what a server states of itself in the answer to a probe."""
+        statement = statement_of(answer, self.names, self.wall())
+        stated = ServerAnswer(statement, started, _PROBE_ID)
+        self.statements.answered(server.backend, server.stated, stated, self.monotonic())
+
     def _same_process(self, answer: Answer, server: BackendServer) -> bool:
         """Return whether the process that this VM holds of a server has answered."""
         if answer.header(self.names.instance) != server.backend.id:
--- a/sprucewinch/gateway/statements/statement.py
+++ b/sprucewinch/gateway/statements/statement.py
@@ -91,6 +91,17 @@
     """
     if not _is_own_answer(answer, names, request_id):
         return NOTHING_STATED
+    return statement_of(answer, names, wall)
+
+
+def statement_of(answer: Answer, names: HeaderNames, wall: float) -> ServerStatement:
+    """Return what an answer states that is known to be the asked process's own.
+
+    Args:
+        answer: A whole answer.
+        names: Names of headers.
+        wall: Time of day, in seconds since the epoch.
+    """
     return ServerStatement(
         by_server=True,
         load=_load(answer.header(names.load)),
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -90,8 +90,9 @@
     Attributes:
         arrived: When each request arrived, and its id.
         answered: All its answers.
-        says: Headers that it adds to all its answers to requests.
+        says: Headers that it adds to all its answers, those to probes too.
         turns_away: Returns whether it turns the next request away, with `rest` as Retry-After.
+        turns_probes_away: True when it does so with probes.
         rest: What it asks for then; empty for none.
     """
 
@@ -122,6 +123,7 @@
         self.cold_until = 0.0
         self.cold_factor = 2.0
         self.probes = 0
+        self.turns_probes_away = False
         self.misdirected_not_run = False
         self.says: dict[str, str] = {}
         self.turns_away: Callable[[], bool] = _never
@@ -241,6 +243,9 @@
         left_ms = server.cold_left_ms()
         if left_ms is not None:
             extra += f"X-Warmup-Remaining-Ms: {left_ms}\r\n"
+        if server.turns_probes_away:
+            self._write(503, "", b"", extra=f"{extra}Retry-After: {server.rest}\r\n")
+            return
         self._write(200, "", b"", extra=extra)
 
     def _take_request(self) -> None:
--- a/tests/test_gateway_leaving_and_rest.py
+++ b/tests/test_gateway_leaving_and_rest.py
@@ -18,6 +18,7 @@
 
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
+from .crash_fleet import CrashVm
 from .statement_fleet import StatementFleet, broken_bounds, sent_after_told, sent_in_rests
 
 DRAIN_S = 2.0
@@ -32,6 +33,7 @@
             "it leaves, its entry says ready": run_virtual(_leaves),
             "it leaves, its entry lapses and comes back": run_virtual(_entry_comes_back),
             "all leave": run_virtual(_all_leave),
+            "settings and replicas are read anew": run_virtual(_read_anew),
             "one asks for rest": run_virtual(_one_rests),
             "all ask for rest": run_virtual(_all_rest),
         }
@@ -83,6 +85,45 @@
     return _left_alone(fleet, server, since)
 
 
+async def _read_anew(loop: VirtualLoop) -> list[str]:
+    """Return what is broken when all VMs reload their settings and get their replicas anew."""
+    fleet = await StatementFleet.start(loop)
+    leaves, rests = fleet.servers()[:2]
+    since = loop.time()
+    leaves.says["Server-Leaving"] = "1"
+    rests.turns_away, rests.rest = (lambda: True), "8"
+    await pass_time(3.0)
+    for vm in fleet.fleet.vms:
+        _reload(vm)
+        _list_without(vm, leaves.server_id, rests.server_id)
+    for server in (leaves, rests):
+        _write_ready(fleet, server.server_id)
+    await pass_time(4.0)
+    known = [len(vm.gateway.servers.registry.servers) for vm in fleet.fleet.vms]
+    return broken_bounds(
+        late=(sent_after_told(fleet.fleet, leaves, since, DRAIN_S), "<=", 0),
+        beyond=(sent_in_rests(fleet.fleet, rests), "<=", 0),
+        served=(fleet.served(since, since + 6.0), ">=", 0.99),
+        known=(min(known), ">=", len(fleet.servers())),
+    )
+
+
+def _reload(vm: CrashVm) -> None:
+    """Let a VM take over settings that have changed."""
+    settings = vm.gateway.settings
+    bounds = settings.bounds._replace(retry_ratio=settings.bounds.retry_ratio / 2)
+    vm.gateway.reloader.reread = lambda: settings._replace(bounds=bounds)
+    vm.gateway.reloader.reload()
+
+
+def _list_without(vm: CrashVm, *server_ids: str) -> None:
+    """Let a VM get a whole listing from a peer that lacks the entries of some servers."""
+    whole = vm.store_view.replica.since(0)._replace(whole=True)
+    gone = {f"servers/{server_id}" for server_id in server_ids}
+    items = tuple(item for item in whole.items if item.key not in gone)
+    vm.store_view.apply(whole._replace(items=items), vm.loop.time())
+
+
 def _left_alone(fleet: StatementFleet, server, since: float) -> list[str]:
     served = fleet.served(since, since + 7.0)
     return broken_bounds(
--- a/tests/test_gateway_probe.py
+++ b/tests/test_gateway_probe.py
@@ -1,24 +1,37 @@
 """What is asked of the servers of a data hall that is taken back, and what follows from it."""
 
+import random
 import unittest
 from typing import Optional
 
 from sprucewinch.gateway.decision_log import DecisionLog
 from sprucewinch.gateway.resources import Evacuation
+from sprucewinch.gateway.servers.backend_server import BackendServer
 from sprucewinch.gateway.servers.probe import Prober
+from sprucewinch.gateway.statements.statements import Statements
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .gateway_fakes import NAMES, Path, route
 
 
+def prober_of(path: Path) -> Prober:
+    """Return the part that asks the servers of a path."""
+    time = path.loop.time
+    events = DecisionLog(lambda line: None, monotonic=time, wall=time)
+    registry = path.world.registry
+    statements = Statements(
+        registry.statement_table, path.world.reports.send_statement, events, random.Random(1)
+    )
+    return Prober(registry, statements, NAMES, events, monotonic=time, wall=time)
+
+
 async def _taken_back(loop: VirtualLoop, cold_ms: Optional[int]) -> Path:
     """Return a path whose only data hall has just been taken back, its servers asked."""
     path = Path(loop, servers=2)
     path.world.configure(route())
     for server in path.servers.values():
         server.cold_ms = cold_ms
-    events = DecisionLog(lambda line: None, monotonic=loop.time, wall=loop.time)
-    prober = Prober(path.world.registry, NAMES, events, loop.time)
+    prober = prober_of(path)
     task = loop.create_task(prober.run())
     path.world.say("evacuate/east-a", Evacuation("east-a"), loop.time())
     await pass_time(1.0)
@@ -53,8 +66,7 @@
             await pass_time(1.0)
             server = path.world.registry.servers["s0"]
             server.cold_until = loop.time() + 3.0
-            events = DecisionLog(lambda line: None, monotonic=loop.time, wall=loop.time)
-            await Prober(path.world.registry, NAMES, events, loop.time).ask(server)
+            await prober_of(path).ask(server)
             self.assertTrue(server.cold(loop.time() + 0.9))
             self.assertFalse(server.cold(loop.time() + 1.6))
 
@@ -71,8 +83,59 @@
             path.servers["s0"].cold_ms = 0
             server = path.world.registry.servers["s0"]
             server.cold_until = loop.time() + 3.0
-            events = DecisionLog(lambda line: None, monotonic=loop.time, wall=loop.time)
-            await Prober(path.world.registry, NAMES, events, loop.time).ask(server)
+            await prober_of(path).ask(server)
             self.assertTrue(server.cold(loop.time() + 2.9))
 
         run_virtual(main)
+
+
+class ServersOwnWord(unittest.TestCase):
+    def test_a_server_that_wants_nothing_is_not_asked(self) -> None:
+        async def main(loop: VirtualLoop) -> list[int]:
+            path = Path(loop, servers=4)
+            path.world.configure(route())
+            leaves, rests, limits, plain = servers = self._servers(path)
+            path.world.registry.statement_table.note_leaving(leaves.stated, loop.time())
+            rests.stated.ask_rest(2.0, loop.time())
+            limits.stated.limit.answered(3.0, loop.time(), loop.time())
+            for server in servers:
+                await prober_of(path).ask(server)
+            return [server.probes for server in path.servers.values()]
+
+        self.assertEqual(run_virtual(main), [0, 0, 0, 1])
+
+    def _servers(self, path: Path) -> list[BackendServer]:
+        return list(path.world.registry.servers.values())
+
+    def test_what_its_answer_states_counts(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=3)
+            path.world.configure(route())
+            path.servers["s0"].says["Server-Leaving"] = "1"
+            path.servers["s1"].says["Server-Limit"] = "3"
+            path.servers["s2"].turns_probes_away, path.servers["s2"].rest = True, "2"
+            leaves, limits, rests = servers = self._servers(path)
+            for server in servers:
+                await prober_of(path).ask(server)
+            now = loop.time()
+            self.assertTrue(leaves.leaving)
+            self.assertEqual(limits.stated.limit.rate_per_s(now), 3.0)
+            self.assertGreaterEqual(rests.stated.refused_until(now) or 0.0, now + 1.9)
+            reported = [report.server for report in path.world.reports.statements]
+            self.assertEqual(reported, ["s0", "s1"])
+
+        run_virtual(main)
+
+    def test_the_word_of_another_process_at_its_address_counts_for_nothing(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = Path(loop, servers=1)
+            path.world.configure(route())
+            script = path.servers["s0"]
+            script.server_id, script.rest, script.turns_probes_away = "another", "2", True
+            script.says |= {"Server-Leaving": "1", "Server-Limit": "3"}
+            (server,) = self._servers(path)
+            await prober_of(path).ask(server)
+            self.assertEqual(script.probes, 1)
+            self.assertFalse(server.stated.states_something(loop.time()))
+
+        run_virtual(main)
--- a/tools/wrong_statement_versions.py
+++ b/tools/wrong_statement_versions.py
@@ -12,6 +12,7 @@
 _STATED = ("tests.test_gateway_stated_limit",)
 _ROWS = ("tests.test_gateway_process_statements",)
 _READ = ("tests.test_gateway_statements",)
+_PROBES = ("tests.test_gateway_probe",)
 
 STATEMENT_VERSIONS = (
     WrongVersion(
@@ -119,4 +120,28 @@
         "if False:",
         _READ,
     ),
+    WrongVersion(
+        "BUDGET",
+        "probes go to servers that leave, rest or limit themselves",
+        f"{_SERVERS}/probe.py",
+        "if self._wants_nothing(server):",
+        "if False:",
+        _PROBES,
+    ),
+    WrongVersion(
+        "DRAIN",
+        "what a server states in the answer to a probe is not read",
+        f"{_SERVERS}/probe.py",
+        "self._take_statement(answer, server, started)",
+        "pass",
+        _PROBES,
+    ),
+    WrongVersion(
+        "DRAIN",
+        "another process at a server's address speaks for it in the answer to a probe",
+        f"{_SERVERS}/probe.py",
+        "if not self._same_process(answer, server):",
+        "if False:",
+        _PROBES,
+    ),
 )
