Counters of servers' quotas go with what the servers stated

What was seen: each process of a server that ever stated a limit left two counters at each VM for as long as that VM ran. No caller notices; at a new process every few minutes it is a slow leak.

Cause: `FleetQuotas` counts what was used and refused by name since the start, for operators. The names of workspaces go with the configuration; nothing let those of servers go.

The parts that it gives out stay, as other VMs may know a server that this one does not: a part dropped there would begin anew with a full burst each second.

Ruled out: `Quotas.drop`, which drops the parts too.

--- a/sprucewinch/gateway/lifecycle/upkeep.py
+++ b/sprucewinch/gateway/lifecycle/upkeep.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from ..composition import Regions, Servers, State, Workspaces
+from ..statements.server_quotas import forget_unstated
 
 _SWEEP_S = 1.0
 """Time between two sweeps, in seconds."""
@@ -68,7 +69,9 @@
         """Close old connections, forget servers that are gone, look at the settings."""
         self.servers.pool.sweep()
         self.servers.outliers.drop_gone()
-        self.servers.registry.forget_told(self.monotonic())
+        registry = self.servers.registry
+        registry.forget_told(self.monotonic())
+        forget_unstated(self.workspaces.quotas, registry.statement_table)
         self._share_connections()
         self.reload_if_changed()
 
--- a/sprucewinch/gateway/quotas/quotas.py
+++ b/sprucewinch/gateway/quotas/quotas.py
@@ -136,6 +136,10 @@
     def drop(self, unknown: Callable[[str], bool]) -> None:
         """Drop what is held of quotas that are gone; see `Quotas`."""
         self.exchange.parts.drop(unknown)
+        self.forget(unknown)
+
+    def forget(self, unknown: Callable[[str], bool]) -> None:
+        """Drop what this VM used of quotas that it does not know; what it gives out stays."""
         for held in (self.leases, self.used, self.refused):
             for name in [name for name in held if unknown(name)]:
                 del held[name]
--- a/sprucewinch/gateway/statements/server_quotas.py
+++ b/sprucewinch/gateway/statements/server_quotas.py
@@ -18,14 +18,13 @@
 from typing import NamedTuple, Optional
 
 from ..quotas.quota import Quota, hall_quota
-from ..quotas.quotas import QuotaDecision, QuotaEnd, Quotas
+from ..quotas.quotas import FleetQuotas, QuotaDecision, QuotaEnd, Quotas
 from ..resources import BackendEntry
-from .process_statements import ProcessStatements, ServerProcessId
+from .process_statements import ProcessStatements, ServerProcessId, StatementTable
 
 _PREFIX = "\x1fserver|"
 """Begins the names of servers' quotas; no workspace's name begins so."""
 
-
 _LEAST_PAUSE_S = 0.02
 """Least time for which a server is passed over that has nothing to give, in seconds."""
 
@@ -107,11 +106,26 @@
         backend: Its entry.
         rate_per_s: Requests a second that it takes from all VMs together.
     """
-    process = ServerProcessId.of(backend)
-    name = f"{_PREFIX}{process.server_id}|{process.incarnation}"
-    return hall_quota(name, rate_per_s, backend.hall)
+    return hall_quota(_quota_name(ServerProcessId.of(backend)), rate_per_s, backend.hall)
+
+
+def forget_unstated(quotas: FleetQuotas, table: StatementTable) -> None:
+    """Drop what this VM used of the quotas of servers whose statements are forgotten.
+
+    What it gives out of them stays: other VMs may know a server that this one does not.
+
+    Args:
+        quotas: All quotas, as this VM keeps them.
+        table: What the servers have stated.
+    """
+    stated = {_quota_name(process) for process in table.rows}
+    quotas.forget(lambda name: is_server_quota(name) and name not in stated)
 
 
 def is_server_quota(name: str) -> bool:
     """Return whether a quota of some name is a server's."""
     return name.startswith(_PREFIX)
+
+
+def _quota_name(process: ServerProcessId) -> str:
+    return f"{_PREFIX}{process.server_id}|{process.incarnation}"
--- a/tests/test_gateway_server_quotas.py
+++ b/tests/test_gateway_server_quotas.py
@@ -22,11 +22,14 @@
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 from tools.quota_model.fleet import ModelFleet, ModelVm
 
-from .statement_fleet import allowed, most_in_window
+from .statement_fleet import StatementFleet, allowed, most_in_window
 
 ENTRY = BackendEntry("s0", "rates", "10.0.0.1:80", "r0-1", 6, incarnation=7)
 CONTACT_S = 4.0
 DAY_S = 16.0
+FORGOTTEN_AFTER_S = 1000.0
+"""Longer than a VM remembers what a server without an entry has stated, in seconds."""
+
 ASKED = 3.0
 """How many times its limit is asked for."""
 
@@ -162,6 +165,28 @@
 
         run_virtual(main)
 
+    def test_nothing_is_kept_of_servers_that_are_forgotten(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await StatementFleet.start(loop)
+            [server, *_] = fleet.servers()
+            server.says["Server-Limit"] = "5"
+            await pass_time(4.0)
+            self.assertGreaterEqual(_held(fleet), 1)
+            fleet.fleet.store.remove(f"servers/{server.server_id}")
+            for vm in fleet.fleet.vms:
+                for stated in vm.gateway.servers.registry.statement_table.rows.values():
+                    stated.touched_at = -FORGOTTEN_AFTER_S
+            await pass_time(3.0)
+            self.assertEqual(_held(fleet), 0)
+
+        run_virtual(main)
+
+
+def _held(fleet: StatementFleet) -> int:
+    """Return of how many servers the VMs count requests, each VM's added up."""
+    quotas = [vm.gateway.upkeep.workspaces.quotas for vm in fleet.fleet.vms]
+    return sum(sum(map(is_server_quota, {*held.used, *held.refused})) for held in quotas)
+
 
 if __name__ == "__main__":
     unittest.main()
