Sender takes what it uses: ten arguments become seven, no part is built inside

Cause: the sender built a quarantine and `Statements` of its own where it got none, which only tests used, and passed six of its ten arguments on to `AttemptFeedback`.

Change: the composition builds the feedback and gives it in; tests build theirs in `gateway_fakes`, where the quotas that let all pass stand now, too. No decision changes.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -35,6 +35,7 @@
 from .regions.region_reports import RegionReports
 from .regions.shares import RegionShares
 from .requests.app import GatewayApp
+from .requests.attempt_feedback import AttemptFeedback
 from .requests.pipeline import Pipeline
 from .requests.sender import Sender
 from .requests.server_order import ServerRanker
@@ -432,17 +433,22 @@
 def _sender(
     context: Context, servers: Servers, crashes: Crashes, server_quotas: ServerQuotas
 ) -> Sender:
-    return Sender(
+    feedback = AttemptFeedback(
         servers.registry,
         servers.outliers,
-        servers.pool,
-        context.adapter.names,
+        crashes.quarantine,
+        servers.statements,
         context.monotonic,
         context.events,
-        crashes.quarantine,
+    )
+    return Sender(
+        servers.registry,
+        servers.pool,
+        context.adapter.names,
+        feedback,
+        server_quotas,
+        monotonic=context.monotonic,
         wall=context.clock.wall,
-        statements=servers.statements,
-        server_quotas=server_quotas,
     )
 
 
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -11,9 +11,7 @@
 """
 
 import asyncio
-import random
 from collections.abc import Callable
-from typing import Optional
 
 from ...net.connection import (
     Answer,
@@ -22,17 +20,12 @@
     ExchangeFailedError,
 )
 from ..crashes.crash_check import CrashCheck
-from ..crashes.quarantine import Quarantine
-from ..events import EventLog, NoEvents
 from ..header_names import HeaderNames
 from ..servers.backend_registry import BackendRegistry
 from ..servers.backend_server import BackendServer
-from ..servers.outliers import OutlierDetector
 from ..servers.pool import ConnectionPool
-from ..statements.server_quotas import NoServerQuotas, ServerQuotas
+from ..statements.server_quotas import ServerQuotas
 from ..statements.statement import keep_alive_s, read_statement
-from ..statements.statement_report import StatementReport
-from ..statements.statements import Statements
 from .attempt_feedback import AttemptFeedback
 from .client_request import (
     CRASHED,
@@ -62,48 +55,35 @@
 
     Args:
         registry: Backend servers.
-        outliers: Gets every attempt at a warm server as a sample.
         pool: Connections.
         names: Names of headers.
+        feedback: Keeps what attempts tell.
+        server_quotas: Limits that servers state.
         monotonic: Source of time, in seconds.
-        events: Logs when a server rests after a failure; None to log nothing.
-        quarantine: Requests that crash servers; None for one that this part has alone.
-        wall: Source of the time of day, in seconds since the epoch; `monotonic` by default.
-        statements: Takes in what servers state; None to report nothing to other VMs.
-        server_quotas: Limits that servers state; None to keep none.
+        wall: Source of the time of day, in seconds since the epoch.
     """
 
-    def __init__(  # noqa: PLR0913  one argument a part
+    def __init__(
         self,
         registry: BackendRegistry,
-        outliers: OutlierDetector,
         pool: ConnectionPool,
         names: HeaderNames,
-        monotonic: Callable[[], float],
-        events: Optional[EventLog] = None,
-        quarantine: Optional[Quarantine] = None,
+        feedback: AttemptFeedback,
+        server_quotas: ServerQuotas,
         *,
-        wall: Optional[Callable[[], float]] = None,
-        statements: Optional[Statements] = None,
-        server_quotas: Optional[ServerQuotas] = None,
+        monotonic: Callable[[], float],
+        wall: Callable[[], float],
     ) -> None:
         self.registry = registry
         self.pool = pool
         self.names = names
+        self.feedback = feedback
+        self.quarantine = feedback.quarantine
+        self.events = feedback.events
+        self.server_quotas = server_quotas
         self.monotonic = monotonic
-        self.wall = wall or monotonic
-        self.events = events or NoEvents()
+        self.wall = wall
         self.crash_check = CrashCheck(pool)
-        self.quarantine = quarantine or Quarantine(
-            registry.store_view, "", names.request_id, monotonic=monotonic, wall=monotonic
-        )
-        stated = statements or Statements(
-            registry.statement_table, _send_nothing, self.events, random.Random(0)
-        )
-        self.server_quotas = server_quotas or NoServerQuotas()
-        self.feedback = AttemptFeedback(
-            registry, outliers, self.quarantine, stated, monotonic, self.events
-        )
         self._at_work: dict[BackendServer, set[Connection]] = {}
         registry.on_restart.append(self._end_attempts)
 
@@ -259,7 +239,3 @@
         if request.body or request.method not in _BODYLESS_METHODS:
             lines.append(f"content-length: {len(request.body)}")
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + request.body
-
-
-def _send_nothing(_report: StatementReport, _to_all: bool) -> None:
-    """Report nothing; for a part that is built alone."""
--- a/sprucewinch/gateway/statements/server_quotas.py
+++ b/sprucewinch/gateway/statements/server_quotas.py
@@ -56,19 +56,6 @@
         """Give back a right of which nothing was sent."""
 
 
-class NoServerQuotas(ServerQuotas):
-    """Lets all pass; for a part that is built alone."""
-
-    async def take(
-        self, _backend: BackendEntry, _stated: ProcessStatements
-    ) -> Optional[ServerGrant]:
-        """Return a right to send."""
-        return UNLIMITED
-
-    def give_back(self, grant: ServerGrant) -> None:
-        """Hold nothing."""
-
-
 class FleetServerQuotas(ServerQuotas):
     """Limits kept over the fleet.
 
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -5,12 +5,14 @@
 from collections.abc import Callable
 from typing import Optional
 
+from sprucewinch.gateway.crashes.quarantine import Quarantine
 from sprucewinch.gateway.events import NoEvents
 from sprucewinch.gateway.quotas.quota import Quota
 from sprucewinch.gateway.quotas.quotas import QuotaDecision, QuotaEnd, Quotas
 from sprucewinch.gateway.regions.policies import PolicyTable
 from sprucewinch.gateway.regions.region_reports import RegionReports
 from sprucewinch.gateway.regions.shares import RegionShares
+from sprucewinch.gateway.requests.attempt_feedback import AttemptFeedback
 from sprucewinch.gateway.requests.client_request import ClientRequest
 from sprucewinch.gateway.requests.pipeline import Pipeline
 from sprucewinch.gateway.requests.sender import Sender
@@ -36,7 +38,10 @@
 from sprucewinch.gateway.state.outages import StoreOutages
 from sprucewinch.gateway.state.replica import Delta, Item, Removal
 from sprucewinch.gateway.state.store_view import Decoder, StoreView
+from sprucewinch.gateway.statements.process_statements import ProcessStatements
+from sprucewinch.gateway.statements.server_quotas import UNLIMITED, ServerGrant, ServerQuotas
 from sprucewinch.gateway.statements.statement_report import StatementReport
+from sprucewinch.gateway.statements.statements import Statements
 from sprucewinch.gateway.timing import Timing
 from sprucewinch.gateway.workspaces.admission import WorkspaceAdmission
 from standins.scripted_server import ScriptedServer
@@ -80,6 +85,16 @@
         """Hold nothing."""
 
 
+class FreeServerQuotas(ServerQuotas):
+    """Lets all requests pass."""
+
+    async def take(self, _backend: BackendEntry, _stated: ProcessStatements) -> ServerGrant:
+        return UNLIMITED
+
+    def give_back(self, grant: ServerGrant) -> None:
+        """Hold nothing."""
+
+
 class RecordedReports(ReportSender):
     """Keeps what would be sent to other VMs."""
 
@@ -189,7 +204,15 @@
         self.ranker = ServerRanker(self.world.registry, self.shares, REGIONS)
         self.pool = ConnectionPool(NAMES.request_id, loop.time)
         self.outliers = OutlierDetector(self.world.registry)
-        self.sender = Sender(self.world.registry, self.outliers, self.pool, NAMES, loop.time)
+        self.sender = Sender(
+            self.world.registry,
+            self.pool,
+            NAMES,
+            self._feedback(),
+            FreeServerQuotas(),
+            monotonic=loop.time,
+            wall=loop.time,
+        )
         self.quotas = FreeQuotas()
         self.admission = WorkspaceAdmission(
             self.world.store_view, self.quotas, BOUNDS, loop.time, NoEvents()
@@ -204,6 +227,19 @@
             timing=Timing(loop.time, random.Random(1)),
         )
 
+    def _feedback(self) -> AttemptFeedback:
+        registry, time = self.world.registry, self.loop.time
+        quarantine = Quarantine(
+            registry.store_view, "", NAMES.request_id, monotonic=time, wall=time
+        )
+        statements = Statements(
+            registry.statement_table,
+            self.world.reports.send_statement,
+            NoEvents(),
+            random.Random(0),
+        )
+        return AttemptFeedback(registry, self.outliers, quarantine, statements, time, NoEvents())
+
     def add(self, server_id: str, address: str, hall: str = "east-a") -> ScriptedServer:
         """Start a backend server and let the store list it."""
         server = self.servers[server_id] = ScriptedServer(self.loop, server_id)
