Own interface: an exchange that fails ends no operation at the same peer

What callers saw: an operation that was handed to another VM ended with 502 `unknown` as soon as an exchange with that VM failed, though it had not run, or its answer was on the way.

Cause: exchanges, repeatable requests and operations shared one gRPC channel to a peer, and an exchange without an answer within 2 s closes it, with all that is at work there.

Change: operations have a channel of their own. A peer that fails an exchange is connected to afresh by the next call; what is at work on the old channel of operations goes on to its deadline, and the channel is closed with the last one. Requests that may be sent again still end at once, so that they are tried elsewhere.

Ruled out: keeping one channel and closing it when its last request ends: repeatable requests would wait for a VM that is gone until their time is up.

--- a/sprucewinch/hall/peers/peer_client.py
+++ b/sprucewinch/hall/peers/peer_client.py
@@ -1,11 +1,15 @@
 """Calls to other entry VMs: exchanges, and requests handed on.
 
-Owns one gRPC channel for each peer address and drops it when an exchange fails. Relies on `frames`
-for the messages. Decides whether a handed-on request certainly did not run: it did not if the
-stream to the other VM was not opened, or if that VM reports so.
+Owns the gRPC channels to each peer address and drops them when an exchange fails. Requests that
+may be sent again end then, and are tried elsewhere; operations go on, as their answers may still
+come. Relies on `frames` for the messages. Decides whether a handed-on request certainly did not
+run: it did not if the stream to the other VM was not opened, or if that VM reports so. Tests:
+`test_peer_client`.
 """
 
 import asyncio
+import contextlib
+from collections.abc import Iterator
 from typing import Optional
 
 from grpclib.client import Channel, Stream
@@ -45,21 +49,22 @@
     def __init__(self, region: str, clock: Clock) -> None:
         self.region = region
         self.clock = clock
-        self.channels: dict[str, Channel] = {}
+        self.channels: dict[str, _PeerChannels] = {}
         self.bytes_sent = 0
         self.bytes_received = 0
 
     def close(self) -> None:
         """Close all channels."""
-        for channel in self.channels.values():
-            channel.close()
+        for channels in self.channels.values():
+            channels.close()
         self.channels.clear()
 
     async def exchange(self, address: str, message: ExchangeRequest) -> Optional[ExchangeReply]:
         """Exchange members and documents with one entry VM; None when it does not answer."""
         self.bytes_sent += message.ByteSize()
         try:
-            reply = await PeerStub(self._channel(address)).Exchange(message, timeout=_EXCHANGE_S)
+            stub = PeerStub(self._channels(address).shared)
+            reply = await stub.Exchange(message, timeout=_EXCHANGE_S)
         except _FAILURES:
             # The VM's entry grows old by itself, which shows in its `age_s`; no line is needed.
             self.drop(address)
@@ -76,9 +81,13 @@
             return Attempt(not_run(Reason.DEADLINE_PASSED))
         hand_on = _HandOn(request, responder)
         frame = open_frame(request, now=self.clock.monotonic(), from_region=self.region, home=home)
+        channels = self._channels(member.peer_address)
         try:
-            async with asyncio.timeout(left) as limit:
-                async with PeerStub(self._channel(member.peer_address)).Handle.open() as stream:
+            with channels.used(operation=request.ticket is not None) as channel:
+                async with (
+                    asyncio.timeout(left) as limit,
+                    PeerStub(channel).Handle.open() as stream,
+                ):
                     await hand_on.run(stream, frame, limit)
         except TimeoutError:
             return hand_on.failed(Reason.BACKEND_TIMEOUT)
@@ -89,20 +98,66 @@
         return hand_on.attempt or hand_on.failed(Reason.PEER_FAILED)
 
     def drop(self, address: str) -> None:
-        """Close the channel to an address, so that the next call connects afresh."""
-        channel = self.channels.pop(address, None)
-        if channel is not None:
-            channel.close()
-
-    def _channel(self, address: str) -> Channel:
-        channel = self.channels.get(address)
-        if channel is None:
-            host, port = parse_address(address)
-            window = ChannelConfiguration(
-                http2_connection_window_size=WINDOW, http2_stream_window_size=WINDOW
-            )
-            channel = self.channels[address] = Channel(host, port, config=window)
-        return channel
+        """Let go of the channels to an address, so that the next call connects afresh."""
+        channels = self.channels.pop(address, None)
+        if channels is not None:
+            channels.drop()
+
+    def _channels(self, address: str) -> "_PeerChannels":
+        channels = self.channels.get(address)
+        if channels is None:
+            channels = self.channels[address] = _PeerChannels(address)
+        return channels
+
+
+class _PeerChannels:
+    """The channels to one peer: operations have one of their own. Each connects when it is used.
+
+    Args:
+        address: The peer's address.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.shared = _channel(address)
+        self.for_operations = _channel(address)
+        self.operations = 0
+        self.dropped = False
+
+    @contextlib.contextmanager
+    def used(self, *, operation: bool) -> Iterator[Channel]:
+        """Return the channel of a request, which is kept open for an operation until it ends."""
+        if not operation:
+            yield self.shared
+            return
+        self.operations += 1
+        try:
+            yield self.for_operations
+        finally:
+            self.operations -= 1
+            self._close_unused()
+
+    def drop(self) -> None:
+        """Close the channels; that of operations once the last one at work there has ended."""
+        self.shared.close()
+        self.dropped = True
+        self._close_unused()
+
+    def close(self) -> None:
+        """Close the channels at once."""
+        self.shared.close()
+        self.for_operations.close()
+
+    def _close_unused(self) -> None:
+        if self.dropped and not self.operations:
+            self.for_operations.close()
+
+
+def _channel(address: str) -> Channel:
+    host, port = parse_address(address)
+    window = ChannelConfiguration(
+        http2_connection_window_size=WINDOW, http2_stream_window_size=WINDOW
+    )
+    return Channel(host, port, config=window)
 
 
 class _HandOn:
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -1,14 +1,19 @@
 import asyncio
 import signal
+from collections.abc import Coroutine
 
 from standins.relay import Relay
 from tests.processes import FleetCase
-from tools.fleet import wait_until
+from tools.fleet import Vm, wait_until
 from tools.ports import free_ports
 
 _HELD = "?work_ms=5000"
 """Work that is still under way when its peer is struck, however late this machine is."""
 
+_EXCHANGE_FAILED_S = 3.5
+"""Time without an answer after which an exchange that began in it has failed, in seconds: an
+exchange takes 2 s at the most, and one begins each second."""
+
 
 class Faults(FleetCase):
     async def leave(self, server: str, leaving: bool = True) -> None:
@@ -55,6 +60,38 @@
             self.assertLess(asyncio.get_running_loop().time() - began, 1.5)
             self.assertEqual(await self.runs("none"), 0)
 
+    async def test_an_operation_at_a_peer_that_is_late_has_a_certain_end(self) -> None:
+        """It ended as unknown, and had not run, as an exchange with that peer failed meanwhile.
+
+        The peer may refuse it once it goes on, as its slots may have lapsed.
+        """
+        near, far = self.vm(0), self.vm(1)
+        await self.leave(self.pool("hall-1", "booking"))
+        ticket = await self.ticket(near)
+        self.fleet.signal(far.name, signal.SIGSTOP)
+        sending = asyncio.create_task(self._book_patiently(near, "late", ticket))
+        await wait_until(lambda: self._unheard(near, far), "an exchange to fail")
+        self.fleet.signal(far.name, signal.SIGCONT)
+        status, headers, _ = await sending
+        ended = (status, headers["sprucewinch-outcome"], await self.runs("late"))
+        self.assertIn(ended, ((200, "answered", 1), (503, "not-run", 0)))
+
+    def _book_patiently(self, vm: Vm, operation: str, ticket: str) -> Coroutine:
+        """Send a booking that may take 15 s."""
+        return self.send(
+            vm,
+            "booking",
+            method="POST",
+            operation=operation,
+            sprucewinch_ticket=ticket,
+            sprucewinch_deadline_ms="15000",
+        )
+
+    async def _unheard(self, near: Vm, far: Vm) -> bool:
+        """Return whether a VM has not heard of another for longer than an exchange may take."""
+        rows = (await self.operator(near).get("/v1/status"))["vms"]
+        return any(row["vm"] == far.name and row["heard_s"] > _EXCHANGE_FAILED_S for row in rows)
+
     async def _until_it_runs(self, operation: str, sending: asyncio.Task) -> None:
         """Wait until an operation runs; one that is answered before shows its answer."""
 
