A room for the choice of a server: gateway/requests/choice

Cause: `gateway/requests` held 16 modules side by side.

Change: `server_order`, `server_selection` and `room` move to `gateway/requests/choice`; a move alone, with the paths in pages, in tests' imports and in the rule that `sprucewinch story` names.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -36,9 +36,9 @@
 from .regions.shares import RegionShares
 from .requests.app import GatewayApp
 from .requests.attempt_feedback import AttemptFeedback
+from .requests.choice.server_order import ServerRanker
 from .requests.pipeline import Pipeline
 from .requests.sender import Sender
-from .requests.server_order import ServerRanker
 from .resources import Member
 from .servers.backend_registry import BackendRegistry
 from .servers.outliers import OutlierDetector
--- a/sprucewinch/gateway/requests/room.py
+++ b/sprucewinch/gateway/requests/choice/room.py
@@ -23,11 +23,11 @@
 
 from typing import Optional
 
-from ..resources import Route
-from ..servers.backend_server import BackendServer
-from ..servers.room_queue import Place
-from ..servers.service_times import ServiceTimes
-from .client_request import BlockedReason, ClientRequest
+from ...resources import Route
+from ...servers.backend_server import BackendServer
+from ...servers.room_queue import Place
+from ...servers.service_times import ServiceTimes
+from ..client_request import BlockedReason, ClientRequest
 
 DEFAULT_LATENCY_TARGET_S = 0.4
 """Latency target of a route that sets none, in seconds."""
--- a/sprucewinch/gateway/requests/server_order.py
+++ b/sprucewinch/gateway/requests/choice/server_order.py
@@ -16,10 +16,10 @@
 
 import xxhash
 
-from ...steering.placement import block_key
-from ..regions.shares import RegionShares
-from ..servers.backend_registry import BackendRegistry
-from ..servers.backend_server import BackendServer
+from ....steering.placement import block_key
+from ...regions.shares import RegionShares
+from ...servers.backend_registry import BackendRegistry
+from ...servers.backend_server import BackendServer
 
 _HASH_SPACE = float(1 << 32)
 """Number of values of the hash, which has 32 bits."""
--- a/sprucewinch/gateway/requests/server_selection.py
+++ b/sprucewinch/gateway/requests/choice/server_selection.py
@@ -23,12 +23,12 @@
 
 from typing import Optional, Union
 
-from ..resources import Route
-from ..servers.backend_registry import BackendRegistry
-from ..servers.backend_server import BackendServer
-from ..servers.outliers import OutlierDetector
-from ..servers.usability import unusable_reason
-from .client_request import (
+from ...resources import Route
+from ...servers.backend_registry import BackendRegistry
+from ...servers.backend_server import BackendServer
+from ...servers.outliers import OutlierDetector
+from ...servers.usability import unusable_reason
+from ..client_request import (
     Blocked,
     BlockedReason,
     ClientRequest,
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -3,11 +3,12 @@
 Owns the order and the state that steps share: the route table, split balances, retry budgets. Key
 and quota come once, before the body is read (`admit`), the others in `run`. Each rule is a module
 of its own: `workspaces.key_table`, `quotas.quotas`, `workspaces.allowed_regions`, `routes`,
-`crashes.quarantine`, `split`, `outcome.hold_time`, `outcome.time_left`, `server_order`,
-`server_selection`, `room`, `statements.server_quotas`, `outcome.retry_decision`, `retry_budget`,
-`outcome.final_answer`, `outcome.return_times`. A request that waited for room, whose server had
-nothing left of its limit or left while its connection came up, or whose attempt brought no answer,
-passes all steps again, so that it meets the newest configuration, servers and quarantine.
+`crashes.quarantine`, `split`, `outcome.hold_time`, `outcome.time_left`, `choice.server_order`,
+`choice.server_selection`, `choice.room`, `statements.server_quotas`, `outcome.retry_decision`,
+`retry_budget`, `outcome.final_answer`, `outcome.return_times`. A request that waited for room,
+whose server had nothing left of its limit or left while its connection came up, or whose attempt
+brought no answer, passes all steps again, so that it meets the newest configuration, servers and
+quarantine.
 Relies on the rules, the registry and the sender.
 """
 
@@ -25,6 +26,9 @@
 from ..workspaces.allowed_regions import allowed_regions
 from ..workspaces.fair_order import FairOrder
 from ..workspaces.key_table import KeyProblem
+from .choice.room import LOOK_AGAIN_S, place_in_queue, room_wait_s
+from .choice.server_order import Ranking, ServerRanker
+from .choice.server_selection import ServerSelector
 from .client_request import CRASHED, Attempt, ClientRequest, RefusalReason, Reply, Selection
 from .connection_age import most_rest_s
 from .outcome import final_answer
@@ -33,11 +37,8 @@
 from .outcome.return_times import ReturnTimes
 from .outcome.time_left import has_time
 from .retry_budget import WindowRetryBudget
-from .room import LOOK_AGAIN_S, place_in_queue, room_wait_s
 from .routes import RouteTable
 from .sender import Sender
-from .server_order import Ranking, ServerRanker
-from .server_selection import ServerSelector
 from .split import Splits
 
 _KEY_REFUSALS = {
--- a/sprucewinch/gateway/servers/room_queue.py
+++ b/sprucewinch/gateway/servers/room_queue.py
@@ -7,12 +7,12 @@
 Rule: as many requests wait as the server has slots; the most urgent goes first, then the one whose
 caller gives up first. Callers of a route state the same time when they first try and what is left
 of it when they return, so this is the order in which they first came: one that was refused before
-stands before those that came after it. Each waits anew after `requests.room.LOOK_AGAIN_S` and keeps
-its place, and no request passes one that stands before it (`stands_before`). A request that finds
-the queue full takes the place of the last one if that stands behind it, else it does not wait. One
-wakes for each request that ends: to wake all would let the last take the room before the others
-look. The queue's length is the server's slots, as more would wait for longer than one round of
-work.
+stands before those that came after it. Each waits anew after `requests.choice.room.LOOK_AGAIN_S`
+and keeps its place, and no request passes one that stands before it (`stands_before`). A request
+that finds the queue full takes the place of the last one if that stands behind it, else it does not
+wait. One wakes for each request that ends: to wake all would let the last take the room before the
+others look. The queue's length is the server's slots, as more would wait for longer than one round
+of work.
 
 The result is a `WaitEnd`, which says why a wait ended. Shows in: `blocked` of the event `request`
 of a refused request. Tests: `test_gateway_usability.WaitsForRoom`,
--- a/sprucewinch/operators/deciding_rule.py
+++ b/sprucewinch/operators/deciding_rule.py
@@ -39,7 +39,7 @@
 selection after it decides."""
 
 RETRY_DECISION = "requests/outcome/retry_decision.py"
-ROOM = "requests/room.py"
+ROOM = "requests/choice/room.py"
 BODY_ADMISSION = "requests/callers/body_admission.py"
 USABILITY = "servers/usability.py"
 
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -13,10 +13,10 @@
 from sprucewinch.gateway.regions.region_reports import RegionReports
 from sprucewinch.gateway.regions.shares import RegionShares
 from sprucewinch.gateway.requests.attempt_feedback import AttemptFeedback
+from sprucewinch.gateway.requests.choice.server_order import ServerRanker
 from sprucewinch.gateway.requests.client_request import ClientRequest
 from sprucewinch.gateway.requests.pipeline import Pipeline
 from sprucewinch.gateway.requests.sender import Sender
-from sprucewinch.gateway.requests.server_order import ServerRanker
 from sprucewinch.gateway.resources import (
     BackendEntry,
     Member,
--- a/tests/test_gateway_request_rules.py
+++ b/tests/test_gateway_request_rules.py
@@ -14,6 +14,7 @@
     admit_body,
 )
 from sprucewinch.gateway.requests.callers.request_reader import RequestReader
+from sprucewinch.gateway.requests.choice.room import no_room_reason, place_in_queue, room_wait_s
 from sprucewinch.gateway.requests.client_request import (
     TIMED_OUT,
     Attempt,
@@ -41,7 +42,6 @@
     without_budget,
 )
 from sprucewinch.gateway.requests.outcome.time_left import has_time
-from sprucewinch.gateway.requests.room import no_room_reason, place_in_queue, room_wait_s
 from sprucewinch.gateway.resources import Route
 from sprucewinch.net.connection import Answer
 from standins.scripted_server import Spoil
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -85,13 +85,13 @@
     def test_the_rule_that_decided_is_named(self) -> None:
         room = {"server_id": "s2"}
         cases = (
-            ("no-room", [], room, "requests/room.py"),
+            ("no-room", [], room, "requests/choice/room.py"),
             ("no-room", [], None, "requests/callers/body_admission.py"),
             ("no-room", [["s1", "not-run", "shed-503", 1]], None, RETRY_DECISION),
             ("no-server", [], {"server_id": ""}, "servers/usability.py"),
             ("no-server", [["s1", "not-run", "unreachable", 1]], None, RETRY_DECISION),
             ("no-server", [["s1", "not-run", "not-offered", 1]], None, "servers/usability.py"),
-            ("no-room", [["s1", "not-run", "not-offered", 1]], None, "requests/room.py"),
+            ("no-room", [["s1", "not-run", "not-offered", 1]], None, "requests/choice/room.py"),
             ("timeout", [["s1", "unknown", "timeout", 9]], None, "requests/outcome/hold_time.py"),
             ("no-time", [], None, "requests/outcome/time_left.py"),
             ("of-another-version", [], None, ""),
--- a/tools/wrong_statement_versions.py
+++ b/tools/wrong_statement_versions.py
@@ -99,7 +99,7 @@
     WrongVersion(
         "BUDGET",
         "the last resort goes to a server that asked for rest",
-        f"{_REQUESTS}/server_selection.py",
+        f"{_REQUESTS}/choice/server_selection.py",
         "if not s.cold(now) and refused_until(request, s, now) is None",
         "if not s.cold(now)",
         _ROWS,
--- a/tools/wrong_version_list.py
+++ b/tools/wrong_version_list.py
@@ -335,7 +335,7 @@
     WrongVersion(
         "HOME",
         "allowed regions are not looked at",
-        f"{_GATEWAY}/requests/server_order.py",
+        f"{_GATEWAY}/requests/choice/server_order.py",
         "if not allowed or self.regions.get(server.backend.hall) in allowed",
         "if True",
         ("tests.test_gateway_pipeline.Placing",),
