The choice of a server, the route in force and the budgets stand apart from the pipeline

Cause: `Pipeline` had 22 methods in 266 lines, of which a reader needs the order of the steps alone.

Change: `choice.server_choice` selects, waits and takes a server's limit; `routes_in_force` finds the route and what the workspace may use of it; `RetryBudgets` holds the services' budgets. The pipeline is given the choice. Three functions of the composition are split, `daemon` builds its table of signals in a line. Moves: each step does what it did, in the same order.

`sprucewinch story` names `requests/routes_in_force.py` for `no-configuration`, where that is decided now.

--- a/sprucewinch/daemon.py
+++ b/sprucewinch/daemon.py
@@ -105,9 +105,8 @@
         self.servers = self._http_servers()
         self.peer_listener = self._peer_listener()
         self.serving: list[asyncio.Task] = []
-        self.signals = ProcessSignals(
-            {signal.SIGTERM: self._signalled, signal.SIGINT: self._signalled}
-        )
+        stops = (signal.SIGTERM, signal.SIGINT)
+        self.signals = ProcessSignals(dict.fromkeys(stops, self._signalled))
 
     async def run(self) -> None:
         """Serve until the daemon is told to stop, then stop without cutting anything off.
--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -36,7 +36,9 @@
 from .regions.shares import RegionShares
 from .requests.app import GatewayApp
 from .requests.attempt_feedback import AttemptFeedback
+from .requests.choice.server_choice import ServerChoice
 from .requests.choice.server_order import ServerRanker
+from .requests.choice.server_selection import ServerSelector
 from .requests.pipeline import Pipeline
 from .requests.sender import Sender
 from .resources import Member
@@ -263,7 +265,7 @@
         state: The parts that hold the store's items.
         fleet: The other VMs.
     """
-    settings, names = context.settings, context.adapter.names
+    settings = context.settings
     reports = PeerReports(fleet.datagrams, fleet.follow_role)
     registry = BackendRegistry(
         state.view, settings.bounds, settings.name, settings.regions, state.outages, reports
@@ -271,28 +273,28 @@
     outliers = OutlierDetector(registry, reports, context.events)
     fleet.datagrams.register(OverloadReport, registry.load_reports.on_overload_report)
     fleet.datagrams.register(FailureReport, outliers.on_failure_report)
-    statements = Statements(
-        registry.statement_table, reports.send_statement, context.events, context.rng
-    )
+    table = registry.statement_table
+    statements = Statements(table, reports.send_statement, context.events, context.rng)
     fleet.datagrams.register(StatementReport, statements.on_report)
-    start_asks = StartAsks(
-        registry.statement_table, fleet.datagrams, fleet.follow_role, context.monotonic
-    )
     return Servers(
         registry=registry,
         outliers=outliers,
         statements=statements,
-        start_asks=start_asks,
-        pool=ConnectionPool(names.request_id, context.monotonic),
-        prober=Prober(
-            registry,
-            statements,
-            names,
-            context.events,
-            monotonic=context.monotonic,
-            wall=context.clock.wall,
-            incarnation_of=context.adapter.probed_incarnation,
-        ),
+        start_asks=StartAsks(table, fleet.datagrams, fleet.follow_role, context.monotonic),
+        pool=ConnectionPool(context.adapter.names.request_id, context.monotonic),
+        prober=_prober(context, registry, statements),
+    )
+
+
+def _prober(context: Context, registry: BackendRegistry, statements: Statements) -> Prober:
+    return Prober(
+        registry,
+        statements,
+        context.adapter.names,
+        context.events,
+        monotonic=context.monotonic,
+        wall=context.clock.wall,
+        incarnation_of=context.adapter.probed_incarnation,
     )
 
 
@@ -334,15 +336,8 @@
         state: The parts that hold the store's items.
         fleet: The other VMs.
     """
-    settings, monotonic = context.settings, context.monotonic
-    view = state.view
-    owners = QuotaOwners(
-        lambda: view.members,
-        fleet.gossip.in_touch,
-        regions=settings.regions,
-        name=settings.name,
-        started_at=monotonic(),
-    )
+    settings, monotonic, view = context.settings, context.monotonic, state.view
+    owners = _quota_owners(context, state, fleet)
     parts = QuotaParts(owners, monotonic())
     exchange = QuotaExchange(
         parts,
@@ -359,6 +354,17 @@
     return Workspaces(admission, quotas, exchange)
 
 
+def _quota_owners(context: Context, state: State, fleet: Fleet) -> QuotaOwners:
+    view = state.view
+    return QuotaOwners(
+        lambda: view.members,
+        fleet.gossip.in_touch,
+        regions=context.settings.regions,
+        name=context.settings.name,
+        started_at=context.monotonic(),
+    )
+
+
 def make_regions(
     context: Context, state: State, servers: Servers, unreadable: Callable[[str, str], None]
 ) -> Regions:
@@ -406,14 +412,14 @@
         regions: Steering between regions.
     """
     settings = context.settings
-    ranker = ServerRanker(servers.registry, regions.shares, settings.regions)
     server_quotas = FleetServerQuotas(workspaces.quotas, context.monotonic)
-    sender = _sender(context, servers, crashes, server_quotas)
+    ranker = ServerRanker(servers.registry, regions.shares, settings.regions)
+    selector = ServerSelector(servers.registry, servers.outliers)
     pipeline = Pipeline(
         state.view,
         servers.registry,
-        ranker,
-        sender,
+        ServerChoice(ranker, selector, crashes.quarantine, server_quotas),
+        _sender(context, servers, crashes, server_quotas),
         workspaces.admission,
         bounds=settings.bounds,
         timing=context.timing,
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -1,34 +1,28 @@
 """The order of a request's steps: key, quota; route, quarantine, split, time, select, send, retry.
 
-Owns the order and the state that steps share: the route table, split balances, retry budgets. Key
+Owns the order and the state that steps share: split balances, retry budgets, workspaces' turns. Key
 and quota come once, before the body is read (`admit`), the others in `run`. Each rule is a module
-of its own: `workspaces.key_table`, `quotas.quotas`, `workspaces.allowed_regions`, `routes`,
-`crashes.quarantine`, `split`, `outcome.hold_time`, `outcome.time_left`, `choice.server_order`,
-`choice.server_selection`, `choice.room`, `statements.server_quotas`, `outcome.retry_decision`,
-`retry_budget`, `outcome.final_answer`, `outcome.return_times`. A request that waited for room,
-whose server had nothing left of its limit or left while its connection came up, or whose attempt
-brought no answer, passes all steps again, so that it meets the newest configuration, servers and
-quarantine.
-Relies on the rules, the registry and the sender.
+of its own: `workspaces.key_table`, `quotas.quotas`; `routes_in_force`, `crashes.quarantine`,
+`split`, `outcome.hold_time`, `outcome.time_left`, `choice.server_choice`,
+`outcome.retry_decision`, `retry_budget`, `outcome.final_answer`, `outcome.return_times`. A request
+that waited for room, whose server had nothing left of its limit or left while its connection came
+up, or whose attempt brought no answer, passes all steps again, so that it meets the newest
+configuration, servers and quarantine. Relies on the rules, the registry and the sender.
 """
 
-import asyncio
-from typing import Optional, Union
+from typing import Optional
 
 from ..crashes.held import Held
 from ..quotas.quotas import QuotaEnd
-from ..resources import Route, RouteConfiguration
+from ..resources import Route
 from ..servers.backend_registry import BackendRegistry
 from ..settings import Bounds
-from ..state.store_view import Change, StoreView
+from ..state.store_view import StoreView
 from ..timing import Timing
 from ..workspaces.admission import CallerRequest, WorkspaceAdmission
-from ..workspaces.allowed_regions import allowed_regions
 from ..workspaces.fair_order import FairOrder
 from ..workspaces.key_table import KeyProblem
-from .choice.room import LOOK_AGAIN_S, place_in_queue, room_wait_s
-from .choice.server_order import Ranking, ServerRanker
-from .choice.server_selection import ServerSelector
+from .choice.server_choice import ServerChoice
 from .client_request import CRASHED, Attempt, ClientRequest, RefusalReason, Reply, Selection
 from .connection_age import most_rest_s
 from .outcome import final_answer
@@ -36,8 +30,8 @@
 from .outcome.retry_decision import RetryDecision, after_crash, decide_retry, without_budget
 from .outcome.return_times import ReturnTimes
 from .outcome.time_left import has_time
-from .retry_budget import WindowRetryBudget
-from .routes import RouteTable
+from .retry_budget import RetryBudgets
+from .routes_in_force import RoutesInForce
 from .sender import Sender
 from .split import Splits
 
@@ -47,9 +41,6 @@
 }
 """What callers get whose key is not accepted."""
 
-_LEAST_WAIT_S = 0.001
-"""Least time for which a request waits for a server that takes none now, in seconds."""
-
 _QUOTA_REFUSALS = {
     QuotaEnd.OVER: RefusalReason.OVER_QUOTA,
     QuotaEnd.UNKNOWN: RefusalReason.NO_QUOTA,
@@ -63,7 +54,7 @@
     Args:
         store_view: What this VM holds of the store.
         registry: Backend servers.
-        ranker: Orders the servers of an object.
+        choice: Chooses the servers of requests.
         sender: Sends requests.
         admission: Admits requests by key and by quota.
         bounds: The fleet's figures.
@@ -74,7 +65,7 @@
         self,
         store_view: StoreView,
         registry: BackendRegistry,
-        ranker: ServerRanker,
+        choice: ServerChoice,
         sender: Sender,
         admission: WorkspaceAdmission,
         *,
@@ -83,27 +74,22 @@
     ) -> None:
         self.store_view = store_view
         self.registry = registry
-        self.ranker = ranker
+        self.choice = choice
         self.sender = sender
         self.admission = admission
-        self.bounds = bounds
         self.monotonic = timing.monotonic
         self.rng = timing.rng
         self.quarantine = sender.quarantine
-        self.selector = ServerSelector(registry, sender.feedback.outliers)
         self.return_times = ReturnTimes(registry, timing.rng)
         self.splits = Splits()
-        self.budgets: dict[str, WindowRetryBudget] = {}
+        self.budgets = RetryBudgets(bounds)
         self.fair_orders: dict[str, FairOrder] = {}
-        self.table: Optional[RouteTable] = None
-        store_view.listeners.append(self._on_change)
+        self.routes = RoutesInForce(store_view, admission)
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Use other figures of the fleet from now on; retries and requests stay counted."""
-        self.bounds = bounds
         self.admission.set_bounds(bounds)
-        for budget in self.budgets.values():
-            budget.set_bounds(bounds)
+        self.budgets.set_bounds(bounds)
 
     async def admit(self, request: ClientRequest) -> Optional[Reply]:
         """Return the answer to a request that is refused by what its head says, else None.
@@ -114,7 +100,7 @@
         Args:
             request: The request, without its body.
         """
-        route = self._route(request)
+        route = self.routes.find(request)
         if isinstance(route, RefusalReason):
             return final_answer.refused(route, self.rng)
         caller = self.admission.caller(route, request.api_key)
@@ -141,7 +127,7 @@
         service = ""
         while True:
             now = self.monotonic()
-            route = self._usable_route(request)
+            route = self.routes.usable(request)
             if isinstance(route, RefusalReason):
                 return final_answer.without_route(request, route, self.rng)
             held = await self._held(request)
@@ -151,7 +137,7 @@
             until = hold_time(request, route).until
             if not has_time(until, now, self.registry.times.least_s(service)):
                 return self._not_served(request, route, RefusalReason.NO_TIME)
-            selection = await self._granted(request, route, service, now)
+            selection = await self.choice.choose(request, route, service, now)
             if selection is None:
                 continue
             if isinstance(selection, RefusalReason):
@@ -170,26 +156,7 @@
 
     def arrivals_per_s(self, service: str, now: float) -> float:
         """Return the requests a second that callers send here for a service."""
-        budget = self.budgets.get(service)
-        return budget.requests_per_s(now) if budget else 0.0
-
-    def _route(self, request: ClientRequest) -> Union[Route, RefusalReason]:
-        if self.table is None:
-            return RefusalReason.NO_CONFIGURATION
-        route = self.table.find(request.host, request.path)
-        return RefusalReason.NO_ROUTE if route is None else route
-
-    def _usable_route(self, request: ClientRequest) -> Union[Route, RefusalReason]:
-        """Return a request's route as far as its workspace, as it is now, may use it."""
-        route = self._route(request)
-        admitted = request.caller.workspace
-        if isinstance(route, RefusalReason) or admitted is None:
-            return route
-        workspace = self.admission.workspace(admitted.name)
-        if workspace is None:
-            return RefusalReason.UNKNOWN_KEY
-        allowed = allowed_regions(route, workspace)
-        return RefusalReason.NO_REGION if allowed is None else route._replace(regions=allowed)
+        return self.budgets.requests_per_s(service, now)
 
     async def _held(self, request: ClientRequest) -> Optional[Held]:
         """Return why a request is refused as one that crashes servers; None when it may be sent."""
@@ -210,74 +177,13 @@
         """Return the service that handles a request: drawn anew when its route has it no longer."""
         if not service:
             service = self.splits.service(route, request.key or request.id)
-            self._budget(service).arrived(now)
+            self.budgets.of(service).arrived(now)
             fair_order = self.fair_orders.setdefault(service, FairOrder())
             request.ahead = fair_order.arrived(request.caller.workspace, now)
         elif service not in {part.service for part in route.parts}:
             service = self.splits.service(route, request.key)
         return service
 
-    async def _granted(
-        self, request: ClientRequest, route: Route, service: str, now: float
-    ) -> Union[Selection, RefusalReason, None]:
-        """Choose a server that grants a request where it states a limit, else wait or refuse.
-
-        Returns:
-            None when the request has to look anew.
-        """
-        selection = await self._choose_or_wait(request, route, service, now)
-        if not isinstance(selection, Selection):
-            return selection
-        server = selection.server
-        grant = await self.sender.server_quotas.take(server.backend, server.stated)
-        if grant is None:
-            request.vain_asks += 1
-            return None
-        return selection._replace(grant=grant)
-
-    async def _choose_or_wait(
-        self, request: ClientRequest, route: Route, service: str, now: float
-    ) -> Union[Selection, RefusalReason, None]:
-        """Choose a server, else wait for room, else refuse.
-
-        Returns:
-            None when the request has waited and has to look anew.
-        """
-        key = request.key if route.affinity and request.key else request.id
-        if self.quarantine.judgement(request).crashes:
-            # Away from the other suspects of a crash, and equal ones to the same server.
-            key = self.quarantine.names.fingerprint_of(request).hex()
-        ranking = self.ranker.place(service, key, route.regions, now)
-        selection = self.selector.choose(request, ranking, service, now, route)
-        if selection is RefusalReason.NO_SERVER and await self._wait_for_word(request, route, now):
-            return None
-        if selection is not RefusalReason.NO_ROOM:
-            return selection
-        waited = await self._wait_for_room(request, route, ranking, now)
-        return None if waited else selection
-
-    async def _wait_for_word(self, request: ClientRequest, route: Route, now: float) -> bool:
-        """Wait until the first server takes requests again; False when that is too late.
-
-        Only where all servers take none by their own word.
-        """
-        until = request.blocked.until if request.blocked else None
-        if until is None or until <= now or until - now > room_wait_s(request, route, now):
-            return False
-        await asyncio.sleep(max(_LEAST_WAIT_S, until - now))
-        return True
-
-    async def _wait_for_room(
-        self, request: ClientRequest, route: Route, ranking: Ranking, now: float
-    ) -> bool:
-        """Wait for room; False when there is no time left or too many wait already."""
-        server = self.selector.candidate(request, ranking, now)
-        left_s = room_wait_s(request, route, now)
-        if server is None or left_s <= 0:
-            return False
-        place = place_in_queue(request, route)
-        return await server.wait_for_room(min(left_s, LOOK_AGAIN_S), place)
-
     async def _send(
         self, request: ClientRequest, route: Route, selection: Selection, until: float
     ) -> Attempt:
@@ -294,7 +200,7 @@
         decision = self._after_crash(request, attempt) or decide_retry(request, route, attempt)
         if not decision.costs_retry:
             return decision
-        taken = self._budget(service).take(self.monotonic(), self.registry.vm_count())
+        taken = self.budgets.of(service).take(self.monotonic(), self.registry.vm_count())
         return decision if taken else without_budget(attempt)
 
     def _after_crash(self, request: ClientRequest, attempt: Attempt) -> Optional[RetryDecision]:
@@ -313,13 +219,3 @@
         elif reply.refusal is RefusalReason.NO_SERVER and request.blocked.until is not None:
             known_s = self.return_times.after_s(route.name, request.blocked.until, self.monotonic())
         return reply if known_s is None else reply._replace(retry_after_s=known_s)
-
-    def _budget(self, service: str) -> WindowRetryBudget:
-        budget = self.budgets.get(service)
-        if budget is None:
-            budget = self.budgets[service] = WindowRetryBudget(self.bounds)
-        return budget
-
-    def _on_change(self, change: Change) -> None:
-        if isinstance(change.after, RouteConfiguration):
-            self.table = RouteTable(change.after)
--- a/sprucewinch/gateway/requests/retry_budget.py
+++ b/sprucewinch/gateway/requests/retry_budget.py
@@ -79,3 +79,35 @@
             return False
         self.retries.add(now)
         return True
+
+
+class RetryBudgets:
+    """The budgets of all services at this VM.
+
+    Args:
+        bounds: The fleet's figures.
+    """
+
+    __slots__ = ("_by_service", "bounds")
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.bounds = bounds
+        self._by_service: dict[str, WindowRetryBudget] = {}
+
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Use other figures from now on; see `WindowRetryBudget.set_bounds`."""
+        self.bounds = bounds
+        for budget in self._by_service.values():
+            budget.set_bounds(bounds)
+
+    def of(self, service: str) -> WindowRetryBudget:
+        """Return the budget of a service, made at its first request."""
+        budget = self._by_service.get(service)
+        if budget is None:
+            budget = self._by_service[service] = WindowRetryBudget(self.bounds)
+        return budget
+
+    def requests_per_s(self, service: str, now: float) -> float:
+        """Return the requests a second that callers send here for a service."""
+        budget = self._by_service.get(service)
+        return budget.requests_per_s(now) if budget else 0.0
--- a/sprucewinch/operators/deciding_rule.py
+++ b/sprucewinch/operators/deciding_rule.py
@@ -13,7 +13,7 @@
 
 _BY_OUTCOME = {
     "answered": "requests/verdict.py",
-    "no-configuration": "requests/pipeline.py",
+    "no-configuration": "requests/routes_in_force.py",
     "no-route": "requests/routes.py",
     "unknown-key": "workspaces/key_table.py",
     "behind": "workspaces/key_table.py",
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -13,7 +13,9 @@
 from sprucewinch.gateway.regions.region_reports import RegionReports
 from sprucewinch.gateway.regions.shares import RegionShares
 from sprucewinch.gateway.requests.attempt_feedback import AttemptFeedback
+from sprucewinch.gateway.requests.choice.server_choice import ServerChoice
 from sprucewinch.gateway.requests.choice.server_order import ServerRanker
+from sprucewinch.gateway.requests.choice.server_selection import ServerSelector
 from sprucewinch.gateway.requests.client_request import ClientRequest
 from sprucewinch.gateway.requests.pipeline import Pipeline
 from sprucewinch.gateway.requests.sender import Sender
@@ -204,12 +206,19 @@
         self.ranker = ServerRanker(self.world.registry, self.shares, REGIONS)
         self.pool = ConnectionPool(NAMES.request_id, loop.time)
         self.outliers = OutlierDetector(self.world.registry)
+        feedback, server_quotas = self._feedback(), FreeServerQuotas()
+        self.choice = ServerChoice(
+            self.ranker,
+            ServerSelector(self.world.registry, self.outliers),
+            feedback.quarantine,
+            server_quotas,
+        )
         self.sender = Sender(
             self.world.registry,
             self.pool,
             NAMES,
-            self._feedback(),
-            FreeServerQuotas(),
+            feedback,
+            server_quotas,
             monotonic=loop.time,
             wall=loop.time,
         )
@@ -220,7 +229,7 @@
         self.pipeline = Pipeline(
             self.world.store_view,
             self.world.registry,
-            self.ranker,
+            self.choice,
             self.sender,
             self.admission,
             bounds=BOUNDS,
--- a/tests/test_gateway_pipeline.py
+++ b/tests/test_gateway_pipeline.py
@@ -350,7 +350,7 @@
 def _kept(path: Path, server: BackendServer) -> _Kept:
     now = path.loop.time()
     return _Kept(
-        path.pipeline.budgets["rates"].retries.count(now),
+        path.pipeline.budgets.of("rates").retries.count(now),
         server.rest.failures,
         server.rest.until > now,
         path.outliers.ejected(server, now),
--- a/tests/test_gateway_request_rules.py
+++ b/tests/test_gateway_request_rules.py
@@ -255,7 +255,7 @@
             request = _request(*dark)
             request.key = "lane-1"
             path.outliers.sent_objects.record(ids[warm], request.key, loop.time())
-            chosen = path.pipeline.selector.choose(
+            chosen = path.choice.selector.choose(
                 request, ranking, "rates", loop.time(), route(timeout_s=None)
             )
             if isinstance(chosen, RefusalReason):
--- a/tools/wrong_version_list.py
+++ b/tools/wrong_version_list.py
@@ -225,7 +225,7 @@
     WrongVersion(
         "DENIED",
         "404 before a configuration is known",
-        f"{_GATEWAY}/requests/pipeline.py",
+        f"{_GATEWAY}/requests/routes_in_force.py",
         "return RefusalReason.NO_CONFIGURATION",
         "return RefusalReason.NO_ROUTE",
         ("tests.test_gateway_pipeline.Ends",),
