Signals that others handle reach no action of a process's own

What was seen: by reading the change before: a signal with a handler of someone else's, whose number the interpreter also writes to the wake-up socket, raised KeyError in the event loop, and the stop that came behind it in the same read was lost. No process of ours has such a handler today.

Change: numbers without an action are passed over.

--- a/sprucewinch/process_signals.py
+++ b/sprucewinch/process_signals.py
@@ -49,7 +49,10 @@
 
     def _act(self, received: socket.socket) -> None:
         for number in received.recv(_READ_BYTES):
-            self.actions[signal.Signals(number)]()
+            # The interpreter writes the numbers of signals that others handle, too.
+            action = self.actions.get(signal.Signals(number))
+            if action is not None:
+                action()
 
 
 def _noted(_number: int, _frame: Any) -> None:
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -67,6 +67,23 @@
                     runner.run(self._signalled())
                 self.assertEqual(self.acted, [*_NUMBERS, *_NUMBERS])
 
+    def test_signals_of_others_change_nothing(self) -> None:
+        others: list[int] = []
+        before = signal.signal(signal.SIGUSR1, lambda number, _frame: others.append(number))
+        self.addCleanup(signal.signal, signal.SIGUSR1, before)
+
+        async def main() -> None:
+            self.changed = asyncio.Event()
+            signals = self.signals()
+            signals.take()
+            os.kill(os.getpid(), signal.SIGUSR1)
+            await self._send(signal.SIGTERM)
+            signals.ignore()
+
+        with asyncio.Runner(loop_factory=BootTimeEventLoop) as runner:
+            runner.run(main())
+        self.assertEqual((others, self.acted), ([signal.SIGUSR1], [signal.SIGTERM]))
+
     def test_none_is_set_to_its_default_up_to_the_end_of_the_loop(self) -> None:
         for loop in _LOOPS:
             with (
