--- a/sprucewinch/gateway/requests/choice/room.py
+++ b/sprucewinch/gateway/requests/choice/room.py
@@ -10,12 +10,12 @@
 
 Why so: no VM asks another one for a slot, so each bounds itself by what servers report; a refusal
 is useful to a caller only while it comes early, with time left to come back. Requests that wait
-stand in the order of the route's rank, then of their deadlines (`servers.room_queue`), and the
-first one looks anew when a request there is over; when as many wait as the server has slots, the
-last one is refused.
+stand in the order of the route's rank, then of their deadlines (`servers.capacity.room_queue`), and
+the first one looks anew when a request there is over; when as many wait as the server has slots,
+the last one is refused.
 
 Constants: `ROOM_WAIT_PART`, `DEFAULT_LATENCY_TARGET_S`, `LOOK_AGAIN_S`, `KEPT_FREE_PART`; the load
-limit's are in `servers.service_times`. Shows in: event `request`, `outcome` `no-room` and
+limit's are in `servers.capacity.service_times`. Shows in: event `request`, `outcome` `no-room` and
 `blocked`. Tests: tests/test_gateway_request_rules.py (`Selections`),
 tests/test_gateway_server_selection.py (`Overload`, `Priorities`, `QueuesThatFit`),
 tests/test_gateway_usability.py (`WaitsForRoom`), tests/test_gateway_fair_order.py.
@@ -25,8 +25,8 @@
 
 from ...resources import Route
 from ...servers.backend_server import BackendServer
-from ...servers.room_queue import Place
-from ...servers.service_times import ServiceTimes
+from ...servers.capacity.room_queue import Place
+from ...servers.capacity.service_times import ServiceTimes
 from ..client_request import BlockedReason, ClientRequest
 
 DEFAULT_LATENCY_TARGET_S = 0.4
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -14,12 +14,12 @@
 from ..state.store_view import Change, StoreView
 from ..statements.process_statements import ServerProcessId, StatementTable
 from .backend_server import BackendServer
+from .capacity.service_times import ServiceTimes
 from .cold_limit import ColdLimit, ColdStart, ColdStarts
 from .incarnations import Incarnations, Succession
 from .lapsed_entries import LapsedEntries
 from .load_reports import LoadReports
 from .peer_reports import NoReports, ReportSender
-from .service_times import ServiceTimes
 from .usability import unlisted_reason
 
 _SPOILT_KEPT_S = 60.0
--- a/sprucewinch/gateway/servers/service_times.py
+++ b/sprucewinch/gateway/servers/capacity/service_times.py
@@ -17,7 +17,7 @@
 
 from typing import Optional
 
-from ..resources import BackendEntry, RouteConfiguration
+from ...resources import BackendEntry, RouteConfiguration
 
 OVERLOAD_QUEUE_RATIO = 0.34
 """Waiting requests for each slot beyond which a server is overloaded, unless all are still answered
--- a/sprucewinch/gateway/servers/load_reports.py
+++ b/sprucewinch/gateway/servers/load_reports.py
@@ -15,8 +15,8 @@
 """
 
 from .backend_server import BackendServer
+from .capacity.service_times import ServiceTimes
 from .peer_reports import OverloadReport, ReportSender, names_process, overload_report
-from .service_times import ServiceTimes
 
 _REPORT_PAUSE_S = 0.2
 """Least time between two reports on the same server, in seconds."""
--- a/tests/test_gateway_service_times.py
+++ b/tests/test_gateway_service_times.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from sprucewinch.gateway.resources import Part, RouteConfiguration
-from sprucewinch.gateway.servers.service_times import OVERLOAD_QUEUE_RATIO, ServiceTimes
+from sprucewinch.gateway.servers.capacity.service_times import OVERLOAD_QUEUE_RATIO, ServiceTimes
 
 from .gateway_fakes import route
 
--- a/tests/test_gateway_usability.py
+++ b/tests/test_gateway_usability.py
@@ -8,7 +8,7 @@
 
 from sprucewinch.gateway.resources import BackendEntry
 from sprucewinch.gateway.servers.backend_server import BackendServer
-from sprucewinch.gateway.servers.room_queue import Place, RoomQueue, WaitEnd
+from sprucewinch.gateway.servers.capacity.room_queue import Place, RoomQueue, WaitEnd
 from sprucewinch.gateway.servers.usability import (
     UnusableReason,
     unlisted_reason,
