--- a/tests/test_process_crashing_requests.py
+++ b/tests/test_process_crashing_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from typing import Any
 
 from standins.scripted_server import Run, ScriptedServer
 
@@ -12,6 +13,7 @@
 _DOWN_S = 1.5
 _KNOWN_S = 3.0
 _SECONDS = 8.0
+_LINES = 40
 
 
 class CrashingRequests(GatewayCase):
@@ -66,7 +68,7 @@
             vm = self.vms[number % len(self.vms)]
             statuses.append((await self.ask(vm, _SICK, f"sick{number}"))[0])
             answer = await self.ask(vm, f"/rates/{number}", f"q{number}")
-            self.assertEqual(answer[0], 200)
+            self.assertEqual(answer[0], 200, (answer, self._told(f"q{number}")))
             await asyncio.sleep(0.15)
         later = [at for at in self.sent_at if at > self.crashed_at[2] + _KNOWN_S]
         self.assertEqual(later, [])
@@ -82,6 +84,11 @@
         self.assertEqual(len([at for at in self.sent_at if at > self.crashed_at[2] + 3.0]), 0)
         await self._is_let_go()
 
+    def _told(self, request_id: str) -> list[dict[str, Any]]:
+        """Return the lines that the VMs wrote since shortly before a request."""
+        lines = [line for vm in self.vms for line in vm.lines[-_LINES:]]
+        return [line for line in lines if line.get("id") == request_id or "server" in line]
+
     async def _lists_it(self) -> None:
         """Check what the operators' command shows."""
         status, output = await self.operate("quarantined")
