Read load reports with a fourth figure, the pace, instead of dropping them whole

Cause: the reader wanted exactly three figures, so on deployments whose servers state a pace no VM knew any server's load: spillover, overload reports, concurrency limits and Retry-After ran blind. Change: load reports have a module of their own. The first three figures are needed together; an impossible or unreadable pace is left out and the load counts; further figures are ignored. A report that cannot be read is counted in load_reports_unreadable. Found on the way: a superscript digit passed str.isdigit and raised ValueError in the request path. Seen red on: '1,2,3,100' gave None, '1,2,\xb2' raised ValueError.

--- a/sprucewinch/gateway/requests/attempt_feedback.py
+++ b/sprucewinch/gateway/requests/attempt_feedback.py
@@ -16,7 +16,7 @@
 from ..servers.backend_registry import BackendRegistry
 from ..servers.backend_server import BackendServer
 from ..servers.outliers import OutlierDetector
-from ..statements.statement import LoadReport
+from ..statements.load_report import LoadReport
 from ..statements.statements import ServerAnswer, Statements
 from .client_request import (
     ANSWERED,
@@ -89,6 +89,8 @@
         if attempt.cause == RESTARTED:
             # The attempt belongs to a process that has ended; its successor starts without history.
             return
+        if attempt.statement.load_unreadable:
+            self.events.count("load_reports_unreadable")
         stated = ServerAnswer(attempt.statement, started, request.id)
         self.statements.answered(server.backend, server.stated, stated, now)
         self._update_server(request, server, attempt, started, now)
@@ -113,7 +115,7 @@
                 self.outliers.record_failure(server, now)
                 return
             load = attempt.statement.load
-            requests_there = load.running + load.waiting if load else 0
+            requests_there = load.held if load else 0
             self.outliers.record_success(server, key, attempt.seconds, requests_there, now)
 
     def _update_server(
@@ -149,6 +151,6 @@
 
 def _pause_full_server(server: BackendServer, load: Optional[LoadReport], now: float) -> None:
     """Pause a server that refused to run a request, unless it reports free slots."""
-    if load is None or load.running + load.waiting >= server.backend.capacity:
+    if load is None or load.held >= server.backend.capacity:
         server.pause(now + SHED_PAUSE_S)
         server.limit.decrease(now)
--- a/sprucewinch/gateway/statements/statement.py
+++ b/sprucewinch/gateway/statements/statement.py
@@ -19,6 +19,7 @@
 
 from ...net.connection import Answer
 from ..header_names import HeaderNames
+from .load_report import LoadReport, parse_load
 
 MAX_STATED_PAUSE_S = 300.0
 """Longest pause that a server may ask for at once, in seconds: one that asks for a day by mistake
@@ -41,20 +42,6 @@
 """Value of the leaving header of a server that is leaving."""
 
 
-class LoadReport(NamedTuple):
-    """The load that a backend server states in an answer.
-
-    Args:
-        running: Requests that it runs.
-        waiting: Requests that wait there.
-        slots: Requests that it can run at once.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class ServerStatement(NamedTuple):
     """What a backend server states of itself in one answer.
 
@@ -65,6 +52,7 @@
         leaving: True if it is leaving.
         retry_after_s: Time for which it asks this VM for no requests, in seconds; None if it does
             not ask.
+        load_unreadable: True if it states a load, or a pace, that cannot be read.
     """
 
     by_server: bool = False
@@ -72,6 +60,7 @@
     limit_per_s: Optional[float] = None
     leaving: bool = False
     retry_after_s: Optional[float] = None
+    load_unreadable: bool = False
 
 
 NOTHING_STATED = ServerStatement()
@@ -101,12 +90,14 @@
         names: Names of headers.
         wall: Time of day, in seconds since the epoch.
     """
+    parsed_load = parse_load(answer.header(names.load))
     return ServerStatement(
         by_server=True,
-        load=_load(answer.header(names.load)),
+        load=parsed_load.report,
         limit_per_s=_decimal(answer.header(names.limit)),
         leaving=(answer.header(names.leaving) or "").strip() == _LEAVING_VALUE,
         retry_after_s=_retry_after_s(answer, wall),
+        load_unreadable=parsed_load.unreadable,
     )
 
 
@@ -134,13 +125,6 @@
     return True
 
 
-def _load(text: Optional[str]) -> Optional[LoadReport]:
-    words = text.split(",") if text is not None else []
-    if len(words) != len(LoadReport._fields) or not all(word.strip().isdigit() for word in words):
-        return None
-    return LoadReport(*(int(word) for word in words))
-
-
 def _decimal(text: Optional[str]) -> Optional[float]:
     stripped = text.strip() if text is not None else ""
     return float(stripped) if _DECIMAL.fullmatch(stripped) else None
--- a/tests/test_gateway_server_selection.py
+++ b/tests/test_gateway_server_selection.py
@@ -146,7 +146,7 @@
         self.assertEqual(server.concurrency_limit, 6.0)
 
     def test_a_server_that_refuses_with_free_slots_is_not_treated_as_full(self) -> None:
-        for load, limit in (("2,0,6", 6.0), ("6,3,6", 4.2), ("", 4.2)):
+        for load, limit in (("2,0,6", 6.0), ("6,3,6", 4.2), ("2,0,6,100", 6.0), ("", 4.2)):
             with self.subTest(load=load):
                 self.assertAlmostEqual(run_virtual(lambda loop, x=load: self._shed(loop, x)), limit)
 
@@ -175,7 +175,7 @@
         statement = read_statement(answer, NAMES, "q", now)
         attempt = Attempt("s0", Verdict.NOT_RUN, True, f"{SHED}-503", answer, statement=statement)
         path.sender.feedback._update_server(path.request("q"), server, attempt, now, now)
-        self.assertEqual(server.backoff_until > loop.time(), load != "2,0,6")
+        self.assertEqual(server.backoff_until > loop.time(), not load.startswith("2,0,6"))
         return server.limit.value
 
     def test_requests_beyond_the_servers_room_are_refused_early_as_not_run(self) -> None:
--- a/tests/test_gateway_statements.py
+++ b/tests/test_gateway_statements.py
@@ -7,10 +7,10 @@
 from hypothesis import strategies as st
 
 from sprucewinch.gateway.header_names import HeaderNames
+from sprucewinch.gateway.statements.load_report import LoadReport
 from sprucewinch.gateway.statements.statement import (
     MAX_STATED_PAUSE_S,
     NOTHING_STATED,
-    LoadReport,
     ServerStatement,
     keep_alive_s,
     read_statement,
@@ -76,6 +76,13 @@
         self.assertAlmostEqual(stated(503, **date).retry_after_s or 0.0, 4.0)
         self.assertIsNone(stated(503, retry_after="Fri, 15 Jan 2021 08:00:10 GMT").retry_after_s)
 
+    def test_a_load_with_a_fourth_figure_counts_and_one_that_is_unreadable_is_marked(self) -> None:
+        self.assertEqual(stated(load="1,2,3,250").load, LoadReport(1, 2, 3, 2.5))
+        unreadable = stated(load="1,2,\u00b2")
+        self.assertIsNone(unreadable.load)
+        self.assertTrue(unreadable.load_unreadable)
+        self.assertFalse(stated().load_unreadable)
+
     def test_a_pause_is_cut_to_the_longest_allowed(self) -> None:
         self.assertEqual(stated(503, retry_after="86400").retry_after_s, MAX_STATED_PAUSE_S)
 
