Requests of download routes may run more than once

Seen red before the change: the new test of the five types failed for download. Ruled out: retries themselves, which tests/test_gateway_pipeline.py holds for any repeatable route.

--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -162,6 +162,14 @@
         self.assertEqual(found.services["s1"].cold_per_s, 9.0)
         self.assertEqual((found.limits.body_bytes, found.limits.idle_s), (1000, 15.0))
 
+    def test_which_types_of_route_may_run_a_request_more_than_once(self) -> None:
+        repeatable = {"safe": True, "download": True, "unsafe": False, "upload": False, "x": False}
+        for route_type, expected in repeatable.items():
+            path = {"Name": "r", "PathPrefix": "/a/", "RouteType": route_type, "Service": "s1"}
+            hosts = [{"Hostname": "one.example", "Paths": [path]}]
+            found = _decode("op/config", {**CONFIGURATION, "Hosts": hosts})
+            self.assertEqual(found.routes[0].repeatable, expected, route_type)
+
     def test_a_backend_server_an_evacuation_and_a_member(self) -> None:
         self.assertEqual(
             _decode("servers/i-1", SERVER),
