Look-ups name VMs in proportion to their capacity

Cause: an answer named all VMs of a region, and callers choose one at random, so a VM with a link of 5 Mbit/s got as many callers as one with 100 Mbit/s; a download of 90 kB takes 0.29 s on the small link (in and out), in a target of 0.8 s. Change: each VM states the requests a second that its cores and its link allow (vm_capacity, a field at the end of its heartbeat row), and an answer names a VM with the probability of its capacity over the largest one, at least four VMs. Equal VMs, and VMs of earlier versions, are named as before. Ruled out: shares by measured bytes, as equal VMs would differ by chance.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -26,6 +26,7 @@
 from .membership.gossip import Gossip
 from .membership.heartbeats import Heartbeats
 from .membership.registrar import Registrar
+from .membership.vm_capacity import requests_per_s
 from .platform_adapter import PlatformAdapter
 from .quotas.exchange import QuotaExchange
 from .quotas.owners import QuotaOwners
@@ -217,7 +218,13 @@
     """
     settings, timing = context.settings, context.timing
     datagrams = Datagrams(context.monotonic, context.events)
-    gossip = Gossip(settings.name, incarnation, context.rng, link_mbps=settings.link_mbps)
+    gossip = Gossip(
+        settings.name,
+        incarnation,
+        context.rng,
+        link_mbps=settings.link_mbps,
+        requests_per_s=requests_per_s(settings.cores, settings.link_mbps),
+    )
     role = _follow_role(settings, state, gossip)
     notices = ProgressNotices(role, datagrams, timing)
     failures = FetchFailures(context.events, context.monotonic)
@@ -229,7 +236,7 @@
             settings.region, gossip, state.view, datagrams, timing, ready=context.ready
         ),
         registrar=Registrar(own_member(settings), state.view, gossip, state.store, timing),
-        directory=Directory(state.view, gossip, settings.bounds.lookup_ttl_s),
+        directory=Directory(state.view, gossip, settings.bounds.lookup_ttl_s, context.rng),
         follow_role=role,
         notices=notices,
         store_follower=StoreFollower(
--- a/sprucewinch/gateway/membership/directory.py
+++ b/sprucewinch/gateway/membership/directory.py
@@ -3,9 +3,10 @@
 The answer depends on the callers' region, the registered VMs (`StoreView`), the VMs that accept
 callers (`Gossip`) and the time (monotonic, in seconds).
 
-It contains all VMs of the callers' region that are in touch and accept callers, or those of all
-regions if that region has none: at most `MAX_ADDRESSES`, in the order of their addresses. Callers
-keep it for the shorter of the configured time and `MAX_LOOKUP_TTL_S`.
+It is taken from the VMs of the callers' region that are in touch and accept callers, or from those
+of all regions if that region has none: at most `MAX_ADDRESSES`, in the order of their addresses.
+Where VMs differ in capacity, `caller_spread` names the larger ones more often. Callers keep
+the answer for the shorter of the configured time and `MAX_LOOKUP_TTL_S`.
 
 Look-ups are answered from memory, without a call, so that they work during an outage of the store.
 A VM in another region only adds latency, while an empty answer makes the caller fail.
@@ -13,9 +14,11 @@
 It is tested by `test_gateway_gossip` and `test_process_gateway`.
 """
 
-from typing import NamedTuple
+import random
+from typing import NamedTuple, Optional
 
 from ..state.store_view import StoreView
+from .caller_spread import Candidate, spread_callers
 from .gossip import Gossip
 
 MAX_ADDRESSES = 64
@@ -45,11 +48,19 @@
         store_view: Registered VMs.
         gossip: Heartbeats of the VMs.
         ttl_s: Longest time for which callers may keep an answer, in seconds.
+        rng: Source of randomness; None to share that of the gossip.
     """
 
-    def __init__(self, store_view: StoreView, gossip: Gossip, ttl_s: float) -> None:
+    def __init__(
+        self,
+        store_view: StoreView,
+        gossip: Gossip,
+        ttl_s: float,
+        rng: Optional[random.Random] = None,
+    ) -> None:
         self.store_view = store_view
         self.gossip = gossip
+        self.rng = rng or gossip.rng
         self.set_max_ttl(ttl_s)
 
     def set_max_ttl(self, ttl_s: float) -> None:
@@ -73,5 +84,9 @@
             if self.gossip.accepts_callers(member.name, now)
         ]
         own_region = [member for member in members if member.region == region]
-        chosen = sorted(member.caller_address for member in own_region or members)
+        candidates = sorted(
+            Candidate(member.caller_address, self.gossip.requests_per_s_of(member.name))
+            for member in own_region or members
+        )
+        chosen = spread_callers(candidates, self.rng)
         return DirectoryAnswer(tuple(chosen[:MAX_ADDRESSES]), self.ttl_s)
--- a/sprucewinch/gateway/membership/gossip.py
+++ b/sprucewinch/gateway/membership/gossip.py
@@ -70,6 +70,7 @@
         open: True when it accepts callers.
         linked: True when the store answered its last call.
         link_mbps: Bandwidth of its link, in Mbit/s; 0 when unknown.
+        requests_per_s: Its capacity, see `vm_capacity`; 0 when unknown.
     """
 
     name: str
@@ -78,6 +79,7 @@
     open: bool
     linked: bool = True
     link_mbps: int = 0
+    requests_per_s: int = 0
 
 
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True, tag="beat"):
@@ -114,15 +116,23 @@
         incarnation: Incarnation of this process.
         rng: Source of randomness.
         link_mbps: Bandwidth of this VM's link, in Mbit/s.
+        requests_per_s: Capacity of this VM, see `vm_capacity`.
     """
 
     def __init__(
-        self, name: str, incarnation: int, rng: random.Random, *, link_mbps: int = 0
+        self,
+        name: str,
+        incarnation: int,
+        rng: random.Random,
+        *,
+        link_mbps: int = 0,
+        requests_per_s: int = 0,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
         self.rng = rng
         self.link_mbps = link_mbps
+        self.requests_per_s = requests_per_s
         self.counter = 0
         self.accepting = False
         self.store_reachable = True
@@ -192,6 +202,13 @@
         last = self.latest.get(name)
         return last.row.link_mbps if last else 0
 
+    def requests_per_s_of(self, name: str) -> int:
+        """Return the capacity of a VM in requests a second, or 0 if it is unknown."""
+        if name == self.name:
+            return self.requests_per_s
+        last = self.latest.get(name)
+        return last.row.requests_per_s if last else 0
+
     def in_touch(self, name: str, now: float) -> bool:
         """Return whether another VM's counter has increased within `HEARTBEAT_TIMEOUT_S`."""
         last = self.latest.get(name)
@@ -233,6 +250,7 @@
             self.accepting,
             self.store_reachable,
             self.link_mbps,
+            self.requests_per_s,
         )
 
     def _raise_incarnation(self, row: HeartbeatRow) -> None:
--- a/sprucewinch/gateway/settings.py
+++ b/sprucewinch/gateway/settings.py
@@ -66,6 +66,8 @@
         max_files: File descriptors that the process may open.
         memory_bytes: Memory that the process may use, in bytes.
         link_mbps: Bandwidth of the VM's network link, in Mbit/s; 0 if unknown.
+        cores: Processor time that the process gets each second, in seconds of one core; 0 if
+            unknown.
         policy: Shipped policy of services for which operators have chosen none.
         bounds: Limits that apply to the whole fleet.
     """
@@ -84,5 +86,6 @@
     max_files: int = 4096
     memory_bytes: int = 300 * 1024 * 1024
     link_mbps: int = 0
+    cores: float = 0.0
     policy: str = "capacity"
     bounds: Bounds = Bounds()
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -23,6 +23,7 @@
         "configuration_version": context.events.configuration_version,
         "members": len(view.members),
         "members_open": sum(parts.fleet.gossip.accepts_callers(m, now) for m in view.members),
+        "capacity_requests_per_s": parts.fleet.gossip.requests_per_s,
         "backend_servers": len(view.backends),
         "requests_held": len(parts.crashes.quarantine.entries),
         "quota_asks": parts.workspaces.exchange.asked,
--- a/tests/formats_gateway.py
+++ b/tests/formats_gateway.py
@@ -28,7 +28,7 @@
 "Zones":{"east-a":"east","west-a":"west"},
 "Listen":{"Front":"10.1.0.34:1","Ready":"10.1.0.34:2","Directory":"10.1.0.34:3"},
 "InternalPorts":[7540,7555],
-"Limits":{"MemoryMb":300,"MaxFds":4100,"LinkMbps":100},
+"Limits":{"MemoryMb":300,"MaxFds":4100,"LinkMbps":100,"CpuShare":0.5,"Cores":3},
 "Heartbeat":"2s",
 "Bounds":{"Contact":"2500ms","Grace":"7s","Drain":"1s","ttl_max":"4s","BudgetWindow":"9s",
 "MaxShift":0.1,"RetryBudgetRatio":0.3,"BudgetSlack":64,"ColdOver":1.5,"ColdSlack":5},
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -51,7 +51,7 @@
 
 
 def row(
-    name: str, process: int, count: int, taking: bool, reaching: bool, mbps: int
+    name: str, process: int, count: int, taking: bool, reaching: bool, mbps: int, per_s: int
 ) -> HeartbeatRow:
     """Return a row of a heartbeat; slots by name, as those of one type could change places."""
     return HeartbeatRow(
@@ -61,6 +61,7 @@
         open=taking,
         linked=reaching,
         link_mbps=mbps,
+        requests_per_s=per_s,
     )
 
 
@@ -74,8 +75,8 @@
 def built_datagrams() -> dict[str, Any]:
     """Return the messages of `DATAGRAMS`, made as the code makes them."""
     rows = (
-        row("vm1", 1764000000000, 12, True, True, 100),
-        row("vm2", 1764000000001, 3, False, True, 0),
+        row("vm1", 1764000000000, 12, True, True, 100, 50),
+        row("vm2", 1764000000001, 3, False, True, 0, 0),
     )
     services = (measure("rates", 12.5, 48.2, 30.0), measure("maps", 0.0, -1.0, 0.0))
     return {
@@ -123,16 +124,22 @@
     return DeltaApp(store_view)
 
 
-# Heartbeat, 4 slots: tag, sender, newest known revision, rows. Row, 6 slots: name, incarnation,
-# heartbeat counter, takes callers, reaches the store, link in Mbit/s.
+# Heartbeat, 4 slots: tag, sender, newest known revision, rows. Row, 7 slots: name, incarnation,
+# heartbeat counter, takes callers, reaches the store, link in Mbit/s, capacity in requests/s.
 HEARTBEAT = (
     b"\x94\xa4beat\xa3vm1\xcd\x12g\x92"
-    b"\x96\xa3vm1\xcf\x00\x00\x01\x9a\xb6\x97\xe8\x00\x0c\xc3\xc3d"
-    b"\x96\xa3vm2\xcf\x00\x00\x01\x9a\xb6\x97\xe8\x01\x03\xc2\xc3\x00"
+    b"\x97\xa3vm1\xcf\x00\x00\x01\x9a\xb6\x97\xe8\x00\x0c\xc3\xc3d2"
+    b"\x97\xa3vm2\xcf\x00\x00\x01\x9a\xb6\x97\xe8\x01\x03\xc2\xc3\x00\x00"
 )
-# The same from a VM that does not say yet whether it reaches the store or how wide its link is.
-SHORT_HEARTBEAT = b"\x94\xa4beat\xa3vm1\x07\x91\x94\xa3vm1\x01\x02\xc3"
-FILLED_HEARTBEAT = b"\x94\xa4beat\xa3vm1\x07\x91\x96\xa3vm1\x01\x02\xc3\xc3\x00"
+# The same from VMs of earlier versions: without the capacity; also without the link and the store.
+EARLIER_HEARTBEATS = {
+    b"\x94\xa4beat\xa3vm1\x07\x91\x96\xa3vm1\x01\x02\xc3\xc2d": (
+        b"\x94\xa4beat\xa3vm1\x07\x91\x97\xa3vm1\x01\x02\xc3\xc2d\x00"
+    ),
+    b"\x94\xa4beat\xa3vm1\x07\x91\x94\xa3vm1\x01\x02\xc3": (
+        b"\x94\xa4beat\xa3vm1\x07\x91\x97\xa3vm1\x01\x02\xc3\xc3\x00\x00"
+    ),
+}
 # Progress notice, 4 slots: tag, sender, revision, age in milliseconds.
 PROGRESS_NOTICE = b"\x94\xa4news\xa3vm1\xcd\x12g\xcc\xfa"
 # Overload report, 5 slots: tag, server, requests running, requests waiting, the server's
@@ -186,7 +193,8 @@
             self.assertEqual(encode_datagram(decode_datagram(short)), filled)
 
     def test_a_row_that_ends_early_is_filled(self) -> None:
-        self.assertEqual(encode_datagram(decode_datagram(SHORT_HEARTBEAT)), FILLED_HEARTBEAT)
+        for earlier, filled in EARLIER_HEARTBEATS.items():
+            self.assertEqual(encode_datagram(decode_datagram(earlier)), filled)
 
     def test_a_fleet_sends_these_and_no_others(self) -> None:
         sent = run_virtual(_datagrams_of_a_fleet)
--- a/tests/test_formats_gateway.py
+++ b/tests/test_formats_gateway.py
@@ -79,6 +79,7 @@
         "Limits.MaxFds": found.max_files,
         "Limits.MemoryMb": found.memory_bytes,
         "Limits.LinkMbps": found.link_mbps,
+        "Limits.CpuShare*Cores": found.cores,
         "SPRUCEWINCH_POLICY": found.policy,
         "Bounds.Grace": bounds.grace_s,
         "Bounds.ttl_max": bounds.lookup_ttl_s,
@@ -220,6 +221,7 @@
 backend_connections_opened 1
 backend_servers 2
 body_bytes 0
+capacity_requests_per_s 750
 configuration_version 7
 in_flight 0
 members 1
@@ -287,6 +289,7 @@
     "Limits.MaxFds": 4100,
     "Limits.MemoryMb": 314572800,
     "Limits.LinkMbps": 100,
+    "Limits.CpuShare*Cores": 1.5,
     "SPRUCEWINCH_POLICY": "capacity",
     "Bounds.Grace": 7.0,
     "Bounds.ttl_max": 4.0,
@@ -328,11 +331,13 @@
         for key in ("Heartbeat", "Bounds"):
             del table[key]
         del table["Listen"]["Directory"], table["Limits"]["LinkMbps"]
+        del table["Limits"]["CpuShare"]
         found = settings_as_read(load_settings(json.dumps(table).encode()))
         absent = {
             "Listen.Directory": "",
             "Heartbeat": 1.5,
             "Limits.LinkMbps": 0,
+            "Limits.CpuShare*Cores": 0.0,
             "Bounds.Grace": 6.0,
             "Bounds.ttl_max": 5.0,
             "Bounds.BudgetWindow": 10.0,
