--- a/sprucewinch/gateway/requests/app.py
+++ b/sprucewinch/gateway/requests/app.py
@@ -54,10 +54,6 @@
         """
         return self.body_begun and not self.body.complete
 
-    async def has_turn(self) -> bool:
-        """Wait until all requests ahead on the connection are answered; False if it closes."""
-        return self.turn is None or await self.turn.wait_for_turn()
-
     def close_connection(self) -> bool:
         """Close the connection after the requests of it that have begun.
 
@@ -162,8 +158,7 @@
         """Return the final answer, from the pipeline or because the process ends."""
         request = self._read_request(exchange)
         try:
-            if not self.pipeline.may_run_twice(request) and not await exchange.has_turn():
-                raise CallerLeftError("the connection closes, and counts the request as not read")
+            await self.pipeline.wait_for_turn(request)
             refusal = await self._refusal_by_head(request)
             if refusal is None:
                 refusal = await self._read_body(exchange, request)
@@ -201,6 +196,7 @@
         read = self.reader.read(exchange.scope, exchange.body.first, exchange.arrived_at)
         if read.wait_source is WaitSource.UNREADABLE:
             self.counters.count("requests_with_unreadable_deadline")
+        read.request.turn = exchange.turn
         return read.request
 
     def _refusal_by_body(self, request: ClientRequest, body: AsgiBody) -> Optional[Reply]:
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple, Optional, Union
 
 from ...net.connection import Answer
+from ...net.connection_turn import ConnectionTurn
 from ..resources import Route
 from ..servers.backend_server import BackendServer
 from ..statements.server_quotas import UNLIMITED, ServerGrant
@@ -83,6 +84,7 @@
         caller: Its workspace, and the quota that it took from it.
         steps_over_share: Steps by which its workspace is above its fair share; 0 for not at all.
         denied_grants: Number of rate-limited servers that denied it a grant.
+        turn: Its place among the requests of its connection; None where they run one by one.
     """
 
     id: str
@@ -105,6 +107,11 @@
     caller: CallerRequest = CallerRequest()
     steps_over_share: int = 0
     denied_grants: int = 0
+    turn: Optional[ConnectionTurn] = None
+
+    async def has_turn(self) -> bool:
+        """Wait until all requests ahead on the connection are answered; False if it closes."""
+        return self.turn is None or await self.turn.wait_for_turn()
 
     def tried_servers(self) -> set[str]:
         """Return the ids of the backend servers that were tried."""
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -1,9 +1,10 @@
 """Runs the steps of a request in order, from its API key to its final answer.
 
-The steps are key and quota; then route, quarantine, split, time left, server selection, sending and
-retry. Key and quota are checked once, before the body is read (`admit`), the others in `run`. The
-module owns this order and the state that the steps share: the running shares of split routes, the
-retry budgets and the fair order of workspaces. Each rule has a module of its own:
+The steps are turn, key and quota; then route, quarantine, split, time left, server selection,
+sending and retry. A request that must not run twice waits for its turn on its connection
+(`wait_for_turn`). Key and quota are checked once, before the body is read (`admit`), the others in
+`run`. The module owns this order and the state that the steps share: the running shares of split
+routes, the retry budgets and the fair order of workspaces. Each rule has a module of its own:
 `workspaces.key_table`, `quotas.quotas`, `routes_in_force`, `crashes.quarantine`, `split`,
 `outcome.hold_time`, `outcome.time_left`, `choice.server_choice`, `outcome.retry_decision`,
 `retry_budget`, `outcome.final_answer` and `outcome.return_times`.
@@ -14,8 +15,9 @@
 rules, the registry and the sender.
 """
 
-from typing import Optional
+from typing import Optional, Union
 
+from ...net.body import CallerLeftError
 from ..crashes.quarantine_entry import QuarantineEntry
 from ..quotas.quotas import QuotaEnd
 from ..resources import Route
@@ -124,10 +126,21 @@
         request.headers += ((self.sender.names.workspace, caller.workspace.name),)
         return None
 
-    def may_run_twice(self, request: ClientRequest) -> bool:
-        """Return whether a request may run more than once, or is refused in any case."""
-        route = self.routes.find(request)
-        return isinstance(route, RefusalReason) or route.repeatable
+    async def wait_for_turn(self, request: ClientRequest) -> None:
+        """Let a request that must not run twice wait for those ahead of it on its connection.
+
+        A caller sends every request behind an answer that closes the connection again, whatever
+        its kind, so one that must not run twice starts only once nothing ahead can do so.
+
+        Raises:
+            CallerLeftError: The connection closes.
+        """
+        await self._take_turn(request, self.routes.find(request))
+
+    async def _take_turn(self, request: ClientRequest, route: Union[Route, RefusalReason]) -> None:
+        if isinstance(route, RefusalReason) or route.repeatable or await request.has_turn():
+            return
+        raise CallerLeftError("the connection closes, and counts the request as not read")
 
     def return_unused_quota(self, request: ClientRequest) -> None:
         """Return the quota that a request took from its workspace, if no server has run it."""
@@ -138,10 +151,11 @@
         """Run an admitted request and return its final answer."""
         service = ""
         while True:
-            now = self.monotonic()
             route = self.routes.usable(request)
             if isinstance(route, RefusalReason):
                 return final_answer.without_route(request, route, self.rng)
+            await self._take_turn(request, route)  # The route may have changed.
+            now = self.monotonic()
             entry = await self._quarantine_of(request)
             if entry is not None:
                 return self._quarantine_reply(request, route, entry)
--- a/tests/pipelined_app.py
+++ b/tests/pipelined_app.py
@@ -71,6 +71,7 @@
         self.started: list[str] = []
         self.ran: list[str] = []
         self.left: list[str] = []
+        self.turns: dict[str, bool] = {}
         self.bodies: dict[str, bytes] = {}
         self.waited: dict[str, float] = {}
         self.on_run: Any = None
@@ -87,9 +88,11 @@
         turn = turn_of(scope)
         assert turn is not None
         self.started.append(path)
-        if path.startswith("/once") and not await turn.wait_for_turn():
-            self.left.append(path)
-            return
+        if path.startswith("/once"):
+            self.turns[path] = await turn.wait_for_turn()
+            if not self.turns[path]:
+                self.left.append(path)
+                return
         self.waited[path] = turn.waited_s
         if not await self._read(path, receive):
             self.left.append(path)
--- a/tests/test_pipelined_protocol.py
+++ b/tests/test_pipelined_protocol.py
@@ -165,18 +165,21 @@
         self.assertTrue(one.transport.closing)
         self.assertEqual(app.ran, ["/a", "/c"])
         self.assertCountEqual(app.left, ["/once/b", "/c"])
+        self.assertEqual(app.turns, {"/once/b": False})
 
     def test_a_closing_answer_ends_those_behind_even_if_it_stays_unread(self) -> None:
-        async def main(app: ScriptedApp) -> None:
-            one = OneConnection(app)
-            one.transport.close = lambda: setattr(one.transport, "closing", True)
-            one.receive(get("/a"), get("/b"))
-            await settle()
-            app.end("/a", End.CUTS)
-            await settle()
-            self.assertEqual(app.left, ["/b"])
+        for end in (End.CLOSES, End.CUTS):
+            with self.subTest(end=end):
+                play(lambda app, end=end: self._unread(app, end))
 
-        play(main)
+    async def _unread(self, app: ScriptedApp, end: End) -> None:
+        one = OneConnection(app)
+        one.transport.close = lambda: setattr(one.transport, "closing", True)
+        one.receive(get("/a"), get("/b"), get("/once/c"))
+        await settle()
+        app.end("/a", end)
+        await settle()
+        self.assertCountEqual(app.left, ["/b", "/once/c"])
 
 
 class Leaves(unittest.TestCase):
@@ -563,6 +566,19 @@
                 await self._until(lambda: not self.server.server_state.connections)
                 self.app.started.clear()
 
+    async def test_the_end_of_the_listener_cuts_nothing_that_has_begun(self) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(get("/a") + get("/b") + get("/c"))
+        await self._until(lambda: len(self.app.started) == 2)
+        self.server.should_exit = True
+        [connection] = self.server.server_state.connections
+        await self._until(lambda: connection.closing)
+        self.app.end("/b")
+        self.app.end("/a")
+        async with asyncio.timeout(10):
+            self.assertEqual(await reader.read(), whole("/a") + whole("/b", closes=True))
+        writer.close()
+
     async def test_a_thousand_requests_are_answered_in_order(self) -> None:
         paths = [f"/{number}" for number in range(1000)]
         for path in paths:
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -2,9 +2,13 @@
 
 import unittest
 
+from sprucewinch.gateway.requests.client_request import RefusalReason
+from sprucewinch.net.body import CallerLeftError
+from sprucewinch.net.connection_turn import ConnectionTurn
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .formats_gateway import VirtualGateway
+from .gateway_fakes import PipelineFixture, route
 from .pipelined_caller import connect, request
 
 
@@ -65,6 +69,125 @@
 
         run_virtual(main)
 
+    def test_the_wait_for_its_turn_counts_against_the_time_of_a_request(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            vm = await VirtualGateway(loop, servers=1).started()
+            vm.servers[0].work_s = 0.6
+            caller = await connect(loop, vm)
+            caller.send(request("q0"), request("q1", "/book/1", method="POST", body=b"x"))
+            await caller.until_answered(2)
+            # The route of q1 allows 0.5 s, and 0.6 s have passed: 503 says truly that it never ran.
+            self.assertEqual([answer.status for answer in caller.answers], [200, 503])
+            await pass_time(2.0)
+            self.assertEqual(runs(vm), ["q0"])
+
+        run_virtual(main)
+
+    def test_one_that_waits_for_its_turn_takes_no_memory_for_its_body(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            vm = await VirtualGateway(loop, servers=1).started()
+            vm.servers[0].work_s = 0.2
+            caller = await connect(loop, vm)
+            caller.send(request("q0"), request("q1", "/book/1", method="POST", body=b"x" * 900))
+            await pass_time(0.1)
+            self.assertEqual(vm.gateway.requests.app.buffered, 0)
+            await caller.until_answered(2)
+            self.assertEqual([answer.status for answer in caller.answers], [200, 200])
+
+        run_virtual(main)
+
+    def test_the_wait_until_it_begins_counts_too(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            vm = await VirtualGateway(loop, servers=4).started()
+            for server in vm.servers:
+                server.work_s = 0.5
+            caller = await connect(loop, vm)
+            cookies = [f"cookie: X-Affinity-Key={number}\r\n" for number in range(17)]
+            caller.send(*(request(f"q{n}", more=cookie) for n, cookie in enumerate(cookies)))
+            await caller.until_answered(17)
+            given = {
+                run.request_id: int(run.headers["x-request-deadline-ms"])
+                for server in vm.servers
+                for run in server.runs
+            }
+            self.assertGreater(given["q0"], 700)
+            self.assertLessEqual(given["q16"], 300)
+
+        run_virtual(main)
+
+    def test_a_caller_that_sends_a_thousand_requests_costs_others_little(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            vm = await VirtualGateway(loop, servers=8).started()
+            for server in vm.servers:
+                server.work_s = 0.005
+            many = await connect(loop, vm)
+            cookies = [f"cookie: X-Affinity-Key={number}\r\n" for number in range(1000)]
+            many.send(*(request(f"q{n}", more=cookie) for n, cookie in enumerate(cookies)))
+            other = await connect(loop, vm)
+            for number in range(10):
+                sent = loop.time()
+                other.send(request(f"o{number}"))
+                await other.until_answered(number + 1)
+                self.assertEqual(other.answers[-1].status, 200)
+                self.assertLess(other.answers[-1].at - sent, 0.1)
+            await many.until_answered(1000)
+            ids = [answer.headers.split(b"x-request-id: ")[1] for answer in many.answers]
+            ids = [line.split(b"\r")[0] for line in ids]
+            self.assertEqual(ids, [b"q%d" % number for number in range(1000)])
+
+        run_virtual(main)
+
+
+class _Turn(ConnectionTurn):
+    """A turn that comes after some seconds, or never as the connection closes."""
+
+    closing = False
+    waited_s = 0.0
+
+    def __init__(self, comes: bool, after_s: float = 0.0) -> None:
+        self.comes = comes
+        self.after_s = after_s
+
+    async def wait_for_turn(self) -> bool:
+        await pass_time(self.after_s)
+        return self.comes
+
+    def read_no_more(self) -> None:
+        """Nothing is read here."""
+
+
+class TurnInThePipeline(unittest.TestCase):
+    """A route may change after a request has begun, so the pipeline asks for its turn too."""
+
+    def test_one_that_must_not_run_twice_is_not_sent_if_its_connection_closes(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop)
+            path.world.configure(route(repeatable=False))
+            with self.assertRaises(CallerLeftError):
+                await path.pipeline.run(path.request("q", turn=_Turn(False)))
+            self.assertEqual(path.runs("q"), 0)
+
+        run_virtual(main)
+
+    def test_time_that_passes_before_its_turn_is_gone(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop)
+            path.world.configure(route(repeatable=False))
+            reply = await path.pipeline.run(path.request("q", turn=_Turn(True, 1.0)))
+            self.assertEqual((reply.status, reply.refusal), (503, RefusalReason.NO_TIME))
+            self.assertEqual(path.runs("q"), 0)
+
+        run_virtual(main)
+
+    def test_a_repeatable_one_does_not_wait(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop)
+            path.world.configure(route())
+            reply = await path.pipeline.run(path.request("q", turn=_Turn(False)))
+            self.assertEqual((reply.status, path.runs("q")), (200, 1))
+
+        run_virtual(main)
+
 
 class Closes(unittest.TestCase):
     def test_nothing_behind_a_closing_answer_is_answered_or_goes_on(self) -> None:
