Estimate what backend servers bear now, by load, pace and usual work of each kind

Cause: nobody read the pace that servers state, and a load report faded to an idle server within a second, so a VM that hears from a server every few seconds took most servers for free and of equal speed. Change: pace (newest statement, half-life 0.6 s), usual work by route with warm and cold objects told apart by the times alone, the service's usual load as what old reports fade to, and LiveEstimates, which puts them together as ServerEstimate and as the room of a service in a region. Fed by answers with a fourth figure; servers without a pace keep the former fading, outlier rule and choice. The outlier detector divides work by the stated pace, and a single long request is no sample where paces are stated. ServerSelector gets the estimates as an attribute and does not use them yet. Ruled out: a running two-median (it stays at the first samples' groups), labels from this VM's own sends (too few in a fleet), dividing all samples by their pace (a pace that changed during the work makes a false group at 0.4 of the work).

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -44,6 +44,7 @@
 from .requests.sender import Sender
 from .resources import Member
 from .servers.backend_registry import BackendRegistry
+from .servers.capacity.live_estimates import LiveEstimates
 from .servers.outliers import OutlierDetector
 from .servers.peer_reports import FailureReport, OverloadReport, PeerReports
 from .servers.pool import ConnectionPool
@@ -118,6 +119,7 @@
 
     registry: BackendRegistry
     outliers: OutlierDetector
+    estimates: LiveEstimates
     statements: Statements
     start_asks: StartAsks
     pool: ConnectionPool
@@ -282,6 +284,7 @@
     return Servers(
         registry=registry,
         outliers=outliers,
+        estimates=LiveEstimates(registry, outliers),
         statements=statements,
         start_asks=StartAsks(table, fleet.datagrams, fleet.follow_role, context.monotonic),
         pool=ConnectionPool(context.adapter.names.request_id, context.monotonic),
@@ -417,7 +420,7 @@
     settings = context.settings
     server_quotas = FleetServerQuotas(workspaces.quotas, context.monotonic)
     ranker = ServerRanker(servers.registry, regions.shares, settings.regions)
-    selector = ServerSelector(servers.registry, servers.outliers)
+    selector = ServerSelector(servers.registry, servers.outliers, estimates=servers.estimates)
     pipeline = Pipeline(
         state.view,
         servers.registry,
--- a/sprucewinch/gateway/requests/attempt_feedback.py
+++ b/sprucewinch/gateway/requests/attempt_feedback.py
@@ -1,10 +1,10 @@
 """Records what one attempt shows about its backend server and its request.
 
-The module decides which attempt updates what: load, latency, back-off, outlier samples, the limit
-on cold servers, requests that completed without a crash, and the server's own statements. It relies
-on the registry, the outlier detector, the quarantine and `statements`, which store these. `sender`
-passes it each attempt once that has ended. It logs the event `server-rests`. The tests are in
-tests/test_gateway_pipeline.py, tests/test_gateway_outliers.py and
+The module decides which attempt updates what: load, pace, latency, usual work, back-off, outlier
+samples, the limit on cold servers, requests that completed without a crash, and the server's own
+statements. It relies on the registry, the outlier detector, the quarantine and `statements`, which
+store these. `sender` passes it each attempt once that has ended. It logs the event `server-rests`.
+The tests are in tests/test_gateway_pipeline.py, tests/test_gateway_outliers.py and
 tests/test_gateway_taken_addresses.py.
 """
 
@@ -97,7 +97,7 @@
         if server.cold(started):
             self._record_cold_attempt(server, attempt)
         else:
-            self._record_sample(server, attempt, request.key, now)
+            self._record_sample(request, server, attempt, now)
 
     def _record_cold_attempt(self, server: BackendServer, attempt: Attempt) -> None:
         """Record an attempt at a cold server; it does not count as an outlier sample."""
@@ -106,8 +106,10 @@
                 server.backend.service, attempt.verdict is Verdict.ANSWERED
             )
 
-    def _record_sample(self, server: BackendServer, attempt: Attempt, key: str, now: float) -> None:
-        """Pass the attempt to the outlier detector as a sample of its server."""
+    def _record_sample(
+        self, request: ClientRequest, server: BackendServer, attempt: Attempt, now: float
+    ) -> None:
+        """Record the attempt as a sample of its server and of the usual work."""
         if attempt.verdict is Verdict.UNKNOWN:
             self.outliers.record_failure(server, now, late=attempt.cause == TIMED_OUT)
         elif attempt.verdict is Verdict.ANSWERED and attempt.answer is not None:
@@ -115,8 +117,10 @@
                 self.outliers.record_failure(server, now)
                 return
             load = attempt.statement.load
-            requests_there = load.held if load else 0
-            self.outliers.record_success(server, key, attempt.seconds, requests_there, now)
+            held, pace = (load.held, load.pace) if load else (0, None)
+            self.outliers.record_success(server, request.key, attempt.seconds, held, now, pace)
+            if request.route_name and attempt.cause == ANSWERED:
+                self.registry.record_work(server, request.route_name, attempt.seconds, load)
 
     def _update_server(
         self,
@@ -128,7 +132,7 @@
     ) -> None:
         load = attempt.statement.load
         if load is not None:
-            self.registry.record_load(server, load.running, load.waiting, now)
+            self.registry.record_load(server, load.running, load.waiting, now, load.pace)
         if attempt.verdict is Verdict.ANSWERED:
             if load is None:
                 # The server reports no load: its refusals lower the concurrency limit, so its
--- a/sprucewinch/gateway/requests/choice/server_selection.py
+++ b/sprucewinch/gateway/requests/choice/server_selection.py
@@ -25,6 +25,7 @@
 
 from typing import Optional, Union
 
+from ...estimates.server_estimate import ServerEstimates
 from ...resources import Route
 from ...servers.backend_registry import BackendRegistry
 from ...servers.backend_server import BackendServer
@@ -63,9 +64,17 @@
     Args:
         registry: Backend servers.
         outliers: Knows which servers are ejected.
+        estimates: Estimates what servers bear now; None where nothing is known of it.
     """
 
-    def __init__(self, registry: BackendRegistry, outliers: OutlierDetector) -> None:
+    def __init__(
+        self,
+        registry: BackendRegistry,
+        outliers: OutlierDetector,
+        *,
+        estimates: Optional[ServerEstimates] = None,
+    ) -> None:
+        self.estimates = estimates
         self.times = registry.times
         self.ejected = outliers.ejected
         self.keeps_warm = outliers.sent_objects.is_warm
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -83,6 +83,7 @@
         caller: Its workspace, and the quota that it took from it.
         steps_over_share: Steps by which its workspace is above its fair share; 0 for not at all.
         denied_grants: Number of rate-limited servers that denied it a grant.
+        route_name: Name of its route when it was last sent; empty before.
     """
 
     id: str
@@ -105,6 +106,7 @@
     caller: CallerRequest = CallerRequest()
     steps_over_share: int = 0
     denied_grants: int = 0
+    route_name: str = ""
 
     def tried_servers(self) -> set[str]:
         """Return the ids of the backend servers that were tried."""
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -197,6 +197,7 @@
         self, request: ClientRequest, route: Route, selection: Selection, until: float
     ) -> Attempt:
         """Send a request, on a new connection where a stale one could use up one of its runs."""
+        request.route_name = route.name
         idle_s = max_idle_s(request, route)
         attempt = await self.sender.send(request, selection, until, max_idle_s=idle_s)
         request.attempts.append(attempt)
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -1,8 +1,8 @@
 """All backend servers that this VM knows, grouped by service.
 
 Owns the table of servers, which follows the store's items, and the parts that decide about servers:
-cold limit, cold starts, incarnations, lapsed entries, load reports and service times. Relies on
-`state` for the store's items. The rules are in the modules of those parts; this one calls them.
+cold limit, cold starts, incarnations, lapsed entries, load reports, service and work times. Relies
+on `state` for the store's items. The rules are in the modules of those parts; this one calls them.
 """
 
 from collections.abc import Callable, Collection, Iterable
@@ -12,9 +12,12 @@
 from ..settings import Bounds
 from ..state.outages import StoreOutages
 from ..state.store_view import Change, StoreView
+from ..statements.load_report import LoadReport
 from ..statements.process_statements import ServerProcessId, StatementTable
 from .backend_server import BackendServer
 from .capacity.service_times import ServiceTimes
+from .capacity.usual_load import UsualLoad
+from .capacity.work_times import WorkTimes, work_without_queue_s
 from .cold_limit import ColdLimit, ColdStart, ColdStarts
 from .incarnations import Incarnations, Succession
 from .lapsed_entries import LapsedEntries
@@ -64,6 +67,8 @@
         self.by_service: dict[str, tuple[BackendServer, ...]] = {}
         self.statement_table = StatementTable(on_leaving=self._regroup)
         self.times = ServiceTimes()
+        self.work_times = WorkTimes()
+        self.usual_loads: dict[str, UsualLoad] = {}
         self.lapsed_entries = LapsedEntries(outages)
         self.cold_limit = ColdLimit(store_view, bounds, name, regions)
         self.cold_starts = ColdStarts(store_view, self.lapsed_entries)
@@ -103,9 +108,32 @@
         server.record_success(seconds, now)
         self.times.record_success(server.backend.service, seconds)
 
-    def record_load(self, server: BackendServer, running: int, waiting: int, now: float) -> None:
-        """Record the load that a server states; report it to other VMs if it is overloaded."""
-        self.load_reports.record_load(server, running, waiting, now)
+    def record_load(
+        self,
+        server: BackendServer,
+        running: int,
+        waiting: int,
+        now: float,
+        pace: Optional[float] = None,
+    ) -> None:
+        """Record the load and pace that a server states; see `LoadReports.record_load`."""
+        self.load_reports.record_load(server, running, waiting, now, pace)
+
+    def record_work(
+        self, server: BackendServer, route: str, seconds: float, load: Optional[LoadReport]
+    ) -> None:
+        """Record the time of an answer that a server gave while it was not cold.
+
+        Args:
+            server: The server.
+            route: Name of the request's route.
+            seconds: Time that the answer took, in seconds.
+            load: Load that the server stated with it; None if it stated none.
+        """
+        backend = server.backend
+        held, pace = (load.held, load.pace) if load is not None else (0, None)
+        work_s = work_without_queue_s(seconds, backend.capacity, held)
+        self.work_times.record(route, backend.service, work_s, pace)
 
     def take(self, server: BackendServer, now: float) -> None:
         """Count a request that is about to be sent at a monotonic time, in seconds."""
@@ -152,6 +180,7 @@
     def _on_change(self, change: Change) -> None:
         if isinstance(change.after, RouteConfiguration):
             self.times.set_latency_targets(change.after)
+            self.work_times.set_routes(change.after)
             return
         if isinstance(change.before, Evacuation) and change.after is None:
             self._count_hall_as_cold(change.before.hall, change.at)
@@ -221,6 +250,7 @@
             ServerProcessId.of(backend), server.stated
         )
         server.backend = backend
+        server.usual_load = self.usual_loads.setdefault(backend.service, UsualLoad())
         server.drop_at = None
         _apply_cold_start(server, self.cold_starts.on_entry(backend, now, new=new), self.to_probe)
 
--- a/sprucewinch/gateway/servers/backend_server.py
+++ b/sprucewinch/gateway/servers/backend_server.py
@@ -1,8 +1,8 @@
 """What this VM knows of one backend server.
 
 Owns the store's entry, this VM's requests in flight, the times of answers, and one object for each
-rule: load and concurrency limit, back-off, the queue for room, sends while cold. The rules and
-their limits are in the modules of those objects; nothing is decided here.
+rule: load, pace and concurrency limit, back-off, the queue for room, sends while cold. The rules
+and their limits are in the modules of those objects; nothing is decided here.
 """
 
 from typing import Optional
@@ -12,8 +12,10 @@
 from ..statements.process_statements import ProcessStatements
 from .backoff import Backoff, is_silent
 from .capacity.load import ConcurrencyLimit, LoadEstimate
+from .capacity.pace import PaceEstimate
 from .capacity.room_queue import QueuePosition, RoomQueue
 from .capacity.service_times import OVERLOAD_QUEUE_RATIO, is_overloaded
+from .capacity.usual_load import UsualLoad
 from .cold_limit import ColdSends
 
 _LATENCY_WEIGHT = 0.2
@@ -41,11 +43,13 @@
         "latency_s",
         "limit",
         "overload_reported_at",
+        "pace",
         "backoff",
         "room",
         "seed",
         "started",
         "stated",
+        "usual_load",
     )
 
     def __init__(self, backend: BackendEntry) -> None:
@@ -61,6 +65,8 @@
         self.overload_reported_at = float("-inf")
         self.cold_sends = ColdSends()
         self.estimate = LoadEstimate()
+        self.usual_load = UsualLoad()
+        self.pace = PaceEstimate()
         self.limit = ConcurrencyLimit(backend.capacity)
         self.backoff = Backoff()
         self.room = RoomQueue()
@@ -92,7 +98,8 @@
 
     def load(self, now: float) -> float:
         """Return the estimated number of requests that it holds, those of other VMs included."""
-        return self.estimate.load(self.in_flight, now)
+        usual = self.usual_load.per_slot(now) * self.backend.capacity
+        return self.estimate.load(self.in_flight, now, usual)
 
     def load_age_s(self, now: float) -> float:
         """Return the age of the last load that it stated, in seconds."""
@@ -124,6 +131,21 @@
             self.limit.increase(self.backend.capacity)
         return overloaded
 
+    def record_told_load(self, held: int, pace: Optional[float], at: float) -> bool:
+        """Record the load and pace that it stated to another VM, unless newer ones are known.
+
+        Args:
+            held: Requests that ran or waited there.
+            pace: Its pace; None if it stated none.
+            at: Monotonic time of the statement, in seconds.
+
+        Returns:
+            True if the load counts.
+        """
+        own = sum(started <= at for started in self.started)
+        self.pace.record(pace, at)
+        return self.estimate.record_told(held, own, at)
+
     def record_success(self, seconds: float, now: float) -> None:
         """Record an answer of its own and the time it took, in seconds."""
         self.answered_at = now
--- a/sprucewinch/gateway/servers/capacity/load.py
+++ b/sprucewinch/gateway/servers/capacity/load.py
@@ -1,9 +1,13 @@
 """The load of one backend server, and how many requests this VM may have there at once.
 
 The load is the number of requests that a server holds, those of other VMs included. The estimate
-is this VM's own requests in flight plus the surplus that the server last stated, which halves every
-`_LOAD_HALF_LIFE_S`. A server states its running and waiting requests with each answer; the figures
-reach this VM in an answer of its own or in another VM's overload report.
+is this VM's own requests in flight plus the surplus that the server last stated. The surplus fades
+with a half-life of `_LOAD_HALF_LIFE_S` to that of a usual server of the service (`usual_load`), or
+to nothing where no usual load is known. A server states its running and waiting requests with each
+answer; the figures reach this VM in an answer of its own, in another VM's overload report or in
+another VM's summary. A summary tells when its figures were stated: the newest statement counts, and
+this VM's own requests that began later are added to it, so that VMs which are told of the same free
+server do not each take it for free again after a request of their own.
 
 The concurrency limit is how many requests this VM may have at the server at once. It follows
 additive increase, multiplicative decrease (AIMD) between 1 and the server's slots: an answer that
@@ -55,15 +59,39 @@
         self.others = max(0.0, held - in_flight)
         self.recorded_at = now
 
-    def load(self, in_flight: int, now: float) -> float:
+    def record_told(self, held: int, own: int, at: float) -> bool:
+        """Record a load that the server stated to another VM, unless a newer one is known.
+
+        Of two statements of the same moment the higher one counts, so that the order in which they
+        arrive does not matter.
+
+        Args:
+            held: Requests that ran or waited there.
+            own: This VM's requests that were in flight there at that time.
+            at: Monotonic time of the statement, in seconds.
+
+        Returns:
+            True if it counts.
+        """
+        others = max(0.0, held - own)
+        if (at, others) <= (self.recorded_at, self.others):
+            return False
+        self.others = others
+        self.recorded_at = at
+        return True
+
+    def load(self, in_flight: int, now: float, usual: float = 0.0) -> float:
         """Return the estimated load now, in requests.
 
         Args:
             in_flight: This VM's requests in flight there.
             now: Monotonic time, in seconds.
+            usual: Usual load of a server with these slots, in requests; 0 if not known.
         """
         age_s = max(0.0, now - self.recorded_at)
-        return in_flight + self.others * 0.5 ** (age_s / _LOAD_HALF_LIFE_S)
+        weight = 0.5 ** (age_s / _LOAD_HALF_LIFE_S)
+        usual_others = max(0.0, usual - in_flight)
+        return in_flight + usual_others + (self.others - usual_others) * weight
 
 
 class ConcurrencyLimit:
--- a/sprucewinch/gateway/servers/load_reports.py
+++ b/sprucewinch/gateway/servers/load_reports.py
@@ -6,11 +6,18 @@
 the concurrency limit, as that limit counts this VM's own sends. Reports are needed because a VM of
 a large fleet sends a server one request in tens of seconds and would not learn of its queue.
 
+A load that is stated with a pace also counts towards the usual load of the service (`usual_load`),
+and `on_paced_load` is called with it. A load without a pace does neither, so that a deployment
+whose servers state no pace is served as before.
+
 Owns the pause between reports, in monotonic seconds; relies on `peer_reports` for sending and on
 `service_times`. Results show as `load` and `told_s` under `blocked` of the event `request`. Tests:
 `test_gateway_server_selection.OverloadedServers`.
 """
 
+from collections.abc import Callable
+from typing import Optional
+
 from .backend_server import BackendServer
 from .capacity.service_times import ServiceTimes
 from .peer_reports import OverloadReport, ReportSender, names_process, overload_report
@@ -19,6 +26,11 @@
 """Shortest time between two reports on the same server, in seconds."""
 
 
+PacedLoadListener = Callable[[BackendServer, int, float, float], None]
+"""Is called with a server, the requests that it holds, its pace, and the monotonic time of the
+statement, in seconds."""
+
+
 class LoadReports:
     """Applies stated loads and reports overloads.
 
@@ -34,9 +46,31 @@
         self.servers = servers
         self.times = times
         self.reports = reports
+        self.on_paced_load: list[PacedLoadListener] = []
 
-    def record_load(self, server: BackendServer, running: int, waiting: int, now: float) -> None:
-        """Record the load that a server states; report it to other VMs if it is overloaded."""
+    def record_load(
+        self,
+        server: BackendServer,
+        running: int,
+        waiting: int,
+        now: float,
+        pace: Optional[float] = None,
+    ) -> None:
+        """Record the load that a server states; report it to other VMs if it is overloaded.
+
+        Args:
+            server: The server.
+            running: Requests that it runs.
+            waiting: Requests that wait there.
+            now: Monotonic time, in seconds.
+            pace: Its pace; None if it states none.
+        """
+        if pace is not None:
+            held = running + waiting
+            server.pace.record(pace, now)
+            server.usual_load.record(held, server.backend.capacity, now)
+            for listener in self.on_paced_load:
+                listener(server, held, pace, now)
         ratio = self.times.overload_queue_ratio(server.backend.service)
         overloaded = server.record_load(running, waiting, now, ratio)
         if overloaded and now - server.overload_reported_at >= _REPORT_PAUSE_S:
--- a/sprucewinch/gateway/servers/outliers.py
+++ b/sprucewinch/gateway/servers/outliers.py
@@ -1,10 +1,18 @@
 """Outlier ejection: keeps requests away from servers that are slow or fail while others do not.
 
 Each request to a server gives a sample. It is bad if the request failed, or if its work took
-`_SLOW_FACTOR` times the service's usual work although this VM had sent the server the same object
-within `_OBJECT_WARM_S`; the first request for an object takes longer on any server. Work is the
-time of an answer less the part spent in the server's queue. A request that timed out at a server
-with a queue gives no sample. Failures that other VMs report count as bad samples too.
+`_SLOW_FACTOR` times the service's usual work although the object was warm there, as this VM had
+sent it there shortly before (`sent_objects`); the first request for an object takes longer on any
+server. Work is the time of an answer less the part spent in the server's queue. A request that
+timed out at a server with a queue gives no sample. Failures that other VMs report count as bad
+samples too.
+
+Where servers state their pace, the work is divided by it first: the fleet places requests by the
+pace, and a server that is slow by its own statement is no outlier. The pace may have changed while
+the server worked, so a request is slow there from `_PACED_SLOW_FACTOR` on. About 3 in 100 requests
+take far longer than others at any server, and reports on these alone would eject good servers in a
+large fleet: a slow request gives no sample unless the server's request before it, at this VM, was
+slow too.
 
 A server is ejected when its samples within `_WINDOW_S` hold at least `_MIN_BAD_SAMPLES` bad ones
 and `_MIN_BAD_PER_GOOD` bad ones for each good one. Each ejection lasts twice as long as the one
@@ -23,13 +31,14 @@
 Tests: `test_gateway_outliers`.
 """
 
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Sequence
 from typing import NamedTuple, Optional
 
 from ..events import EventLog, NoEvents
 from .backend_registry import BackendRegistry
 from .backend_server import BackendServer
+from .capacity.work_times import work_without_queue_s
 from .peer_reports import (
     FailureReport,
     NoReports,
@@ -37,6 +46,7 @@
     failure_report,
     names_process,
 )
+from .sent_objects import SentObjects
 
 _WINDOW_S = 2.5
 """Time for which a sample counts, in seconds."""
@@ -50,18 +60,16 @@
 _SLOW_FACTOR = 2.5
 """Multiple of a service's usual work beyond which a request is slow."""
 
+_PACED_SLOW_FACTOR = 4.0
+"""The same where servers state their pace: above the 2.5 times by which a change of pace slows work
+down, and below the five times by which a faulty server does."""
+
 _MIN_SAMPLES = 20
 """Samples of a service that are needed before its usual work is used."""
 
 _MEDIAN_STEP = 0.02
 """Part by which each sample moves the usual work, which is a running median."""
 
-_OBJECT_WARM_S = 10.0
-"""Time for which a server is assumed to keep an object warm, in seconds."""
-
-_MAX_SENT_OBJECTS = 4000
-"""Maximum number of pairs of server and object that are kept, which bounds the memory."""
-
 _FIRST_EJECTION_S = 2.0
 """Time of a server's first ejection, in seconds."""
 
@@ -103,10 +111,11 @@
 class ServerHistory:
     """The samples and ejections of one server."""
 
-    __slots__ = ("ejected_until", "ejections", "reported_at", "samples")
+    __slots__ = ("ejected_until", "ejections", "reported_at", "samples", "slow_before")
 
     def __init__(self) -> None:
         self.samples: deque[Sample] = deque()
+        self.slow_before = False
         self.ejections = 0
         self.ejected_until = float("-inf")
         self.reported_at = float("-inf")
@@ -150,12 +159,13 @@
         """Return the usual work of a service, in seconds; 0 if not known."""
         return self._seconds.get(service, 0.0)
 
-    def is_slow(self, service: str, work_s: float) -> bool:
+    def is_slow(self, service: str, work_s: float, factor: float = _SLOW_FACTOR) -> bool:
         """Return whether a request took far longer than usual, and update the usual work with it.
 
         Args:
             service: The service.
             work_s: Work of the request, in seconds.
+            factor: Multiple of the usual work beyond which it is slow.
         """
         typical_s = self._seconds.get(service, work_s)
         count = self._counts.get(service, 0)
@@ -163,49 +173,7 @@
         self._seconds[service] = typical_s * (
             1 + _MEDIAN_STEP if work_s > typical_s else 1 - _MEDIAN_STEP
         )
-        return count >= _MIN_SAMPLES and work_s > _SLOW_FACTOR * typical_s
-
-
-class SentObjects:
-    """The objects for which this VM recently sent each server requests."""
-
-    __slots__ = ("_sent",)
-
-    def __init__(self) -> None:
-        self._sent: OrderedDict[tuple[str, str], float] = OrderedDict()
-
-    def record(self, server_id: str, key: str, now: float) -> bool:
-        """Record that a server got a request for an object.
-
-        Args:
-            server_id: Id of the server.
-            key: Key of the object.
-            now: Monotonic time, in seconds.
-
-        Returns:
-            True if the server got a request for it within `_OBJECT_WARM_S` before.
-        """
-        before = self._sent.pop((server_id, key), float("-inf"))
-        self._sent[server_id, key] = now
-        if len(self._sent) > _MAX_SENT_OBJECTS:
-            self._sent.popitem(last=False)
-        return now - before <= _OBJECT_WARM_S
-
-    def forget(self, server_id: str) -> None:
-        """Forget a server's objects; the next process under its id has none of them warm."""
-        self._sent = OrderedDict(
-            (pair, at) for pair, at in self._sent.items() if pair[0] != server_id
-        )
-
-    def is_warm(self, server_id: str, key: str, now: float) -> bool:
-        """Return whether a server recently got a request for an object, so that it is warm there.
-
-        Args:
-            server_id: Id of the server.
-            key: Key of the object.
-            now: Monotonic time, in seconds.
-        """
-        return now - self._sent.get((server_id, key), float("-inf")) <= _OBJECT_WARM_S
+        return count >= _MIN_SAMPLES and work_s > factor * typical_s
 
 
 class OutlierDetector:
@@ -232,7 +200,13 @@
         registry.on_restart.append(self._forget_process)
 
     def record_success(
-        self, server: BackendServer, key: str, seconds: float, held: int, now: float
+        self,
+        server: BackendServer,
+        key: str,
+        seconds: float,
+        held: int,
+        now: float,
+        pace: Optional[float] = None,
     ) -> None:
         """Record an answer that the server itself gave.
 
@@ -242,12 +216,20 @@
             seconds: Time that the answer took, in seconds.
             held: Requests that the server held when it answered, as it states; 0 if it states none.
             now: Monotonic time, in seconds.
+            pace: Pace that the server stated with the answer; None if it stated none.
         """
         if not key or not self.sent_objects.record(server.backend.id, key, now):
             return
-        slots = server.backend.capacity
-        work_s = seconds * slots / max(slots, held)
-        self._record_sample(server, self.typical_work.is_slow(server.backend.service, work_s), now)
+        service = server.backend.service
+        work_s = work_without_queue_s(seconds, server.backend.capacity, held)
+        if pace is None:
+            self._record_sample(server, self.typical_work.is_slow(service, work_s), now)
+            return
+        slow = self.typical_work.is_slow(service, work_s / pace, _PACED_SLOW_FACTOR)
+        history = self.histories.setdefault(server.backend.id, ServerHistory())
+        slow_before, history.slow_before = history.slow_before, slow
+        if slow_before or not slow:
+            self._record_sample(server, slow, now)
 
     def record_failure(self, server: BackendServer, now: float, *, late: bool = False) -> None:
         """Record a request that failed at a server.
--- a/tools/wrong_version_list.py
+++ b/tools/wrong_version_list.py
@@ -394,7 +394,7 @@
     WrongVersion(
         "slow servers",
         "objects that are new to a server count",
-        f"{_GATEWAY}/servers/outliers.py",
+        f"{_GATEWAY}/servers/sent_objects.py",
         "return now - before <= _OBJECT_WARM_S",
         "return True",
         ("tests.test_gateway_outliers.SlowServers",),
