--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -85,6 +85,7 @@
         steps_over_share: Steps by which its workspace is above its fair share; 0 for not at all.
         denied_grants: Number of rate-limited servers that denied it a grant.
         turn: Its place among the requests of its connection; None where they run one by one.
+        route_name: Name of its route when it was last sent; empty before.
     """
 
     id: str
@@ -108,6 +109,7 @@
     steps_over_share: int = 0
     denied_grants: int = 0
     turn: Optional[ConnectionTurn] = None
+    route_name: str = ""
 
     async def has_turn(self) -> bool:
         """Wait until all requests ahead on the connection are answered; False if it closes."""
