Place requests by expected answer time where servers report load and pace

Cause: a request left its object's first server by fixed shares of load, whatever the pace of that server, its target and the time already spent; a server whose work takes five times as long kept its objects.

Only with estimates given to ServerSelector and a report of at least one candidate; otherwise everything is as before.

Ruled out: the soonest of all candidates, as all objects of a late server then go to the same server and become warm at many; a bound on the growth of moves alone, as they may all return at once when a burst ends.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -37,6 +37,7 @@
 from .regions.shares import RegionShares
 from .requests.app import GatewayApp
 from .requests.attempt_feedback import AttemptFeedback
+from .requests.choice.region_moves import RegionMoves
 from .requests.choice.server_choice import ServerChoice
 from .requests.choice.server_order import ServerRanker
 from .requests.choice.server_selection import ServerSelector
@@ -417,7 +418,8 @@
     settings = context.settings
     server_quotas = FleetServerQuotas(workspaces.quotas, context.monotonic)
     ranker = ServerRanker(servers.registry, regions.shares, settings.regions)
-    selector = ServerSelector(servers.registry, servers.outliers)
+    moves = RegionMoves(regions.shares, settings.bounds.shift_cap, settings.name)
+    selector = ServerSelector(servers.registry, servers.outliers, moves=moves)
     pipeline = Pipeline(
         state.view,
         servers.registry,
--- a/sprucewinch/gateway/decision_log.py
+++ b/sprucewinch/gateway/decision_log.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from .events import EventLog
-from .requests.client_request import ClientRequest, Reply
+from .requests.client_request import ClientRequest, Reply, SelectionReason
 from .requests.request_log import RequestLog
 from .resources import RouteConfiguration
 from .state.store_view import Change
@@ -115,6 +115,10 @@
             fields["blocked"] = request.blocked.log_fields()
         if request.caller.workspace is not None:
             fields["workspace"] = request.caller.workspace.name
+        sooner = [a.server_id for a in request.attempts if a.selected is SelectionReason.SOONER]
+        if sooner:
+            self.counters["sends_to_sooner_servers"] += len(sooner)
+            fields["sooner"] = sooner
         self._write_line("request", fields, plain=plain)
 
     def _write_line(self, event: str, fields: dict[str, Any], *, plain: bool) -> None:
--- a/sprucewinch/gateway/regions/shares.py
+++ b/sprucewinch/gateway/regions/shares.py
@@ -117,6 +117,16 @@
             limiter = self.limiters[service]
         return limiter.current
 
+    def moved_recently(self, service: str, now: float) -> float:
+        """Return the fraction of a service's callers that the shares moved within the last window.
+
+        Args:
+            service: Name of the service.
+            now: Monotonic time, in seconds.
+        """
+        limiter = self.limiters.get(service)
+        return limiter.limit.cap - limiter.allowance(now) if limiter else 0.0
+
     def tick(self, now: float) -> None:
         """Recompute the targets if an input has changed, then move all shares towards them.
 
--- a/sprucewinch/gateway/requests/choice/server_selection.py
+++ b/sprucewinch/gateway/requests/choice/server_selection.py
@@ -7,6 +7,10 @@
 accepts requests again soon enough to wait for it (`server_choice`). The inputs are the request with
 its attempts, its ranking, its route and the time (monotonic, in seconds).
 
+Where servers report their load and pace, the first usable server is only the first candidate, and
+the request is placed among a few of them by expected answer time (`placement`). What follows holds
+for services whose servers report nothing.
+
 A server under load spills over to the next one in its object's ranking, always the same one, as
 long as that one has spare slots. A server without room does so to a server of any region. One that
 has room but no free slot does so only to a server of its own region, and only if that one keeps the
@@ -25,6 +29,7 @@
 
 from typing import Optional, Union
 
+from ...estimates.server_estimate import ServerEstimates
 from ...resources import Route
 from ...servers.backend_registry import BackendRegistry
 from ...servers.backend_server import BackendServer
@@ -38,6 +43,8 @@
     Selection,
     SelectionReason,
 )
+from .placement import Checks, Placement
+from .region_moves import RegionMoves
 from .room import no_room_reason
 from .server_order import Ranking
 
@@ -63,9 +70,21 @@
     Args:
         registry: Backend servers.
         outliers: Knows which servers are ejected.
+        estimates: Estimates of the servers; None to select by load alone.
+        moves: Limits moves between regions by expected answer time; None for no such moves.
     """
 
-    def __init__(self, registry: BackendRegistry, outliers: OutlierDetector) -> None:
+    def __init__(
+        self,
+        registry: BackendRegistry,
+        outliers: OutlierDetector,
+        *,
+        estimates: Optional[ServerEstimates] = None,
+        moves: Optional[RegionMoves] = None,
+    ) -> None:
+        self.placement = None
+        if estimates is not None:
+            self.placement = Placement(estimates, moves, registry.regions)
         self.times = registry.times
         self.ejected = outliers.ejected
         self.keeps_warm = outliers.sent_objects.is_warm
@@ -89,8 +108,12 @@
         if server is None:
             request.blocked = Blocked("", until=self._earliest_acceptance(request, ranking, now))
             return RefusalReason.NO_SERVER
+        placed = self._placed(request, ranking, route, server, now)
+        if placed is not None and placed is not server:
+            return Selection(placed, service, SelectionReason.SOONER)
         no_room = no_room_reason(server, request, route, self.times, now)
-        if no_room is not None or server.load(now) >= server.backend.capacity:
+        busy = no_room is not None or server.load(now) >= server.backend.capacity
+        if busy and placed is None:
             spillover = self._spillover(request, ranking, service, server, no_room, now)
             if spillover is not None:
                 return spillover
@@ -101,6 +124,35 @@
         reason = SelectionReason.FIRST_CHOICE if first else SelectionReason.FIRST_USABLE
         return Selection(server, service, reason)
 
+    def record(self, ranking: Ranking, server: BackendServer, now: float) -> None:
+        """Count a request that is sent to a server.
+
+        Args:
+            ranking: Servers of its object.
+            server: The selected server.
+            now: Monotonic time, in seconds.
+        """
+        if self.placement is not None:
+            self.placement.record(ranking, server, now)
+
+    def _placed(
+        self,
+        request: ClientRequest,
+        ranking: Ranking,
+        route: Route,
+        first: BackendServer,
+        now: float,
+    ) -> Optional[BackendServer]:
+        """Return the server for a request by expected answer time; None to select by load."""
+        if self.placement is None:
+            return None
+        tried_servers = request.tried_servers()
+        checks = Checks(
+            lambda s: s.backend.id not in tried_servers and self._is_usable(request, s, now),
+            lambda s: no_room_reason(s, request, route, self.times, now) is None,
+        )
+        return self.placement.place(request, ranking, route, first, checks, now)
+
     def candidate(
         self, request: ClientRequest, ranking: Ranking, now: float
     ) -> Optional[BackendServer]:
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -184,6 +184,7 @@
         answer: The whole answer; None when there is none.
         seconds: Duration, in seconds.
         statement: What the answer's headers state about the server.
+        selected: Why the server was selected.
     """
 
     server_id: str
@@ -193,6 +194,7 @@
     answer: Optional[Answer] = None
     seconds: float = 0.0
     statement: ServerStatement = NOTHING_STATED
+    selected: "SelectionReason | None" = None
 
 
 class RefusalReason(enum.Enum):
@@ -245,6 +247,8 @@
     """The server before it has no room, so the request spills over to this one."""
     SHARES_BUSY = "shares-busy"
     """The server before it, of the same region, has no free slot, and this one answers sooner."""
+    SOONER = "sooner"
+    """The first usable server is expected to answer late, or has no room; this one is sooner."""
 
 
 class Selection(NamedTuple):
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -199,6 +199,7 @@
         """Send a request, on a new connection where a stale one could use up one of its runs."""
         idle_s = max_idle_s(request, route)
         attempt = await self.sender.send(request, selection, until, max_idle_s=idle_s)
+        attempt = attempt._replace(selected=selection.reason)
         request.attempts.append(attempt)
         return attempt
 
--- a/sprucewinch/operators/request_trace.py
+++ b/sprucewinch/operators/request_trace.py
@@ -207,6 +207,8 @@
         parts.append(f"workspace {fields['workspace']}")
     for server, verdict, reason, ms in fields.get("sends", []):
         parts.append(f"{server} {_VERDICT_DESCRIPTIONS.get(verdict, verdict)} ({reason}, {ms} ms)")
+    for server in fields.get("sooner", []):
+        parts.append(f"{server} was expected to answer sooner than the server before it")
     blocked = _describe_blocked(fields.get("blocked"))
     return "; ".join([*parts, *blocked])
 
