--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -219,6 +219,7 @@
         request.route_name = route.name
         idle_s = max_idle_s(request, route)
         attempt = await self.sender.send(request, selection, until, max_idle_s=idle_s)
+        attempt = attempt._replace(selected=selection.reason)
         request.attempts.append(attempt)
         return attempt
 
--- a/sprucewinch/gateway/servers/capacity/live_estimates.py
+++ b/sprucewinch/gateway/servers/capacity/live_estimates.py
@@ -9,13 +9,15 @@
 (`usability`). It is computed at most every `_ROOM_VALID_S` for a service and region, as it costs a
 step for each server.
 
-Estimates exist for every server; `states_pace` tells whether a service's servers state a pace, so
-that deployments whose servers state none can be served as before. Times are monotonic, in seconds.
+Estimates exist for every server. That of a server that has stated no pace has no age, so that
+deployments whose servers state none are served as before; `states_pace` tells that of a service.
+Times are monotonic, in seconds.
 
 Owns the cached room; relies on the registry and the outlier detector. Shows in `/state` as `load`,
 `pace` and `load_age_s` of a server. Tests: `test_gateway_live_estimates`.
 """
 
+import math
 from typing import NamedTuple
 
 from ...estimates.server_estimate import ServerEstimate, ServerEstimates
@@ -65,7 +67,11 @@
         warm = not (key and times.warmth_counts(route))
         warm = warm or self.warm_objects.expects(server, key, now)
         work_s = times.usual_s(route, backend.service, warm=warm)
-        return self._estimate(server, work_s, warm, now)
+        estimate = self._estimate(server, work_s, warm, now)
+        if server.pace.stated is None:
+            # Without a pace, the server is chosen by its load alone.
+            return estimate._replace(age_s=math.inf)
+        return estimate
 
     def room(self, service: str, region: str, now: float) -> ServiceRoom:
         """Return the room of a service in a region.
--- a/tests/pipelined_app.py
+++ b/tests/pipelined_app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import logging
 from typing import Any, Optional
 
 from uvicorn.server import ServerState
@@ -10,6 +11,13 @@
 from sprucewinch.net.http_server import ListenerLimits, make_listener
 
 
+def silent_logger() -> logging.Logger:
+    """Return a logger that drops the warnings about malformed bytes."""
+    logger = logging.Logger("silent")
+    logger.addHandler(logging.NullHandler())
+    return logger
+
+
 class End(enum.Enum):
     """How the application ends a request."""
 
@@ -153,7 +161,7 @@
         self.protocol = server.config.http_protocol_class(
             config=server.config, server_state=self.state, app_state={}
         )
-        self.protocol.logger.disabled = True
+        self.protocol.logger = silent_logger()
         self.transport.protocol = self.protocol
         self.protocol.connection_made(self.transport)
 
--- a/tests/test_gateway_live_estimates.py
+++ b/tests/test_gateway_live_estimates.py
@@ -203,6 +203,9 @@
             other = next(s for s in path.world.registry.offered("rates") if not s.answered_at > 0)
             found = estimates.estimate(other.backend, "r1", "lane-1", loop.time())
             self.assertEqual((found.held, found.pace), (0.0, 1.0))
+            told = next(s for s in path.world.registry.offered("rates") if s.answered_at > 0)
+            found = estimates.estimate(told.backend, "r1", "lane-1", loop.time())
+            self.assertEqual(found.age_s, float("inf"))
 
         run_virtual(main)
 
