Hedged requests: a second try beside one that runs unusually long

Change: a repeatable request that has taken twice its expected answer time is tried at the next server of its region as well, where that has half of its slots free by a recent report and time is left; the second try is taken from the retry budget; the first answer is taken and the other try is ended. Only where servers state their pace, as nothing is expected of others. Ruled out: ending the first try before the second is answered (loses work nearly done); a fixed delay (kinds differ four-fold).

--- a/sprucewinch/gateway/requests/attempt_feedback.py
+++ b/sprucewinch/gateway/requests/attempt_feedback.py
@@ -99,6 +99,17 @@
         else:
             self._record_sample(request, server, attempt, now)
 
+    def record_superseded(self, server: BackendServer) -> None:
+        """Record an attempt that ran unusually long and was ended, as another server answered.
+
+        It counts as a sample of a slow server. The server is not backed off: one request in some
+        takes long at any server.
+
+        Args:
+            server: The server that ran it.
+        """
+        self.outliers.record_failure(server, self.monotonic(), late=True)
+
     def _record_cold_attempt(self, server: BackendServer, attempt: Attempt) -> None:
         """Record an attempt at a cold server; it does not count as an outlier sample."""
         if attempt.verdict is Verdict.ANSWERED or attempt.cause == TIMED_OUT:
--- a/sprucewinch/gateway/requests/choice/server_choice.py
+++ b/sprucewinch/gateway/requests/choice/server_choice.py
@@ -8,10 +8,11 @@
 """
 
 import asyncio
-from typing import Union
+from typing import Optional, Union
 
 from ...crashes.quarantine import Quarantine
 from ...resources import Route
+from ...servers.backend_server import BackendServer
 from ...statements.server_quotas import ServerQuotas
 from ..client_request import ClientRequest, RefusalReason, Selection
 from .room import ROOM_RECHECK_INTERVAL_S, queue_position, room_wait_s
@@ -69,6 +70,32 @@
             return None
         return selection._replace(grant=grant)
 
+    def next_server(
+        self, request: ClientRequest, route: Route, first: Selection, now: float
+    ) -> Optional[BackendServer]:
+        """Return the next usable server for a request that is still at its first one.
+
+        Args:
+            request: The request.
+            route: Its route.
+            first: Its first server.
+            now: Monotonic time, in seconds.
+
+        Returns:
+            None if no other server is usable, or only one that is cold.
+        """
+        ranking = self._ranking(request, route, first.service, now)
+        server = self.selector.usable_after(request, ranking, first.server, now)
+        return None if server is None or server.cold(now) else server
+
+    def _ranking(self, request: ClientRequest, route: Route, service: str, now: float) -> Ranking:
+        key = request.key if route.affinity and request.key else request.id
+        if self.quarantine.assessment(request).crashes:
+            # The fingerprint as the key keeps this request away from the other suspects of a crash,
+            # and sends equal requests to the same server.
+            key = self.quarantine.fingerprinter.fingerprint_of(request).hex()
+        return self.ranker.rank(service, key, route.regions, now)
+
     async def _choose_or_wait(
         self, request: ClientRequest, route: Route, service: str, now: float
     ) -> Union[Selection, RefusalReason, None]:
@@ -78,12 +105,7 @@
             The selection, or the reason for a refusal; None when the request has waited and has to
             start again from the first step.
         """
-        key = request.key if route.affinity and request.key else request.id
-        if self.quarantine.assessment(request).crashes:
-            # The fingerprint as the key keeps this request away from the other suspects of a crash,
-            # and sends equal requests to the same server.
-            key = self.quarantine.fingerprinter.fingerprint_of(request).hex()
-        ranking = self.ranker.rank(service, key, route.regions, now)
+        ranking = self._ranking(request, route, service, now)
         selection = self.selector.choose(request, ranking, service, now, route)
         if selection is RefusalReason.NO_SERVER and await self._wait_until_accepted(
             request, route, now
--- a/sprucewinch/gateway/requests/choice/server_selection.py
+++ b/sprucewinch/gateway/requests/choice/server_selection.py
@@ -172,6 +172,21 @@
         ]
         return fallbacks[0] if fallbacks else None
 
+    def usable_after(
+        self, request: ClientRequest, ranking: Ranking, first: BackendServer, now: float
+    ) -> Optional[BackendServer]:
+        """Return the next usable server of the ranking's region; None if there is none.
+
+        Args:
+            request: The request.
+            ranking: Servers of its object, in order of preference.
+            first: The server that it was sent to.
+            now: Monotonic time, in seconds.
+        """
+        local_servers = ranking.servers[: ranking.local_count]
+        others = (server for server in local_servers if server is not first)
+        return next((s for s in others if self._is_usable(request, s, now)), None)
+
     def _earliest_acceptance(
         self, request: ClientRequest, ranking: Ranking, now: float
     ) -> Optional[float]:
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -49,6 +49,9 @@
 RESTARTED = "server-restarted"
 """Cause of an attempt whose server's process was replaced by a new one before it answered."""
 
+HEDGED = "hedged"
+"""Cause of an attempt that was ended because another server answered the request first."""
+
 _LOAD_DIGITS = 1
 """Decimal places of loads and limits in a request's log line, which are enough to compare them."""
 
@@ -256,6 +259,8 @@
     """The server before it has no room, so the request spills over to this one."""
     SHARES_BUSY = "shares-busy"
     """The server before it, of the same region, has no free slot, and this one answers sooner."""
+    HEDGE = "hedge"
+    """The first server runs the request unusually long, so this one is tried as well."""
     SOONER = "sooner"
     """The first usable server is expected to answer late, or has no room; this one is sooner."""
 
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -30,7 +30,7 @@
 from ..workspaces.key_table import KeyProblem
 from .choice.server_choice import ServerChoice
 from .client_request import CRASHED, Attempt, ClientRequest, RefusalReason, Reply, Selection
-from .connection_reuse import max_idle_s
+from .hedging.hedged_sender import HedgedSender
 from .outcome import final_answer
 from .outcome.hold_time import hold_time
 from .outcome.retry_decision import RetryDecision, after_crash, decide_retry, without_budget
@@ -82,6 +82,9 @@
         self.registry = registry
         self.choice = choice
         self.sender = sender
+        self.hedged_sender = HedgedSender(
+            sender, choice, monotonic=timing.monotonic, events=sender.events
+        )
         self.admission = admission
         self.monotonic = timing.monotonic
         self.rng = timing.rng
@@ -168,7 +171,7 @@
                 continue
             if isinstance(selection, RefusalReason):
                 return self._not_served(request, route, selection)
-            attempt = await self._send(request, route, selection, until)
+            attempt = await self._send(request, route, service, selection, until)
             decision = self._decide_retry(request, route, service, attempt)
             if decision.retry:
                 continue
@@ -213,15 +216,22 @@
         return service
 
     async def _send(
-        self, request: ClientRequest, route: Route, selection: Selection, until: float
+        self,
+        request: ClientRequest,
+        route: Route,
+        service: str,
+        selection: Selection,
+        until: float,
     ) -> Attempt:
-        """Send a request, on a new connection where a stale one could use up one of its runs."""
+        """Send a request, and return the attempt that decides what follows."""
         request.route_name = route.name
-        idle_s = max_idle_s(request, route)
-        attempt = await self.sender.send(request, selection, until, max_idle_s=idle_s)
-        attempt = attempt._replace(selected=selection.reason)
-        request.attempts.append(attempt)
-        return attempt
+
+        def take_retry() -> bool:
+            return self.budgets.of(service).take(self.monotonic(), self.registry.vm_count())
+
+        attempts = await self.hedged_sender.send(request, route, selection, until, take_retry)
+        request.attempts.extend(attempts)
+        return attempts[-1]
 
     def _decide_retry(
         self, request: ClientRequest, route: Route, service: str, attempt: Attempt
