Tests: a plain request meets servers that crashed, one after another (red)

Two tests on the virtual loop bring it about, without processes: - test_gateway_pipeline.Ends.test_crashed_servers_hide_no_living_one: the object's first five of eight servers have crashed, their entries are still in the store: 503 no-server for 200. - test_gateway_crashing_requests.OneRequest.test_a_vm_that_hears_of_no_crash_ serves_the_requests_beside_it: three whole VMs, eight servers, the crashing request and a plain one in turn, no datagram arrives: four of eight plain requests get 503 no-server; three of them after three sends, each unreachable, as in the lines of the process test.

Two further tests hold what must stay, green before and after: a service whose servers are all gone is refused at once and opens few connections; silent servers hold a request for three connects at most.

--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -42,6 +42,10 @@
         self.assertEqual({case: n for case, n in later.items() if n > MAX_LATER_SENDS}, {})
         self.assertGreaterEqual(run_virtual(_served_meanwhile), 0.97)
 
+    def test_a_vm_that_hears_of_no_crash_serves_the_requests_beside_it(self) -> None:
+        """They meet one crashed server after another, whose entries the store still holds."""
+        self.assertEqual(run_virtual(_refused_beside), [])
+
 
 async def _repeatable(loop: VirtualLoop) -> int:
     fleet = await CrashFleet(loop).ready()
@@ -74,5 +78,21 @@
     return callers.answers["200"] / callers.asked
 
 
+async def _refused_beside(loop: VirtualLoop) -> list[tuple]:
+    """Return the plain requests that were not served while no datagram arrives."""
+    fleet = await CrashFleet(loop, vms=3, servers=8).ready()
+    fleet.loss_ratio = 1.0
+    refused: list[tuple] = []
+    for number in range(1, 9):
+        await fleet.ask(number, CRASHING_TARGET)
+        request = fleet.request(f"/rates/{number}")
+        reply = await fleet.vms[number % 3].gateway.requests.pipeline.run(request)
+        if reply.status != 200:
+            attempts = [(attempt.server_id, attempt.cause) for attempt in request.attempts]
+            refused.append((request.id, reply.status, reply.refusal, attempts))
+        await pass_time(0.15)
+    return refused
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_gateway_pipeline.py
+++ b/tests/test_gateway_pipeline.py
@@ -110,6 +110,57 @@
 
         run_virtual(main)
 
+    def test_crashed_servers_hide_no_living_one(self) -> None:
+        """Their entries are still in the store, and each refuses its connection at once."""
+
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop, servers=8)
+            path.world.configure(route(repeatable=False))
+            ranking = path.ranker.rank("rates", "lane-1", (), loop.time())
+            for server in ranking.servers[:5]:
+                path.stop(path.servers[server.backend.id])
+            started = loop.time()
+            reply = await path.pipeline.run(path.request("q"))
+            self.assertEqual((reply.status, reply.refusal, path.runs("q")), (200, None, 1))
+            self.assertLess(loop.time() - started, 0.1)
+
+        run_virtual(main)
+
+    def test_a_service_whose_servers_are_all_gone_is_refused_at_once(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop, servers=30)
+            path.world.configure(route(repeatable=False))
+            for server in path.servers.values():
+                path.stop(server)
+            started = loop.time()
+            reply = await path.pipeline.run(path.request("q"))
+            self.assertEqual(reply.refusal, RefusalReason.NO_SERVER)
+            self.assertLess(loop.time() - started, 0.1)
+            self.assertLessEqual(path.pool.opened, 16)
+            for number in range(3):
+                await path.pipeline.run(path.request(f"p{number}"))
+            opened = path.pool.opened
+            self.assertEqual(
+                (await path.pipeline.run(path.request("r"))).refusal, RefusalReason.NO_SERVER
+            )
+            self.assertLessEqual(path.pool.opened - opened, 3)
+
+        run_virtual(main)
+
+    def test_silent_servers_hold_a_request_for_three_connects_at_most(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop, servers=8)
+            path.world.configure(route(repeatable=False, timeout_s=2.0))
+            for server in path.servers.values():
+                path.silence(server)
+            started = loop.time()
+            reply = await path.pipeline.run(path.request("q"))
+            self.assertEqual(reply.refusal, RefusalReason.NO_SERVER)
+            self.assertLess(loop.time() - started, 1.1)
+            self.assertEqual(path.pool.opened, 3)
+
+        run_virtual(main)
+
     def test_an_address_taken_over_by_another_service_runs_no_request(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             path = PipelineFixture(loop)
