A request is not refused after three servers that refused its connection at once

Cause: decide_retry ended a request after MAX_UNREACHABLE_SERVERS = 3 servers, whatever they cost. A server that crashed refuses its connection in a millisecond; where several crash in a row and this VM has not heard of it, the fourth server was alive and was not asked. Change: the bound is on the time spent (MAX_UNREACHABLE_S, 1 s: silent servers are tried three times as before) and on 16 servers. Once no usable server is left, no further one is tried after three (MAX_UNREACHABLE_FALLBACKS in server_selection), so a service whose servers are all gone costs its callers no more connects than before, but for the first ones of an outage. Each refused server is in back-off at once, as before. No byte was sent, so neither runs nor retry budget change.

The rule's own test said three; it says now: 16 that refuse, or three silent ones, end it; 15, or two silent and one that refuses, do not.

Wrong versions seen red: no bound on servers that are not usable (1 test), none on time (2), none on the number (2). Ruled out: backing a server off on another VM's crash report. Reports that are late or lost are the very cause, and one crash report names a server that may be back under a new id by then.

--- a/sprucewinch/gateway/requests/choice/server_selection.py
+++ b/sprucewinch/gateway/requests/choice/server_selection.py
@@ -3,9 +3,10 @@
 The first untried server that is usable gets the request. One that is backed off, silent, ejected or
 cold with its allowance used up is skipped, and its objects go to the next one. When no server is
 usable, the first untried one is tried all the same that is not cold and has not stated that it
-accepts no requests. When there is no such server either, the request is refused, unless a server
-accepts requests again soon enough to wait for it (`server_choice`). The inputs are the request with
-its attempts, its ranking, its route and the time (monotonic, in seconds).
+accepts no requests, unless a few were unreachable already. When there is no such server either, the
+request is refused, unless a server accepts requests again soon enough to wait for it
+(`server_choice`). The inputs are the request with its attempts, its ranking, its route and the time
+(monotonic, in seconds).
 
 A server under load spills over to the next one in its object's ranking, always the same one, as
 long as that one has spare slots. A server without room does so to a server of any region. One that
@@ -48,6 +49,10 @@
 """Fraction of its slots in use below which a server takes spillover from a server of another region
 that has no room (docs/CONSTANTS.md)."""
 
+MAX_UNREACHABLE_FALLBACKS = 3
+"""Number of unreachable servers from which a request tries no further one that is not usable. Each
+is likely to be unreachable too, and the caller has to be refused early."""
+
 MAX_DENIED_GRANTS = 4
 """Number of rate-limited servers that may deny one request a grant before it asks no more of them.
 Each may cost a round trip to another region, and the caller has to be refused early."""
@@ -107,13 +112,15 @@
         """Return the first untried server that is usable; None when there is none.
 
         When none is usable, the first untried one is returned that is not cold and has not stated
-        that it accepts no requests.
+        that it accepts no requests, unless `MAX_UNREACHABLE_FALLBACKS` were unreachable.
         """
         tried_servers = request.tried_servers()
         untried = [s for s in ranking.servers if s.backend.id not in tried_servers]
         for server in untried:
             if self._is_usable(request, server, now):
                 return server
+        if len(request.unreachable_attempts()) >= MAX_UNREACHABLE_FALLBACKS:
+            return None
         fallbacks = [
             s for s in untried if not s.cold(now) and declines_until(request, s, now) is None
         ]
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -110,6 +110,10 @@
         """Return the ids of the backend servers that were tried."""
         return {attempt.server_id for attempt in self.attempts}
 
+    def unreachable_attempts(self) -> list["Attempt"]:
+        """Return its attempts at servers that could not be reached."""
+        return [attempt for attempt in self.attempts if attempt.cause == UNREACHABLE]
+
     def possible_runs(self) -> int:
         """Return the number of backend servers on which it may have run."""
         return sum(attempt.verdict is not Verdict.NOT_RUN for attempt in self.attempts)
--- a/sprucewinch/gateway/requests/outcome/retry_decision.py
+++ b/sprucewinch/gateway/requests/outcome/retry_decision.py
@@ -6,10 +6,12 @@
 may be retried on any route.
 
 A retry after bytes were sent takes one retry from the budget. An unreachable server costs none, as
-it got no work, but only a few are tried. A server that left before it got a byte costs none and
-does not count as an attempt: it is not offered again, so there are at most as many of these as
-servers. After `MAX_CONSECUTIVE_CRASHES` crashes in a row the next server is not tried, as it may
-crash too.
+it got no work. Servers that crashed refuse connections at once, so the next one is tried as long as
+little time was spent on unreachable ones. Their number is bounded as well, so that a service whose
+servers are all gone is refused at once; `choice.server_selection` tries fewer when none is usable.
+A server that left before it got a byte costs none and does not count as an attempt: it is not
+offered again, so there are at most as many of these as servers. After `MAX_CONSECUTIVE_CRASHES`
+crashes in a row the next server is not tried, as it may crash too.
 
 Running a request twice that must not run twice is worse than failing it, and retries that grow with
 failures overload a fleet that is already loaded. The budget is checked last, so that it is spent
@@ -30,14 +32,17 @@
     NOT_OFFERED,
     QUARANTINED,
     TIMED_OUT,
-    UNREACHABLE,
     Attempt,
     ClientRequest,
     RefusalReason,
     Verdict,
 )
 
-MAX_UNREACHABLE_SERVERS = 3
+MAX_UNREACHABLE_S = 1.0
+"""Time spent on unreachable servers from which no further one is tried, in seconds: a caller whose
+servers are silent and not refusing is told before long."""
+
+MAX_UNREACHABLE_SERVERS = 16
 """Largest number of unreachable servers that one request tries."""
 
 MAX_CONSECUTIVE_CRASHES = 2
@@ -67,7 +72,7 @@
     UNREACHABLE = "unreachable"
     """The server could not be reached, and another one may be reachable."""
     TOO_MANY_UNREACHABLE = "too-many-unreachable"
-    """`MAX_UNREACHABLE_SERVERS` servers could not be reached."""
+    """Too many servers could not be reached, or too much time was spent on them."""
     TOO_MANY_ATTEMPTS = "too-many-attempts"
     """The request was sent more often than the route lets it run."""
     NOT_ANSWERED = "not-answered"
@@ -165,8 +170,11 @@
         # The request starts again from the first step: another server may be available, and a
         # quarantined request is refused there.
         return _NOT_OFFERED
-    unreached = sum(earlier.cause == UNREACHABLE for earlier in request.attempts)
-    return _UNREACHABLE if unreached < MAX_UNREACHABLE_SERVERS else _TOO_MANY_UNREACHABLE
+    unreachable = request.unreachable_attempts()
+    spent_s = sum(earlier.seconds for earlier in unreachable)
+    if len(unreachable) < MAX_UNREACHABLE_SERVERS and spent_s < MAX_UNREACHABLE_S:
+        return _UNREACHABLE
+    return _TOO_MANY_UNREACHABLE
 
 
 def _may_run_again(request: ClientRequest, route: Route) -> bool:
