Regions serve by their slots whatever their own callers ask for: the policy 'demand'

Cause: shares of regions followed slots alone, as if demand were even. Change: the policy 'demand' divides all callers in proportion to slots, from the demand of each region, which region reports carry already; it equals 'capacity' while demand is even within 15 per cent or not known. It is the default of services whose servers state their pace. The demand of a region is estimated from the reporter's part of its callers, now that these come by capacity, over 3 s in place of 9. Ruled out: in-use slots as the signal (late, and caused by the shares).

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -394,7 +394,12 @@
         SettingsError: If the settings name a policy that is not shipped.
     """
     settings = context.settings
-    policies = PolicyTable(state.view, on_unreadable, default=settings.policy)
+    policies = PolicyTable(
+        state.view,
+        on_unreadable,
+        default=settings.policy,
+        states_pace=servers.estimates.states_pace,
+    )
     reports = RegionReports(servers.registry, settings.name, settings.region)
     shares = RegionShares(
         servers.registry,
--- a/sprucewinch/gateway/regions/policies.py
+++ b/sprucewinch/gateway/regions/policies.py
@@ -6,16 +6,17 @@
 programs and choices in the store and the default policy of the settings.
 
 The choice for the service itself applies, otherwise the choice for all services (`*`), otherwise
-the default. A choice that names a program that does not exist is treated as if there were no
-choice, as there is nothing to run. If a program cannot be compiled, the last valid one of its name
-stays in force.
-
-The constants are `DEFAULT_POLICY`, `ALL_SERVICES` and `_MEASURED_FIELDS`. `/state` shows the result
-as `policy` of a service; the event `unreadable` names a program that cannot be used. Tests:
-`test_gateway_policies`, `test_gateway_region_reports`.
+the default. Where the settings leave the default as shipped, services whose servers state their
+pace are steered by demand: their VMs exchange what they know of load in any case. A choice that
+names a program that does not exist is treated as if there were no choice, as there is nothing to
+run. If a program cannot be compiled, the last valid one of its name stays in force.
+
+The constants are `DEFAULT_POLICY`, `PACED_POLICY`, `ALL_SERVICES` and `_MEASURED_FIELDS`. `/state`
+shows the result as `policy` of a service; the event `unreadable` names a program that cannot be
+used. Tests: `test_gateway_policies`, `test_gateway_region_reports`, `test_demand_policy`.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ...errors import PolicyError, SettingsError
 from ...steering.policy import Policy, ProgramPolicy, shipped_policies
@@ -25,6 +26,9 @@
 DEFAULT_POLICY = "capacity"
 """Shipped policy of services without a choice; it reads only slots, so no reports are needed."""
 
+PACED_POLICY = "demand"
+"""Shipped policy of services without a choice whose servers state their pace."""
+
 _MEASURED_FIELDS = ("in_use", "headroom", "latency_ms", "demand_per_s")
 """Fields of a snapshot whose values come from measurements."""
 
@@ -41,6 +45,7 @@
         store_view: This VM's copy of the store.
         on_unreadable: Called with the key of a program that cannot be used and the cause.
         default: Shipped policy of services without a choice.
+        states_pace: Returns whether the servers of a service state their pace.
 
     Raises:
         SettingsError: If no policy of that name is shipped.
@@ -52,6 +57,7 @@
         on_unreadable: Callable[[str, str], None] = lambda _key, _cause: None,
         *,
         default: str = DEFAULT_POLICY,
+        states_pace: Callable[[str], bool] = lambda _service: False,
     ) -> None:
         shipped = shipped_policies()
         if default not in shipped:
@@ -61,25 +67,32 @@
             )
         self.on_unreadable = on_unreadable
         self.default = default
+        self.states_pace = states_pace
         self.programs: dict[str, Policy] = {n: ProgramPolicy(n, s) for n, s in shipped.items()}
         self.choices: dict[str, str] = {}
         store_view.listeners.append(self._on_change)
 
     def name_for(self, service: str) -> str:
         """Return the name of the policy in force for a service."""
-        chosen = self.choices.get(service, self.choices.get(ALL_SERVICES, self.default))
-        return chosen if chosen in self.programs else self.default
+        chosen = self.choices.get(service, self.choices.get(ALL_SERVICES))
+        return chosen if chosen in self.programs else self._default_for(service)
+
+    def _default_for(self, service: str) -> str:
+        if self.default == DEFAULT_POLICY and self.states_pace(service):
+            return PACED_POLICY
+        return self.default
 
     def policy_for(self, service: str) -> Policy:
         """Return the policy in force for a service."""
         return self.programs[self.name_for(service)]
 
-    @property
-    def any_policy_reads_measures(self) -> bool:
-        """Return whether any policy that may be in force reads measurements of load or latency."""
-        names = {self.default, *self.choices.values()}
-        programs = (self.programs[name] for name in names if name in self.programs)
-        return any(_reads_measures(program) for program in programs)
+    def any_policy_reads_measures(self, services: Iterable[str]) -> bool:
+        """Return whether a policy in force reads measurements of load, latency or demand.
+
+        Args:
+            services: Names of the services.
+        """
+        return any(self.service_reads_measures(service) for service in services)
 
     def service_reads_measures(self, service: str) -> bool:
         """Return whether the policy in force for a service reads measurements."""
--- a/sprucewinch/gateway/regions/region_reporter.py
+++ b/sprucewinch/gateway/regions/region_reporter.py
@@ -51,25 +51,34 @@
     def report(self, now: float) -> Optional[RegionReport]:
         """Return the report of this VM's region; None while no policy reads measurements.
 
-        The demand of the region is estimated as this VM's own demand times the number of VMs that
-        accept callers there, as callers are spread evenly over them.
+        The demand of the region is estimated from this VM's own demand and its part of the callers,
+        as callers are spread over the region's VMs in proportion to their capacity.
 
         Args:
             now: Monotonic time, in seconds.
         """
-        if not self.policies.any_policy_reads_measures:
+        services = self.region_reports.registry.by_service
+        if not self.policies.any_policy_reads_measures(services):
             return None
-        vm_count = self._accepting_vm_count(now)
-        return self.region_reports.measure(
-            lambda service: vm_count * self.demand(service, now), now
-        )
-
-    def _accepting_vm_count(self, now: float) -> int:
-        return sum(
-            member.region == self.region_reports.region
-            and self.gossip.accepts_callers(member.name, now)
+        factor = self._demand_factor(now)
+        return self.region_reports.measure(lambda service: factor * self.demand(service, now), now)
+
+    def _demand_factor(self, now: float) -> float:
+        """Return the region's demand as a multiple of this VM's own.
+
+        It is the number of the region's VMs where the capacity of one of them is not known.
+        """
+        names = [
+            member.name
             for member in self.store_view.members.values()
-        )
+            if member.region == self.region_reports.region
+            and self.gossip.accepts_callers(member.name, now)
+        ]
+        capacities = [self.gossip.requests_per_s_of(name) for name in names]
+        own = self.gossip.requests_per_s
+        if not own or not all(capacities):
+            return float(len(names))
+        return sum(capacities) / own
 
 
 class RegionReporter:
--- a/sprucewinch/gateway/regions/region_reports.py
+++ b/sprucewinch/gateway/regions/region_reports.py
@@ -154,6 +154,7 @@
             in_use=min(received.service_report.in_use, capacity),
             latency_ms=None if latency_ms < 0 else latency_ms,
             age_s=now - received.received_at,
+            demand_per_s=received.service_report.demand_per_s,
         )
 
     def demand_per_s(self, service: str, now: float) -> float:
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -39,8 +39,13 @@
 from .retry_budget import RetryBudgets
 from .routes_in_force import RoutesInForce
 from .sender import Sender
+from .sliding_count import SlidingCount
 from .split import Splits
 
+DEMAND_WINDOW_S = 3.0
+"""Window over which the demand for a service is counted, in seconds: long enough that chance moves
+it by few per cent, short enough to follow callers that move within ten seconds."""
+
 _KEY_REFUSALS = {
     KeyProblem.UNKNOWN: RefusalReason.UNKNOWN_KEY,
     KeyProblem.BEHIND: RefusalReason.BEHIND,
@@ -92,6 +97,7 @@
         self.return_times = RetryAfterTimes(registry, timing.rng)
         self.splits = Splits()
         self.budgets = RetryBudgets(bounds)
+        self.demand: dict[str, SlidingCount] = {}
         self.fair_orders: dict[str, FairOrder] = {}
         self.routes = RoutesInForce(store_view, admission)
 
@@ -185,7 +191,8 @@
 
     def arrivals_per_s(self, service: str, now: float) -> float:
         """Return the rate of callers' requests for a service at this VM, in requests a second."""
-        return self.budgets.requests_per_s(service, now)
+        count = self.demand.get(service)
+        return count.count(now) / DEMAND_WINDOW_S if count else 0.0
 
     async def _quarantine_of(self, request: ClientRequest) -> Optional[QuarantineEntry]:
         """Return the quarantine that a request is refused for; None when it may be sent."""
@@ -209,6 +216,7 @@
         if not service:
             service = self.splits.service(route, request.key or request.id)
             self.budgets.of(service).record_request(now)
+            self.demand.setdefault(service, SlidingCount(DEMAND_WINDOW_S)).add(now)
             fair_order = self.fair_orders.setdefault(service, FairOrder())
             request.steps_over_share = fair_order.record_request(request.caller.workspace, now)
         elif service not in {part.service for part in route.parts}:
--- a/sprucewinch/gateway/requests/retry_budget.py
+++ b/sprucewinch/gateway/requests/retry_budget.py
@@ -60,10 +60,6 @@
         """Count a caller's request."""
         self.requests.add(now)
 
-    def requests_per_s(self, now: float) -> float:
-        """Return the rate of callers' requests over the budget's window, in requests a second."""
-        return self.requests.count(now) / self.requests.window_s
-
     def take(self, now: float, vm_count: int) -> bool:
         """Take one retry from the budget.
 
@@ -107,8 +103,3 @@
         if budget is None:
             budget = self._by_service[service] = WindowRetryBudget(self.bounds)
         return budget
-
-    def requests_per_s(self, service: str, now: float) -> float:
-        """Return the rate of callers' requests for a service, in requests a second."""
-        budget = self._by_service.get(service)
-        return budget.requests_per_s(now) if budget else 0.0
--- a/sprucewinch/steering/measures.py
+++ b/sprucewinch/steering/measures.py
@@ -18,6 +18,8 @@
         in_use: Slots in use.
         latency_ms: Mean time of a request there, in milliseconds; None when not measured.
         arrivals_per_s: Requests a second of all callers.
+        demand_per_s: Requests a second of the region's own callers, wherever they are served; 0
+            when not known.
         age_s: Age of the oldest of these measures, in seconds; None when there are none.
         drained: True when operators are draining the region.
     """
@@ -28,6 +30,7 @@
     arrivals_per_s: float = 0.0
     age_s: Optional[float] = None
     drained: bool = False
+    demand_per_s: float = 0.0
 
     @property
     def headroom(self) -> float:
--- a/sprucewinch/steering/policy.py
+++ b/sprucewinch/steering/policy.py
@@ -137,7 +137,8 @@
 
     Keys of the result: `service`, `client_region`, `demand_per_s`, and `regions`, a dictionary by
     region of `capacity` and `in_use` (slots), `headroom` (free part of the slots), `latency_ms` and
-    `distance_ms` (milliseconds), `arrivals_per_s`, `age_s` (seconds), `drained` and `home`.
+    `distance_ms` (milliseconds), `arrivals_per_s`, `demand_per_s` (of the region's own callers),
+    `age_s` (seconds), `drained` and `home`.
     `latency_ms` and `age_s` are -1 when they are not measured.
     """
     regions = {
@@ -148,6 +149,7 @@
             "latency_ms": _NOT_MEASURED if measures.latency_ms is None else measures.latency_ms,
             "distance_ms": snapshot.distance_ms[name],
             "arrivals_per_s": measures.arrivals_per_s,
+            "demand_per_s": measures.demand_per_s,
             "age_s": _NOT_MEASURED if measures.age_s is None else measures.age_s,
             "drained": measures.drained,
             "home": name == snapshot.client_region,
--- a/tests/test_gateway_region_reports.py
+++ b/tests/test_gateway_region_reports.py
@@ -84,9 +84,19 @@
         self.assertAlmostEqual(steered.share("east"), before, places=2)
 
     def test_the_default_policy_asks_for_no_measures(self) -> None:
-        self.assertFalse(Steered().policies.any_policy_reads_measures)
+        self.assertFalse(Steered().policies.any_policy_reads_measures(["rates"]))
         for policy, asks in (("headroom", True), ("latency", True), ("nearest", False)):
-            self.assertIs(_steered_by(policy).policies.any_policy_reads_measures, asks, policy)
+            policies = _steered_by(policy).policies
+            self.assertIs(policies.any_policy_reads_measures(["rates"]), asks, policy)
+
+    def test_services_whose_servers_state_their_pace_are_steered_by_demand(self) -> None:
+        store_view = StoreFixture().store_view
+        policies = PolicyTable(store_view, states_pace=lambda service: service == "paced")
+        self.assertEqual([policies.name_for(s) for s in ("paced", "rates")], ["demand", "capacity"])
+        self.assertTrue(policies.any_policy_reads_measures(["rates", "paced"]))
+        self.assertFalse(policies.any_policy_reads_measures(["rates"]))
+        chosen = PolicyTable(store_view, default="nearest", states_pace=lambda _service: True)
+        self.assertEqual(chosen.name_for("paced"), "nearest")
 
     def test_a_default_that_is_not_shipped_is_refused_with_a_remedy(self) -> None:
         with self.assertRaisesRegex(SettingsError, "name one of capacity"):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -20,7 +20,7 @@
 
 class ShippedPolicies(unittest.TestCase):
     def test_all_pass_the_trial_snapshots(self) -> None:
-        names = {"capacity", "nearest", "fixed", "headroom", "latency"}
+        names = {"capacity", "demand", "nearest", "fixed", "headroom", "latency"}
         self.assertEqual(set(shipped_policies()), names)
         for name, source in shipped_policies().items():
             with self.subTest(name):
