Share what VMs hear of servers' load and pace, in datagrams of bounded size and rate

Cause: a VM of a fleet of 35 to 75 hears from one server every 2 to 10 s, while its load and pace change within one; only overloads were passed on. Change: package load_sharing. Every 0.25 s a VM sends what it heard itself since (first-hand rows of process, requests held, pace, age) in one datagram of at most 1,200 bytes to as many VMs as 11 KB/s in both directions allow, its own region first, the others in turn. The newest statement counts by the time at which it was made; rows of earlier or unknown processes, too old, negative or impossible ones are dropped. Late and doubled datagrams are dated by the sender's clock; a VM that stood still dates no first message and tells nobody what it reads from its buffers. Nothing is sent where servers state no pace. Metrics and /state show it. Ruled out: flooding the region (6.6 to 19 KB/s at 75 VMs, worked out), passing rows on (echoes), dating by arrival (a late copy looks newer).

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -1,9 +1,9 @@
 """Composition root of the gateway: creates every part and passes it its dependencies.
 
 Owns the order in which the parts are created (`make_parts`): state, membership and following,
-servers, crashes, workspaces, regions, requests. The parameters of each function show what its parts
-depend on. Relies on every folder of the gateway except `lifecycle`; `daemon`, `lifecycle`,
-`vm_state` and `vm_metrics` use its types.
+servers, crashes, workspaces, regions, requests, load sharing. The parameters of each function show
+what its parts depend on. Relies on every folder of the gateway except `lifecycle`; `daemon`,
+`lifecycle`, `vm_state` and `vm_metrics` use its types.
 """
 
 import random
@@ -22,6 +22,7 @@
 from .following.notices import ProgressNotices
 from .following.peer_follower import PeerFollower
 from .following.store_follower import StoreFollower
+from .load_sharing.load_sharing import LoadSharing
 from .membership.directory import Directory
 from .membership.gossip import Gossip
 from .membership.heartbeats import Heartbeats
@@ -168,6 +169,7 @@
     regions: Regions
     requests: Requests
     region_reporter: RegionReporter
+    load_sharing: LoadSharing
 
 
 def make_parts(
@@ -191,7 +193,17 @@
     regions = make_regions(context, state, servers, on_unreadable)
     requests = make_requests(context, state, servers, crashes, workspaces, regions)
     region_reporter = make_region_reporter(context, state, fleet, regions, requests)
-    return Parts(state, fleet, servers, crashes, workspaces, regions, requests, region_reporter)
+    return Parts(
+        state=state,
+        fleet=fleet,
+        servers=servers,
+        crashes=crashes,
+        workspaces=workspaces,
+        regions=regions,
+        requests=requests,
+        region_reporter=region_reporter,
+        load_sharing=make_load_sharing(context, state, fleet, servers),
+    )
 
 
 def make_state(context: Context, on_unreadable: Callable[[str, str], None]) -> State:
@@ -490,3 +502,24 @@
         context.timing,
         own_report=builder.report,
     )
+
+
+def make_load_sharing(
+    context: Context, state: State, fleet: Fleet, servers: Servers
+) -> LoadSharing:
+    """Create the part that tells other VMs of the load and pace of backend servers.
+
+    Args:
+        context: Common dependencies.
+        state: The parts that keep a copy of the store's items.
+        fleet: The parts that communicate with other VMs.
+        servers: The parts that track backend servers.
+    """
+    return LoadSharing(
+        context.settings.region,
+        servers.registry,
+        fleet.gossip,
+        state.view,
+        fleet.datagrams,
+        context.timing,
+    )
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -186,6 +186,7 @@
             self.fleet.heartbeats.run,
             self.fleet.notices.run,
             self.region_reporter.run,
+            self.parts.load_sharing.run,
             self.crashes.reporter.run,
             self.crashes.store.run,
             self._tick_loop,
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -119,6 +119,12 @@
         """Record the load and pace that a server states; see `LoadReports.record_load`."""
         self.load_reports.record_load(server, running, waiting, now, pace)
 
+    def record_told_load(
+        self, server: BackendServer, held: int, pace: Optional[float], at: float
+    ) -> bool:
+        """Record what a server stated to another VM; see `LoadReports.record_told_load`."""
+        return self.load_reports.record_told_load(server, held, pace, at)
+
     def record_work(
         self, server: BackendServer, route: str, seconds: float, load: Optional[LoadReport]
     ) -> None:
--- a/sprucewinch/gateway/servers/backend_server.py
+++ b/sprucewinch/gateway/servers/backend_server.py
@@ -142,7 +142,7 @@
         Returns:
             True if the load counts.
         """
-        own = sum(started <= at for started in self.started)
+        own = sum(started < at for started in self.started)
         self.pace.record(pace, at)
         return self.estimate.record_told(held, own, at)
 
--- a/sprucewinch/gateway/servers/load_reports.py
+++ b/sprucewinch/gateway/servers/load_reports.py
@@ -77,6 +77,26 @@
             server.overload_reported_at = now
             self.reports.send_overload(overload_report(server.backend, running, waiting))
 
+    def record_told_load(
+        self, server: BackendServer, held: int, pace: Optional[float], at: float
+    ) -> bool:
+        """Record the load that a server stated to another VM, unless a newer one is known.
+
+        Args:
+            server: The server.
+            held: Requests that ran or waited there.
+            pace: Its pace; None if it stated none.
+            at: Monotonic time of the statement, in seconds.
+
+        Returns:
+            True if the load counts.
+        """
+        if not server.record_told_load(held, pace, at):
+            return False
+        if pace is not None:
+            server.usual_load.record(held, server.backend.capacity, at)
+        return True
+
     def on_overload_report(self, report: OverloadReport, now: float) -> None:
         """Record a server's load that another VM reports.
 
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -6,6 +6,7 @@
 """
 
 from .composition import Context, Parts
+from .servers.capacity.live_estimates import MAX_REPORT_AGE_S
 
 
 def vm_metrics(context: Context, parts: Parts) -> str:
@@ -27,6 +28,7 @@
         "requests_held": len(parts.crashes.quarantine.entries),
         "quota_asks": parts.workspaces.exchange.asked,
         **_statement_gauges(parts, now),
+        **_load_gauges(parts, now),
         "neighbour_deltas": parts.fleet.peer_follower.deltas_applied,
     }
     return context.events.report(gauges)
@@ -43,3 +45,18 @@
         "servers_limited": sum(stated.is_limited(now) for stated in rows),
         "servers_resting": sum(stated.pause_until > now for stated in rows),
     }
+
+
+def _load_gauges(parts: Parts, now: float) -> dict[str, float]:
+    """Return what VMs tell each other of server loads, and how old the known loads are."""
+    ages_s = [server.load_age_s(now) for server in parts.servers.registry.servers.values()]
+    recent_s = [age_s for age_s in ages_s if age_s <= MAX_REPORT_AGE_S]
+    sharing = parts.load_sharing
+    return {
+        "load_summaries_sent": sharing.sent_count,
+        "load_summaries_received": sharing.received_count,
+        "load_rows_used": sharing.received.used,
+        "load_rows_dropped": sharing.received.dropped,
+        "servers_load_known": len(recent_s),
+        "servers_load_age_s": sum(recent_s) / len(recent_s) if recent_s else 0.0,
+    }
--- a/sprucewinch/gateway/vm_state.py
+++ b/sprucewinch/gateway/vm_state.py
@@ -13,7 +13,7 @@
 from .statements.process_statements import ProcessStatements, ServerProcessId
 
 _MAX_AGE_S = 1e9
-"""Age shown if the store has never answered, in seconds; JSON cannot represent infinity."""
+"""Age shown of what has never been heard, in seconds; JSON cannot represent infinity."""
 
 _SHARE_DIGITS = 4
 """Decimal places of a share, which give it to a hundredth of a per cent."""
@@ -21,6 +21,9 @@
 _LOAD_DIGITS = 2
 """Decimal places of a server's load, in requests."""
 
+_PACE_DIGITS = 2
+"""Decimal places of a pace, which give it to the per cent."""
+
 _TIME_DIGITS = 3
 """Decimal places of a time in seconds, which give it to the millisecond."""
 
@@ -44,6 +47,8 @@
         draining: True if it is about to leave.
         paused: True while nothing is sent to it, as it is resting or silent.
         latency_ms: Mean latency of its requests, in milliseconds; 0 if unknown.
+        pace: Expected factor on the usual time of work there, above 1 if it is slow; 1 if unknown.
+        load_age_s: Age of the newest load that it stated to this VM or to another one, in seconds.
     """
 
     id: str
@@ -55,6 +60,8 @@
     draining: bool
     paused: bool
     latency_ms: float
+    pace: float
+    load_age_s: float
 
     def to_row(self) -> dict[str, Any]:
         """Return the row of `/state`, in which the data hall is called `zone`."""
@@ -306,6 +313,8 @@
             draining=server.backend.draining,
             paused=server.backoff_until > now or server.silent(now),
             latency_ms=round((server.latency_s or 0.0) * _MS_PER_S, 1),
+            pace=round(server.pace.pace(now), _PACE_DIGITS),
+            load_age_s=round(min(server.load_age_s(now), _MAX_AGE_S), _TIME_DIGITS),
         )
         for _, server in sorted(servers.registry.servers.items())
     )
--- a/tests/test_gateway_datagrams.py
+++ b/tests/test_gateway_datagrams.py
@@ -12,6 +12,7 @@
 from sprucewinch.gateway.datagrams import Datagrams
 from sprucewinch.gateway.events import EventLog
 from sprucewinch.gateway.following.follow_role import ProgressNotice
+from sprucewinch.gateway.load_sharing.load_summary import LoadRow, LoadSummary
 from sprucewinch.gateway.membership.gossip import Heartbeat, HeartbeatRow
 from sprucewinch.gateway.quotas.exchange import QuotaAnswer, QuotaRequest, QuotaReturn
 from sprucewinch.gateway.regions.region_reports import RegionReport
@@ -28,6 +29,7 @@
     QuotaRequest(1, "shipper", 2),
     QuotaAnswer(1, 2, 250),
     QuotaReturn("shipper", 2),
+    LoadSummary(1, 2, (LoadRow(3, 6, 250, 40),)),
 )
 
 
--- a/tools/wrong_versions.py
+++ b/tools/wrong_versions.py
@@ -4,8 +4,8 @@
 
 Each wrong version is a copy of the sources with a fault put in at one place. The tests of the rule
 that the fault breaks run on the copy and have to fail; if they pass, they do not check the rule.
-This module makes the copies and runs the tests; `wrong_version_list` and the two modules beside it
-list the versions.
+This module makes the copies and runs the tests; `wrong_version_list` and the three modules beside
+it list the versions.
 """
 
 import os
@@ -21,11 +21,12 @@
 
 from sprucewinch.errors import SprucewinchError
 
+from .wrong_load_versions import LOAD_VERSIONS
 from .wrong_statement_versions import STATEMENT_VERSIONS
 from .wrong_version_list import VERSIONS, WrongVersion
 from .wrong_workspace_versions import WORKSPACE_VERSIONS
 
-ALL_VERSIONS = (*VERSIONS, *WORKSPACE_VERSIONS, *STATEMENT_VERSIONS)
+ALL_VERSIONS = (*VERSIONS, *WORKSPACE_VERSIONS, *STATEMENT_VERSIONS, *LOAD_VERSIONS)
 
 ROOT = Path(__file__).resolve().parent.parent
 _COPIED = ("sprucewinch", "platform", "standins", "tests", "tools")
