--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -160,8 +160,9 @@
     async def _listen(self) -> None:
         settings = self.settings
         monotonic = self.clock.monotonic
+        callers = self.requests.app
+        await self.listeners.serve(settings.caller_address, callers, callers.answers)
         apps: dict[str, AsgiApp] = {
-            settings.caller_address: self.requests.app,
             settings.ready_address: self.adapter.ready_app(self.ready),
             settings.peer_address: DeltaApp(self.state.view),
             settings.metrics_address: TextApp({"/metrics": self._report, "/state": self._state}),
--- a/sprucewinch/gateway/listeners.py
+++ b/sprucewinch/gateway/listeners.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+from typing import Optional
 
 import uvicorn
 
+from ..net.answer_memory import AnswerMemory
 from ..net.http_server import AsgiApp, ListenerLimits, bind, keep_alive, make_listener
 from .resources import RouteConfiguration
 from .state.store_view import Change
@@ -50,26 +52,29 @@
         self.servers: list[uvicorn.Server] = []
         self.tasks: list[asyncio.Task] = []
 
-    async def serve(self, address: str, app: AsgiApp) -> None:
+    async def serve(
+        self, address: str, app: AsgiApp, memory: Optional[AnswerMemory] = None
+    ) -> None:
         """Listen on an address, and return once callers can connect.
 
         Args:
             address: `IP:PORT`.
             app: Application that answers the requests.
+            memory: Memory of the answers that callers have not read; None to count none.
 
         Raises:
             SettingsError: If the address cannot be bound.
         """
-        server = self.make(app)
+        server = self.make(app, memory)
         bound = bind("listen address", address)
         self.servers.append(server)
         self.tasks.append(asyncio.ensure_future(server.serve(sockets=[bound])))
         while not server.started:
             await asyncio.sleep(_START_POLL_INTERVAL_S)
 
-    def make(self, app: AsgiApp) -> uvicorn.Server:
-        """Return a server for an application, with the limits on callers."""
-        return make_listener(app, self.limits, max_at_once=MAX_REQUESTS_AT_ONCE)
+    def make(self, app: AsgiApp, memory: Optional[AnswerMemory]) -> uvicorn.Server:
+        """Return a server for an application, with the limits on callers; see `serve`."""
+        return make_listener(app, self.limits, max_at_once=MAX_REQUESTS_AT_ONCE, memory=memory)
 
     def stop_accepting(self) -> None:
         """Refuse new connections and close idle ones; requests in flight continue."""
--- a/sprucewinch/gateway/requests/app.py
+++ b/sprucewinch/gateway/requests/app.py
@@ -1,8 +1,8 @@
 """The ASGI application that serves callers.
 
-It owns the requests in flight: their number, the memory of their bodies, and their final answers
-when the process ends. It relies on `callers` to read requests, admit bodies and write answers, on
-the pipeline to run requests, and on the request log to record their outcomes.
+It owns the requests in flight: their number, the memory of their bodies and of unread answers, and
+their final answers when the process ends. It relies on `callers` to read requests, admit bodies and
+write answers, on the pipeline to run requests, and on the request log to record their outcomes.
 """
 
 import asyncio
@@ -16,6 +16,7 @@
 from ..header_names import HeaderNames
 from ..resources import CallerLimits
 from ..state.store_view import StoreView
+from .callers.answer_budget import AnswerBudget
 from .callers.answer_writer import write_reply
 from .callers.body_admission import BodyAdmission, BodyMemory, admit_body
 from .callers.request_reader import RequestReader
@@ -54,6 +55,11 @@
         """
         return self.body_begun and not self.body.complete
 
+    def hold_answer(self, reply: Reply) -> None:
+        """Count an answer of a backend server, which stays in memory until the caller reads it."""
+        if self.turn is not None and reply.answer is not None:
+            self.turn.hold_answer(len(reply.answer.body))
+
     def close_connection(self) -> bool:
         """Close the connection after the requests of it that have begun.
 
@@ -97,6 +103,7 @@
         self.monotonic = monotonic
         self.bodies = BodyMemory(memory_bytes)
         self.counters = counters or NoEvents()
+        self.answers = AnswerBudget(self.bodies, self.counters)
         self.in_flight = 0
         self.stopping = False
         self.aborting = False
@@ -143,6 +150,7 @@
             reply = await self._reply(exchange, task)
             self._serving.discard(task)
             self._record_reply(exchange, reply)
+            exchange.hold_answer(reply)
             await write_reply(reply, send, close=self._closes(exchange))
         except CallerLeftError:
             # Before the whole request is read, nothing has run and there is no request to log.
@@ -177,6 +185,8 @@
         """Return the answer to a request that is refused by its head; None when it is admitted."""
         if not request.path.startswith("/"):
             return final_answer.refused_for_good(RefusalReason.MALFORMED)
+        if self.answers.used_up:
+            return final_answer.refused_for_lack_of_memory()
         return await self.pipeline.admit(request)
 
     async def _read_body(self, exchange: Exchange, request: ClientRequest) -> Optional[Reply]:
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -15,6 +15,8 @@
     gauges = {
         "in_flight": parts.requests.app.in_flight,
         "body_bytes": parts.requests.app.buffered,
+        "answer_bytes": parts.requests.app.bodies.answer_bytes,
+        "requests_behind_others": parts.requests.app.answers.behind,
         "backend_connections_opened": parts.servers.pool.opened,
         "store_calls": parts.state.store.calls,
         "store_revision": view.replica.complete_revision,
--- a/sprucewinch/net/_exchange.py
+++ b/sprucewinch/net/_exchange.py
@@ -1,8 +1,9 @@
 """The entries of a connection's line: requests with their answers, and the listener's refusals.
 
 Owns what one entry does when it begins, when its turn to send comes, and when it is dropped. An
-answer waits in the application, which goes on once its turn has come, so that no answer is held
-twice and none is mixed with another. The framing of an answer is uvicorn's.
+answer waits in the application, which goes on once its turn has come, and a large one is handed to
+the transport in pieces as the caller reads them, so that no answer is held twice and none is mixed
+with another. The framing of an answer is uvicorn's.
 """
 
 import abc
@@ -11,8 +12,20 @@
 
 from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
+from ._unread_answers import UnreadAnswers
+from ._write_side import WriteSide
 from .connection_turn import TURN_KEY, ConnectionTurn
 
+_PIECE_BYTES = 65_536
+"""Bytes of an answer that are handed to the transport at a time, which copies what it cannot send
+at once."""
+
+INVALID_REQUEST = (
+    b"HTTP/1.1 400 Bad Request\r\ncontent-type: text/plain; charset=utf-8\r\n"
+    b"content-length: 30\r\nconnection: close\r\n\r\nInvalid HTTP request received."
+)
+"""The refusal of bytes that are no request."""
+
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -37,7 +50,13 @@
 
 
 class Connection(abc.ABC):
-    """What an exchange needs of its connection."""
+    """What an exchange needs of its connection.
+
+    Attributes:
+        unread: Answers of the connection that its caller has not read.
+    """
+
+    unread: UnreadAnswers
 
     @property
     @abc.abstractmethod
@@ -73,11 +92,11 @@
     """A refusal of the listener itself, after which the connection closes.
 
     Args:
-        transport: The connection's transport.
+        transport: The connection's write side.
         content: The whole answer.
     """
 
-    def __init__(self, transport: asyncio.Transport, content: bytes) -> None:
+    def __init__(self, transport: WriteSide, content: bytes) -> None:
         self.transport = transport
         self.content = content
 
@@ -108,6 +127,7 @@
         super().__init__(**options)
         self.connection = connection
         self.arrived_at = arrived_at
+        self.held_bytes = 0
         self._turn: Optional[asyncio.Event] = None
         self.scope[TURN_KEY] = self
 
@@ -144,19 +164,44 @@
     def read_no_more(self) -> None:
         self.connection.read_no_more()
 
+    def hold_answer(self, size_bytes: int) -> None:
+        self.held_bytes += size_bytes
+        self.connection.unread.wait(size_bytes)
+
     async def run_asgi(self, app: Any) -> None:
-        await super().run_asgi(app)
+        try:
+            await super().run_asgi(app)
+        finally:
+            self._hand_over(self.held_bytes)
         if not self.response_complete and not self.disconnected:
             self.connection.cut()
 
     async def send(self, message: Any) -> None:
         if self.response_started:
-            await super().send(message)
+            await self._send_body(message)
         elif await self.wait_for_turn():
             await super().send(message)
-            if not self.keep_alive:
+            if not self.disconnected and not self.keep_alive:
                 self.connection.close_behind()
 
+    async def _send_body(self, message: Any) -> None:
+        body = memoryview(message.get("body", b""))
+        while len(body) > _PIECE_BYTES and not self.disconnected:
+            await self._send_piece({**message, "body": body[:_PIECE_BYTES], "more_body": True})
+            body = body[_PIECE_BYTES:]
+        await self._send_piece({**message, "body": body})
+
+    async def _send_piece(self, message: Any) -> None:
+        if self.flow.write_paused and not self.disconnected:
+            await self.flow.drain()
+        self._hand_over(min(self.held_bytes, len(message["body"])))
+        await super().send(message)
+
+    def _hand_over(self, size_bytes: int) -> None:
+        """Count bytes that are no longer held here, but by the transport or by nobody."""
+        self.held_bytes -= size_bytes
+        self.connection.unread.wait(-size_bytes)
+
     async def receive(self) -> Any:
         if self.waiting_for_100_continue and await self.wait_for_turn():
             self.waiting_for_100_continue = False
--- a/sprucewinch/net/_pipelined_protocol.py
+++ b/sprucewinch/net/_pipelined_protocol.py
@@ -6,13 +6,12 @@
 
 Bytes are parsed in small pieces, so that a caller that sends a thousand requests in one packet has
 only a few more than it may run parsed and in memory; the rest waits as bytes, and nothing more is
-read. While reading is paused, the transport does not notice that the caller leaves, so the
-connection asks the kernel at intervals: the backend servers must not work on for a caller that has
-left. Tests: tests/test_pipelined_protocol.py, tests/test_pipelined_requests.py.
+read, nor while the caller leaves too much unread (`_unread_answers`). While reading is paused,
+`_departure` watches whether the caller leaves: the backend servers must not work on for it. Tests:
+tests/test_pipelined_protocol.py, tests/test_pipelined_requests.py.
 """
 
 import asyncio
-import urllib.parse
 from typing import Any, Optional
 
 import httptools
@@ -20,23 +19,16 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ._answer_order import AnswerOrder
-from ._departure import has_left
-from ._exchange import Connection, Entry, Exchange, FinalBytes
+from ._departure import DepartureWatch
+from ._exchange import INVALID_REQUEST, Connection, Entry, Exchange, FinalBytes
+from ._request_scope import complete_scope
+from ._unread_answers import UnreadAnswers
+from ._write_side import WriteSide
+from .answer_memory import AnswerMemory, UncountedAnswers
 
 _PIECE_BYTES = 2048
 """Bytes that are parsed at a time; the shortest request has 18."""
 
-_DEPARTURE_POLL_S = 0.2
-"""Time between two checks whether the caller has left, while reading is paused.
-
-Work for a caller that has left should end within half a second.
-"""
-
-_INVALID_REQUEST = (
-    b"HTTP/1.1 400 Bad Request\r\ncontent-type: text/plain; charset=utf-8\r\n"
-    b"content-length: 30\r\nconnection: close\r\n\r\nInvalid HTTP request received."
-)
-
 
 class PipelinedProtocol(HttpToolsProtocol, Connection):
     """One connection of a listener."""
@@ -44,6 +36,12 @@
     max_at_once = 1
     """Maximum number of the connection's requests that run at once."""
 
+    memory: AnswerMemory = UncountedAnswers()
+    """Memory of the answers of all the listener's connections."""
+
+    watch: DepartureWatch
+    out: WriteSide
+
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self.order: AnswerOrder[Entry] = AnswerOrder(self.max_at_once)
@@ -53,7 +51,8 @@
         self._received_at = 0.0
         self._in_message = False
         self._in_body = False
-        self._departure_timer: Optional[asyncio.TimerHandle] = None
+        self._behind = 0
+        self.unread = UnreadAnswers(self.memory)
 
     @property
     def closing(self) -> bool:
@@ -78,7 +77,7 @@
 
     def cut(self) -> None:
         """Close the connection, as the head's answer ended before it was whole."""
-        self._drop(self.order.drop_all())
+        self._drop_all()
         self.transport.close()
 
     def read_no_more(self) -> None:
@@ -103,20 +102,27 @@
             self.order.drop_last().drop()
         elif self.order.closed:
             return
-        self.order.add(FinalBytes(self.transport, content), is_last=True)
+        self.order.add(FinalBytes(self.out, content), is_last=True)
         self._advance()
 
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Prepare to read and write."""
+        super().connection_made(transport)
+        self.watch = DepartureWatch(self.loop, transport, self._leave)
+        self.out = WriteSide(self.loop, transport, self.unread, self._on_measured)
+
     def connection_lost(self, exc: Optional[Exception]) -> None:
         """End all requests of the connection."""
         self.ignoring = True
         self._unparsed = memoryview(b"")
-        self._stop_watching()
-        self._drop(self.order.drop_all())
+        self.watch.stop()
+        self.out.end()
+        self._drop_all()
         super().connection_lost(exc)
 
     def eof_received(self) -> None:
         """End all requests of the connection: a caller that closes its side has left."""
-        self._drop(self.order.drop_all())
+        self._drop_all()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; those behind the last request are dropped."""
@@ -142,7 +148,7 @@
             self.ignoring = True
         if self.ignoring:
             return
-        self._complete_scope()
+        complete_scope(self.scope, self.parser, self.url, self.root_path)  # type: ignore[arg-type]
         exchange = self._make_exchange()
         self.cycle = exchange
         self._in_body = True
@@ -164,10 +170,17 @@
     def on_response_complete(self) -> None:
         """Let the next answer be sent, begin further requests, and read on."""
         self.order.complete_head()
-        if self.transport.is_closing():
-            return
-        self._advance()
-        self._parse()
+        self._go_on()
+
+    def pause_writing(self) -> None:
+        """Let answers wait until the caller reads."""
+        super().pause_writing()
+        self.out.measure()
+
+    def resume_writing(self) -> None:
+        """Let the next pieces be sent."""
+        super().resume_writing()
+        self._go_on()
 
     def shutdown(self) -> None:
         """Close the connection after the requests that have begun."""
@@ -176,24 +189,13 @@
         else:
             self.transport.close()
 
-    def _complete_scope(self) -> None:
-        http_version = self.parser.get_http_version()
-        if http_version != "1.1":
-            self.scope["http_version"] = http_version
-        url = httptools.parse_url(self.url)
-        path = url.path.decode("ascii")
-        self.scope["method"] = self.parser.get_method().decode("ascii")
-        self.scope["path"] = self.root_path + urllib.parse.unquote(path)
-        self.scope["raw_path"] = self.root_path.encode("ascii") + url.path
-        self.scope["query_string"] = url.query or b""
-
     def _make_exchange(self) -> Exchange:
         keeps = self.scope["http_version"] != "1.0" and self.parser.should_keep_alive()
         return Exchange(
             self,
             self._received_at,
             scope=self.scope,
-            transport=self.transport,
+            transport=self.out,  # type: ignore[arg-type]
             flow=self.flow,
             logger=self.logger,
             access_logger=self.access_logger,
@@ -207,16 +209,47 @@
 
     def _advance(self) -> None:
         """Begin the requests that may run, and give its turn to a new head."""
-        while (entry := self.order.begin_next()) is not None:
+        while not self.unread.blocks and (entry := self.order.begin_next()) is not None:
             entry.begin()
         head = self.order.head
         if head is not None and head is not self._head:
             self._head = head
             head.take_turn()
+        self._count_behind()
+
+    def _drop_all(self) -> None:
+        self._drop(self.order.drop_all())
 
     def _drop(self, dropped: list[Entry]) -> None:
         for entry in dropped:
             entry.drop()
+        self._count_behind()
+
+    def _count_behind(self) -> None:
+        behind = max(0, len(self.order) - 1)
+        self.memory.change_behind(behind - self._behind)
+        self._behind = behind
+
+    def _go_on(self) -> None:
+        """Do what may be done now that an answer was sent or read."""
+        self.out.measure()
+        if not self.transport.is_closing():
+            self._advance()
+            self._parse()
+
+    def _on_measured(self) -> None:
+        now = self.loop.time()
+        if self.unread.gives_up(now):
+            self.memory.closed_unread(self.unread.held_bytes, self.unread.unread_s(now))
+            self._leave()
+        elif not self.transport.is_closing():
+            self._advance()
+            self._parse()
+
+    def _leave(self) -> None:
+        """End everything, as the caller has left or is given up."""
+        self._drop_all()
+        self.transport.abort()
 
     def _parse(self) -> None:
         """Parse what was read, up to the requests that may run; then decide whether to read on."""
@@ -233,7 +266,7 @@
         try:
             self.parser.feed_data(piece)
         except httptools.HttpParserError:
-            self.refuse(_INVALID_REQUEST)
+            self.refuse(INVALID_REQUEST)
         except httptools.HttpParserUpgrade as upgrade:
             # The upgrade is ignored, so what follows are further requests.
             rest = bytes(piece[upgrade.args[0] :])
@@ -242,7 +275,7 @@
     @property
     def _waits(self) -> bool:
         """Whether further requests must wait; the body of one that has begun is read on."""
-        return self.order.full and not self._in_body
+        return (self.order.full or self.unread.blocks) and not self._in_body
 
     @property
     def _body_is_ahead(self) -> bool:
@@ -255,24 +288,10 @@
             return
         if not self.ignoring and (self._unparsed or self._waits or self._body_is_ahead):
             self.flow.pause_reading()
-            if self._departure_timer is None:
-                self._watch_departure()
+            self.watch.start()
         else:
             self.flow.resume_reading()
-            self._stop_watching()
-
-    def _watch_departure(self) -> None:
-        if has_left(self.transport):
-            self._departure_timer = None
-            self._drop(self.order.drop_all())
-            self.transport.abort()
-            return
-        self._departure_timer = self.loop.call_later(_DEPARTURE_POLL_S, self._watch_departure)
-
-    def _stop_watching(self) -> None:
-        if self._departure_timer is not None:
-            self._departure_timer.cancel()
-            self._departure_timer = None
+            self.watch.stop()
 
     def _start_idle_timeout(self) -> None:
         self._unset_keepalive_if_required()
--- a/sprucewinch/net/connection_turn.py
+++ b/sprucewinch/net/connection_turn.py
@@ -39,6 +39,14 @@
     def read_no_more(self) -> None:
         """Read no further request; the connection closes after the last one that has begun."""
 
+    @abc.abstractmethod
+    def hold_answer(self, size_bytes: int) -> None:
+        """Count an answer that the application holds in memory until it is sent.
+
+        Args:
+            size_bytes: Its size.
+        """
+
 
 def turn_of(scope: dict[str, Any]) -> Optional[ConnectionTurn]:
     """Return the turn of a request; None where its listener tells none."""
--- a/sprucewinch/net/http_server.py
+++ b/sprucewinch/net/http_server.py
@@ -19,6 +19,7 @@
 from ..errors import SettingsError
 from ._pipelined_protocol import PipelinedProtocol
 from .address import parse_address
+from .answer_memory import AnswerMemory, UncountedAnswers
 from .outcome import Outcome, Reason
 
 AsgiApp = Callable[[dict, Callable[[], Awaitable[dict]], Callable[[dict], Awaitable[None]]], Any]
@@ -100,9 +101,12 @@
     """Timer of the current request's headers; None while no headers are being read."""
 
     @classmethod
-    def limited_by(cls, limits: ListenerLimits, max_at_once: int) -> type["LimitedProtocol"]:
+    def limited_by(
+        cls, limits: ListenerLimits, max_at_once: int, memory: AnswerMemory
+    ) -> type["LimitedProtocol"]:
         """Return a subclass whose connections enforce the given limits."""
-        return type(cls.__name__, (cls,), {"limits": limits, "max_at_once": max_at_once})
+        values = {"limits": limits, "max_at_once": max_at_once, "memory": memory}
+        return type(cls.__name__, (cls,), values)
 
     def connection_made(self, transport: Any) -> None:
         """Refuse the connection when too many are open; else start its idle timeout."""
@@ -214,6 +218,7 @@
     *,
     keepalive_s: float = _KEEPALIVE_TIMEOUT_S,
     max_at_once: int = 1,
+    memory: Optional[AnswerMemory] = None,
 ) -> uvicorn.Server:
     """Return a server for an ASGI application, to be given a bound socket.
 
@@ -224,11 +229,12 @@
         max_at_once: Maximum number of one connection's requests that run at once. An application
             that is given more than 1 waits for its turn (`connection_turn`) with each request
             that must not run twice.
+        memory: Memory of the answers that callers have not read; None to count none.
     """
     config = uvicorn.Config(
         app,
         loop="none",
-        http=LimitedProtocol.limited_by(limits, max_at_once),
+        http=LimitedProtocol.limited_by(limits, max_at_once, memory or UncountedAnswers()),
         ws="none",
         interface="asgi3",
         lifespan="off",
--- a/tests/pipelined_caller.py
+++ b/tests/pipelined_caller.py
@@ -94,7 +94,8 @@
 
 def listen(loop: VirtualLoop, vm: VirtualGateway) -> ServerState:
     """Listen for callers as the VM does, in memory; returns the listener's state."""
-    server = vm.gateway.listeners.make(vm.gateway.requests.app)
+    app = vm.gateway.requests.app
+    server = vm.gateway.listeners.make(app, app.answers)
     server.config.load()
     state = ServerState()
     loop.listen(
--- a/tests/test_formats_gateway.py
+++ b/tests/test_formats_gateway.py
@@ -217,6 +217,7 @@
 requests_left 1
 requests_no-route 1
 announced_revision 0
+answer_bytes 0
 backend_connections_opened 1
 backend_servers 2
 body_bytes 0
@@ -226,6 +227,7 @@
 members_open 1
 neighbour_deltas 0
 quota_asks 0
+requests_behind_others 0
 requests_held 0
 servers_leaving 0
 servers_limited 0
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -155,6 +155,9 @@
     def read_no_more(self) -> None:
         """Nothing is read here."""
 
+    def hold_answer(self, size_bytes: int) -> None:
+        """Nothing is counted here."""
+
 
 class TurnInThePipeline(unittest.TestCase):
     """A route may change after a request has begun, so the pipeline asks for its turn too."""
