--- a/tests/pipelined_app.py
+++ b/tests/pipelined_app.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import enum
+import logging
 from typing import Any, Optional
 
 from uvicorn.server import ServerState
 
+from sprucewinch.net.answer_memory import AnswerMemory
 from sprucewinch.net.connection_turn import turn_of
 from sprucewinch.net.http_server import ListenerLimits, make_listener
 
@@ -24,28 +26,67 @@
 
 
 class FakeTransport(asyncio.Transport):
-    """Records what is written; a test hands over what is read."""
+    """Records what is written; a test hands over what is read.
+
+    Args:
+        loop: The loop.
+
+    Attributes:
+        written: What the caller has read.
+        unread: What the transport has not sent, as the caller does not read.
+        stalled: True while the caller reads nothing.
+    """
+
+    HIGH_BYTES = 65_536
+    LOW_BYTES = 16_384
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__()
         self.loop = loop
         self.written = b""
+        self.unread = b""
         self.protocol: Any = None
         self.closing = False
         self.reads = True
-        self.unsent = 0
+        self.stalled = False
+        self.paused = False
 
     def write(self, data: Any) -> None:
-        if not self.closing:
-            self.written += bytes(data)
+        if self.closing:
+            return
+        self.unread += bytes(data)
+        if not self.stalled:
+            self.read()
+        elif len(self.unread) > self.HIGH_BYTES and not self.paused:
+            self.paused = True
+            self.protocol.pause_writing()
+
+    def read(self, size: Optional[int] = None) -> None:
+        """Let the caller read some bytes, or all."""
+        size = len(self.unread) if size is None else size
+        self.written += self.unread[:size]
+        self.unread = self.unread[size:]
+        if self.paused and len(self.unread) <= self.LOW_BYTES:
+            self.paused = False
+            self.protocol.resume_writing()
+        if self.closing and not self.unread:
+            self._lose()
 
     def close(self) -> None:
         if not self.closing:
             self.closing = True
-            self.loop.call_soon(self.protocol.connection_lost, None)
+            if not self.unread:
+                self._lose()
 
     def abort(self) -> None:
-        self.close()
+        self.closing = True
+        self.unread = b""
+        self._lose()
+
+    def _lose(self) -> None:
+        protocol, self.protocol = self.protocol, None
+        if protocol is not None:
+            self.loop.call_soon(protocol.connection_lost, None)
 
     def is_closing(self) -> bool:
         return self.closing
@@ -57,7 +98,7 @@
         self.reads = True
 
     def get_write_buffer_size(self) -> int:
-        return self.unsent
+        return len(self.unread)
 
     def get_extra_info(self, _name: str, default: Any = None) -> Any:
         return default
@@ -140,20 +181,27 @@
         app: The application.
         max_at_once: Requests that run at once.
         limits: Limits of the listener; None for large ones.
+        memory: Memory of unread answers; None to count none.
     """
 
     def __init__(
-        self, app: Any, *, max_at_once: int = 16, limits: Optional[ListenerLimits] = None
+        self,
+        app: Any,
+        *,
+        max_at_once: int = 16,
+        limits: Optional[ListenerLimits] = None,
+        memory: Optional[AnswerMemory] = None,
     ) -> None:
         limits = limits or ListenerLimits(16_384, connections=100, requests=1000)
-        server = make_listener(app, limits, max_at_once=max_at_once)
+        server = make_listener(app, limits, max_at_once=max_at_once, memory=memory)
         server.config.load()
         self.state = ServerState()
         self.transport = FakeTransport(asyncio.get_running_loop())
         self.protocol = server.config.http_protocol_class(
             config=server.config, server_state=self.state, app_state={}
         )
-        self.protocol.logger.disabled = True
+        self.protocol.logger = logging.Logger("silent")
+        self.protocol.logger.addHandler(logging.NullHandler())
         self.transport.protocol = self.protocol
         self.protocol.connection_made(self.transport)
 
--- a/tools/wrong_connection_versions.py
+++ b/tools/wrong_connection_versions.py
@@ -11,6 +11,8 @@
 _EXCHANGE = f"{_NET}/_exchange.py"
 _ORDER = f"{_NET}/_answer_order.py"
 _PROTOCOL_TESTS = ("tests.test_pipelined_protocol",)
+_UNREAD = f"{_NET}/_unread_answers.py"
+_BUDGET_TESTS = ("tests.test_gateway_answer_budget",)
 _VM_TESTS = ("tests.test_pipelined_requests",)
 
 CONNECTION_VERSIONS = (
@@ -50,8 +52,8 @@
         "ORDER",
         "the body of a request at the bound is not read",
         _PROTOCOL,
-        "return self.order.full and not self._in_body",
-        "return self.order.full",
+        "return (self.order.full or self.unread.blocks) and not self._in_body",
+        "return self.order.full or self.unread.blocks",
         _PROTOCOL_TESTS,
     ),
     WrongVersion(
@@ -66,8 +68,8 @@
         "ORDER",
         "a refusal of the listener overtakes the answers ahead",
         _PROTOCOL,
-        "self.order.add(FinalBytes(self.transport, content), is_last=True)",
-        "FinalBytes(self.transport, content).take_turn()",
+        "self.order.add(FinalBytes(self.out, content), is_last=True)",
+        "FinalBytes(self.out, content).take_turn()",
         _PROTOCOL_TESTS,
     ),
     WrongVersion(
@@ -178,8 +180,8 @@
         "GONE",
         "requests behind the first go on when their caller leaves",
         _PROTOCOL,
-        "        self._stop_watching()\n        self._drop(self.order.drop_all())",
-        "        self._stop_watching()",
+        "        self.out.end()\n        self._drop_all()",
+        "        self.out.end()",
         _PROTOCOL_TESTS,
     ),
     WrongVersion(
@@ -226,4 +228,125 @@
         "        if self.ignoring:",
         _PROTOCOL_TESTS,
     ),
+    WrongVersion(
+        "MEMORY",
+        "a large answer is handed to the transport whole",
+        _EXCHANGE,
+        "while len(body) > _PIECE_BYTES and not self.disconnected:",
+        "while False:",
+        _BUDGET_TESTS,
+    ),
+    WrongVersion(
+        "MEMORY",
+        "an answer that waits or is not sent yet is not counted",
+        f"{_REQUESTS}/app.py",
+        "            exchange.hold_answer(reply)\n",
+        "",
+        _BUDGET_TESTS,
+    ),
+    WrongVersion(
+        "MEMORY",
+        "an answer that is never sent is counted for ever",
+        _EXCHANGE,
+        "            self._hand_over(self.held_bytes)",
+        "            pass",
+        _BUDGET_TESTS,
+    ),
+    WrongVersion(
+        "MEMORY",
+        "what the transport had not sent is counted for ever",
+        f"{_NET}/_write_side.py",
+        "        self.unread.end()",
+        "        pass",
+        _BUDGET_TESTS,
+    ),
+    WrongVersion(
+        "MEMORY",
+        "what the transport has not sent is not counted",
+        _UNREAD,
+        "self.memory.change(unsent_bytes - self._unsent_bytes)",
+        "pass",
+        ("tests.test_unread_answers", *_BUDGET_TESTS),
+    ),
+    WrongVersion(
+        "MEMORY",
+        "a connection beyond its bound is read on",
+        _UNREAD,
+        "held_bytes > self.memory.connection_bytes or (held_bytes > 0 and self.memory.used_up)",
+        "held_bytes > 0 and self.memory.used_up",
+        ("tests.test_unread_answers",),
+    ),
+    WrongVersion(
+        "MEMORY",
+        "a connection that holds something is read on while the budget is used up",
+        _UNREAD,
+        "held_bytes > self.memory.connection_bytes or (held_bytes > 0 and self.memory.used_up)",
+        "held_bytes > self.memory.connection_bytes",
+        ("tests.test_unread_answers",),
+    ),
+    WrongVersion(
+        "MEMORY",
+        "the protocol does not ask whether requests wait for memory",
+        _PROTOCOL,
+        "return (self.order.full or self.unread.blocks) and not self._in_body",
+        "return self.order.full and not self._in_body",
+        _BUDGET_TESTS,
+    ),
+    WrongVersion(
+        "MEMORY",
+        "requests begin although their connection holds too much",
+        _PROTOCOL,
+        "while not self.unread.blocks and (entry := self.order.begin_next()) is not None:",
+        "while (entry := self.order.begin_next()) is not None:",
+        _BUDGET_TESTS,
+    ),
+    WrongVersion(
+        "MEMORY",
+        "a connection that was blocked never goes on",
+        _PROTOCOL,
+        "        elif not self.transport.is_closing():\n            self._advance()\n"
+        "            self._parse()\n\n    def _leave",
+        "\n    def _leave",
+        _BUDGET_TESTS,
+    ),
+    WrongVersion(
+        "MEMORY",
+        "a caller that reads nothing is never given up",
+        _UNREAD,
+        "return self.memory.short and self.unread_s(now) >= UNREAD_TIMEOUT_S",
+        "return False",
+        _BUDGET_TESTS,
+    ),
+    WrongVersion(
+        "MEMORY",
+        "a caller that reads nothing is given up although there is memory",
+        _UNREAD,
+        "return self.memory.short and self.unread_s(now) >= UNREAD_TIMEOUT_S",
+        "return self.unread_s(now) >= UNREAD_TIMEOUT_S",
+        ("tests.test_unread_answers",),
+    ),
+    WrongVersion(
+        "MEMORY",
+        "a caller that reads slowly is given up",
+        _UNREAD,
+        "if sent_bytes > self._sent_bytes or not self._unsent_bytes:",
+        "if not self._unsent_bytes:",
+        ("tests.test_unread_answers", *_BUDGET_TESTS),
+    ),
+    WrongVersion(
+        "MEMORY",
+        "requests are passed on although the budget is used up",
+        f"{_REQUESTS}/app.py",
+        "if self.answers.used_up:",
+        "if False:",
+        _BUDGET_TESTS,
+    ),
+    WrongVersion(
+        "MEMORY",
+        "bodies and answers do not share their budget",
+        f"{_REQUESTS}/callers/body_admission.py",
+        "min(limit_bytes, self.max_bytes - self.used_bytes)",
+        "min(limit_bytes, self.max_bytes - self.held_bytes)",
+        _BUDGET_TESTS,
+    ),
 )
