Recognise callers that return after a refusal, by the time that they have left

Cause: a caller that was refused and waited as told is served like any other, so it is refused again and again while new callers are served; nothing told the two apart at another VM.

--- a/sprucewinch/gateway/requests/callers/request_reader.py
+++ b/sprucewinch/gateway/requests/callers/request_reader.py
@@ -68,6 +68,7 @@
             deadline=arrived_at + wait.seconds,
             key=_cookie(first_by_name.get("cookie", ""), self.names.affinity),
             api_key=_digest(api_keys),
+            deadline_stated=wait.source is WaitSource.STATED,
         )
         return ReadRequest(request, wait.source)
 
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -58,6 +58,17 @@
 """Age in a request's log line of a load that was never reported, as JSON has no infinity."""
 
 
+class CallerHistory(enum.Enum):
+    """Whether a caller has tried before; the value is its place among those of the same rank."""
+
+    RETURNING = 0
+    """It was refused, and returns after it has waited."""
+    FIRST = 1
+    """It has not tried before, or nothing is known of that."""
+    REPEATING = 2
+    """It tried a moment ago, and has not waited."""
+
+
 @dataclass(slots=True)
 class ClientRequest:
     """One request of a caller, including its whole body.
@@ -83,6 +94,9 @@
         caller: Its workspace, and the quota that it took from it.
         steps_over_share: Steps by which its workspace is above its fair share; 0 for not at all.
         denied_grants: Number of rate-limited servers that denied it a grant.
+        deadline_stated: True if the deadline is its caller's and not a default.
+        history: Whether its caller has tried before; known only where servers state their pace.
+        tried_for_s: Time from its caller's first attempt to its arrival, in seconds.
     """
 
     id: str
@@ -105,6 +119,9 @@
     caller: CallerRequest = CallerRequest()
     steps_over_share: int = 0
     denied_grants: int = 0
+    deadline_stated: bool = True
+    history: CallerHistory = CallerHistory.FIRST
+    tried_for_s: float = 0.0
 
     def tried_servers(self) -> set[str]:
         """Return the ids of the backend servers that were tried."""
