Admit requests by expected answer time, kind and turn where servers state their pace

Without figures of servers each VM let requests wait a tenth of the target and then refused them, the urgent kind as often as the other, and gave times to return from one server's concurrency limit.

Change: admission/gate.py gives the rule its inputs: estimates, whether a caller returns, what each kind asks for, this VM's part of the service (1 / number of VMs, corrected by the queues it sees). ServerChoice asks it once a server is selected; its verdict replaces the limits of choice/room. Waits last until the answer would miss the target, and end then. Times to return follow the rate at which room comes at the service, by kind, while the caller can still be served in time, at most a third of its remaining time later. Waiting requests are ordered by rank of workspace, priority of route, steps above the fair share, then returning callers. Without estimates, or where servers state no pace, everything is as before. composition passes no estimates yet.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -35,6 +35,7 @@
 from .regions.region_reporter import RegionReportBuilder, RegionReporter
 from .regions.region_reports import RegionReports
 from .regions.shares import RegionShares
+from .requests.admission.gate import AdmissionGate
 from .requests.app import GatewayApp
 from .requests.attempt_feedback import AttemptFeedback
 from .requests.choice.server_choice import ServerChoice
@@ -418,10 +419,11 @@
     server_quotas = FleetServerQuotas(workspaces.quotas, context.monotonic)
     ranker = ServerRanker(servers.registry, regions.shares, settings.regions)
     selector = ServerSelector(servers.registry, servers.outliers)
+    admission = AdmissionGate(servers.registry, context.rng, events=context.events)
     pipeline = Pipeline(
         state.view,
         servers.registry,
-        ServerChoice(ranker, selector, crashes.quarantine, server_quotas),
+        ServerChoice(ranker, selector, crashes.quarantine, server_quotas, admission),
         _sender(context, servers, crashes, server_quotas),
         workspaces.admission,
         bounds=settings.bounds,
--- a/sprucewinch/gateway/requests/admission/admission.py
+++ b/sprucewinch/gateway/requests/admission/admission.py
@@ -10,7 +10,8 @@
   be served. So the queue at a server does not grow beyond what is answered in time, and refusals
   come early.
 - A caller that was refused before, or that has no time to return, waits at this VM for the place of
-  a request that ends, if that is expected soon enough, and is refused when it no longer is.
+  a request that ends, if that is expected soon enough, and is refused when it no longer is. It does
+  not wait where more urgent kinds ask for all that the service bears.
 - An answer that comes late is better than none: such a request is sent where a slot would be idle.
 - A request whose answer is expected after its caller or its route gives up is refused at once.
 
@@ -30,6 +31,7 @@
 from ...estimates.server_estimate import ServerEstimate
 from ..outcome.return_times import MIN_RETRY_AFTER_S
 from .sent_part import faded, is_idle, queue_reference_s
+from .turn import Turn
 
 
 class Asked(NamedTuple):
@@ -41,9 +43,7 @@
         first_target_s: Time within which the answer to a first attempt counts in full.
         may_return: True if its caller was not refused before, and has time to return.
         may_wait: True if it may wait at this VM.
-        in_turn: True if its turn among those of its kind has come.
-        urgent_first: True if requests of more urgent kinds are served before it.
-        overload: True if callers ask for more than the service bears.
+        turn: Its turn among all requests for the service.
     """
 
     target_s: float
@@ -51,9 +51,7 @@
     first_target_s: float
     may_return: bool = True
     may_wait: bool = True
-    in_turn: bool = True
-    urgent_first: bool = False
-    overload: bool = False
+    turn: Turn = Turn()
 
 
 class RoomThere(NamedTuple):
@@ -97,10 +95,11 @@
         return _decide_late(asked, room)
     if wait_s > spare_s:
         return AdmissionVerdict(False, AdmissionReason.TARGET_MISSED)
-    if asked.in_turn and not room.waiting_ahead:
+    if asked.turn.come and not room.waiting_ahead:
         return AdmissionVerdict(True, AdmissionReason.IN_TIME)
     left_s = spare_s - wait_s
-    waits = asked.may_wait and not asked.may_return and room.next_place_s <= left_s
+    may_wait = asked.may_wait and not (asked.may_return or asked.turn.crowded_out)
+    waits = may_wait and room.next_place_s <= left_s
     return AdmissionVerdict(False, _not_sent(asked, room), wait_s=left_s if waits else 0.0)
 
 
@@ -113,7 +112,7 @@
     """Return what becomes of a request whose answer comes late, but before its caller gives up."""
     if not _has_room_for_late(asked, room):
         return AdmissionVerdict(False, AdmissionReason.TARGET_MISSED)
-    if room.waiting_ahead or not asked.in_turn:
+    if room.waiting_ahead or not asked.turn.come:
         return AdmissionVerdict(False, _not_sent(asked, room))
     return AdmissionVerdict(True, AdmissionReason.LATE_BUT_WORTH)
 
@@ -122,13 +121,13 @@
     """Return whether a late answer delays none that would be in time."""
     if asked.first_target_s - room.work_s < MIN_RETRY_AFTER_S:
         return room.estimate.wait_s <= reference_s(asked, room)
-    if asked.overload:
+    if asked.turn.overload:
         return is_idle(room.estimate)
     return room.estimate.wait_s <= 0.0
 
 
 def _not_sent(asked: Asked, room: RoomThere) -> AdmissionReason:
     """Return why a request is not sent although it would be answered in time."""
-    if room.waiting_ahead or asked.urgent_first:
+    if room.waiting_ahead or asked.turn.urgent_first:
         return AdmissionReason.MORE_URGENT_WAITS
     return AdmissionReason.TARGET_MISSED
--- a/sprucewinch/gateway/requests/choice/room.py
+++ b/sprucewinch/gateway/requests/choice/room.py
@@ -7,6 +7,9 @@
 that it can answer within the route's timeout. A request waits for at most a fraction of its route's
 latency target, and only before its first attempt.
 
+Where servers state their pace, `admission` decides instead of these limits, and only the order of
+the waiting requests is that of this module.
+
 VMs do not reserve slots with each other; each VM limits itself by what servers report. A refusal
 helps a caller only if it comes early enough to retry. Waiting requests are ordered by the
 priorities of workspace and route, then by deadline (`servers.capacity.room_queue`). When a request
@@ -80,14 +83,15 @@
 def queue_position(request: ClientRequest, route: Route) -> QueuePosition:
     """Return a request's position among those that wait for room.
 
-    Requests are ordered by the workspace's priority, then by the route's; within the same
-    priorities, requests of workspaces that are not above their fair share go first.
+    Requests are ordered by the workspace's priority, then by the route's. Within the same
+    priorities, requests of workspaces that are not above their fair share go first; of these, those
+    of callers that were refused before. A workspace that sends too much is refused most often, and
+    its callers must not go before others when they return.
     """
     workspace = request.caller.workspace
     workspace_rank = workspace.priority if workspace else 0
-    return QueuePosition(
-        (workspace_rank, route.priority, request.steps_over_share), request.deadline
-    )
+    rank = (workspace_rank, route.priority, request.steps_over_share, request.history.value)
+    return QueuePosition(rank, request.deadline)
 
 
 def room_wait_s(request: ClientRequest, route: Route, now: float) -> float:
--- a/sprucewinch/gateway/requests/choice/server_choice.py
+++ b/sprucewinch/gateway/requests/choice/server_choice.py
@@ -2,20 +2,33 @@
 
 `ServerChoice` runs these steps in order. A request that waited, or whose server had nothing left of
 its rate limit, starts again from the pipeline's first step, so that it uses the current set of
-servers. The module relies on `server_order` for the ranking, on `server_selection` and `room` for
-the decisions, and on `statements.server_quotas` for the limits that servers state. The tests are in
-tests/test_gateway_pipeline.py and tests/test_gateway_server_limits.py.
+servers. Where the selected server states its pace, admission decides whether the request is sent,
+waits or is refused; elsewhere the selection itself does, by the limits of `room`. The module relies
+on `server_order` for the ranking, on `server_selection`, `admission.gate` and `room` for the
+decisions, and on `statements.server_quotas` for the limits that servers state. The tests are in
+tests/test_gateway_pipeline.py, tests/test_gateway_server_limits.py and
+tests/test_gateway_admission_gate.py.
 """
 
 import asyncio
-from typing import Union
+from typing import Optional, Union
 
 from ...crashes.quarantine import Quarantine
 from ...resources import Route
+from ...servers.backend_server import BackendServer
+from ...servers.capacity.room_queue import WaitEnd
 from ...statements.server_quotas import ServerQuotas
-from ..client_request import ClientRequest, RefusalReason, Selection
+from ..admission.gate import AdmissionGate, RoomRequest
+from ..client_request import (
+    Blocked,
+    BlockedReason,
+    ClientRequest,
+    RefusalReason,
+    Selection,
+    SelectionReason,
+)
 from .room import ROOM_RECHECK_INTERVAL_S, queue_position, room_wait_s
-from .server_order import Ranking, ServerRanker
+from .server_order import ServerRanker
 from .server_selection import ServerSelector
 
 _MIN_WAIT_S = 0.001
@@ -30,6 +43,7 @@
         selector: Selects one server of a ranking.
         quarantine: Requests that crash servers.
         server_quotas: Rate limits that servers state.
+        admission: Decides where servers state their pace.
     """
 
     def __init__(
@@ -38,11 +52,13 @@
         selector: ServerSelector,
         quarantine: Quarantine,
         server_quotas: ServerQuotas,
+        admission: AdmissionGate,
     ) -> None:
         self.ranker = ranker
         self.selector = selector
         self.quarantine = quarantine
         self.server_quotas = server_quotas
+        self.admission = admission
 
     async def choose(
         self, request: ClientRequest, route: Route, service: str, now: float
@@ -85,15 +101,63 @@
             key = self.quarantine.fingerprinter.fingerprint_of(request).hex()
         ranking = self.ranker.rank(service, key, route.regions, now)
         selection = self.selector.choose(request, ranking, service, now, route)
-        if selection is RefusalReason.NO_SERVER and await self._wait_until_accepted(
-            request, route, now
-        ):
-            return None
-        if selection is not RefusalReason.NO_ROOM:
+        if selection is RefusalReason.NO_SERVER:
+            waited = await self._wait_until_accepted(request, route, now)
+            return None if waited else selection
+        server = (
+            selection.server
+            if isinstance(selection, Selection)
+            else self.selector.candidate(request, ranking, now)
+        )
+        ask = self.admission.ask(server, request, route, now) if server else None
+        if ask is not None:
+            return await self._admit_or_wait(ask, selection, now)
+        if isinstance(selection, Selection):
             return selection
-        waited = await self._wait_for_room(request, route, ranking, now)
+        waited = await self._wait_for_room(request, route, server, now)
         return None if waited else selection
 
+    async def _admit_or_wait(
+        self, ask: RoomRequest, selection: Union[Selection, RefusalReason], now: float
+    ) -> Union[Selection, RefusalReason, None]:
+        """Let admission decide, where the server states its pace.
+
+        Its verdict replaces the limits of `room`, which follow from the load alone.
+
+        Returns:
+            The selection, or the reason for a refusal; None when the request has waited and has to
+            start again from the first step.
+        """
+        server = ask.server
+        verdict = self.admission.verdict(ask, now)
+        if verdict.admitted:
+            if isinstance(selection, Selection):
+                return selection
+            return Selection(server, server.backend.service, SelectionReason.FIRST_USABLE)
+        if verdict.wait_s > 0.0 and await self._wait_for_place(ask, verdict.wait_s):
+            return None
+        ask.request.blocked = Blocked(
+            server.backend.id,
+            BlockedReason.ADMISSION,
+            server.in_flight,
+            server.concurrency_limit,
+            server.load(now),
+            server.load_age_s(now),
+            verdict=self.admission.refuse(ask, verdict, now),
+        )
+        return RefusalReason.NO_ROOM
+
+    async def _wait_for_place(self, ask: RoomRequest, max_wait_s: float) -> bool:
+        """Wait for the place of a request that ends; False if those that wait go before."""
+        end = await ask.server.room.wait(
+            min(max_wait_s, ROOM_RECHECK_INTERVAL_S),
+            queue_position(ask.request, ask.route),
+            ask.server.backend.capacity,
+        )
+        if end is WaitEnd.WOKEN and ask.request.turn is not None:
+            ask.request.turn = ask.request.turn._replace(come=True)
+        return end.may_check_again
+
     async def _wait_until_accepted(self, request: ClientRequest, route: Route, now: float) -> bool:
         """Wait until a server accepts requests again; False when that would take too long.
 
@@ -106,10 +170,9 @@
         return True
 
     async def _wait_for_room(
-        self, request: ClientRequest, route: Route, ranking: Ranking, now: float
+        self, request: ClientRequest, route: Route, server: Optional[BackendServer], now: float
     ) -> bool:
         """Wait for room; False when there is no time left or too many requests wait already."""
-        server = self.selector.candidate(request, ranking, now)
         left_s = room_wait_s(request, route, now)
         if server is None or left_s <= 0:
             return False
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -11,11 +11,13 @@
 from typing import NamedTuple, Optional, Union
 
 from ...net.connection import Answer
+from ..estimates.admission_verdict import AdmissionVerdict
 from ..resources import Route
 from ..servers.backend_server import BackendServer
 from ..statements.server_quotas import UNLIMITED, ServerGrant
 from ..statements.statement import NOTHING_STATED, ServerStatement
 from ..workspaces.admission import CallerRequest
+from .admission.turn import Turn
 
 TIMED_OUT = "timeout"
 """Cause of an attempt that was still running at the end of its request's hold time."""
@@ -97,6 +99,8 @@
         deadline_stated: True if the deadline is its caller's and not a default.
         history: Whether its caller has tried before; known only where servers state their pace.
         tried_for_s: Time from its caller's first attempt to its arrival, in seconds.
+        turn: Its turn among all requests for its service; None until admission has counted it.
+        waited_for_room: True once admission has let it wait.
     """
 
     id: str
@@ -122,6 +126,8 @@
     deadline_stated: bool = True
     history: CallerHistory = CallerHistory.FIRST
     tried_for_s: float = 0.0
+    turn: Optional[Turn] = None
+    waited_for_room: bool = False
 
     def tried_servers(self) -> set[str]:
         """Return the ids of the backend servers that were tried."""
@@ -143,6 +149,8 @@
     """This VM has reached its concurrency limit at the server."""
     LOAD_LIMIT = "load-limit"
     """The server holds as many requests as it can answer within the route's timeout."""
+    ADMISSION = "admission"
+    """Admission refused it; see `Blocked.verdict`."""
 
 
 class Blocked(NamedTuple):
@@ -158,6 +166,7 @@
             none.
         until: Monotonic time until which all servers have stated that they accept no requests, in
             seconds; None where that is not the reason. Not part of the log line.
+        verdict: Why admission refused it; None where admission did not decide.
     """
 
     server_id: str
@@ -167,16 +176,20 @@
     load: float = 0.0
     load_age_s: float = 0.0
     until: Optional[float] = None
+    verdict: Optional[AdmissionVerdict] = None
 
     def log_fields(self) -> dict[str, Union[str, float]]:
         """Return the fields of a request's log line; their names are part of the log format."""
-        return {
+        fields: dict[str, Union[str, float]] = {
             "server_id": self.server_id,
             "in_flight": self.in_flight,
             "window": round(self.concurrency_limit, _LOAD_DIGITS),
             "load": round(self.load, _LOAD_DIGITS),
             "told_s": round(min(self.load_age_s, _MAX_AGE_S), _AGE_DIGITS),
         }
+        if self.verdict is not None:
+            fields["admission"] = self.verdict.reason.value
+        return fields
 
 
 class Verdict(enum.Enum):
--- a/sprucewinch/gateway/requests/outcome/final_answer.py
+++ b/sprucewinch/gateway/requests/outcome/final_answer.py
@@ -23,7 +23,7 @@
   `no-server` at once, with the time at which the first one accepts a request, one caller after the
   other. If all servers are leaving: 503 `no-server` with a Retry-After from the range, as it is not
   known when another one joins.
-- No server has room: 503 `no-room` after the wait of `room`, with the Retry-After of
+- No server has room: 503 `no-room` after the wait of `room` or `admission`, with the Retry-After of
   `return_times`, or from the range if the server's latency is not known.
 - The deadline has passed, or less time is left than any answer takes (`time_left`): 503 `no-time`
   at once if nothing was sent, otherwise 504 `timeout` at once.
--- a/sprucewinch/gateway/requests/outcome/hold_time.py
+++ b/sprucewinch/gateway/requests/outcome/hold_time.py
@@ -24,7 +24,8 @@
 - The deadline has passed, margin included, or less time is left than any answer of the service
   takes (`time_left`): refused at once with `no-time`.
 - The server is full and stays full: held for at most `room.ROOM_WAIT_FRACTION` of the route's
-  latency target, then refused with `no-room`.
+  latency target, then refused with `no-room`. Where servers state their pace: refused at once, or
+  as soon as it can no longer be served in time (`admission.admission`).
 """
 
 import enum
--- a/sprucewinch/gateway/requests/outcome/return_times.py
+++ b/sprucewinch/gateway/requests/outcome/return_times.py
@@ -6,6 +6,10 @@
 The inputs are the server that had no room, this limit and this latency, and the refusals before
 this one. For a server whose latency is not known the range of `final_answer` applies.
 
+Where the servers of a service state their pace, `admission.gate` knows the rate at which room comes
+at the whole service, and each kind has an order of its own. The time is then also early enough for
+the caller to be served in time.
+
 One time for all callers would bring them back together, and a random time is later than needed for
 most and too early for the last ones. The interface of the data halls uses the same schedule
 (`sprucewinch.retry`).
@@ -15,6 +19,7 @@
 """
 
 import random
+from collections.abc import Hashable
 from typing import Optional
 
 from ....retry import RetryAfterSchedule
@@ -32,6 +37,10 @@
 """Rate at which callers are told to retry once a server accepts requests again: spread out, and
 high enough that the servers' capacity is then used."""
 
+_MAX_KINDS = 1000
+"""Largest number of kinds with an order of their own, which bounds memory; beyond it all begin
+anew."""
+
 
 class RetryAfterTimes:
     """Computes the Retry-After of callers that are refused.
@@ -46,6 +55,7 @@
         self.rng = rng
         self.schedules: dict[str, RetryAfterSchedule] = {}
         self._schedules_by_route: dict[str, RetryAfterSchedule] = {}
+        self._schedules_by_kind: dict[Hashable, RetryAfterSchedule] = {}
         self._generation = -1
 
     def retry_after_s(self, server_id: str, now: float) -> Optional[float]:
@@ -82,6 +92,29 @@
         wait_s = schedule.retry_after_ms(now, RECOVERY_RATE_PER_S) / MS_PER_S
         return max(until - now, 0.0) + wait_s
 
+    def retry_after_room_s(
+        self, kind: Hashable, rate_per_s: float, latest_s: float, now: float
+    ) -> float:
+        """Return when the next refused caller of a kind may retry, as room comes at its service.
+
+        Args:
+            kind: Names its service and kind; each has an order of its own.
+            rate_per_s: Rate at which room comes for this kind at this VM, in requests a second.
+            latest_s: Latest time that is of use to the caller, in seconds from now.
+            now: Monotonic time, in seconds.
+
+        Returns:
+            Time from now, in seconds; never below `MIN_RETRY_AFTER_S`.
+        """
+        schedule = self._schedules_by_kind.get(kind)
+        if schedule is None:
+            if len(self._schedules_by_kind) >= _MAX_KINDS:
+                self._schedules_by_kind.clear()
+            schedule = self._schedules_by_kind[kind] = self._new_schedule()
+        latest_ms = max(0.0, latest_s - MIN_RETRY_AFTER_S) * MS_PER_S
+        wait_s = schedule.retry_after_ms(now, rate_per_s, latest_ms) / MS_PER_S
+        return max(MIN_RETRY_AFTER_S, wait_s)
+
     def _schedule(self, server_id: str) -> RetryAfterSchedule:
         schedule = self.schedules.get(server_id)
         if schedule is None:
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -222,8 +222,10 @@
         reply = final_answer.not_served(request, route, refusal, self.rng)
         if request.blocked is None:
             return reply
-        known_s = None
-        if reply.refusal is RefusalReason.NO_ROOM:
+        known_s, verdict = None, request.blocked.verdict
+        if reply.refusal is RefusalReason.NO_ROOM and verdict is not None:
+            known_s = verdict.retry_after_s
+        elif reply.refusal is RefusalReason.NO_ROOM:
             known_s = self.return_times.retry_after_s(request.blocked.server_id, self.monotonic())
         elif reply.refusal is RefusalReason.NO_SERVER and request.blocked.until is not None:
             known_s = self.return_times.retry_after_recovery_s(
--- a/sprucewinch/gateway/servers/capacity/room_queue.py
+++ b/sprucewinch/gateway/servers/capacity/room_queue.py
@@ -107,6 +107,10 @@
         """Return whether a waiting request is more urgent than a position, or has less time."""
         return bool(self.waiters) and self.waiters[0].position < position
 
+    def count_ahead_of(self, position: QueuePosition) -> int:
+        """Return how many waiting requests go before a position."""
+        return bisect.bisect_left(self.waiters, position, key=Waiter.order)
+
     def _displace(self, position: QueuePosition) -> bool:
         """End the wait of the last request if it is behind a position; returns whether it was."""
         last = self.waiters[-1]
--- a/sprucewinch/retry.py
+++ b/sprucewinch/retry.py
@@ -18,6 +18,7 @@
 """
 
 import random
+from typing import Optional
 
 _MAX_TOKENS = 10.0
 """Most retries that may be accumulated, in tokens."""
@@ -98,20 +99,25 @@
         self.max_ms = max_ms
         self._next_at = 0.0
 
-    def retry_after_ms(self, now: float, rate_per_s: float) -> int:
+    def retry_after_ms(
+        self, now: float, rate_per_s: float, latest_ms: Optional[float] = None
+    ) -> int:
         """Return the time until the next refused caller should return, in milliseconds.
 
         Args:
             now: Monotonic time, in seconds.
             rate_per_s: Requests that can be run, per second; 0 when unknown.
+            latest_ms: Longest time until this caller returns before jitter, in milliseconds; None
+                for that of all callers.
         """
+        max_ms = self.max_ms if latest_ms is None else min(latest_ms, self.max_ms)
         earliest = now + self.min_ms / 1000
         interval_s = 1.0 / rate_per_s if rate_per_s > 0 else 0.0
         self._next_at = max(self._next_at + interval_s, earliest)
         wait_ms = (self._next_at - now) * 1000
-        if wait_ms > self.max_ms:
-            self._next_at = now + self.max_ms / 1000
-            return int(self.rng.uniform(self.max_ms / 2, self.max_ms))
+        if wait_ms > max_ms:
+            self._next_at = min(self._next_at, now + self.max_ms / 1000)
+            return int(self.rng.uniform(max_ms / 2, max_ms))
         return int(wait_ms + self.rng.uniform(0, self.min_ms))
 
 
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -12,6 +12,7 @@
 from sprucewinch.gateway.regions.policies import PolicyTable
 from sprucewinch.gateway.regions.region_reports import RegionReports
 from sprucewinch.gateway.regions.shares import RegionShares
+from sprucewinch.gateway.requests.admission.gate import AdmissionGate
 from sprucewinch.gateway.requests.attempt_feedback import AttemptFeedback
 from sprucewinch.gateway.requests.choice.server_choice import ServerChoice
 from sprucewinch.gateway.requests.choice.server_order import ServerRanker
@@ -212,6 +213,7 @@
             ServerSelector(self.world.registry, self.outliers),
             feedback.quarantine,
             server_quotas,
+            AdmissionGate(self.world.registry, random.Random(2)),
         )
         self.sender = Sender(
             self.world.registry,
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -7,6 +7,7 @@
 
 from sprucewinch.gateway.estimates.admission_verdict import AdmissionReason, AdmissionVerdict
 from sprucewinch.gateway.requests.admission.admission import Asked, RoomThere, decide
+from sprucewinch.gateway.requests.admission.turn import Turn
 from sprucewinch.gateway.requests.outcome.return_times import MIN_RETRY_AFTER_S
 
 from .estimate_fakes import estimate
@@ -22,9 +23,7 @@
     first_target_s=st.floats(0.05, 2.0),
     may_return=st.booleans(),
     may_wait=st.booleans(),
-    in_turn=st.booleans(),
-    urgent_first=st.booleans(),
-    overload=st.booleans(),
+    turn=st.builds(Turn, st.booleans(), st.booleans(), st.booleans(), st.booleans()),
 )
 rooms = st.builds(
     RoomThere,
@@ -76,7 +75,7 @@
         self._check(last, _room(5.1), AdmissionReason.TARGET_MISSED)
 
     def test_under_overload_a_late_answer_needs_an_idle_server(self) -> None:
-        late = _asked(may_return=False, target_s=0.1, overload=True)
+        late = _asked(may_return=False, target_s=0.1, turn=Turn(overload=True))
         self._check(late, _room(5.0), AdmissionReason.TARGET_MISSED)
         self._check(late, _room(2.0), AdmissionReason.LATE_BUT_WORTH)
         self._check(late, _room(2.0, age_s=3.0), AdmissionReason.TARGET_MISSED)
@@ -87,18 +86,20 @@
         self._check(missed, _room(12.0), AdmissionReason.DEADLINE_MISSED)
 
     def test_out_of_turn_a_first_attempt_is_refused_at_once(self) -> None:
-        out = _asked(in_turn=False)
+        out = _asked(turn=Turn(come=False))
         self.assertEqual(self._check(out, _room(6.0), AdmissionReason.TARGET_MISSED).wait_s, 0.0)
-        out = out._replace(urgent_first=True)
+        out = out._replace(turn=Turn(come=False, urgent_first=True))
         self._check(out, _room(6.0), AdmissionReason.MORE_URGENT_WAITS)
 
     def test_a_returning_caller_waits_for_a_place_that_comes_in_time(self) -> None:
-        back = _asked(in_turn=False, may_return=False, target_s=0.45)
+        back = _asked(turn=Turn(come=False), may_return=False, target_s=0.45)
         verdict = self._check(back, _room(5.0), AdmissionReason.TARGET_MISSED)
         self.assertAlmostEqual(verdict.wait_s, 0.25)
         behind = decide(back, _room(5.0, waiting_ahead=5))
         self.assertEqual((behind.reason, behind.wait_s), (AdmissionReason.MORE_URGENT_WAITS, 0.0))
         self.assertEqual(decide(back, _room(5.0, in_flight=0)).wait_s, 0.0)
+        crowded_out = back._replace(turn=Turn(come=False, crowded_out=True))
+        self.assertEqual(decide(crowded_out, _room(5.0)).wait_s, 0.0)
         self.assertEqual(decide(back._replace(may_wait=False), _room(5.0)).wait_s, 0.0)
 
     def test_nobody_goes_before_those_that_wait(self) -> None:
@@ -122,7 +123,7 @@
         verdict = decide(asked, room)
         if verdict.admitted:
             self.assertLessEqual(room.estimate.answer_s, asked.left_s)
-            self.assertTrue(asked.in_turn)
+            self.assertTrue(asked.turn.come)
             self.assertEqual((room.waiting_ahead, verdict.wait_s), (0, 0.0))
 
     @given(asks, rooms)
@@ -158,7 +159,7 @@
     def test_the_verdict_agrees_with_a_plain_oracle(self, asked: Asked, room: RoomThere) -> None:
         """The oracle knows new figures only, and neither tight targets nor callers that wait."""
         room = room._replace(estimate=room.estimate._replace(age_s=0.0, pace=1.0), waiting_ahead=0)
-        asked = asked._replace(in_turn=True, overload=False)
+        asked = asked._replace(turn=Turn())
         seen = room.estimate
         spare_s = asked.target_s - seen.work_s
         if asked.first_target_s - seen.work_s < MIN_RETRY_AFTER_S:
--- a/tests/test_gateway_return_times.py
+++ b/tests/test_gateway_return_times.py
@@ -14,7 +14,7 @@
 )
 from standins.virtual import VirtualLoop, run_virtual
 
-from .gateway_fakes import PipelineFixture, route
+from .gateway_fakes import PipelineFixture, StoreFixture, route
 
 
 def _times(loop: VirtualLoop, latency_s: float) -> RetryAfterTimes:
@@ -62,6 +62,25 @@
 
         run_virtual(main)
 
+    @given(st.floats(0.1, 500.0), st.lists(st.floats(0.01, 3.0), min_size=1, max_size=100))
+    def test_times_by_kind_are_within_the_bounds_of_each_caller(
+        self, rate_per_s: float, latest: list[float]
+    ) -> None:
+        times = RetryAfterTimes(StoreFixture().registry, random.Random(1))
+        for latest_s in latest:
+            after_s = times.retry_after_room_s("kind", rate_per_s, latest_s, 10.0)
+            bound_s = max(MIN_RETRY_AFTER_S, min(latest_s, MAX_RETRY_AFTER_S + MIN_RETRY_AFTER_S))
+            self.assertTrue(MIN_RETRY_AFTER_S <= after_s <= bound_s, (after_s, latest_s))
+
+    def test_kinds_have_orders_of_their_own_which_are_bounded(self) -> None:
+        times = RetryAfterTimes(StoreFixture().registry, random.Random(1))
+        for _ in range(50):
+            later_s = times.retry_after_room_s("first", 10.0, 9.0, 10.0)
+        self.assertGreater(later_s, times.retry_after_room_s("other", 10.0, 9.0, 10.0))
+        for number in range(3000):
+            times.retry_after_room_s(number, 10.0, 9.0, 10.0)
+        self.assertLessEqual(len(times._schedules_by_kind), 1000)
+
     def test_a_refusal_for_lack_of_room_has_this_retry_after(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             path = PipelineFixture(loop, servers=1)
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -39,6 +39,14 @@
         self.assertLessEqual(max(times), 2200)
         self.assertGreater(len({t // 100 for t in times[10:]}), 5)
 
+    def test_one_caller_may_have_to_return_earlier_than_others(self) -> None:
+        schedule = RetryAfterSchedule(random.Random(1), max_ms=2000)
+        for _ in range(20):
+            schedule.retry_after_ms(0.0, 20.0)
+        early = [schedule.retry_after_ms(0.0, 20.0, latest_ms=300) for _ in range(50)]
+        self.assertLessEqual(max(early), 300)
+        self.assertGreater(schedule.retry_after_ms(0.0, 20.0), 1000)
+
     def test_backoff_is_spread_and_bounded(self) -> None:
         rng = random.Random(1)
         for attempt, most in ((1, 1.0), (3, 4.0), (50, 30.0)):
