Hold a request for the store's grant of a trial no longer than its route allows

Cause: a request that is due for a trial waited for the store without a bound of its own; a call to the store takes up to 1.5 s, so with a timeout of 0.8 s it was answered 0.7 s late (seen in the new test, red before).

Change: the wait ends at the request's hold time, and the request is refused as without a trial. If the store granted it meanwhile, that trial is used up; that is rare, and safe.

Measured: tests.test_gateway_hold_time green, tests.test_gateway_quarantine 18 green.

--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -14,6 +14,7 @@
 rules, the registry and the sender.
 """
 
+import asyncio
 from typing import Optional
 
 from ..crashes.quarantine_entry import QuarantineEntry
@@ -137,11 +138,11 @@
             route = self.routes.usable(request)
             if isinstance(route, RefusalReason):
                 return final_answer.without_route(request, route, self.rng)
-            entry = await self._quarantine_of(request)
+            until = hold_time(request, route).until
+            entry = await self._quarantine_of(request, until)
             if entry is not None:
                 return self._quarantine_reply(request, route, entry)
             service = self._service(request, route, service, now)
-            until = hold_time(request, route).until
             if not has_time(until, now, self.registry.times.low_quantile_s(service)):
                 return self._not_served(request, route, RefusalReason.NO_TIME)
             selection = await self.choice.choose(request, route, service, now)
@@ -165,12 +166,24 @@
         """Return the rate of callers' requests for a service at this VM, in requests a second."""
         return self.budgets.requests_per_s(service, now)
 
-    async def _quarantine_of(self, request: ClientRequest) -> Optional[QuarantineEntry]:
-        """Return the quarantine that a request is refused for; None when it may be sent."""
-        entry = self.quarantine.refusal(request)
-        if entry is None or not entry.trial_is_due(self.monotonic()):
+    async def _quarantine_of(
+        self, request: ClientRequest, until: float
+    ) -> Optional[QuarantineEntry]:
+        """Return the quarantine that a request is refused for; None when it may be sent.
+
+        Args:
+            request: The request.
+            until: Monotonic time until which it waits for the store to grant a trial, in seconds.
+        """
+        entry, now = self.quarantine.refusal(request), self.monotonic()
+        if entry is None or not entry.trial_is_due(now):
+            return entry
+        try:
+            async with asyncio.timeout(max(0.0, until - now)):
+                request.on_trial = await self.quarantine.take_trial(entry)
+        except TimeoutError:
+            # Refused as without a trial. If the store has granted it, that trial is used up.
             return entry
-        request.on_trial = await self.quarantine.take_trial(entry)
         return None if request.on_trial else entry
 
     def _quarantine_reply(
--- /dev/null
+++ b/tests/test_gateway_hold_time.py
@@ -0,0 +1,49 @@
+"""No request is held beyond its route's timeout, whatever it waits for."""
+
+import unittest
+from typing import Any, Optional
+
+from sprucewinch.gateway.crashes.quarantine_entry import QuarantineEntry
+from sprucewinch.gateway.requests.client_request import RefusalReason, Reply
+from sprucewinch.gateway.resources import QuarantinedRequest
+from standins.virtual import VirtualLoop, pass_time, run_virtual
+
+from .gateway_fakes import PipelineFixture, route
+
+TIMEOUT_S = 0.8
+TOLERANCE_S = 0.01
+
+
+class Held(unittest.TestCase):
+    async def _run(
+        self, path: PipelineFixture, **changes: Any
+    ) -> tuple[float, Optional[RefusalReason], Reply]:
+        """Return how long a request was held, its refusal and its answer."""
+        started = path.loop.time()
+        reply = await path.pipeline.run(path.request("q", **changes))
+        return path.loop.time() - started, reply.refusal, reply
+
+    def test_while_the_store_does_not_answer_for_its_trial(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop)
+            path.world.configure(route(timeout_s=TIMEOUT_S))
+            quarantined = QuarantinedRequest("00", "00", "GET /rates/a", 0.0, (), 0, 3)
+            entry = QuarantineEntry(quarantined, loop.time() - 9e9, revision=1)
+            quarantine = path.pipeline.quarantine
+
+            async def take_trial(_entry: QuarantineEntry) -> bool:
+                await pass_time(1.5)
+                return True
+
+            quarantine.refusal = lambda _request: entry  # type: ignore[method-assign]
+            quarantine.take_trial = take_trial  # type: ignore[method-assign]
+            held_s, refusal, reply = await self._run(path)
+            self.assertAlmostEqual(held_s, TIMEOUT_S, delta=TOLERANCE_S)
+            self.assertIs(refusal, RefusalReason.CRASHES_SERVERS)
+            self.assertEqual((reply.status, path.runs("q")), (503, 0))
+
+        run_virtual(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
