Hold a request for a grant of a server's limit no longer than its route allows

Cause: the wait for a grant has its own bound of 0.2 s and did not know the request's; it begins after the check that time is left. A request whose time was over was then sent all the same, timed out before its first byte and got 504.

Change: the wait ends at the request's hold time; the request starts again and is refused with 'no-time' and its promise. New test red before (held 1.0 s of 0.8 with a grant after 1.0 s).

--- a/sprucewinch/gateway/requests/choice/server_choice.py
+++ b/sprucewinch/gateway/requests/choice/server_choice.py
@@ -17,7 +17,7 @@
 from ...resources import Route
 from ...servers.backend_server import BackendServer
 from ...servers.capacity.room_queue import WaitEnd
-from ...statements.server_quotas import ServerQuotas
+from ...statements.server_quotas import ServerGrant, ServerQuotas
 from ..admission.gate import AdmissionGate, RoomRequest
 from ..client_request import (
     Blocked,
@@ -27,6 +27,7 @@
     Selection,
     SelectionReason,
 )
+from ..outcome.hold_time import hold_time
 from .room import ROOM_RECHECK_INTERVAL_S, queue_position, room_wait_s
 from .server_order import ServerRanker
 from .server_selection import ServerSelector
@@ -78,13 +79,24 @@
         selection = await self._choose_or_wait(request, route, service, now)
         if not isinstance(selection, Selection):
             return selection
-        server = selection.server
-        grant = await self.server_quotas.take(server.backend, server.stated)
+        grant = await self._grant(request, route, selection.server, now)
         if grant is None:
             request.denied_grants += 1
             return None
         return selection._replace(grant=grant)
 
+    async def _grant(
+        self, request: ClientRequest, route: Route, server: BackendServer, now: float
+    ) -> Optional[ServerGrant]:
+        """Take a grant of a server's rate limit, while the request is held; None without one."""
+        left_s = hold_time(request, route).until - now
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                return await self.server_quotas.take(server.backend, server.stated)
+        except TimeoutError:
+            # The request starts again and is refused, as it has no time left.
+            return None
+
     async def _choose_or_wait(
         self, request: ClientRequest, route: Route, service: str, now: float
     ) -> Union[Selection, RefusalReason, None]:
--- a/tests/test_gateway_hold_time.py
+++ b/tests/test_gateway_hold_time.py
@@ -1,19 +1,37 @@
 """No request is held beyond its route's timeout, whatever it waits for."""
 
+import asyncio
 import unittest
 from typing import Any, Optional
 
 from sprucewinch.gateway.crashes.quarantine_entry import QuarantineEntry
 from sprucewinch.gateway.requests.client_request import RefusalReason, Reply
-from sprucewinch.gateway.resources import QuarantinedRequest
+from sprucewinch.gateway.resources import BackendEntry, QuarantinedRequest
+from sprucewinch.gateway.statements.process_statements import ProcessStatements
+from sprucewinch.gateway.statements.server_quotas import UNLIMITED, ServerGrant
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
-from .gateway_fakes import PipelineFixture, route
+from .gateway_fakes import PipelineFixture, UnlimitedServerQuotas, route
 
 TIMEOUT_S = 0.8
 TOLERANCE_S = 0.01
 
 
+class SlowServerQuotas(UnlimitedServerQuotas):
+    """Grants each request after some time.
+
+    Args:
+        seconds: Time until a grant, in seconds.
+    """
+
+    def __init__(self, seconds: float) -> None:
+        self.seconds = seconds
+
+    async def take(self, _backend: BackendEntry, _stated: ProcessStatements) -> ServerGrant:
+        await asyncio.sleep(self.seconds)
+        return UNLIMITED
+
+
 class Held(unittest.TestCase):
     async def _run(
         self, path: PipelineFixture, **changes: Any
@@ -44,6 +62,18 @@
 
         run_virtual(main)
 
+    def test_while_the_quota_of_a_server_is_asked_for(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop)
+            path.world.configure(route(timeout_s=TIMEOUT_S, repeatable=False))
+            path.choice.server_quotas = SlowServerQuotas(1.0)
+            held_s, refusal, reply = await self._run(path)
+            self.assertAlmostEqual(held_s, TIMEOUT_S, delta=TOLERANCE_S)
+            self.assertIs(refusal, RefusalReason.NO_TIME)
+            self.assertEqual((reply.status, path.runs("q")), (503, 0))
+
+        run_virtual(main)
+
 
 if __name__ == "__main__":
     unittest.main()
