Hold a request for a crash check no longer than its route allows

Cause: when a connection ends without an answer, a check of up to 0.2 s (0.4 s if the process stalls) finds out whether the server crashed; begun shortly before the route's timeout it held the request 0.18 s beyond (new test, red before).

Change: the check's result is not waited for beyond the attempt's time; it then proves nothing.

--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -114,7 +114,7 @@
         if not attempt.may_have_arrived:
             self.server_quotas.give_back(selection.grant)
         self.feedback.record(request, server, attempt, started)
-        return await self._detect_crash(request, selection, attempt, started)
+        return await self._detect_crash(request, selection, attempt, started, until)
 
     async def _attempt(
         self,
@@ -177,18 +177,28 @@
         return granted or not stated.is_limited(now)
 
     async def _detect_crash(
-        self, request: ClientRequest, selection: Selection, attempt: Attempt, started: float
+        self,
+        request: ClientRequest,
+        selection: Selection,
+        attempt: Attempt,
+        started: float,
+        until: float,
     ) -> Attempt:
         """Return an attempt, with the cause `CRASHED` if its server's process has crashed.
 
-        The end of a server that is no longer available is planned and not a crash.
+        The end of a server that is no longer available is planned and not a crash. A check that
+        is not over when the attempt times out proves nothing.
         """
         server = selection.server
         if attempt.cause == RESTARTED and not server.leaving:
             self._record_crash(request, server, attempt, started)
         if attempt.cause != ENDED or not self.registry.offers(server, selection.service):
             return attempt
-        ended = await self.crash_check.has_ended(server.backend.address)
+        try:
+            async with asyncio.timeout(max(0.0, until - self.monotonic())):
+                ended = await self.crash_check.has_ended(server.backend.address)
+        except TimeoutError:
+            return attempt
         if not ended or any(
             connection.alive for connection in self._connections_in_use.get(server, ())
         ):
--- a/tests/test_gateway_hold_time.py
+++ b/tests/test_gateway_hold_time.py
@@ -9,6 +9,7 @@
 from sprucewinch.gateway.resources import BackendEntry, QuarantinedRequest
 from sprucewinch.gateway.statements.process_statements import ProcessStatements
 from sprucewinch.gateway.statements.server_quotas import UNLIMITED, ServerGrant
+from standins.scripted_server import Spoil
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .gateway_fakes import PipelineFixture, UnlimitedServerQuotas, route
@@ -74,6 +75,19 @@
 
         run_virtual(main)
 
+    def test_while_it_is_checked_whether_its_server_has_crashed(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop, servers=1)
+            path.world.configure(route(timeout_s=TIMEOUT_S, repeatable=False))
+            server = path.first()
+            server.work_s, server.spoils = TIMEOUT_S - 0.02, [Spoil.LOST]
+            loop.call_later(0.5, path.silence, server)
+            held_s, refusal, reply = await self._run(path)
+            self.assertAlmostEqual(held_s, TIMEOUT_S, delta=TOLERANCE_S)
+            self.assertEqual((reply.status, refusal), (502, RefusalReason.FAILED))
+
+        run_virtual(main)
+
 
 if __name__ == "__main__":
     unittest.main()
