Answer 503 where a request's time ended before its first byte was sent

Cause: an attempt that timed out while its connection was established counted as one that may have run, so its caller got 504, which promises nothing, and a request that must not run twice could not be sent again; the idle connections to the server were closed too, though none of them was used.

Change: such an attempt is 'not run'; the answer is 503 'no-time' with a time to return, unless an earlier attempt may have run. New tests red before (504, no time).

--- a/sprucewinch/gateway/requests/outcome/retry_decision.py
+++ b/sprucewinch/gateway/requests/outcome/retry_decision.py
@@ -126,11 +126,10 @@
     """
     if attempt.verdict is Verdict.ANSWERED:
         return _after_answer(request, route, attempt)
-    if attempt.verdict is Verdict.UNKNOWN:
-        if attempt.cause == TIMED_OUT:
-            return _TIME_IS_UP
-        if not _may_run_again(request, route):
-            return _MAY_HAVE_RUN
+    if attempt.cause == TIMED_OUT:
+        return _TIME_IS_UP
+    if attempt.verdict is Verdict.UNKNOWN and not _may_run_again(request, route):
+        return _MAY_HAVE_RUN
     if not attempt.may_have_arrived:
         return _after_unsent_attempt(request, attempt)
     if sum(earlier.may_have_arrived for earlier in request.attempts) > route.max_attempts:
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -131,6 +131,9 @@
             async with asyncio.timeout(until - started):
                 return await self._exchange(request, selection, until, max_idle_s)
         except TimeoutError:
+            if not request.at_server:
+                # No connection was established in time, so no byte was sent.
+                return Attempt(server.backend.id, Verdict.NOT_RUN, False, TIMED_OUT)
             self.pool.drop(server.backend.address)
             return Attempt(server.backend.id, Verdict.UNKNOWN, True, TIMED_OUT)
         finally:
--- a/tests/test_gateway_hold_time.py
+++ b/tests/test_gateway_hold_time.py
@@ -89,5 +89,53 @@
         run_virtual(main)
 
 
+class NeverSent(unittest.TestCase):
+    """A request whose time is over before its first byte was sent has not run."""
+
+    def _answer(self, *, repeatable: bool) -> tuple[int, Optional[RefusalReason], int]:
+        async def main(loop: VirtualLoop) -> tuple[int, Optional[RefusalReason], int]:
+            path = PipelineFixture(loop, servers=1)
+            path.world.configure(route(timeout_s=0.2, repeatable=repeatable))
+            path.silence(path.first())
+            started = loop.time()
+            reply = await path.pipeline.run(path.request("q"))
+            self.assertAlmostEqual(loop.time() - started, 0.2, delta=TOLERANCE_S)
+            self.assertIsNotNone(reply.retry_after_s)
+            return reply.status, reply.refusal, path.runs("q")
+
+        return run_virtual(main)
+
+    def test_its_answer_promises_that(self) -> None:
+        expected = (503, RefusalReason.NO_TIME, 0)
+        self.assertEqual(self._answer(repeatable=False), expected)
+        self.assertEqual(self._answer(repeatable=True), expected)
+
+    def test_one_that_was_sent_gets_no_promise(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop, servers=1)
+            path.world.configure(route(timeout_s=0.2, repeatable=False))
+            path.first().work_s = 9.0
+            reply = await path.pipeline.run(path.request("q"))
+            self.assertEqual((reply.status, path.runs("q")), (504, 1))
+
+        run_virtual(main)
+
+    def test_a_retry_that_was_never_sent_takes_back_no_doubt(self) -> None:
+        """The first server may have run it, so that the answer promises nothing."""
+
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop, servers=2)
+            path.world.configure(route(timeout_s=0.2))
+            first = path.first()
+            first.spoils = [Spoil.LOST]
+            for server in path.servers.values():
+                if server is not first:
+                    path.silence(server)
+            reply = await path.pipeline.run(path.request("q"))
+            self.assertEqual((reply.status, reply.refusal), (504, RefusalReason.TIMEOUT))
+
+        run_virtual(main)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_gateway_request_rules.py
+++ b/tests/test_gateway_request_rules.py
@@ -116,6 +116,8 @@
         self.assertIs(self._reason(reset, reset), RetryReason.MAY_HAVE_RUN)
         self.assertIs(self._reason(reset, repeatable=False), RetryReason.MAY_HAVE_RUN)
         self.assertIs(self._reason(timed_out), RetryReason.TIME_IS_UP)
+        never_sent = _unanswered(Verdict.NOT_RUN, TIMED_OUT, may_have_arrived=False)
+        self.assertIs(self._reason(never_sent), RetryReason.TIME_IS_UP)
 
     def test_an_attempt_that_did_not_run(self) -> None:
         shed = _unanswered(Verdict.NOT_RUN, "shed-503")
