Show what admission decided: event, counters, /state, story

blocked of a request that admission refused ends with its reason, admission_sent_/waited_/refused_ and callers_returning/repeating count verdicts and recognised callers, /state ends with what each kind asks for and what is sent (left out where no server states its pace, so that it stays byte for byte as it was), story names the rule and the reason.

--- a/sprucewinch/cli.py
+++ b/sprucewinch/cli.py
@@ -233,6 +233,7 @@
             "quarantined": "requests refused for crashing servers",
             "workspaces": "workspaces with a limit",
             "statements": "servers that limit themselves, leave or rest",
+            "kinds": "what kinds of requests ask for, and what is sent",
         }
         self._printer.sections(answer, titles)
 
--- a/sprucewinch/gateway/requests/admission/gate.py
+++ b/sprucewinch/gateway/requests/admission/gate.py
@@ -17,7 +17,7 @@
 import math
 import random
 from collections.abc import Iterator
-from typing import NamedTuple, Optional
+from typing import NamedTuple, Optional, Union
 
 from ...estimates.admission_verdict import AdmissionVerdict
 from ...estimates.server_estimate import ServerEstimates
@@ -39,6 +39,9 @@
 _MIN_LEFT_FRACTION = 0.1
 """Least part of the room that counts as left by more urgent kinds, so that times stay finite."""
 
+_RATE_DIGITS = 2
+"""Decimal places of rates and slots in `/state`."""
+
 
 class ServiceState:
     """What this VM knows of the demand for one service.
@@ -74,6 +77,20 @@
     refused_per_s: float
     slots: float
 
+    def to_row(self) -> dict[str, Union[str, float]]:
+        """Return the row of `/state`; its names and their order must not change."""
+        return {
+            "service": self.service,
+            "workspace_rank": self.kind.workspace_rank,
+            "priority": self.kind.priority,
+            "steps_over_share": self.kind.steps_over_share,
+            "callers": CallerHistory(self.kind.history).name.lower(),
+            "asked_per_s": round(self.asked_per_s, _RATE_DIGITS),
+            "sent_per_s": round(self.sent_per_s, _RATE_DIGITS),
+            "refused_per_s": round(self.refused_per_s, _RATE_DIGITS),
+            "slots": round(self.slots, _RATE_DIGITS),
+        }
+
 
 class AdmissionGate:
     """Decides for each request with what this VM knows.
--- a/sprucewinch/gateway/vm_state.py
+++ b/sprucewinch/gateway/vm_state.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from .composition import Context, Crashes, Parts, Regions, Servers, Workspaces
+from .requests.admission.gate import KindRates
 from .statements.process_statements import ProcessStatements, ServerProcessId
 
 _MAX_AGE_S = 1e9
@@ -167,6 +168,8 @@
         workspaces: Workspaces with a limit that have sent requests to this VM, or of whose limit
             this VM manages a part.
         statements: Statements of backend servers that are leaving, resting or limited.
+        kinds: What each kind of requests asks of each service whose servers state their pace; left
+            out where no server does.
     """
 
     name: str
@@ -182,6 +185,7 @@
     quarantined: tuple[QuarantinedState, ...]
     workspaces: tuple[WorkspaceState, ...]
     statements: tuple[StatementState, ...]
+    kinds: tuple[KindRates, ...] = ()
 
     def to_json(self) -> str:
         """Return the state as a JSON object."""
@@ -192,7 +196,10 @@
             "quarantined": [request._asdict() for request in self.quarantined],
             "workspaces": [workspace._asdict() for workspace in self.workspaces],
             "statements": [statement._asdict() for statement in self.statements],
+            "kinds": [kind.to_row() for kind in self.kinds],
         }
+        if not self.kinds:
+            del table["kinds"]
         return msgspec.json.encode(table).decode()
 
 
@@ -214,6 +221,7 @@
         quarantined=_quarantined(parts.crashes, now),
         workspaces=_workspaces(parts.workspaces),
         statements=_statements(parts.servers, now),
+        kinds=tuple(parts.requests.pipeline.choice.admission.kinds(now)),
     )
 
 
--- a/sprucewinch/operators/deciding_rule.py
+++ b/sprucewinch/operators/deciding_rule.py
@@ -3,7 +3,7 @@
 The answer is the module of `sprucewinch/gateway` that an engineer on call reads to see why a
 request ended as it did. The input is the fields of an event `request`. The outcome determines the
 module; where several rules lead to the same outcome, the choice depends on whether the request was
-sent and whether a server is named.
+sent, whether a server is named and whether admission gave a reason.
 
 The module owns this table. It relies on the names of outcomes and fields, which
 `tests.test_formats_lines` checks, and on module paths, which `tests.test_story` checks. It imports
@@ -41,11 +41,12 @@
 
 RETRY_DECISION = "requests/outcome/retry_decision.py"
 ROOM = "requests/choice/room.py"
+ADMISSION = "requests/admission/admission.py"
 BODY_ADMISSION = "requests/callers/body_admission.py"
 USABILITY = "servers/usability.py"
 
 RULE_MODULES = frozenset(
-    (*_RULE_BY_OUTCOME.values(), RETRY_DECISION, ROOM, BODY_ADMISSION, USABILITY)
+    (*_RULE_BY_OUTCOME.values(), RETRY_DECISION, ROOM, ADMISSION, BODY_ADMISSION, USABILITY)
 )
 """All modules that `deciding_rule` may return."""
 
@@ -67,4 +68,7 @@
         return RETRY_DECISION
     if outcome == "no-server":
         return USABILITY
-    return ROOM if sends or fields.get("blocked") else BODY_ADMISSION
+    blocked = fields.get("blocked")
+    if blocked and blocked.get("admission"):
+        return ADMISSION
+    return ROOM if sends or blocked else BODY_ADMISSION
--- a/sprucewinch/operators/request_trace.py
+++ b/sprucewinch/operators/request_trace.py
@@ -41,6 +41,13 @@
 }
 """What each outcome of a request means; programs read these texts with --json."""
 
+_ADMISSION_MEANINGS = {
+    "more-urgent-waits": "requests that go before it need the room",
+    "target-missed": "its answer was expected after the route's latency target",
+    "deadline-missed": "its answer was expected after its caller or its route gives up",
+}
+"""Why admission refused a request, by the reason in `blocked`."""
+
 _VERDICT_DESCRIPTIONS = {
     "answered": "answered",
     "not-run": "did not run it",
@@ -216,8 +223,12 @@
         return []
     if not blocked.get("server_id"):
         return ["no server could be used"]
-    return [
+    parts = [
         f"{blocked['server_id']} had {blocked.get('in_flight')} of this VM's requests "
         f"({blocked.get('window')} allowed) and a load of {blocked.get('load')}, as it said "
         f"{blocked.get('told_s')} s before"
     ]
+    reason = blocked.get("admission")
+    if reason:
+        parts.append(f"not admitted: {_ADMISSION_MEANINGS.get(reason, reason)}")
+    return parts
--- a/tests/test_formats_lines.py
+++ b/tests/test_formats_lines.py
@@ -14,6 +14,7 @@
 from standins.scripted_server import Spoil
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
+from .estimate_fakes import StatedEstimates, estimate
 from .formats_gateway import VirtualGateway, server_item
 
 CALLER = (
@@ -218,6 +219,36 @@
     return rows
 
 
+class Admission(unittest.TestCase):
+    """Where servers state their pace, a refusal and `/state` have more fields at their end."""
+
+    def test_fields_and_counters(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            vm = await VirtualGateway(loop, servers=1).started()
+            gate = vm.gateway.requests.pipeline.choice.admission
+            gate.estimates = estimates = StatedEstimates()
+            estimates.by_id["s0"] = estimate(work_s=0.05, queued_work_s=0.05, held=5.0)
+            await vm.ask(headers=CALLER)
+            estimates.by_id["s0"] = estimate(work_s=0.05, queued_work_s=0.05, held=50.0, age_s=0.0)
+            refused = await vm.ask(headers=CALLER)
+            self.assertEqual(refused.status, 503)
+            row = vm.rows("request")[-1]
+            blocked = ["server_id", "in_flight", "window", "load", "told_s", "admission"]
+            self.assertEqual(list(row["blocked"]), blocked)
+            self.assertEqual(row["blocked"]["admission"], "target-missed")
+            counters = vm.metrics().splitlines()
+            for name in ("sent_in-time", "refused_target-missed"):
+                self.assertIn(f"admission_{name} 1", counters)
+            state = json.loads(vm.state())
+            self.assertEqual(list(state)[-1], "kinds")
+            names = "service workspace_rank priority steps_over_share callers"
+            rates = "asked_per_s sent_per_s refused_per_s slots"
+            self.assertEqual(list(state["kinds"][0]), f"{names} {rates}".split())
+            self.assertEqual(state["kinds"][0]["callers"], "first")
+
+        run_virtual(main)
+
+
 class Counters(unittest.TestCase):
     # Names in `/metrics` beyond those of `test_formats_gateway`.
     NAMES = (
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -12,6 +12,7 @@
 
 from sprucewinch.cli import Sprucewinch
 from sprucewinch.errors import LogError
+from sprucewinch.gateway.estimates.admission_verdict import AdmissionReason
 from sprucewinch.gateway.requests.client_request import RefusalReason
 from sprucewinch.operators.deciding_rule import RETRY_DECISION, RULE_MODULES, deciding_rule
 from sprucewinch.operators.request_trace import (
@@ -86,10 +87,28 @@
         self.assertIn("not run", trace.meaning)
         self.assertIn("s2 had 2 of this VM's requests (2.2 allowed)", trace.lines[-1])
 
+    def test_trace_of_a_request_that_admission_refused_says_why(self) -> None:
+        sent = (AdmissionReason.IN_TIME, AdmissionReason.LATE_BUT_WORTH)
+        for reason in AdmissionReason:
+            if reason in sent:
+                continue
+            blocked = {"server_id": "s2", "admission": reason.value}
+            line = _request(1.0, "q", outcome="no-room", status=503, blocked=blocked)
+            text = reconstruct_trace(parse_log_lines([line]), "q").lines[-1]
+            with self.subTest(reason):
+                self.assertIn("; not admitted: ", text)
+                self.assertNotIn(reason.value, text)
+
     def test_deciding_rule(self) -> None:
         room = {"server_id": "s2"}
         cases = (
             ("no-room", [], room, "requests/choice/room.py"),
+            (
+                "no-room",
+                [],
+                {**room, "admission": "target-missed"},
+                "requests/admission/admission.py",
+            ),
             ("no-room", [], None, "requests/callers/body_admission.py"),
             ("no-room", [["s1", "not-run", "shed-503", 1]], None, RETRY_DECISION),
             ("no-server", [], {"server_id": ""}, "servers/usability.py"),
