Callers' connections cost less for each request

Change: no measuring, line or reading work where nothing waits; an exchange is created from its connection.

--- a/sprucewinch/net/_answer_order.py
+++ b/sprucewinch/net/_answer_order.py
@@ -64,7 +64,7 @@
 
     def begin_next(self) -> Optional[T]:
         """Return the next request to run, which counts as begun; None when none may begin."""
-        if self.begun >= min(len(self._line), self.max_begun):
+        if self.begun == len(self._line) or self.begun >= self.max_begun:
             return None
         self.begun += 1
         return self._line[self.begun - 1]
--- a/sprucewinch/net/_exchange.py
+++ b/sprucewinch/net/_exchange.py
@@ -8,8 +8,11 @@
 
 import abc
 import asyncio
+import logging
 from typing import Any, Optional
 
+import httptools
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
 from ._unread_answers import UnreadAnswers
@@ -50,13 +53,27 @@
 
 
 class Connection(abc.ABC):
-    """What an exchange needs of its connection.
+    """What an exchange needs of its connection; uvicorn's protocol has most of its attributes.
 
     Attributes:
+        out: What answers are written to.
         unread: Answers of the connection that its caller has not read.
     """
 
+    out: WriteSide
     unread: UnreadAnswers
+    flow: FlowControl
+    parser: httptools.HttpRequestParser
+    scope: Any
+    expect_100_continue: bool
+    server_state: Any
+    logger: logging.Logger
+    access_logger: logging.Logger
+    access_log: bool
+
+    @abc.abstractmethod
+    def on_response_complete(self) -> None:
+        """Go on with the next answer, as that of the head is whole."""
 
     @property
     @abc.abstractmethod
@@ -115,16 +132,28 @@
 
 
 class Exchange(RequestResponseCycle, ConnectionTurn, Entry):
-    """One request and its answer.
+    """One request and its answer, created when its headers are complete.
 
     Args:
         connection: Its connection.
         arrived_at: Time of the loop when it arrived, in seconds.
-        **options: Arguments of uvicorn's cycle.
     """
 
-    def __init__(self, connection: Connection, arrived_at: float, **options: Any) -> None:
-        super().__init__(**options)
+    def __init__(self, connection: Connection, arrived_at: float) -> None:
+        keeps = connection.scope["http_version"] != "1.0" and connection.parser.should_keep_alive()
+        super().__init__(
+            scope=connection.scope,
+            transport=connection.out,  # type: ignore[arg-type]
+            flow=connection.flow,
+            logger=connection.logger,
+            access_logger=connection.access_logger,
+            access_log=connection.access_log,
+            default_headers=connection.server_state.default_headers,
+            message_event=asyncio.Event(),
+            expect_100_continue=connection.expect_100_continue,
+            keep_alive=keeps,
+            on_response=connection.on_response_complete,
+        )
         self.connection = connection
         self.arrived_at = arrived_at
         self.held_bytes = 0
@@ -172,19 +201,23 @@
         try:
             await super().run_asgi(app)
         finally:
-            self._hand_over(self.held_bytes)
+            if self.held_bytes:
+                self._hand_over(self.held_bytes)
         if not self.response_complete and not self.disconnected:
             self.connection.cut()
 
     async def send(self, message: Any) -> None:
         if self.response_started:
-            await self._send_body(message)
-        elif await self.wait_for_turn():
+            if self.held_bytes or len(message.get("body", b"")) > _PIECE_BYTES:
+                await self._send_in_pieces(message)
+            else:
+                await super().send(message)
+        elif self.connection.is_head(self) or await self.wait_for_turn():
             await super().send(message)
-            if not self.disconnected and not self.keep_alive:
+            if not self.keep_alive and not self.disconnected:
                 self.connection.close_behind()
 
-    async def _send_body(self, message: Any) -> None:
+    async def _send_in_pieces(self, message: Any) -> None:
         body = memoryview(message.get("body", b""))
         while len(body) > _PIECE_BYTES and not self.disconnected:
             await self._send_piece({**message, "body": body[:_PIECE_BYTES], "more_body": True})
--- a/sprucewinch/net/_pipelined_protocol.py
+++ b/sprucewinch/net/_pipelined_protocol.py
@@ -12,7 +12,7 @@
 """
 
 import asyncio
-from typing import Any, Optional
+from typing import Any, Optional, Union
 
 import httptools
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT
@@ -47,7 +47,7 @@
         self.order: AnswerOrder[Entry] = AnswerOrder(self.max_at_once)
         self.ignoring = False
         self._head: Optional[Entry] = None
-        self._unparsed = memoryview(b"")
+        self._unparsed: Union[bytes, memoryview] = b""
         self._received_at = 0.0
         self._in_message = False
         self._in_body = False
@@ -69,7 +69,8 @@
 
     def body_taken(self) -> None:
         """Read on, as the application has taken what was read of a body."""
-        self._adjust_reading()
+        if self.flow.read_paused:
+            self._adjust_reading()
 
     def close_behind(self) -> None:
         """Drop all behind the head, whose answer closes the connection."""
@@ -114,7 +115,7 @@
     def connection_lost(self, exc: Optional[Exception]) -> None:
         """End all requests of the connection."""
         self.ignoring = True
-        self._unparsed = memoryview(b"")
+        self._unparsed = b""
         self.watch.stop()
         self.out.end()
         self._drop_all()
@@ -130,7 +131,7 @@
         if self.ignoring or self.transport.is_closing():
             return
         self._received_at = self.loop.time()
-        self._unparsed = memoryview(bytes(self._unparsed) + data if self._unparsed else data)
+        self._unparsed = bytes(self._unparsed) + data if self._unparsed else data
         self._parse()
 
     def on_message_begin(self) -> None:
@@ -149,10 +150,11 @@
         if self.ignoring:
             return
         complete_scope(self.scope, self.parser, self.url, self.root_path)  # type: ignore[arg-type]
-        exchange = self._make_exchange()
+        exchange = Exchange(self, self._received_at)
         self.cycle = exchange
         self._in_body = True
         self.order.add(exchange, is_last=not exchange.keep_alive)
+        self._count_behind()
         self._advance()
 
     def on_body(self, body: bytes) -> None:
@@ -170,6 +172,7 @@
     def on_response_complete(self) -> None:
         """Let the next answer be sent, begin further requests, and read on."""
         self.order.complete_head()
+        self._count_behind()
         self._go_on()
 
     def pause_writing(self) -> None:
@@ -189,33 +192,16 @@
         else:
             self.transport.close()
 
-    def _make_exchange(self) -> Exchange:
-        keeps = self.scope["http_version"] != "1.0" and self.parser.should_keep_alive()
-        return Exchange(
-            self,
-            self._received_at,
-            scope=self.scope,
-            transport=self.out,  # type: ignore[arg-type]
-            flow=self.flow,
-            logger=self.logger,
-            access_logger=self.access_logger,
-            access_log=self.access_log,
-            default_headers=self.server_state.default_headers,
-            message_event=asyncio.Event(),
-            expect_100_continue=self.expect_100_continue,
-            keep_alive=keeps,
-            on_response=self.on_response_complete,
-        )
-
     def _advance(self) -> None:
         """Begin the requests that may run, and give its turn to a new head."""
+        if not len(self.order):
+            return
         while not self.unread.blocks and (entry := self.order.begin_next()) is not None:
             entry.begin()
         head = self.order.head
         if head is not None and head is not self._head:
             self._head = head
             head.take_turn()
-        self._count_behind()
 
     def _drop_all(self) -> None:
         self._drop(self.order.drop_all())
@@ -227,24 +213,28 @@
 
     def _count_behind(self) -> None:
         behind = max(0, len(self.order) - 1)
-        self.memory.change_behind(behind - self._behind)
-        self._behind = behind
+        if behind != self._behind:
+            self.memory.change_behind(behind - self._behind)
+            self._behind = behind
 
     def _go_on(self) -> None:
         """Do what may be done now that an answer was sent or read."""
         self.out.measure()
-        if not self.transport.is_closing():
-            self._advance()
+        if self.transport.is_closing():
+            return
+        self._advance()
+        if self._unparsed or self.flow.read_paused:
             self._parse()
+        else:
+            self._rest()
 
     def _on_measured(self) -> None:
         now = self.loop.time()
         if self.unread.gives_up(now):
             self.memory.closed_unread(self.unread.held_bytes, self.unread.unread_s(now))
             self._leave()
-        elif not self.transport.is_closing():
-            self._advance()
-            self._parse()
+        else:
+            self._go_on()
 
     def _leave(self) -> None:
         """End everything, as the caller has left or is given up."""
@@ -254,11 +244,16 @@
     def _parse(self) -> None:
         """Parse what was read, up to the requests that may run; then decide whether to read on."""
         while self._unparsed and not self._waits:
-            piece, self._unparsed = self._unparsed[:_PIECE_BYTES], self._unparsed[_PIECE_BYTES:]
-            self._feed(piece)
+            unparsed = memoryview(self._unparsed)
+            self._unparsed = unparsed[_PIECE_BYTES:]
+            self._feed(unparsed[:_PIECE_BYTES])
             if self.ignoring:
-                self._unparsed = memoryview(b"")
+                self._unparsed = b""
         self._adjust_reading()
+        self._rest()
+
+    def _rest(self) -> None:
+        """Start the idle timeout if there is nothing to do."""
         if not len(self.order) and not self._in_message and not self.transport.is_closing():
             self._start_idle_timeout()
 
@@ -270,7 +265,7 @@
         except httptools.HttpParserUpgrade as upgrade:
             # The upgrade is ignored, so what follows are further requests.
             rest = bytes(piece[upgrade.args[0] :])
-            self._unparsed = memoryview(rest + bytes(self._unparsed))
+            self._unparsed = rest + bytes(self._unparsed)
 
     @property
     def _waits(self) -> bool:
@@ -284,9 +279,11 @@
 
     def _adjust_reading(self) -> None:
         """Pause or resume reading; bytes that will be ignored are read, to notice the end."""
-        if self.transport.is_closing():
+        waits = bool(self._unparsed) or self._waits or self._body_is_ahead
+        pauses = waits and not self.ignoring
+        if pauses == self.flow.read_paused or self.transport.is_closing():
             return
-        if not self.ignoring and (self._unparsed or self._waits or self._body_is_ahead):
+        if pauses:
             self.flow.pause_reading()
             self.watch.start()
         else:
--- a/sprucewinch/net/_request_scope.py
+++ b/sprucewinch/net/_request_scope.py
@@ -22,6 +22,7 @@
         scope["http_version"] = http_version
     parsed = httptools.parse_url(url)
     scope["method"] = parser.get_method().decode("ascii")
-    scope["path"] = root_path + urllib.parse.unquote(parsed.path.decode("ascii"))
+    path = parsed.path.decode("ascii")
+    scope["path"] = root_path + (urllib.parse.unquote(path) if "%" in path else path)
     scope["raw_path"] = root_path.encode("ascii") + parsed.path
     scope["query_string"] = parsed.query or b""
--- a/sprucewinch/net/_unread_answers.py
+++ b/sprucewinch/net/_unread_answers.py
@@ -41,11 +41,18 @@
         """Bytes that are in memory for this connection."""
         return self._waiting_bytes + self._unsent_bytes
 
+    @property
+    def all_sent(self) -> bool:
+        """Whether the transport had sent everything when it was last measured."""
+        return not self._unsent_bytes
+
     @property
     def blocks(self) -> bool:
         """Whether further requests of the connection wait."""
-        held_bytes = self.held_bytes
-        return held_bytes > self.memory.connection_bytes or (held_bytes > 0 and self.memory.used_up)
+        held_bytes = self._waiting_bytes + self._unsent_bytes
+        if not held_bytes:
+            return False
+        return held_bytes > self.memory.connection_bytes or self.memory.used_up
 
     def wait(self, size_bytes: int) -> None:
         """Count an answer that waits in the application; negative for what was handed over."""
--- a/sprucewinch/net/_write_side.py
+++ b/sprucewinch/net/_write_side.py
@@ -56,6 +56,8 @@
     def measure(self) -> None:
         """Measure now, and at intervals until all is sent."""
         unsent_bytes = self.transport.get_write_buffer_size()
+        if not unsent_bytes and self.unread.all_sent:
+            return
         self.unread.measure(self.written_bytes, unsent_bytes, self.loop.time())
         if unsent_bytes and self._timer is None:
             self._timer = self.loop.call_later(_INTERVAL_S, self._measure_again)
--- a/sprucewinch/net/connection_turn.py
+++ b/sprucewinch/net/connection_turn.py
@@ -50,5 +50,4 @@
 
 def turn_of(scope: dict[str, Any]) -> Optional[ConnectionTurn]:
     """Return the turn of a request; None where its listener tells none."""
-    turn = scope.get(TURN_KEY)
-    return turn if isinstance(turn, ConnectionTurn) else None
+    return scope.get(TURN_KEY)
