Tell warm from cold work also where times of one kind vary widely

Cause: the bound on a group's spread took a mixture of widely varying times for one kind; a trial with times that vary by 40 in 100 gave up to 3.2 times the warm time. Change: no bound on the spread; each sample must be nearer to its own group's median, and medians differ by 1.9 at least.

--- a/sprucewinch/gateway/servers/capacity/work_split.py
+++ b/sprucewinch/gateway/servers/capacity/work_split.py
@@ -9,11 +9,12 @@
 - each holds at least `_MIN_GROUP_FRACTION` of the samples and `_MIN_GROUP_SAMPLES`. The longer
   times of about 3 in 100 requests at any server are too few for a group;
 - each sample is in the group whose median is nearer;
-- their medians differ by a factor between `_MIN_RATIO` and `_MAX_RATIO`;
-- half of each group's samples lie within `_MAX_SPREAD` of the distance between the medians. Times
-  that vary evenly or normally around one usual time give two halves that are wider than that.
+- their medians differ by a factor between `_MIN_RATIO` and `_MAX_RATIO`. Times of one kind that
+  vary by a third give two halves with closer medians.
 
-Otherwise the samples are one group. Medians are used because a few long times do not move them.
+Otherwise the samples are one group. Medians are used because a few long times do not move them. The
+bounds rather take one kind of widely varying times for two groups than two kinds for one: the first
+error makes the warm time a quarter too short, the second puts both usual times between the two.
 
 Assumptions: the object's warmth is the greatest cause of difference between the times of one kind,
 after the queue and the server's pace have been taken out. If nearly all samples are cold, they are
@@ -36,16 +37,12 @@
 _MIN_GROUP_SAMPLES = 4
 """Fewest samples that are a group."""
 
-_MIN_RATIO = 1.7
+_MIN_RATIO = 1.9
 """Smallest ratio of the medians of two groups."""
 
 _MAX_RATIO = 5.0
 """Largest ratio of the medians of two groups; times beyond it have other causes."""
 
-_MAX_SPREAD = 0.22
-"""Largest median distance of a group's samples from their median, in parts of the distance between
-the two medians; a normal distribution cut in two has 0.3, an even one 0.25."""
-
 
 class WorkSplit(NamedTuple):
     """Usual times of work of one kind, in seconds.
@@ -71,9 +68,7 @@
         return WorkSplit(math.exp(statistics.median(logs)))
     warm, cold = logs[:end], logs[end:]
     low, high = statistics.median(warm), statistics.median(cold)
-    nearest = logs[end - 1] <= (low + high) / 2 <= logs[end]
-    compact = max(_spread(warm, low), _spread(cold, high)) <= _MAX_SPREAD * (high - low)
-    if not (nearest and compact):
+    if not logs[end - 1] <= (low + high) / 2 <= logs[end]:
         return WorkSplit(math.exp(statistics.median(logs)))
     return WorkSplit(math.exp(low), math.exp(high))
 
@@ -94,10 +89,6 @@
     return best
 
 
-def _spread(logs: Sequence[float], median: float) -> float:
-    return statistics.median(abs(log - median) for log in logs)
-
-
 def _median(logs: Sequence[float], start: int, end: int) -> float:
     middle = (start + end) // 2
     if (end - start) % 2:
--- a/tests/test_gateway_work_split.py
+++ b/tests/test_gateway_work_split.py
@@ -55,6 +55,15 @@
         self.assertIsNone(split.cold_s)
         self.assertAlmostEqual(split.warm_s, 0.3)
 
+    def test_times_of_both_kinds_that_vary_widely_are_told_apart(self) -> None:
+        for seed in range(20):
+            rng = random.Random(seed)
+            mixed = _mixture(128, 0.4, 0.03, 0.0, seed)
+            split = split_work([sample * rng.lognormvariate(0.0, 0.4) for sample in mixed])
+            self.assertTrue(0.2 < split.warm_s < 0.42, split)
+            assert split.cold_s is not None
+            self.assertTrue(0.6 < split.cold_s < 1.3, split)
+
     def test_times_that_vary_by_a_third_are_one_group(self) -> None:
         rng = random.Random(1)
         samples = [0.3 * rng.lognormvariate(0.0, 0.33) for _ in range(128)]
