--- a/tests/test_gateway_load_sharing.py
+++ b/tests/test_gateway_load_sharing.py
@@ -1,5 +1,7 @@
 """VMs of a fleet tell each other of server loads: over good links, cut ones, late and twice."""
 
+import random
+import statistics
 import time
 import unittest
 from collections import Counter
@@ -284,6 +286,44 @@
         _in_a_fleet(6, play)
 
 
+class ChangingPaces(unittest.TestCase):
+    """A server in six is slow by 2.5 times for 0.6 s; each VM hears of one every two seconds."""
+
+    def _seen(self, *, shared: bool) -> tuple[float, float]:
+        """Return the mean pace that VMs expect of slow servers and of the others."""
+
+        async def play(fleet: Fleet) -> tuple[float, float]:
+            if not shared:
+                names = [vm.name for vm in fleet.vms]
+                fleet.fleet.cut_links = {(sender, to) for sender in names for to in names}
+            rng = random.Random(4)
+            slow: set[int] = set()
+            seen: dict[bool, list[float]] = {True: [], False: []}
+            for step in range(120):
+                if step % 12 == 0:
+                    slow = set(rng.sample(range(_SERVERS), _SERVERS // 6))
+                for vm in fleet.vms:
+                    if rng.random() < 0.6:
+                        number = rng.randrange(_SERVERS)
+                        fleet.hear(vm, 6, 2.5 if number in slow else 1.0, f"s{number}")
+                await pass_time(0.05)
+                if step % 12 < 6:
+                    continue
+                now = fleet.loop.time()
+                for vm in fleet.vms:
+                    for number in range(_SERVERS):
+                        pace = fleet.server(vm, f"s{number}").pace.pace(now)
+                        seen[number in slow].append(pace)
+            return statistics.mean(seen[True]), statistics.mean(seen[False])
+
+        return _in_a_fleet(12, play)
+
+    def test_slow_servers_are_told_from_others_while_they_are_slow(self) -> None:
+        alone, shared = self._seen(shared=False), self._seen(shared=True)
+        self.assertLess(alone[0] - alone[1], 0.3)
+        self.assertGreater(shared[0] - shared[1], 2.5 * (alone[0] - alone[1]))
+
+
 class FreeServers(unittest.TestCase):
     def test_vms_told_of_one_server_fill_no_more_than_its_free_slots_each(self) -> None:
         """The server holds four requests of others and has two free slots; others are busy."""
