Keep objects warm when requests move, and limit how fast moves between regions change

Change: a server that would have to load the object takes moved requests only while half of its slots are free; warm servers in target go before cold ones; the server that an object ranks first in a region is expected to keep it warm there. The part of a service's requests that moves to other regions follows those that want to, by 0.4 of the shift cap a window, less what the shares moved, in both directions, up to 0.3.

--- a/sprucewinch/gateway/requests/choice/expected_time.py
+++ b/sprucewinch/gateway/requests/choice/expected_time.py
@@ -8,11 +8,12 @@
 the same time count as equal, and the first of them in the order is taken, so that an object has one
 second server, which soon keeps it warm.
 
-Most of a service's capacity comes from objects that stay where they are warm. Therefore a request
-moves only for its target, and a server that would have to load the object takes it only into a free
-slot, where the longer work delays no other request. A first server that is merely cold for the
-object keeps the request: it would otherwise never become warm, and a server that has joined would
-get no requests at all.
+Most of a service's capacity comes from objects that stay where they are warm, as a server works
+several times as long on one that it has to load. Therefore a request moves only for its target,
+servers that keep its object warm go before others, and one that would have to load the object takes
+it only while at least half of its slots are free. A first server that is merely cold for the object
+keeps the request: it would otherwise never become warm, and a server that has joined would get no
+requests at all.
 
 All VMs see the same figures, so the order matters more than the expected times: objects of one
 late server have different second servers, while a search for the soonest server would send them
@@ -21,8 +22,9 @@
 
 The inputs are estimates of the candidates, whether each has room for the request, and the times
 left until the route's target and until the end of the request's hold time, in seconds. The module
-has no state and relies on the estimates. A move is logged as the reason `sooner` of the event
-`request`. Tests: tests/test_gateway_expected_time.py, tests/test_gateway_placement.py.
+has no state and relies on the estimates. A move is logged in the field `sooner` of the event
+`request`. Tests: tests/test_gateway_expected_time.py, tests/test_gateway_placement.py,
+tests/test_gateway_placement_load.py.
 """
 
 from collections.abc import Sequence
@@ -38,6 +40,10 @@
 """Oldest report with which a server takes moved requests, in seconds: within one latency target, a
 server that was idle may have got a whole queue."""
 
+MAX_COLD_UTILIZATION = 0.5
+"""Requests held per slot below which a server takes moved requests of objects that it would have to
+load. Above it, the longer work takes slots from its own objects."""
+
 ROUND_TRIP_S = 0.02
 """Time added to the answers of servers in another region, in seconds; twice the one-way distance
 that policies see (`regions.shares`)."""
@@ -52,7 +58,7 @@
     Args:
         estimate: What is expected of it for this request.
         has_room: True if it accepts the request now.
-        remote: True if it is in another region than the object's first server.
+        remote: True if it is in another region than the object.
     """
 
     estimate: ServerEstimate
@@ -64,6 +70,14 @@
         """Return the expected time until the answer is here, in seconds."""
         return self.estimate.answer_s + (ROUND_TRIP_S if self.remote else 0.0)
 
+    @property
+    def takes_moved(self) -> bool:
+        """Return whether it takes a request that would otherwise go to another server."""
+        estimate = self.estimate
+        if not self.has_room or estimate.age_s > MAX_REPORT_AGE_S:
+            return False
+        return estimate.warm or estimate.held < MAX_COLD_UTILIZATION * estimate.slots
+
 
 class TimeLeft(NamedTuple):
     """Times left for a request, in seconds.
@@ -92,7 +106,7 @@
     return not estimate.warm and estimate.wait_s == 0.0 and estimate.pace < SLOW_PACE
 
 
-def soonest(candidates: Sequence[Candidate], left: TimeLeft) -> int:
+def best_candidate(candidates: Sequence[Candidate], left: TimeLeft) -> int:
     """Return the index of the candidate that takes a request; 0 for the first one.
 
     Args:
@@ -106,20 +120,27 @@
     sooner = [
         index
         for index, candidate in enumerate(candidates)
-        if index and _takes_moved(candidate) and candidate.answer_s <= min(latest_s, left.hold_s)
+        if index and candidate.takes_moved and candidate.answer_s <= min(latest_s, left.hold_s)
     ]
     if not sooner:
         return 0
     in_target = [index for index in sooner if candidates[index].answer_s <= left.target_s]
     if in_target:
-        return in_target[0]
+        warm = [index for index in in_target if candidates[index].estimate.warm]
+        return (warm or in_target)[0]
     nearly_equal_s = min(candidates[index].answer_s for index in sooner) * MIN_GAIN
     return next(index for index in sooner if candidates[index].answer_s <= nearly_equal_s)
 
 
-def _takes_moved(candidate: Candidate) -> bool:
-    """Return whether a server takes requests of objects that another server answers too late."""
-    estimate = candidate.estimate
-    if not candidate.has_room or estimate.age_s > MAX_REPORT_AGE_S:
-        return False
-    return estimate.warm or estimate.wait_s == 0.0
+def may_take_over(candidate: Candidate, left: TimeLeft) -> bool:
+    """Return whether a candidate may take a request that its first server would answer in time.
+
+    Args:
+        candidate: The candidate.
+        left: Times left for the request.
+    """
+    return (
+        candidate.takes_moved
+        and candidate.estimate.warm
+        and candidate.answer_s <= min(left.target_s, left.hold_s)
+    )
--- a/sprucewinch/gateway/requests/choice/placement.py
+++ b/sprucewinch/gateway/requests/choice/placement.py
@@ -2,9 +2,13 @@
 
 The candidates of a request are the first `_LOCAL_CANDIDATES` usable servers of the region that its
 object's hash falls into, and the first usable server of each other region that may serve it, all in
-the object's own order (`server_order`). `expected_time` decides among them and `region_moves`
-whether those of other regions count at all; where the region itself has no usable server, they
-always do.
+the object's own order (`server_order`). `expected_time` decides among them and `region_moves` how
+many requests may go to other regions; where the region itself has no usable server, they are not
+limited.
+
+The server that an object ranks first in a region is expected to keep it warm, even if this VM has
+never sent it the object there: the other VMs of the fleet do. A request of a late server therefore
+often does better at the first server of another region than at the next one of its own.
 
 A server that is cold takes only the objects that rank it first, under the limit of
 `servers.cold_limit`. It is no candidate for others, as each object would have to be loaded there.
@@ -12,20 +16,20 @@
 A service whose servers have reported nothing is not placed by expected time: `server_selection`
 then selects by load, as for servers that state no pace. Inputs are the request, its ranking, its
 first server, the estimates and the time (monotonic, in seconds). Owns nothing. The result shows in
-the event `request`. Tests: tests/test_gateway_placement.py.
+the event `request`. Tests: tests/test_gateway_placement.py, tests/test_gateway_placement_load.py.
 """
 
 import itertools
 import math
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple, Optional
 
-from ...estimates.server_estimate import ServerEstimates
+from ...estimates.server_estimate import ServerEstimate, ServerEstimates
 from ...resources import Route
 from ...servers.backend_server import BackendServer
-from ..client_request import ClientRequest
+from ..client_request import BlockedReason, ClientRequest
 from ..outcome.hold_time import hold_time
-from .expected_time import Candidate, TimeLeft, keeps_request, soonest
+from .expected_time import Candidate, TimeLeft, best_candidate, keeps_request, may_take_over
 from .region_moves import RegionMoves
 from .server_order import Ranking
 
@@ -34,16 +38,39 @@
 rarely late together with the first one, and the object is warm at few servers."""
 
 
-class Checks(NamedTuple):
-    """Checks of one request's servers, which the selector passes.
+class RequestServers(NamedTuple):
+    """The servers of one request at a moment.
 
     Args:
-        usable: Returns whether a server may get the request, and was not tried for it.
-        has_room: Returns whether a server has room for the request now.
+        ranking: Servers of its object, in order of preference.
+        first: The first usable server.
+        usable: Returns whether a server may get the request and was not tried for it.
+        no_room: Returns why a server has no room for the request; None if it has.
+        now: Monotonic time, in seconds.
     """
 
+    ranking: Ranking
+    first: BackendServer
     usable: Callable[[BackendServer], bool]
-    has_room: Callable[[BackendServer], bool]
+    no_room: Callable[[BackendServer], Optional[BlockedReason]]
+    now: float
+
+    def take_others(self, server: BackendServer) -> bool:
+        """Return whether a server may take objects whose first server is another one."""
+        return server is not self.first and not server.cold(self.now) and self.usable(server)
+
+
+class Placed(NamedTuple):
+    """Where a request is to be sent.
+
+    Args:
+        server: The server.
+        wants_to_move: True if a server in another region is expected to answer it sooner, even if
+            the request may not move there.
+    """
+
+    server: BackendServer
+    wants_to_move: bool = False
 
 
 class Placement:
@@ -61,84 +88,112 @@
         self.estimates = estimates
         self.moves = moves
         self.regions = regions
-        self._region_count = len(set(regions.values()))
 
     def place(
-        self,
-        request: ClientRequest,
-        ranking: Ranking,
-        route: Route,
-        first: BackendServer,
-        checks: Checks,
-        now: float,
-    ) -> Optional[BackendServer]:
-        """Return the server that is to get a request; None if its servers have reported nothing.
+        self, request: ClientRequest, route: Route, servers: RequestServers
+    ) -> Optional[Placed]:
+        """Return where a request is to be sent; None if its servers have reported nothing.
 
         Args:
             request: The request.
-            ranking: Servers of its object, in order of preference.
             route: Its route.
-            first: The first usable server.
-            checks: Checks of its servers.
-            now: Monotonic time, in seconds.
+            servers: Its servers.
         """
+        ranking, first, now = servers.ranking, servers.first, servers.now
         left = _time_left(request, route, now)
         key = request.key if route.affinity else ""
 
-        def candidate(server: BackendServer) -> Candidate:
+        def expect(server: BackendServer) -> Candidate:
             estimate = self.estimates.estimate(server.backend, route.name, key, now)
-            remote = self.regions.get(server.backend.hall) != ranking.region
-            return Candidate(estimate, checks.has_room(server), remote)
+            ranks_first = server.backend.id in ranking.heads and not server.cold(now)
+            if ranks_first or not key:
+                estimate = _as_warm(estimate)
+            remote = self.is_remote(server, ranking)
+            return Candidate(estimate, servers.no_room(server) is None, remote)
 
-        own = candidate(first)
+        own = expect(first)
         ranks_too_low = first.cold(now) and first is not ranking.servers[0]
-        reported = own.estimate.age_s < math.inf
-        if reported and not ranks_too_low and keeps_request(own, left):
-            return first
-        servers = [first, *self._others(ranking, first, checks, now)]
-        if ranks_too_low and len(servers) > 1:
-            del servers[0]
-        candidates = [candidate(server) for server in servers]
-        if all(math.isinf(c.estimate.age_s) for c in candidates):
+        if not ranks_too_low and _has_reported(own) and keeps_request(own, left):
+            if self.moves is None or not self.moves.should_move(first.backend.service):
+                return Placed(first)
+            remote = self._remote_servers(servers)
+            return Placed(next((s for s in remote if may_take_over(expect(s), left)), first))
+        local = [first, *self._local_servers(servers)]
+        if ranks_too_low and len(local) > 1:
+            del local[0]
+        return self._best(servers, local, expect, left)
+
+    def record(self, servers: RequestServers, placed: Placed) -> None:
+        """Count a request that is sent, as one in its region or moved to another one.
+
+        Where the first usable server is in another region, the request had to leave its own region,
+        and is not counted.
+
+        Args:
+            servers: Servers of the request.
+            placed: Where it is sent.
+        """
+        if self.moves is not None and not self.is_remote(servers.first, servers.ranking):
+            service = servers.first.backend.service
+            moved = self.is_remote(placed.server, servers.ranking)
+            self.moves.record(service, servers.now, wants=placed.wants_to_move, moved=moved)
+
+    def _best(
+        self,
+        servers: RequestServers,
+        local: list[BackendServer],
+        expect: Callable[[BackendServer], Candidate],
+        left: TimeLeft,
+    ) -> Optional[Placed]:
+        """Return the best of the local servers and of those of other regions, if any reported."""
+        remote = list(self._remote_servers(servers))
+        candidates = [expect(server) for server in (*local, *remote)]
+        if not any(_has_reported(candidate) for candidate in candidates):
             return None
-        return servers[soonest(candidates, left)]
-
-    def record(self, ranking: Ranking, server: BackendServer, now: float) -> None:
-        """Count a request that is sent, as one in its region or outside of it."""
-        if self.moves is None:
-            return
-        outside = self.regions.get(server.backend.hall) != ranking.region
-        self.moves.record(server.backend.service, now, outside=outside)
-
-    def _others(
-        self, ranking: Ranking, first: BackendServer, checks: Checks, now: float
-    ) -> Iterable[BackendServer]:
-        """Return the candidates after the first one."""
-
-        def takes_moved(server: BackendServer) -> bool:
-            return server is not first and not server.cold(now) and checks.usable(server)
-
-        local_servers = ranking.servers[: ranking.local_count]
-        local = list(itertools.islice(filter(takes_moved, local_servers), _LOCAL_CANDIDATES - 1))
-        service = first.backend.service
-        region_is_out = not local and first not in local_servers
-        allowed = self.moves is not None and self.moves.allows(service, now)
-        if region_is_out or allowed:
-            return itertools.chain(local, self._first_by_region(ranking, takes_moved))
-        return local
-
-    def _first_by_region(
-        self, ranking: Ranking, takes_moved: Callable[[BackendServer], bool]
-    ) -> Iterator[BackendServer]:
-        """Return the first server of each region other than the ranking's own."""
-        seen = {ranking.region}
+        best = best_candidate(candidates, left)
+        wants = best >= len(local)
+        if wants and not self._may_move(servers):
+            best = best_candidate(candidates[: len(local)], left)
+        return Placed((*local, *remote)[best], wants)
+
+    def _may_move(self, servers: RequestServers) -> bool:
+        """Return whether a request may go to another region than the one its object falls into."""
+        if self.is_remote(servers.first, servers.ranking):
+            return True
+        return self.moves is not None and self.moves.may_move(servers.first.backend.service)
+
+    def is_remote(self, server: BackendServer, ranking: Ranking) -> bool:
+        """Return whether a server is in another region than the one that an object falls into."""
+        return self.regions.get(server.backend.hall) != ranking.region
+
+    def _local_servers(self, servers: RequestServers) -> Iterator[BackendServer]:
+        """Return the candidates of the object's region after the first one."""
+        local = itertools.islice(servers.ranking.servers, servers.ranking.local_count)
+        return itertools.islice(filter(servers.take_others, local), _LOCAL_CANDIDATES - 1)
+
+    def _remote_servers(self, servers: RequestServers) -> Iterator[BackendServer]:
+        """Return the first usable server of each region other than the ranking's own."""
+        ranking = servers.ranking
+        missing = {*self.regions.values()} - {ranking.region}
         for server in itertools.islice(ranking.servers, ranking.local_count, None):
             region = self.regions.get(server.backend.hall, "")
-            if region not in seen and takes_moved(server):
-                seen.add(region)
+            if region in missing and servers.take_others(server):
+                missing.remove(region)
                 yield server
-                if len(seen) >= self._region_count:
-                    return
+            if not missing:
+                return
+
+
+def _as_warm(estimate: ServerEstimate) -> ServerEstimate:
+    """Return an estimate for a server that is expected to keep the object warm."""
+    if estimate.warm:
+        return estimate
+    usual_s = estimate.queued_work_s or estimate.work_s
+    return estimate._replace(warm=True, work_s=min(estimate.work_s, usual_s))
+
+
+def _has_reported(candidate: Candidate) -> bool:
+    return candidate.estimate.age_s < math.inf
 
 
 def _time_left(request: ClientRequest, route: Route, now: float) -> TimeLeft:
--- a/sprucewinch/gateway/requests/choice/region_moves.py
+++ b/sprucewinch/gateway/requests/choice/region_moves.py
@@ -1,45 +1,89 @@
-"""Decides whether a request may move to another region because a server there answers sooner.
+"""Limits how fast requests may move to other regions because servers there answer sooner.
 
-Requests that move by expected answer time leave the region that the shares in force give them. Of a
-service's requests of this VM, at most `_MOVED_FRACTION` of the shift cap may be outside of their
-region within any window of the cap, less what the shares themselves have moved within that window.
-The limit is on the requests outside and not on their growth, because they may all return at once
-when a burst ends, and the cap counts moves back like moves out.
+Requests that move by expected answer time leave the region that the shares in force give them. This
+VM lets a part of its requests of each service do so. The part follows the requests that want to
+move, by at most `_CAP_FRACTION` of the shift cap within each window of the cap, less what the
+shares themselves have moved. Both directions are limited, as a move back is a shift too: when a
+burst ends, some requests go on moving for a while, to servers that still answer them in time.
 
 The cap is a fraction of the requests, so it holds for the fleet if it holds at each VM, without a
-message between VMs. A VM with few requests may rarely move a whole one; its limit is rounded up in
-some windows and down in others, by a hash of VM, service and window, so that the limits of a fleet
-add up to the fraction. A move beyond the limit stays in its region. Requests whose region has no
-usable server are not limited, but they count, as they are outside too.
-
-Inputs are this VM's selections with their monotonic times in seconds, the cap (`Bounds.shift_cap`)
-and what the shares have moved (`regions.shares`). Owns the counts by service. The result shows in
-the field `sooner` of the event `request` and the server that got it. Tests:
+message between VMs. A VM with few requests moves a whole one rarely: it adds up the part at each
+request and moves one whenever the sum passes a whole number. The sums of the VMs start at different
+fractions, so that they do not all move a request at the same time. A request that may not move
+stays in its region. Requests whose region has no usable server do not count, as nothing is decided
+about them.
+
+Inputs are this VM's requests with their monotonic times in seconds, whether each wants to move, the
+cap (`Bounds.shift_cap`) and what the shares have moved (`regions.shares`). Owns the part and the
+sum of each service. The result shows in the field `sooner` of the event `request`. Tests:
 tests/test_gateway_region_moves.py.
 """
 
+import math
+
 from ...._hash import hash64
 from ...regions.shares import SHIFT_WINDOW_S, RegionShares
-from ..sliding_count import SlidingCount
 
-_MOVED_FRACTION = 0.5
-"""Fraction of the shift cap that requests outside of their region may use; the rest is for changes
-of the shares, which may begin while requests are outside."""
+_CAP_FRACTION = 0.4
+"""Fraction of the shift cap by which the part that moves may change; the rest is for changes of the
+shares, which may begin in the same window."""
+
+_MAX_PART = 0.3
+"""Largest part of a service's requests that moves."""
+
+_MAX_DELAYED = 0.05
+"""Largest fraction of a window's requests whose moves wait for requests that want to move, though a
+request that does not want to could move now. When no more requests want to, the part of those that
+moved falls by it at once."""
 
 _HASH_SPACE = float(1 << 64)
 """Number of values of the 64-bit hash."""
 
 
-class _Counts:
-    __slots__ = ("all", "outside")
+class _ServiceMoves:
+    """The part of a service's requests that moves.
+
+    Args:
+        owed: Moves that are owed at the start, below 1.
+        now: Monotonic time, in seconds.
+    """
+
+    __slots__ = ("at", "owed", "part", "recent", "wanted")
+
+    def __init__(self, owed: float, now: float) -> None:
+        self.at = now
+        self.owed = owed
+        self.part = 0.0
+        self.recent = 0.0
+        self.wanted = 0.0
+
+    @property
+    def max_owed(self) -> float:
+        """Return how many moves may be owed; any request takes the last of them."""
+        return 1.0 + min(1.0, _MAX_DELAYED * self.recent)
 
-    def __init__(self) -> None:
-        self.all = SlidingCount(SHIFT_WINDOW_S)
-        self.outside = SlidingCount(SHIFT_WINDOW_S)
+    def record(self, now: float, max_change: float, *, wants: bool, moved: bool) -> None:
+        """Count a request, and let the part follow those that want to move.
+
+        Args:
+            now: Monotonic time, in seconds.
+            max_change: Largest change of the part within a window.
+            wants: True if the request wants to move.
+            moved: True if it moves.
+        """
+        windows = min(1.0, (now - self.at) / SHIFT_WINDOW_S)
+        self.at = now
+        self.owed = min(self.max_owed, self.owed + self.part) - moved
+        keep = math.exp(-windows)
+        self.recent = self.recent * keep + 1.0
+        self.wanted = self.wanted * keep + wants * (1.0 - keep)
+        step = max_change * windows
+        change = max(-step, min(step, self.wanted - self.part))
+        self.part = min(_MAX_PART, self.part + change)
 
 
 class RegionMoves:
-    """This VM's requests outside of their region, by service.
+    """This VM's requests that move to another region, by service.
 
     Args:
         shares: Region shares, which move under the same cap.
@@ -52,38 +96,38 @@
         self.shares = shares
         self.shift_cap = shift_cap
         self.vm = vm
-        self._counts: dict[str, _Counts] = {}
+        self._services: dict[str, _ServiceMoves] = {}
 
-    def allows(self, service: str, now: float) -> bool:
-        """Return whether one more request of a service may move to another region.
+    def may_move(self, service: str) -> bool:
+        """Return whether a request of a service may move to another region if it wants to."""
+        moves = self._services.get(service)
+        return moves is not None and moves.owed + moves.part >= 1.0
 
-        Args:
-            service: Name of the service.
-            now: Monotonic time, in seconds.
+    def should_move(self, service: str) -> bool:
+        """Return whether a request of a service should move though it does not want to.
+
+        Otherwise the part that moves would fall faster than the limit allows. A move that is owed
+        is left to a request that wants to move for a while.
         """
-        counts = self._counts.get(service)
-        if counts is None:
-            return False
-        fraction = max(
-            0.0, _MOVED_FRACTION * self.shift_cap - self.shares.moved_recently(service, now)
-        )
-        limit = int(fraction * (counts.all.count(now) + 1) + self._rounding(service, now))
-        return fraction > 0.0 and counts.outside.count(now) < limit
-
-    def record(self, service: str, now: float, *, outside: bool) -> None:
-        """Count a request of a service that is sent.
+        moves = self._services.get(service)
+        return moves is not None and moves.owed + moves.part >= moves.max_owed
+
+    def record(self, service: str, now: float, *, wants: bool, moved: bool) -> None:
+        """Count a request of a service that is sent while its region has usable servers.
 
         Args:
             service: Name of the service.
             now: Monotonic time, in seconds.
-            outside: True if its server is not in the region that the shares give it.
+            wants: True if a server in another region is expected to answer it sooner.
+            moved: True if it is sent to another region.
         """
-        counts = self._counts.setdefault(service, _Counts())
-        counts.all.add(now)
-        if outside:
-            counts.outside.add(now)
-
-    def _rounding(self, service: str, now: float) -> float:
-        """Return what is added to the limit before it is rounded down, from 0 to below 1."""
-        window = int(now // SHIFT_WINDOW_S)
-        return hash64(f"{self.vm}|{service}|{window}") / _HASH_SPACE
+        moves = self._services.get(service)
+        if moves is None:
+            start = hash64(f"{self.vm}|{service}") / _HASH_SPACE
+            moves = self._services[service] = _ServiceMoves(start, now)
+        moves.record(now, self._max_change(service, now), wants=wants, moved=moved)
+
+    def _max_change(self, service: str, now: float) -> float:
+        """Return by how much the part that moves may change within a window."""
+        unused = _CAP_FRACTION * self.shift_cap - self.shares.moved_recently(service, now)
+        return max(0.0, unused)
--- a/sprucewinch/gateway/requests/choice/server_choice.py
+++ b/sprucewinch/gateway/requests/choice/server_choice.py
@@ -89,8 +89,6 @@
             request, route, now
         ):
             return None
-        if isinstance(selection, Selection):
-            self.selector.record(ranking, selection.server, now)
         if selection is not RefusalReason.NO_ROOM:
             return selection
         waited = await self._wait_for_room(request, route, ranking, now)
--- a/sprucewinch/gateway/requests/choice/server_order.py
+++ b/sprucewinch/gateway/requests/choice/server_order.py
@@ -15,7 +15,7 @@
 """
 
 import math
-from typing import NamedTuple
+from typing import NamedTuple, Optional
 
 import xxhash
 
@@ -38,11 +38,13 @@
         region: Region that the object's hash falls into.
         servers: Servers of that region, then those of the others.
         local_count: Number of servers in that region, which come first in `servers`.
+        heads: Ids of the servers that come first among those of their region.
     """
 
     region: str
     servers: tuple[BackendServer, ...]
     local_count: int
+    heads: frozenset[str] = frozenset()
 
 
 class ServerRanker:
@@ -101,4 +103,7 @@
         ]
         servers.sort(key=order)
         local_count = sum(self.regions.get(s.backend.hall) == region for s in servers)
-        return Ranking(region, tuple(servers), local_count)
+        heads: dict[Optional[str], str] = {}
+        for server in servers:
+            heads.setdefault(self.regions.get(server.backend.hall), server.backend.id)
+        return Ranking(region, tuple(servers), local_count, frozenset(heads.values()))
--- a/sprucewinch/gateway/requests/choice/server_selection.py
+++ b/sprucewinch/gateway/requests/choice/server_selection.py
@@ -43,7 +43,7 @@
     Selection,
     SelectionReason,
 )
-from .placement import Checks, Placement
+from .placement import Placed, Placement, RequestServers
 from .region_moves import RegionMoves
 from .room import no_room_reason
 from .server_order import Ranking
@@ -82,9 +82,7 @@
         estimates: Optional[ServerEstimates] = None,
         moves: Optional[RegionMoves] = None,
     ) -> None:
-        self.placement = None
-        if estimates is not None:
-            self.placement = Placement(estimates, moves, registry.regions)
+        self.placement = Placement(estimates, moves, registry.regions) if estimates else None
         self.times = registry.times
         self.ejected = outliers.ejected
         self.keeps_warm = outliers.sent_objects.is_warm
@@ -108,50 +106,67 @@
         if server is None:
             request.blocked = Blocked("", until=self._earliest_acceptance(request, ranking, now))
             return RefusalReason.NO_SERVER
-        placed = self._placed(request, ranking, route, server, now)
-        if placed is not None and placed is not server:
-            return Selection(placed, service, SelectionReason.SOONER)
-        no_room = no_room_reason(server, request, route, self.times, now)
-        busy = no_room is not None or server.load(now) >= server.backend.capacity
-        if busy and placed is None:
-            spillover = self._spillover(request, ranking, service, server, no_room, now)
-            if spillover is not None:
-                return spillover
-        if no_room is not None:
-            request.blocked = _blocked(server, no_room, now)
-            return RefusalReason.NO_ROOM
-        first = server is ranking.servers[0]
-        reason = SelectionReason.FIRST_CHOICE if first else SelectionReason.FIRST_USABLE
-        return Selection(server, service, reason)
-
-    def record(self, ranking: Ranking, server: BackendServer, now: float) -> None:
-        """Count a request that is sent to a server.
-
-        Args:
-            ranking: Servers of its object.
-            server: The selected server.
-            now: Monotonic time, in seconds.
-        """
         if self.placement is not None:
-            self.placement.record(ranking, server, now)
+            servers = self._servers(request, ranking, server, route, now)
+            placed = self.placement.place(request, route, servers)
+            if placed is not None:
+                return self._by_time(placed, request, servers, service)
+        return self._by_load(request, ranking, service, server, now, route)
 
-    def _placed(
+    def _servers(
         self,
         request: ClientRequest,
         ranking: Ranking,
-        route: Route,
         first: BackendServer,
+        route: Route,
         now: float,
-    ) -> Optional[BackendServer]:
-        """Return the server for a request by expected answer time; None to select by load."""
-        if self.placement is None:
-            return None
+    ) -> RequestServers:
+        """Return the servers of a request, for its placement by expected answer time."""
         tried_servers = request.tried_servers()
-        checks = Checks(
-            lambda s: s.backend.id not in tried_servers and self._is_usable(request, s, now),
-            lambda s: no_room_reason(s, request, route, self.times, now) is None,
-        )
-        return self.placement.place(request, ranking, route, first, checks, now)
+
+        def usable(server: BackendServer) -> bool:
+            untried = server.backend.id not in tried_servers
+            return untried and self._is_usable(request, server, now)
+
+        def no_room(server: BackendServer) -> Optional[BlockedReason]:
+            return no_room_reason(server, request, route, self.times, now)
+
+        return RequestServers(ranking, first, usable, no_room, now)
+
+    def _by_time(
+        self, placed: Placed, request: ClientRequest, servers: RequestServers, service: str
+    ) -> Union[Selection, RefusalReason]:
+        """Return the selection of a server by expected answer time, or that it has no room."""
+        if placed.server is servers.first:
+            no_room = servers.no_room(placed.server)
+            if no_room is not None:
+                request.blocked = _blocked(placed.server, no_room, servers.now)
+                return RefusalReason.NO_ROOM
+            selection = _first_usable(placed.server, servers.ranking, service)
+        else:
+            selection = Selection(placed.server, service, SelectionReason.SOONER)
+        self.placement.record(servers, placed)
+        return selection
+
+    def _by_load(
+        self,
+        request: ClientRequest,
+        ranking: Ranking,
+        service: str,
+        server: BackendServer,
+        now: float,
+        route: Route,
+    ) -> Union[Selection, RefusalReason]:
+        """Return the selection of the first usable server, or of one that it spills over to."""
+        no_room = no_room_reason(server, request, route, self.times, now)
+        if no_room is not None or server.load(now) >= server.backend.capacity:
+            spillover = self._spillover(request, ranking, service, server, no_room, now)
+            if spillover is not None:
+                return spillover
+        if no_room is not None:
+            request.blocked = _blocked(server, no_room, now)
+            return RefusalReason.NO_ROOM
+        return _first_usable(server, ranking, service)
 
     def candidate(
         self, request: ClientRequest, ranking: Ranking, now: float
@@ -263,6 +278,12 @@
     return until
 
 
+def _first_usable(server: BackendServer, ranking: Ranking, service: str) -> Selection:
+    first = server is ranking.servers[0]
+    reason = SelectionReason.FIRST_CHOICE if first else SelectionReason.FIRST_USABLE
+    return Selection(server, service, reason)
+
+
 def _blocked(server: BackendServer, reason: BlockedReason, now: float) -> Blocked:
     return Blocked(
         server.backend.id,
