--- a/sprucewinch/gateway/requests/choice/server_choice.py
+++ b/sprucewinch/gateway/requests/choice/server_choice.py
@@ -145,8 +145,6 @@
         ask = self.admission.ask(server, request, route, now) if server else None
         if ask is not None:
             selection = await self._admit_or_wait(ask, selection, now)
-        if isinstance(selection, Selection):
-            self.selector.record(ranking, selection.server, now)
         if ask is not None or isinstance(selection, Selection):
             return selection
         waited = await self._wait_for_room(request, route, server, now)
