Keep the body of a server's answer in chunks and take them away as they are forwarded

A body was also joined, which held it twice for a moment.

Change: Answer has chunks of 64 KB or more instead of one body; the writer takes them away one by one. Small answers that are sent at once are not counted at all.

--- a/sprucewinch/gateway/requests/app.py
+++ b/sprucewinch/gateway/requests/app.py
@@ -58,7 +58,7 @@
     def hold_answer(self, reply: Reply) -> None:
         """Count an answer of a backend server, which stays in memory until the caller reads it."""
         if self.turn is not None and reply.answer is not None:
-            self.turn.hold_answer(len(reply.answer.body))
+            self.turn.hold_answer(reply.answer.body_bytes)
 
     def close_connection(self) -> bool:
         """Close the connection after the requests of it that have begun.
--- a/sprucewinch/gateway/requests/callers/answer_writer.py
+++ b/sprucewinch/gateway/requests/callers/answer_writer.py
@@ -5,6 +5,8 @@
 reply says.
 """
 
+from typing import Union
+
 import msgspec
 
 from ....net.asgi import Send
@@ -16,29 +18,31 @@
 
 
 async def write_reply(reply: Reply, send: Send, *, close: bool) -> None:
-    """Write a final answer.
+    """Write a final answer, and take its body away from it chunk by chunk.
 
     Args:
         reply: The answer.
         send: ASGI send.
         close: True to close the connection after it.
     """
-    headers, body = _encoded(reply)
+    headers, chunks = _encoded(reply)
     raw = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
-    raw.append((b"content-length", b"%d" % len(body)))
+    raw.append((b"content-length", b"%d" % sum(len(chunk) for chunk in chunks)))
     if close:
         raw.append((b"connection", b"close"))
     await send({"type": "http.response.start", "status": reply.status, "headers": raw})
-    await send({"type": "http.response.body", "body": body})
+    while len(chunks) > 1:
+        await send({"type": "http.response.body", "body": chunks.pop(0), "more_body": True})
+    await send({"type": "http.response.body", "body": chunks.pop() if chunks else b""})
 
 
-def _encoded(reply: Reply) -> tuple[list[tuple[str, str]], bytes]:
-    """Return the headers and the body of an answer."""
+def _encoded(reply: Reply) -> tuple[list[tuple[str, str]], list[Union[bytes, bytearray]]]:
+    """Return the headers and the chunks of the body of an answer."""
     if reply.answer is not None:
         returned = end_to_end(list(reply.answer.headers))
-        return [h for h in returned if h[0] not in _NOT_FORWARDED_TO_CALLERS], reply.answer.body
+        return [h for h in returned if h[0] not in _NOT_FORWARDED_TO_CALLERS], reply.answer.chunks
     assert reply.refusal is not None
     headers = [("content-type", "application/json")]
     if reply.retry_after_s is not None:
         headers.append(("retry-after", f"{reply.retry_after_s:g}"))
-    return headers, msgspec.json.encode({"reason": reply.refusal.value})
+    return headers, [msgspec.json.encode({"reason": reply.refusal.value})]
--- a/sprucewinch/net/_answer_reader.py
+++ b/sprucewinch/net/_answer_reader.py
@@ -7,13 +7,16 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple, Optional
+from typing import NamedTuple, Optional, Union
 
 import httptools
 
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 """Longest body of an answer; answers are kept in memory as a whole."""
 
+_MIN_CHUNK_BYTES = 65_536
+"""Size up to which chunks of a body are put together, as a server may send it in any pieces."""
+
 FIRST_FINAL_STATUS = 200
 """Lowest status of a final answer: 100 to 199 announce that another one follows (RFC 9110)."""
 
@@ -30,12 +33,23 @@
     Args:
         status: HTTP status.
         headers: Pairs of name, in lower case, and value.
-        body: The whole body.
+        chunks: The whole body, in the chunks in which it is kept; whoever forwards it takes them
+            away one by one, so that what was forwarded is no longer in memory.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    chunks: list[Union[bytes, bytearray]]
+
+    @property
+    def body(self) -> bytes:
+        """The whole body in one piece, which for a large one is a copy."""
+        return b"".join(self.chunks)
+
+    @property
+    def body_bytes(self) -> int:
+        """Size of the body, in bytes."""
+        return sum(len(chunk) for chunk in self.chunks)
 
     def header(self, name: str) -> Optional[str]:
         """Return the first value of a header; None when it is absent."""
@@ -60,7 +74,7 @@
 
     def _reset(self) -> None:
         self._headers: list[tuple[str, str]] = []
-        self._chunks: list[bytes] = []
+        self._chunks: list[Union[bytes, bytearray]] = []
         self._size = 0
         self._headers_complete = False
 
@@ -104,12 +118,18 @@
         if self._size > MAX_ANSWER_BYTES:
             self.fail("the answer is too large")
             return
-        self._chunks.append(body)
+        last = self._chunks[-1] if self._chunks else None
+        if last is None or max(len(last), len(body)) >= _MIN_CHUNK_BYTES:
+            self._chunks.append(body)
+        elif isinstance(last, bytearray):
+            last += body
+        else:
+            self._chunks[-1] = bytearray(last) + body
 
     def on_message_complete(self) -> None:
         """Deliver the whole answer."""
         status = self._parser.get_status_code()
-        answer = Answer(status, tuple(self._headers), b"".join(self._chunks))
+        answer = Answer(status, tuple(self._headers), self._chunks)
         self._reset()
         self.deliver(answer)
 
--- a/sprucewinch/net/_exchange.py
+++ b/sprucewinch/net/_exchange.py
@@ -194,6 +194,9 @@
         self.connection.read_no_more()
 
     def hold_answer(self, size_bytes: int) -> None:
+        sent_at_once = size_bytes <= _PIECE_BYTES and not self.flow.write_paused
+        if sent_at_once and self.connection.is_head(self):
+            return
         self.held_bytes += size_bytes
         self.connection.unread.wait(size_bytes)
 
@@ -208,26 +211,27 @@
 
     async def send(self, message: Any) -> None:
         if self.response_started:
-            if self.held_bytes or len(message.get("body", b"")) > _PIECE_BYTES:
-                await self._send_in_pieces(message)
-            else:
-                await super().send(message)
+            await self._send_body(message)
         elif self.connection.is_head(self) or await self.wait_for_turn():
             await super().send(message)
             if not self.keep_alive and not self.disconnected:
                 self.connection.close_behind()
 
-    async def _send_in_pieces(self, message: Any) -> None:
-        body = memoryview(message.get("body", b""))
-        while len(body) > _PIECE_BYTES and not self.disconnected:
-            await self._send_piece({**message, "body": body[:_PIECE_BYTES], "more_body": True})
-            body = body[_PIECE_BYTES:]
-        await self._send_piece({**message, "body": body})
+    async def _send_body(self, message: Any) -> None:
+        body = message.get("body", b"")
+        if len(body) > _PIECE_BYTES:
+            rest = memoryview(body)
+            while len(rest) > _PIECE_BYTES and not self.disconnected:
+                await self._send_piece({**message, "body": rest[:_PIECE_BYTES], "more_body": True})
+                rest = rest[_PIECE_BYTES:]
+            message = {**message, "body": rest}
+        await self._send_piece(message)
 
     async def _send_piece(self, message: Any) -> None:
-        if self.flow.write_paused and not self.disconnected:
-            await self.flow.drain()
-        self._hand_over(min(self.held_bytes, len(message["body"])))
+        if self.held_bytes:
+            if self.flow.write_paused and not self.disconnected:
+                await self.flow.drain()
+            self._hand_over(min(self.held_bytes, len(message.get("body", b""))))
         await super().send(message)
 
     def _hand_over(self, size_bytes: int) -> None:
--- a/tests/test_formats_lines.py
+++ b/tests/test_formats_lines.py
@@ -15,6 +15,8 @@
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .formats_gateway import VirtualGateway, server_item
+from .pipelined_app import OneConnection
+from .pipelined_caller import request
 
 CALLER = (
     ("x-request-id", "q1"),
@@ -23,6 +25,13 @@
 )
 # Event and its fields in order, after `time` and `event`.
 EVENTS = {
+    "caller-reads-nothing": (
+        "held_bytes",
+        "unread_s",
+        "answer_bytes",
+        "body_bytes",
+        "budget_bytes",
+    ),
     "configuration": ("version", "routes"),
     "fact": ("key", "word", "revision"),
     "fault": ("loop", "error"),
@@ -160,6 +169,23 @@
     return vm.lines
 
 
+async def _caller_that_reads_nothing(loop: VirtualLoop) -> list[str]:
+    return (await _with_a_caller_that_reads_nothing(loop)).lines
+
+
+async def _with_a_caller_that_reads_nothing(loop: VirtualLoop) -> VirtualGateway:
+    """Return a VM whose memory is short because of bodies, when one caller has read nothing."""
+    vm = await VirtualGateway(loop, servers=1).started()
+    app = vm.gateway.requests.app
+    caller = OneConnection(app, memory=app.answers)
+    caller.transport.stalled = True
+    caller.receive(request("q1"))
+    await pass_time(1.0)
+    app.bodies.take(app.bodies.max_bytes)
+    await pass_time(6.0)
+    return vm
+
+
 DRIVERS: tuple[Callable[[VirtualLoop], Coroutine[Any, Any, list[str]]], ...] = (
     _a_day,
     _whole_run,
@@ -167,6 +193,7 @@
     _servers_in_trouble,
     _store_in_trouble,
     _peers,
+    _caller_that_reads_nothing,
 )
 
 
@@ -221,6 +248,7 @@
 class Counters(unittest.TestCase):
     # Names in `/metrics` beyond those of `test_formats_gateway`.
     NAMES = (
+        "connections_closed_unread",
         "items_unreadable",
         "lines_dropped",
         "loop_faults",
@@ -238,7 +266,8 @@
 
     def test_names(self) -> None:
         seen: set[str] = set()
-        for driver in (_counted_faults, _counted_repeats, _counted_refusals):
+        counted = (_counted_faults, _counted_repeats, _counted_refusals, _counted_unread)
+        for driver in counted:
             text = run_virtual(driver)
             seen |= {line.rpartition(" ")[0] for line in text.splitlines()}
         self.assertEqual([name for name in self.NAMES if name not in seen], [])
@@ -258,6 +287,10 @@
     return vm.metrics()
 
 
+async def _counted_unread(loop: VirtualLoop) -> str:
+    return (await _with_a_caller_that_reads_nothing(loop)).metrics()
+
+
 async def _counted_repeats(loop: VirtualLoop) -> str:
     vm = await VirtualGateway(loop, servers=3).started()
     for spoil in (Spoil.FAILED, Spoil.LOST):
--- a/tools/wrong_connection_versions.py
+++ b/tools/wrong_connection_versions.py
@@ -232,8 +232,8 @@
         "MEMORY",
         "a large answer is handed to the transport whole",
         _EXCHANGE,
-        "while len(body) > _PIECE_BYTES and not self.disconnected:",
-        "while False:",
+        "if len(body) > _PIECE_BYTES:",
+        "if False:",
         _BUDGET_TESTS,
     ),
     WrongVersion(
@@ -348,4 +348,12 @@
         "min(limit_bytes, self.max_bytes - self.held_bytes)",
         _BUDGET_TESTS,
     ),
+    WrongVersion(
+        "MEMORY",
+        "what was forwarded of an answer stays in memory",
+        f"{_REQUESTS}/callers/answer_writer.py",
+        "_NOT_FORWARDED_TO_CALLERS], reply.answer.chunks",
+        "_NOT_FORWARDED_TO_CALLERS], [*reply.answer.chunks]",
+        ("tests.test_answer_chunks",),
+    ),
 )
