--- a/sprucewinch/gateway/lifecycle/shutdown.py
+++ b/sprucewinch/gateway/lifecycle/shutdown.py
@@ -7,15 +7,16 @@
 and monotonic time in seconds.
 
 The VM first announces the stop to all VMs. It goes on serving callers that still have its address
-cached, and closes each connection after its next answer. Then it accepts no more connections and
-waits until all have ended. Requests that are still in flight shortly before the grace period ends
-get a final answer.
+cached, and closes each connection after the last of its requests that have begun
+(`net.connection_turn`): a request that was passed on is not cut by the answer before it. Then it
+accepts no more connections and waits until all have ended. Requests that are still in flight
+shortly before the grace period ends get a final answer.
 
 The wait is for connections and not for requests: when it ended with the last request in flight,
 only 3,995,638 of the 8,000,000 bytes of an answer reached a caller that read slowly
-(docs/FINDINGS.md). The count `in_flight` does not show this, as a request is complete once its
-answer is in the connection's buffer. The wait ends `_STOP_MARGIN_S` before the grace period does,
-and whatever a caller has not read when the process ends is cut off.
+(docs/FINDINGS.md). The count `in_flight` shows this only in part, as a request is complete once the
+last of its answer is in the connection's buffer. The wait ends `_STOP_MARGIN_S` before the grace
+period does, and whatever a caller has not read when the process ends is cut off.
 
 The constants are `_STOP_ACCEPTING_AFTER_S`, `_STOP_MARGIN_S`, `_FINAL_ANSWERS_TIMEOUT_S` and
 `_POLL_INTERVAL_S`. The events `stopping` and `stop`, each with `in_flight`, report a stop. Tests:
--- a/sprucewinch/gateway/requests/app.py
+++ b/sprucewinch/gateway/requests/app.py
@@ -121,7 +121,7 @@
         return configuration.limits if configuration else CallerLimits()
 
     def stop(self) -> None:
-        """Close each connection after its next answer from now on."""
+        """From now on, read no further requests of a connection that answers, and close it."""
         self.stopping = True
 
     def abort_all(self) -> None:
