--- a/tests/test_pipelined_protocol.py
+++ b/tests/test_pipelined_protocol.py
@@ -23,6 +23,7 @@
     settle,
     whole,
 )
+from .test_unread_answers import Memory
 
 Play = Callable[[ScriptedApp], Coroutine[Any, Any, None]]
 
@@ -493,6 +494,36 @@
             sent += whole(path)
         return sent
 
+    @settings(max_examples=150, deadline=None)
+    @given(st.data())
+    def test_whatever_the_caller_reads_when_it_gets_all_answers_in_order(
+        self, data: st.DataObject
+    ) -> None:
+        play(lambda app: self._any_reading(app, data))
+
+    async def _any_reading(self, app: ScriptedApp, data: st.DataObject) -> None:
+        count = data.draw(st.integers(1, 12), label="requests")
+        at_once = data.draw(st.integers(1, 4), label="at once")
+        paths = [f"/{number}" for number in range(count)]
+        one = OneConnection(app, max_at_once=at_once, memory=Memory())
+        one.transport.stalled = True
+        sent = b"".join(get(path) for path in paths)
+        split = data.draw(st.integers(0, len(sent)), label="split")
+        one.receive(sent[:split])
+        for path in data.draw(st.permutations(paths), label="order of the ends"):
+            app.end(path)
+            await settle()
+            one.transport.read(data.draw(st.integers(0, 120), label="read"))
+            await pass_time(data.draw(st.sampled_from((0.0, 0.3)), label="time"))
+        one.receive(sent[split:])
+        one.transport.stalled = False
+        for _ in range(3 * count):
+            one.transport.read()
+            await pass_time(0.3)
+        self.assertEqual(one.written, b"".join(whole(path) for path in paths))
+        self.assertTrue(one.transport.reads)
+        self.assertEqual(one.protocol.memory.held, 0)
+
     @settings(max_examples=150, deadline=None)
     @given(st.data())
     def test_a_stop_at_any_moment_cuts_nothing_that_has_begun(self, data: st.DataObject) -> None:
