Divide the room of a service only once it is full, by what callers ask for here

Cause: each VM counted on an even part of the slots.

Change: while the recent figures of all servers of the service show less than 0.7 requests a slot, everything is sent, and the VM learns its part from what it asks for beside what the servers hold; after that the part follows the queues as before.

--- a/sprucewinch/gateway/requests/admission/gate.py
+++ b/sprucewinch/gateway/requests/admission/gate.py
@@ -33,12 +33,15 @@
 from .returning import ReturningCallers
 from .room_request import RoomRequest
 from .sent_part import FleetPart, bearable_slots, is_idle, queue_deviation, sent_part, trust
-from .service_rate import ServiceRates
+from .service_rate import ServiceCapacity, ServiceRates
 from .turn import Turn
 
 _MIN_LEFT_FRACTION = 0.1
 """Least part of the room that counts as left by more urgent kinds, so that times stay finite."""
 
+_MIN_SLOTS = 0.001
+"""Smallest part of a service's slots that counts as this VM's; keeps quotients finite."""
+
 _RATE_DIGITS = 2
 """Decimal places of rates and slots in `/state`."""
 
@@ -176,7 +179,7 @@
         self._counts(ask).refused.add(1.0, now)
         state = self._state(ask)
         first = ask.kind._replace(history=CallerHistory.RETURNING.value)
-        slots = self._own_slots(ask, now)
+        slots = self._own_slots(ask, self._capacity(ask, now))
         left = slots - state.demand.wanted(first, now).ahead
         retry_after_s = self.return_times.retry_after_room_s(
             (ask.service, *first),
@@ -216,20 +219,27 @@
         wanted = state.demand.wanted(ask.kind, now)
         reference = reference_s(ask.asked(now), ask.room)
         deviation = trust(estimate) * queue_deviation(estimate, reference)
-        bearable = bearable_slots(self._own_slots(ask, now), deviation)
-        overload = wanted.total >= bearable
-        state.part.update(deviation, refuses=overload, now=now)
+        capacity = self._capacity(ask, now)
+        asked = wanted.total / max(_MIN_SLOTS, self._rates.even_slots(capacity))
+        state.part.update(asked, capacity.utilization, deviation, now)
+        if state.part.has_room:
+            request.turn = Turn()
+            return
+        bearable = bearable_slots(self._own_slots(ask, capacity), deviation)
         request.turn = Turn(
             come=counts.take_turn(sent_part(wanted, bearable)) or is_idle(estimate),
             urgent_first=wanted.ahead > 0.0,
             crowded_out=wanted.ahead >= bearable,
-            overload=overload,
+            overload=wanted.total >= bearable,
         )
 
-    def _own_slots(self, ask: RoomRequest, now: float) -> float:
+    def _capacity(self, ask: RoomRequest, now: float) -> ServiceCapacity:
+        assert self.estimates is not None
+        return self._rates.capacity(ask.service, ask.route, self.estimates, now)
+
+    def _own_slots(self, ask: RoomRequest, capacity: ServiceCapacity) -> float:
         """Return this VM's part of the slots of a service."""
-        even = self._rates.even_slots(ask.service, ask.route, self.estimates, now)
-        return even * self._state(ask).part.value
+        return self._rates.even_slots(capacity) * self._state(ask).part.value
 
     def _counts(self, ask: RoomRequest) -> KindCounts:
         return self._state(ask).demand.counts(ask.kind)
--- a/sprucewinch/gateway/requests/admission/sent_part.py
+++ b/sprucewinch/gateway/requests/admission/sent_part.py
@@ -9,8 +9,8 @@
 so does every other VM: where all of them send while the queue looks short and stop when it looks
 long, it swings between empty and too long. What callers ask for is known at once. The queue
 corrects: a longer one than `queue_reference_s` lowers the part, a shorter one raises it, by more
-the newer the figure is. How many callers come to this VM and not to others is learned from it too
-(`FleetPart`): while the servers have room and this VM would refuse, its part grows.
+the newer the figure is. How many callers come to this VM and not to others is learned from what
+servers hold (`FleetPart`). While the service as a whole has room, everything is sent.
 
 Inputs are slots, estimates with their age, and times in seconds. The load that the rule answers is
 1.6 times what servers bear in two kinds, seen by 4 to 75 VMs. The result shows as the reasons
@@ -46,6 +46,17 @@
 _MAX_STEP_S = 0.25
 """Longest time between two requests that counts as one step of the drift, in seconds."""
 
+_FULL_UTILIZATION = 0.7
+"""Requests per slot of all servers of a service from which its room is divided. Below, queues at
+single servers are due to their objects and not to a lack of room."""
+
+_UTILIZATION_DECAY_S = 0.5
+"""Time after which an older figure of the whole service counts 1/e, in seconds."""
+
+_MIN_UTILIZATION = 0.2
+"""Least utilization that shows this VM's part. Below it there are too few requests, and when a
+load begins, callers have asked before servers are seen to work."""
+
 _PART_RANGE = (0.25, 16.0)
 """Least and greatest part of this VM, in even parts of the fleet."""
 
@@ -99,31 +110,53 @@
 
 
 class FleetPart:
-    """This VM's part of the slots of a service, in even parts of the fleet."""
+    """This VM's part of the slots of a service, in even parts of the fleet.
+
+    While the service as a whole has room, what this VM asks for beside what its servers hold shows
+    whether more callers come here than to others. Once it has none, that figure says no more than
+    what was sent, and the part follows the queues instead.
+    """
 
-    __slots__ = ("_at", "value")
+    __slots__ = ("_at", "_utilization", "value")
 
     def __init__(self) -> None:
         self.value = 1.0
-        self._at = 0.0
+        self._utilization = 0.0
+        self._at = float("-inf")
 
-    def update(self, deviation: float, *, refuses: bool, now: float) -> None:
-        """Follow the queue of a server.
+    @property
+    def has_room(self) -> bool:
+        """Return whether the service as a whole has room for all that is asked for."""
+        return self._utilization < _FULL_UTILIZATION
+
+    def update(self, asked: float, utilization: float, deviation: float, now: float) -> None:
+        """Follow the figures of servers.
 
         Args:
-            deviation: How much shorter the queue is than the reference, in references.
-            refuses: True if this VM's callers ask for more than its part.
+            asked: What this VM's callers ask for, in even parts of the service's slots.
+            utilization: Requests per slot that all servers of the service hold.
+            deviation: How much shorter the queue of one server is than the reference, in
+                references.
             now: Monotonic time, in seconds.
         """
-        step_s = min(_MAX_STEP_S, now - self._at)
+        step_s = now - self._at
         self._at = now
-        if refuses or deviation < 0.0:
-            self.value *= math.exp(_DRIFT_PER_S * deviation * step_s)
+        self._utilization += (utilization - self._utilization) * _weight(
+            step_s, _UTILIZATION_DECAY_S
+        )
+        step_s = min(_MAX_STEP_S, step_s)
+        if self.has_room:
+            seen = max(1.0, asked / max(_MIN_UTILIZATION, self._utilization))
+            self.value += (seen - self.value) * _weight(step_s, 1 / _DRIFT_PER_S)
         else:
-            self.value = 1.0 + (self.value - 1.0) * math.exp(-_DRIFT_PER_S * step_s)
+            self.value *= math.exp(_DRIFT_PER_S * deviation * step_s)
         self.value = min(max(self.value, _PART_RANGE[0]), _PART_RANGE[1])
 
 
+def _weight(step_s: float, decay_s: float) -> float:
+    return 1.0 - math.exp(-step_s / decay_s)
+
+
 def bearable_slots(own_slots: float, deviation: float) -> float:
     """Return how many slots this VM may keep busy now.
 
--- a/sprucewinch/gateway/requests/admission/service_rate.py
+++ b/sprucewinch/gateway/requests/admission/service_rate.py
@@ -6,26 +6,40 @@
 `sent_part.FleetPart` corrects that where they don't.
 
 Inputs are the offered servers of a service in the regions that a route allows, their estimates, the
-number of VMs, and monotonic times in seconds. The sum over all servers is kept for `_KEPT_S`. The
-result bounds what is sent under overload and spaces the return times of refused callers (`gate`).
+number of VMs, and monotonic times in seconds. The sums over all servers are kept for `_KEPT_S`.
+They bound what is sent under overload and space the return times of refused callers (`gate`).
 Tests: tests/test_gateway_admission_gate.py.
 """
 
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 from ...estimates.server_estimate import ServerEstimates
+from ...estimates.service_room import sum_room
 from ...resources import Route
 from ...servers.backend_registry import BackendRegistry
 
 _KEPT_S = 0.25
 """Time for which a sum over all servers is used again, in seconds; paces change that often."""
 
+_RECENT_S = 2.0
+"""Age up to which a figure says something of a server's load, in seconds."""
+
 _MIN_PACE = 0.05
 """Smallest pace that counts; a smaller one is a fault of an estimate."""
 
 
-class _Slots(NamedTuple):
+class ServiceCapacity(NamedTuple):
+    """What the servers of a service that a route may use bear together.
+
+    Args:
+        slots: Their slots, as many as of usual pace would do the same work.
+        utilization: Requests that they hold per slot, running and waiting, by recent figures; 0
+            without any.
+        until: Monotonic time until which the figures are used, in seconds.
+    """
+
     slots: float
+    utilization: float
     until: float
 
 
@@ -36,41 +50,42 @@
         registry: Backend servers.
     """
 
-    __slots__ = ("_slots", "registry")
+    __slots__ = ("_capacities", "registry")
 
     def __init__(self, registry: BackendRegistry) -> None:
         self.registry = registry
-        self._slots: dict[tuple[str, tuple[str, ...]], _Slots] = {}
+        self._capacities: dict[tuple[str, tuple[str, ...]], ServiceCapacity] = {}
 
-    def even_slots(
-        self, service: str, route: Route, estimates: Optional[ServerEstimates], now: float
-    ) -> float:
-        """Return an even part of the slots of a service, counted as slots of usual pace.
+    def capacity(
+        self, service: str, route: Route, estimates: ServerEstimates, now: float
+    ) -> ServiceCapacity:
+        """Return what the servers of a service bear together.
 
         Args:
             service: Name of the service.
             route: Route whose regions may be used.
-            estimates: Estimates of its servers; None if there are none.
+            estimates: Estimates of its servers.
             now: Monotonic time, in seconds.
         """
         key = (service, route.regions)
-        kept = self._slots.get(key)
+        kept = self._capacities.get(key)
         if kept is None or kept.until <= now:
-            kept = self._slots[key] = _Slots(
-                self._sum(service, route, estimates, now), now + _KEPT_S
-            )
-        return kept.slots / max(1, self.registry.vm_count())
+            kept = self._capacities[key] = self._sum(service, route, estimates, now)
+        return kept
+
+    def even_slots(self, capacity: ServiceCapacity) -> float:
+        """Return an even part of the slots of a service for each VM."""
+        return capacity.slots / max(1, self.registry.vm_count())
 
     def _sum(
-        self, service: str, route: Route, estimates: Optional[ServerEstimates], now: float
-    ) -> float:
-        slots = 0.0
-        for server in self.registry.offered(service):
-            backend = server.backend
-            if route.regions and self.registry.regions.get(backend.hall) not in route.regions:
-                continue
-            pace = 1.0
-            if estimates is not None:
-                pace = max(_MIN_PACE, estimates.estimate(backend, route.name, "", now).pace)
-            slots += backend.capacity / pace
-        return slots
+        self, service: str, route: Route, estimates: ServerEstimates, now: float
+    ) -> ServiceCapacity:
+        found = [
+            estimates.estimate(server.backend, route.name, "", now)
+            for server in self.registry.offered(service)
+            if not route.regions or self.registry.regions.get(server.backend.hall) in route.regions
+        ]
+        slots = sum(estimate.slots / max(_MIN_PACE, estimate.pace) for estimate in found)
+        recent = sum_room((e for e in found if e.age_s <= _RECENT_S), _RECENT_S)
+        utilization = recent.utilization if recent.slots else 0.0
+        return ServiceCapacity(slots, utilization, now + _KEPT_S)
