--- a/sprucewinch/gateway/requests/admission/admission.py
+++ b/sprucewinch/gateway/requests/admission/admission.py
@@ -90,7 +90,7 @@
     if room.estimate.answer_s > asked.left_s:
         return AdmissionVerdict(False, AdmissionReason.DEADLINE_MISSED)
     spare_s = asked.target_s - room.work_s
-    wait_s = faded(room.estimate, reference_s(asked, room)).wait_s
+    wait_s = faded(room.estimate, _reference_s(asked, room)).wait_s
     if wait_s > spare_s and not (asked.may_return and spare_s >= MIN_RETRY_AFTER_S):
         return _decide_late(asked, room)
     if wait_s > spare_s:
@@ -103,7 +103,7 @@
     return AdmissionVerdict(False, _not_sent(asked, room), wait_s=left_s if waits else 0.0)
 
 
-def reference_s(asked: Asked, room: RoomThere) -> float:
+def _reference_s(asked: Asked, room: RoomThere) -> float:
     """Return the wait at servers that is aimed at under full load, in seconds."""
     return queue_reference_s(asked.first_target_s - room.work_s, room.work_s)
 
@@ -120,7 +120,7 @@
 def _has_room_for_late(asked: Asked, room: RoomThere) -> bool:
     """Return whether a late answer delays none that would be in time."""
     if asked.first_target_s - room.work_s < MIN_RETRY_AFTER_S:
-        return room.estimate.wait_s <= reference_s(asked, room)
+        return room.estimate.wait_s <= _reference_s(asked, room)
     if asked.turn.overload:
         return is_idle(room.estimate)
     return room.estimate.wait_s <= 0.0
--- a/sprucewinch/gateway/requests/admission/demand.py
+++ b/sprucewinch/gateway/requests/admission/demand.py
@@ -136,7 +136,10 @@
 
     def counts(self, kind: Kind) -> KindCounts:
         """Return the counts of a kind."""
-        return self.by_kind.setdefault(kind, KindCounts())
+        counts = self.by_kind.get(kind)
+        if counts is None:
+            counts = self.by_kind[kind] = KindCounts()
+        return counts
 
     def wanted(self, kind: Kind, now: float) -> Wanted:
         """Return what a kind, more urgent ones and all kinds ask for, in slots."""
--- a/sprucewinch/gateway/requests/admission/gate.py
+++ b/sprucewinch/gateway/requests/admission/gate.py
@@ -28,7 +28,7 @@
 from ...state.store_view import Change
 from ..client_request import CallerHistory, ClientRequest
 from ..outcome.return_times import RetryAfterTimes
-from .admission import decide, reference_s
+from .admission import decide
 from .demand import Kind, KindCounts, ServiceDemand
 from .returning import ReturningCallers
 from .room_request import RoomRequest
@@ -217,8 +217,7 @@
         state = self._state(ask)
         counts = state.demand.record_asked(ask.kind, estimate.work_s, now)
         wanted = state.demand.wanted(ask.kind, now)
-        reference = reference_s(ask.asked(now), ask.room)
-        deviation = trust(estimate) * queue_deviation(estimate, reference)
+        deviation = trust(estimate) * queue_deviation(estimate, ask.queue_reference_s)
         capacity = self._capacity(ask, now)
         asked = wanted.total / max(_MIN_SLOTS, self._rates.even_slots(capacity))
         state.part.update(asked, capacity.utilization, deviation, now)
@@ -245,4 +244,7 @@
         return self._state(ask).demand.counts(ask.kind)
 
     def _state(self, ask: RoomRequest) -> ServiceState:
-        return self.services.setdefault(ask.service, ServiceState())
+        state = self.services.get(ask.service)
+        if state is None:
+            state = self.services[ask.service] = ServiceState()
+        return state
--- a/sprucewinch/gateway/requests/admission/room_request.py
+++ b/sprucewinch/gateway/requests/admission/room_request.py
@@ -21,6 +21,7 @@
 from ..outcome.return_times import MIN_RETRY_AFTER_S
 from .admission import Asked, RoomThere
 from .demand import MAX_STEPS, Kind
+from .sent_part import queue_reference_s
 from .turn import Turn
 
 MAX_RETURN_FRACTION = 1 / 3
@@ -65,25 +66,44 @@
         ahead = self.server.room.count_ahead_of(queue_position(self.request, self.route))
         return RoomThere(self.estimate, ahead, self.server.in_flight)
 
+    @property
+    def work_s(self) -> float:
+        """Return the expected time of the request's work at the server, in seconds."""
+        return self.estimate.work_s * self.estimate.pace
+
+    @property
+    def first_target_s(self) -> float:
+        """Return the time within which a first attempt's answer counts in full, in seconds."""
+        target_s = self.route.latency_target_s
+        return DEFAULT_LATENCY_TARGET_S if target_s is None else target_s
+
+    @property
+    def queue_reference_s(self) -> float:
+        """Return the wait at servers that is aimed at under full load, in seconds."""
+        return queue_reference_s(self.first_target_s - self.work_s, self.work_s)
+
+    def target_s(self, now: float) -> float:
+        """Return the time within which its answer counts in full, in seconds from now."""
+        request = self.request
+        return request.arrived_at - request.tried_for_s + self.first_target_s - now
+
     def asked(self, now: float) -> Asked:
         """Return the request as the rule sees it at a monotonic time, in seconds."""
         request = self.request
         returned = request.history is CallerHistory.RETURNING
         left_at_return_s = request.deadline - now - _EARLIEST_RETURN_S
         may_return = not (returned or request.possible_runs())
-        target_s = self.route.latency_target_s
-        first_target_s = DEFAULT_LATENCY_TARGET_S if target_s is None else target_s
         return Asked(
-            target_s=request.arrived_at - request.tried_for_s + first_target_s - now,
+            target_s=self.target_s(now),
             left_s=hold_time(request, self.route).until - now,
-            first_target_s=first_target_s,
-            may_return=may_return and left_at_return_s >= self.room.work_s,
+            first_target_s=self.first_target_s,
+            may_return=may_return and left_at_return_s >= self.work_s,
             may_wait=not request.attempts,
             turn=request.turn or Turn(),
         )
 
     def latest_return_s(self, now: float) -> float:
         """Return when its caller has to be back, in seconds from now."""
-        in_time_s = self.asked(now).target_s - self.room.work_s
+        in_time_s = self.target_s(now) - self.work_s
         latest_s = (self.request.deadline - now) * MAX_RETURN_FRACTION
         return min(latest_s, in_time_s) if in_time_s >= MIN_RETRY_AFTER_S else latest_s
