--- a/sprucewinch/gateway/requests/admission/gate.py
+++ b/sprucewinch/gateway/requests/admission/gate.py
@@ -123,9 +123,14 @@
         registry.store_view.listeners.append(self._on_change)
 
     def _on_change(self, change: Change) -> None:
-        """Forget routes that a new configuration no longer has."""
-        if isinstance(change.after, RouteConfiguration):
-            self._returning.forget_others({route.name for route in change.after.routes})
+        """Forget routes and services that a new configuration no longer has."""
+        if not isinstance(change.after, RouteConfiguration):
+            return
+        routes = change.after.routes
+        self._returning.forget_others({route.name for route in routes})
+        named = {part.service for route in routes for part in route.parts}
+        self.services = {name: state for name, state in self.services.items() if name in named}
+        self._rates.forget()
 
     def ask(
         self, server: BackendServer, request: ClientRequest, route: Route, now: float
--- a/sprucewinch/gateway/requests/admission/service_rate.py
+++ b/sprucewinch/gateway/requests/admission/service_rate.py
@@ -73,6 +73,10 @@
             kept = self._capacities[key] = self._sum(service, route, estimates, now)
         return kept
 
+    def forget(self) -> None:
+        """Drop the sums, as services may be gone."""
+        self._capacities.clear()
+
     def even_slots(self, capacity: ServiceCapacity) -> float:
         """Return an even part of the slots of a service for each VM."""
         return capacity.slots / max(1, self.registry.vm_count())
--- a/tests/test_gateway_admission_gate.py
+++ b/tests/test_gateway_admission_gate.py
@@ -11,7 +11,7 @@
 from sprucewinch.gateway.requests.choice.room import queue_position
 from sprucewinch.gateway.requests.client_request import CallerHistory, ClientRequest, RefusalReason
 from sprucewinch.gateway.requests.outcome.return_times import MIN_RETRY_AFTER_S
-from sprucewinch.gateway.resources import BackendEntry
+from sprucewinch.gateway.resources import BackendEntry, WeightedService
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
 from .estimate_fakes import StatedEstimates, estimate
@@ -103,6 +103,16 @@
 
         run_virtual(main)
 
+    def test_a_new_configuration_drops_what_it_no_longer_has(self) -> None:
+        path = GateFixture()
+        path.verdict(_request())
+        path.world.configure(path.route)
+        self.assertEqual(list(path.gate.services), ["rates"])
+        self.assertEqual(list(path.gate._returning.by_route), ["r1"])
+        other = route(name="r2", parts=(WeightedService("other", 1.0),))
+        path.world.configure(other, version=2)
+        self.assertEqual((path.gate.services, path.gate._returning.by_route), ({}, {}))
+
 
 class Histories(unittest.TestCase):
     def test_a_returning_caller_is_counted_and_goes_first(self) -> None:
--- a/tools/wrong_version_list.py
+++ b/tools/wrong_version_list.py
@@ -496,4 +496,12 @@
         "if False:",
         ("tests.test_gateway_registration",),
     ),
+    WrongVersion(
+        "REFUSED",
+        "a request that timed out at its server counts as one that was never sent",
+        f"{_GATEWAY}/requests/sender.py",
+        "            if not request.at_server:",
+        "            if True:",
+        ("tests.test_gateway_hold_time",),
+    ),
 )
