The soak learns requests sent together, downloads, slow readers and stated loads

MEMORY: the VM grows by 100 MiB at most. - StateLoad: four figures, a pace that changes twice a second and that work follows, and values that cannot be read. The stand-in server can state a load, work at a pace and spoil chosen answers.

Answers that change places, one too many, bytes that are none and an answer behind a closing one are seen as MIXED by test_soak_callers; that test also found that an answer cut short counted as surplus, mended.

--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -92,6 +92,10 @@
         arrived: Arrival time and id of each request.
         answered: All answers that the server wrote.
         says: Headers added to every answer, those to probes included.
+        states_load: Returns the value of `X-Server-Load`, read at each answer; None for no header.
+        pace_percent: How long its work takes now, in per cent of its usual time.
+        spoil_of: Returns the defect of a run's answer while the script has none.
+        spoilt: Defect of the last spoilt answer to each request, by the request's id.
         turns_away: Returns True to refuse the next request with status 503 and `rest` as
             `Retry-After`.
         turns_probes_away: True to refuse probes in the same way.
@@ -128,6 +132,10 @@
         self.turns_probes_away = False
         self.misdirected_not_run = False
         self.says: dict[str, str] = {}
+        self.states_load: Optional[Callable[[], str]] = None
+        self.pace_percent = 100.0
+        self.spoil_of: Callable[[Run], Spoil] = _spoil_none
+        self.spoilt: dict[str, Spoil] = {}
         self.turns_away: Callable[[], bool] = _refuse_none
         self.rest = ""
         self.open: set[asyncio.Transport] = set()
@@ -153,9 +161,12 @@
         )
         self.answered.append(answer)
 
-    def next_spoil(self) -> Spoil:
-        """Take the next defect from the script; `Spoil.NONE` when the script is used up."""
-        return self.spoils.pop(0) if self.spoils else Spoil.NONE
+    def next_spoil(self, run: Run) -> Spoil:
+        """Return the defect of a run's answer: the script's next one, else that of `spoil_of`."""
+        spoil = self.spoils.pop(0) if self.spoils else self.spoil_of(run)
+        if spoil is not Spoil.NONE:
+            self.spoilt[run.request_id] = spoil
+        return spoil
 
     def turn_cold(self, seconds: float) -> None:
         """Be slow for some seconds, as after a start, and report the time left to probes."""
@@ -169,7 +180,7 @@
     def work_now_s(self) -> float:
         """Return the duration of a run that begins now, in seconds."""
         cold = self.loop.time() < self.cold_until
-        return self.work_s * (self.cold_factor if cold else 1.0)
+        return self.work_s * (self.cold_factor if cold else 1.0) * self.pace_percent / 100
 
     def reset(self) -> None:
         """Reset all open connections."""
@@ -187,6 +198,11 @@
     return False
 
 
+def _spoil_none(_run: Run) -> Spoil:
+    """Spoil no answer."""
+    return Spoil.NONE
+
+
 def _ignore_run(_run: Run) -> None:
     """Do nothing when a run begins."""
 
@@ -287,7 +303,7 @@
             await asyncio.sleep(server.work_now_s())
         finally:
             server.running -= 1
-        self._answer(run, server.next_spoil())
+        self._answer(run, server.next_spoil(run))
 
     def _answer(self, run: Run, spoil: Spoil) -> None:
         assert self.transport is not None
@@ -345,6 +361,8 @@
         self.server.note_answer(request_id, status, rests="Retry-After" in extra)
         head = f"HTTP/1.1 {status} X\r\nX-Request-Id: {request_id}\r\n{extra}"
         head += "".join(f"{name}: {value}\r\n" for name, value in self.server.says.items())
+        if self.server.states_load is not None:
+            head += f"X-Server-Load: {self.server.states_load()}\r\n"
         if signed:
             head += f"X-Response-Signature: {self.server.server_id}.{request_id}\r\n"
         if framed:
--- a/tools/soak/backend_servers.py
+++ b/tools/soak/backend_servers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import zlib
 from collections import Counter
 from collections.abc import Iterator
 
@@ -14,6 +15,7 @@
 from standins.relay import Relay
 from standins.scripted_server import Run, ScriptedServer
 
+from .configuration import DOWNLOADS
 from .ledger import Leaving, Ledger
 from .wiring import Wiring
 
@@ -53,9 +55,19 @@
 """Warm-up time of a restarted or replaced server, in seconds."""
 
 
+_DOWNLOAD_BYTES = 90_000
+"""Size of the smallest download; the largest is `_DOWNLOAD_SIZES` times as large."""
+
+_DOWNLOAD_SIZES = 6
+
+
 def body_of(run: Run) -> bytes:
     """Return the answer body that belongs to one request only."""
-    return f"answer to {run.request_id} ".encode() * (1 + len(run.request_id) % 7)
+    piece = f"answer to {run.request_id} ".encode()
+    if not run.target.startswith(f"/{DOWNLOADS}/"):
+        return piece * (1 + len(run.request_id) % 7)
+    size = _DOWNLOAD_BYTES * (1 + zlib.crc32(piece) % _DOWNLOAD_SIZES)
+    return (piece * (size // len(piece) + 1))[:size]
 
 
 class SoakServer:
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -25,7 +25,7 @@
 _LOOKUP_TIMEOUT_S = 1.0
 """Timeout of one look-up, in seconds. Bound of the platform's callers."""
 
-_REQUEST_TIMEOUT_S = ROUTE_TIMEOUT_S + 3.0
+REQUEST_TIMEOUT_S = ROUTE_TIMEOUT_S + 3.0
 """Timeout of a request, in seconds: the route's timeout and a margin."""
 
 _KEEPALIVE_S = 30
@@ -78,7 +78,7 @@
     async def run(self) -> None:
         """Send requests until cancelled."""
         connector = aiohttp.TCPConnector(keepalive_timeout=_KEEPALIVE_S)
-        timeout = aiohttp.ClientTimeout(total=_REQUEST_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
         async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
             while True:
                 rate = RATE_PER_S * self.world.rate_factors.get(self.workspace, 1.0)
@@ -140,14 +140,7 @@
     async def _exchange(self, session: aiohttp.ClientSession, attempt: Attempt) -> None:
         """Send the request of an attempt, read the answer and judge it."""
         is_booking = attempt.route == BOOK
-        headers = {
-            "Host": HOST,
-            "X-Request-Id": attempt.request_id,
-            "X-Request-Deadline-Ms": str(int(_REQUEST_TIMEOUT_S * _MS_PER_S)),
-            "Cookie": f"X-Affinity-Key={self.rng.randrange(_AFFINITY_KEYS)}",
-            "Api-Key": attempt.key,
-            "X-Tenant-Name": "forged",
-        }
+        headers = headers_of(attempt, self.rng)
         method = "POST" if is_booking else "GET"
         data = b"x" * self.rng.choice(_BODY_SIZES) if is_booking else None
         url = self.world.vms[attempt.vm].url("Front", f"/{attempt.route}/{self.sent}")
@@ -155,3 +148,15 @@
             body = await response.read()
         attempt.end, attempt.status = End.ANSWERED, response.status
         judge_answer(self.world.ledger, attempt, body, response.headers)
+
+
+def headers_of(attempt: Attempt, rng: random.Random) -> dict[str, str]:
+    """Return the headers of an attempt's request, for one of the objects at random."""
+    return {
+        "Host": HOST,
+        "X-Request-Id": attempt.request_id,
+        "X-Request-Deadline-Ms": str(int(REQUEST_TIMEOUT_S * _MS_PER_S)),
+        "Cookie": f"X-Affinity-Key={rng.randrange(_AFFINITY_KEYS)}",
+        "Api-Key": attempt.key,
+        "X-Tenant-Name": "forged",
+    }
--- a/tools/soak/configuration.py
+++ b/tools/soak/configuration.py
@@ -20,6 +20,9 @@
 RATES, BOOK = "rates", "book"
 """Routes of every version; requests of `RATES` may run twice, those of `BOOK` only once."""
 
+DOWNLOADS = "files"
+"""Added route of large answers, whose requests may run twice."""
+
 STANDING_ROUTES = (RATES, BOOK)
 """Routes that every version has."""
 
@@ -47,6 +50,9 @@
 QUOTA_SLACK = 20.0
 """Further requests that may exceed it. Bound `QuotaSlack` of the platform's example."""
 
+_ROUTE_TYPES = {BOOK: "unsafe", DOWNLOADS: "download"}
+"""Types of the routes that are not `safe`."""
+
 _FIRST_VERSION = 3
 """Number before that of the first version; versions need not begin at 1."""
 
@@ -116,7 +122,7 @@
     return {
         "Name": name,
         "PathPrefix": f"/{name}/",
-        "RouteType": "unsafe" if name == BOOK else "safe",
+        "RouteType": _ROUTE_TYPES.get(name, "safe"),
         "Timeout": f"{ROUTE_TIMEOUT_S:g}s",
         "Service": service,
         "MaxAttempts": 1 if name == BOOK else 2,
--- a/tools/soak/ledger.py
+++ b/tools/soak/ledger.py
@@ -23,6 +23,9 @@
 EVERYBODY = "everybody"
 """Scope of a trouble that affects all entry VMs, such as a pause of the soak's own process."""
 
+CALLERS = "callers"
+"""Scope of what callers do; it excuses no entry VM either."""
+
 START = "start"
 """Name of the trouble that is recorded for an entry VM from its start until it is ready."""
 
@@ -34,6 +37,7 @@
     UNREACHED = "no connection"
     CLOSED = "closed without an answer"
     LATE = "no answer in time"
+    UNREAD = "behind an answer that closed the connection"
 
 
 class Attempt:
@@ -45,13 +49,32 @@
         vm: Entry VM to which the request was sent.
         sent_at: When the request was sent, as monotonic time in seconds.
         key: API key of the request; empty for none.
+        behind: True when it was sent on a connection behind another one without an answer.
     """
 
-    __slots__ = ("end", "ended_at", "key", "request_id", "route", "sent_at", "status", "vm")
+    __slots__ = (
+        "behind",
+        "end",
+        "ended_at",
+        "key",
+        "request_id",
+        "route",
+        "sent_at",
+        "status",
+        "vm",
+    )
 
     def __init__(
-        self, request_id: str, route: str, vm: str, sent_at: float, *, key: str = ""
+        self,
+        request_id: str,
+        route: str,
+        vm: str,
+        sent_at: float,
+        *,
+        key: str = "",
+        behind: bool = False,
     ) -> None:
+        self.behind = behind
         self.key = key
         self.request_id = request_id
         self.route = route
@@ -116,6 +139,20 @@
     rule: str
 
 
+class MemoryUse(NamedTuple):
+    """Memory of an entry VM while callers read slowly or not at all.
+
+    Args:
+        vm: The entry VM.
+        before_mb: Its memory before that, in MiB.
+        most_mb: Its largest memory meanwhile, in MiB.
+    """
+
+    vm: str
+    before_mb: float
+    most_mb: float
+
+
 class CrashingSend(NamedTuple):
     """One attempt to send a request that crashes the backend servers which run it.
 
@@ -149,6 +186,7 @@
         crashes: Times at which servers crashed, by the target of the request that crashed them.
         ends: Time and exit status of each end of a process, by entry VM.
         signalled: Time and number of each signal sent, by entry VM.
+        memory: Memory of entry VMs while callers did not read.
         quiet_from: Time from which no trouble is left and everything has to work.
     """
 
@@ -162,6 +200,7 @@
         self.crashes: dict[str, list[float]] = defaultdict(list)
         self.ends: dict[str, list[tuple[float, int]]] = defaultdict(list)
         self.signalled: dict[str, list[tuple[float, int]]] = defaultdict(list)
+        self.memory: list[MemoryUse] = []
         self.quiet_from = float("inf")
 
     def record_broken(self, rule: str, what: str) -> None:
--- a/tools/soak/promises/answers.py
+++ b/tools/soak/promises/answers.py
@@ -36,7 +36,7 @@
     """Judge one answer, and record the promise that it breaks, if any."""
     request_id, status = attempt.request_id, attempt.status
     if status == HTTPStatus.OK:
-        if not _is_own(request_id, body, headers):
+        if not _is_own(attempt, body, headers):
             ledger.record_broken("MIXED", f"{request_id} got {body[:60]!r}")
     elif status == HTTPStatus.UNAUTHORIZED and attempt.key not in _STANDING_KEYS:
         return  # `workspaces` judges this, as it knows the versions.
@@ -52,6 +52,6 @@
         )
 
 
-def _is_own(request_id: str, body: bytes, headers: Mapping[str, str]) -> bool:
-    run = Run(request_id, "", "", b"", {}, 0.0)
-    return body == body_of(run) and headers.get(_SIGNATURE, "").endswith(f".{request_id}")
+def _is_own(attempt: Attempt, body: bytes, headers: Mapping[str, str]) -> bool:
+    run = Run(attempt.request_id, "", f"/{attempt.route}/", b"", {}, 0.0)
+    return body == body_of(run) and headers.get(_SIGNATURE, "").endswith(f".{run.request_id}")
--- a/tools/soak/promises/evidence.py
+++ b/tools/soak/promises/evidence.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from standins.scripted_server import ScriptedServer
+from standins.scripted_server import ScriptedServer, Spoil
 
 from ..backend_servers import SoakServer
 from ..configuration import KEY_START
@@ -40,6 +40,7 @@
         at: Begin of the run, as monotonic time in seconds.
         workspace: Workspace that the request named to the server; empty for none.
         key_shown: True when an API key reached the server.
+        lost: True when the server lost the answer, or broke it off.
     """
 
     server_id: str
@@ -47,6 +48,7 @@
     at: float
     workspace: str = ""
     key_shown: bool = False
+    lost: bool = False
 
 
 class Evidence(NamedTuple):
@@ -91,6 +93,7 @@
             workspace = run.headers.get(_WORKSPACE_HEADER, "")
             shown = any(KEY_START in value for value in run.headers.values())
             stand_in = server.stand_in
-            seen = Seen(stand_in.server_id, server.service, run.at, workspace, shown)
+            lost = stand_in.spoilt.get(run.request_id) in (Spoil.LOST, Spoil.CUT)
+            seen = Seen(stand_in.server_id, server.service, run.at, workspace, shown, lost)
             runs[run.request_id].append(seen)
     return dict(runs)
--- a/tools/soak/promises/judge.py
+++ b/tools/soak/promises/judge.py
@@ -9,11 +9,12 @@
 from .configuration import in_force, never_older
 from .crashing import rarely_forwarded
 from .evidence import Evidence
+from .large_answers import lost_ones_come_back, memory_is_bounded
 from .leavings import no_requests_after_bound
 from .recovery import recovers
 from .runs import at_most_once, refused_never_ran, right_service
 from .statements import follows_statements
-from .stops import no_end_of_its_own, nothing_cut_off, stops_in_time
+from .stops import closes_no_connection, no_end_of_its_own, nothing_cut_off, stops_in_time
 from .waiting import held_no_longer
 from .workspaces import known_keys, own_name, within_limits
 
@@ -25,6 +26,7 @@
     never_older,
     no_requests_after_bound,
     nothing_cut_off,
+    closes_no_connection,
     held_no_longer,
     no_end_of_its_own,
     stops_in_time,
@@ -34,6 +36,8 @@
     known_keys,
     within_limits,
     follows_statements,
+    lost_ones_come_back,
+    memory_is_bounded,
 )
 
 
--- a/tools/soak/promises/stops.py
+++ b/tools/soak/promises/stops.py
@@ -4,6 +4,7 @@
 """
 
 import signal
+from collections import Counter
 
 from ..ledger import START, Attempt, End, Ledger
 from .evidence import GRACE_S, SLACK_S, Evidence
@@ -14,24 +15,49 @@
 _STOP_MARGIN_S = 1.0
 """Seconds after the grace that still belong to a stop. Bound of the platform's rules."""
 
+_CUT_OFF = (End.CLOSED, End.UNREAD)
+"""Ends of attempts whose connection closed without their answer."""
+
+_MAX_CLOSED = 3
+"""Number of connections that an entry VM may close in calm with a request that ran. Bound of the
+platform's rules."""
+
 _EXPECTED_ENDS = {int(signal.SIGTERM): 0, int(signal.SIGKILL): -int(signal.SIGKILL)}
 """Exit status of a process by the signal that ended it."""
 
 
 def nothing_cut_off(evidence: Evidence) -> None:
-    """Judge planned stops: an entry VM that has read a request answers it."""
+    """Judge planned stops: an entry VM that has read a request answers it.
+
+    One behind another on its connection counts as read once it has run.
+    """
     for attempt in evidence.ledger.attempts:
-        if attempt.end is not End.CLOSED or not _stopping(evidence.ledger, attempt):
+        if attempt.end not in _CUT_OFF or not _stopping(evidence.ledger, attempt):
             continue
         if not evidence.without_faults(attempt.vm, attempt.sent_at, attempt.ended_at):
             continue
         ran = bool(evidence.runs_of(attempt))
         took = attempt.ended_at - attempt.sent_at
-        if ran or took > _LOST_S + SLACK_S:
+        if ran or (took > _LOST_S + SLACK_S and not attempt.behind):
             what = f"{attempt.request_id} at {attempt.vm}: closed after {took:.2f} s, ran {ran}"
             evidence.ledger.record_broken("LOST", what)
 
 
+def closes_no_connection(evidence: Evidence) -> None:
+    """Judge that VMs in touch close no connections on which a request has run without an answer."""
+    closed = Counter(
+        attempt.vm
+        for attempt in evidence.ledger.attempts
+        if attempt.end in _CUT_OFF
+        and evidence.runs_of(attempt)
+        and evidence.in_touch(attempt.vm, attempt.sent_at, attempt.ended_at)
+    )
+    for vm, count in closed.items():
+        if count > _MAX_CLOSED:
+            what = f"{vm} closed {count} connections in calm without the answer of what ran"
+            evidence.ledger.record_broken("LOST", what)
+
+
 def _stopping(ledger: Ledger, attempt: Attempt) -> bool:
     """Return whether an attempt ended while its entry VM stopped as planned."""
     stops = (at for at, number in ledger.signalled[attempt.vm] if number == signal.SIGTERM)
--- a/tools/soak/troubles/kinds.py
+++ b/tools/soak/troubles/kinds.py
@@ -5,6 +5,7 @@
 New kinds therefore go into a list of their own, from which only seeds from some number on draw.
 """
 
+from .callers import Downloads, SendTogether, SlowReaders
 from .operators import Change, Evacuate
 from .processes import (
     ClockStep,
@@ -28,7 +29,7 @@
     SpoilEntry,
     StartAgain,
 )
-from .statements import AskRest, LeaveByWord, LimitItself
+from .statements import AskRest, LeaveByWord, LimitItself, StateLoad
 from .store import CutFromStore, StoreFaulty, StoreForgets, StoreSlow, TurnedAway
 from .trouble import Trouble
 from .workspaces import HotWorkspace, Keys, LowerRate
@@ -83,14 +84,28 @@
 """First seed that draws from `STATEMENT_KINDS` too."""
 
 
+CALLER_KINDS: tuple[type[Trouble], ...] = (
+    SendTogether,
+    SendTogether,
+    SlowReaders,
+    Downloads,
+    StateLoad,
+) * 2
+"""What callers on few connections do, and servers that state how long their work takes."""
+
+FIRST_SEED_OF_CALLER_KINDS = 500_000
+"""First seed that draws from `CALLER_KINDS` too."""
+
+_ADDED = (
+    (FIRST_SEED_OF_ADDED_KINDS, ADDED_KINDS),
+    (FIRST_SEED_OF_CRASH_KINDS, CRASH_KINDS),
+    (FIRST_SEED_OF_WORKSPACE_KINDS, WORKSPACE_KINDS),
+    (FIRST_SEED_OF_STATEMENT_KINDS, STATEMENT_KINDS),
+    (FIRST_SEED_OF_CALLER_KINDS, CALLER_KINDS),
+)
+"""Kinds beside `KINDS`, each with the first seed that draws from them, in this order."""
+
+
 def kinds_of(seed: int) -> tuple[type[Trouble], ...]:
     """Return the kinds from which the day of a seed draws."""
-    if seed < FIRST_SEED_OF_ADDED_KINDS:
-        return KINDS
-    if seed < FIRST_SEED_OF_CRASH_KINDS:
-        return (*KINDS, *ADDED_KINDS)
-    if seed < FIRST_SEED_OF_WORKSPACE_KINDS:
-        return (*KINDS, *ADDED_KINDS, *CRASH_KINDS)
-    if seed < FIRST_SEED_OF_STATEMENT_KINDS:
-        return (*KINDS, *ADDED_KINDS, *CRASH_KINDS, *WORKSPACE_KINDS)
-    return (*KINDS, *ADDED_KINDS, *CRASH_KINDS, *WORKSPACE_KINDS, *STATEMENT_KINDS)
+    return (*KINDS, *(kind for first, kinds in _ADDED if seed >= first for kind in kinds))
--- a/tools/soak/troubles/statements.py
+++ b/tools/soak/troubles/statements.py
@@ -1,4 +1,4 @@
-"""Backend servers that state a limit, that they are leaving, or a `Retry-After` in their answers.
+"""Backend servers that state a limit, that they are leaving, a `Retry-After` or their load.
 
 Owns one class for each kind. The server's own record of answers holds what it stated, by which
 `promises` judges; other troubles may affect the same server meanwhile.
@@ -6,6 +6,8 @@
 
 import asyncio
 
+from standins.scripted_server import ScriptedServer
+
 from ..backend_servers import SoakServer
 from .servers import ServerTrouble
 
@@ -27,6 +29,27 @@
 """Maximum number of servers that a trouble affects at once."""
 
 
+_PACE_INTERVAL_S = 0.5
+"""Seconds between two changes of how long work takes at a server."""
+
+_PACES_PERCENT = (50.0, 400.0)
+"""Range of how long work takes, in per cent of the usual time."""
+
+_UNREADABLE_LOADS = (
+    "a,b,c,d",
+    "-1,0,8,100",
+    "",
+    "3,0,8,100,7",
+    "3,0,8,0",
+    "3,0,8,1e9",
+    "3,0,8,1000000000",
+)
+"""Loads that no VM may fail over: letters, a negative figure, none, five figures, absurd paces."""
+
+_UNREADABLE_PART = 0.3
+"""Probability that a server states such a load until its pace changes."""
+
+
 class StatementTrouble(ServerTrouble):
     """Trouble of backend servers that state nothing yet."""
 
@@ -72,3 +95,34 @@
         for server in chosen:
             server.stand_in.turns_away = lambda: False
             server.stand_in.rest = ""
+
+
+class StateLoad(StatementTrouble):
+    """Some servers state their load and pace, which their work follows; some loads are unreadable.
+
+    Afterwards they work at their usual pace and go on stating their load to the end of the day.
+    """
+
+    async def _inject(self) -> None:
+        chosen = [server.stand_in for server in self.some_servers()]
+        end = self.world.loop.time() + _KNOWN_S + self.for_s
+        while self.world.loop.time() < end:
+            for stand_in in chosen:
+                self._change_pace(stand_in)
+            await asyncio.sleep(_PACE_INTERVAL_S)
+        for stand_in in chosen:
+            stand_in.pace_percent = 100.0
+            stand_in.states_load = lambda stand_in=stand_in: load_of(stand_in)
+
+    def _change_pace(self, stand_in: ScriptedServer) -> None:
+        stand_in.pace_percent = round(self.rng.uniform(*_PACES_PERCENT))
+        unreadable = self.rng.choice(_UNREADABLE_LOADS)
+        if self.rng.random() < _UNREADABLE_PART:
+            stand_in.states_load = lambda: unreadable
+        else:
+            stand_in.states_load = lambda: load_of(stand_in)
+
+
+def load_of(stand_in: ScriptedServer) -> str:
+    """Return a server's load as it states it: running, waiting, slots and pace."""
+    return f"{stand_in.running},0,{stand_in.slots},{stand_in.pace_percent:g}"
