--- a/tests/test_gateway_answer_budget.py
+++ b/tests/test_gateway_answer_budget.py
@@ -15,6 +15,8 @@
 from .pipelined_caller import request
 
 _LARGE_BYTES = 3_000_000
+_MOST_CONNECTIONS = 60
+"""More connections than use up a quarter of 300 MB with one such answer each."""
 
 
 class Recorded(EventLog):
@@ -102,8 +104,10 @@
 
     async def use_up(self) -> list[OneConnection]:
         """Let callers that read nothing use up the budget."""
-        stalled = []
+        stalled: list[OneConnection] = []
         while not self.app.answers.used_up:
+            if len(stalled) == _MOST_CONNECTIONS:
+                raise AssertionError(f"{len(stalled)} unread answers do not use up the budget")
             stalled.append(self.connect(stalled=True))
             stalled[-1].receive(request("large", "/rates/large"))
             await pass_time(0.05)
