--- a/sprucewinch/gateway/requests/choice/server_selection.py
+++ b/sprucewinch/gateway/requests/choice/server_selection.py
@@ -8,23 +8,13 @@
 its attempts, its ranking, its route and the time (monotonic, in seconds).
 
 Where servers report their load and pace, the first usable server is only the first candidate, and
-the request is placed among a few of them by expected answer time (`placement`). What follows holds
-for services whose servers report nothing.
-
-A server under load spills over to the next one in its object's ranking, always the same one, as
-long as that one has spare slots. A server without room does so to a server of any region. One that
-has room but no free slot does so only to a server of its own region, and only if that one keeps the
-object warm or the busy server has at least half as many requests waiting as it has slots. Otherwise
-the request is refused, or it waits (`room`).
-
-A server that does not keep an object warm takes three times as long, and evicts what it does keep
-warm, which slows down further requests. Each object therefore has one server and one fixed
-spillover server, which soon keeps it warm too (docs/CONSTANTS.md).
+the request is placed among a few of them by expected answer time (`placement`). For services whose
+servers report nothing, a server under load spills over to the next one (`spillover`).
 
 The selected server is logged in `sends` of the event `request`, and the values behind a refusal in
 `blocked` of a request that was never sent. The tests are in tests/test_gateway_request_rules.py
-(`Selections`), tests/test_gateway_server_selection.py (`SilentServers`, `Overload`) and
-tests/test_gateway_outliers.py.
+(`Selections`), tests/test_gateway_server_selection.py (`SilentServers`, `Overload`),
+tests/test_gateway_placement.py and tests/test_gateway_outliers.py.
 """
 
 from typing import Optional, Union
@@ -47,22 +37,12 @@
 from .region_moves import RegionMoves
 from .room import no_room_reason
 from .server_order import Ranking
-
-MAX_SPILLOVER_UTILIZATION = 0.5
-"""Fraction of its slots in use below which a server takes spillover from a server of its region."""
-
-MAX_REMOTE_SPILLOVER_UTILIZATION = 0.34
-"""Fraction of its slots in use below which a server takes spillover from a server of another region
-that has no room (docs/CONSTANTS.md)."""
+from .spillover import Spillover
 
 MAX_DENIED_GRANTS = 4
 """Number of rate-limited servers that may deny one request a grant before it asks no more of them.
 Each may cost a round trip to another region, and the caller has to be refused early."""
 
-MIN_COLD_SPILLOVER_LOAD_PER_SLOT = 1.5
-"""Requests per slot of a busy server from which an object spills over to a server that does not
-keep it warm. Below that, the wait for a slot is shorter than the extra time of a cold object."""
-
 
 class ServerSelector:
     """Selects servers from the state held by this VM, without a call to another VM.
@@ -85,7 +65,7 @@
         self.placement = Placement(estimates, moves, registry.regions) if estimates else None
         self.times = registry.times
         self.ejected = outliers.ejected
-        self.keeps_warm = outliers.sent_objects.is_warm
+        self.spillover = Spillover(self._is_usable, outliers.sent_objects.is_warm)
         self.cold_allowance = registry.cold_limit.allowance
 
     def choose(
@@ -160,9 +140,9 @@
         """Return the selection of the first usable server, or of one that it spills over to."""
         no_room = no_room_reason(server, request, route, self.times, now)
         if no_room is not None or server.load(now) >= server.backend.capacity:
-            spillover = self._spillover(request, ranking, service, server, no_room, now)
-            if spillover is not None:
-                return spillover
+            selection = self.spillover.select(request, ranking, service, server, no_room, now)
+            if selection is not None:
+                return selection
         if no_room is not None:
             request.blocked = _blocked(server, no_room, now)
             return RefusalReason.NO_ROOM
@@ -177,14 +157,16 @@
         that it accepts no requests.
         """
         tried_servers = request.tried_servers()
-        untried = [s for s in ranking.servers if s.backend.id not in tried_servers]
+        untried = (s for s in ranking.servers if s.backend.id not in tried_servers)
+        skipped = []
         for server in untried:
             if self._is_usable(request, server, now):
                 return server
-        fallbacks = [
-            s for s in untried if not s.cold(now) and declines_until(request, s, now) is None
-        ]
-        return fallbacks[0] if fallbacks else None
+            skipped.append(server)
+        fallbacks = (
+            s for s in skipped if not s.cold(now) and declines_until(request, s, now) is None
+        )
+        return next(fallbacks, None)
 
     def _earliest_acceptance(
         self, request: ClientRequest, ranking: Ranking, now: float
@@ -199,56 +181,6 @@
         ends = (declines_until(request, server, now) for server in untried)
         return min((end for end in ends if end is not None), default=None)
 
-    def _spillover(
-        self,
-        request: ClientRequest,
-        ranking: Ranking,
-        service: str,
-        busy: BackendServer,
-        no_room: Optional[BlockedReason],
-        now: float,
-    ) -> Optional[Selection]:
-        """Return the selection of the server that a full or busy one spills over to, if any."""
-        target = self._spillover_server(request, ranking, busy, now)
-        if target is None:
-            return None
-        if no_room is not None:
-            return Selection(target, service, SelectionReason.HELPS_FULL)
-        same_region = target in ranking.servers[: ranking.local_count]
-        if same_region and self._is_sooner_at(target, busy, request, now):
-            return Selection(target, service, SelectionReason.SHARES_BUSY)
-        return None
-
-    def _is_sooner_at(
-        self, target: BackendServer, busy: BackendServer, request: ClientRequest, now: float
-    ) -> bool:
-        """Return whether another server answers sooner than a busy one that still has room."""
-        if not request.key or self.keeps_warm(target.backend.id, request.key, now):
-            return True
-        return busy.load(now) >= MIN_COLD_SPILLOVER_LOAD_PER_SLOT * busy.backend.capacity
-
-    def _spillover_server(
-        self, request: ClientRequest, ranking: Ranking, busy: BackendServer, now: float
-    ) -> Optional[BackendServer]:
-        """Return the server after a busy one in the ranking, if it has spare slots.
-
-        It is always the same server for an object, so that it soon keeps the object warm too.
-        """
-        at = ranking.servers.index(busy) + 1
-        if at >= len(ranking.servers):
-            return None
-        server = ranking.servers[at]
-        if server.backend.id in request.tried_servers() or not self._is_usable(
-            request, server, now
-        ):
-            return None
-        utilization = (
-            MAX_SPILLOVER_UTILIZATION
-            if at < ranking.local_count
-            else MAX_REMOTE_SPILLOVER_UTILIZATION
-        )
-        return server if server.load(now) < server.backend.capacity * utilization else None
-
     def _is_usable(self, request: ClientRequest, server: BackendServer, now: float) -> bool:
         if declines_until(request, server, now) is not None:
             return False
--- a/tests/test_gateway_policies.py
+++ b/tests/test_gateway_policies.py
@@ -68,6 +68,21 @@
             moved = moved_part(history[index], history[index + ticks_per_window])
             self.assertLessEqual(moved, BOUNDS.shift_cap)
 
+    def test_the_shares_tell_what_they_moved_within_the_last_window(self) -> None:
+        steered = Steered()
+        self.assertEqual(steered.shares.moved_recently("rates", 0.0), 0.0)
+        before = steered.shares.shares("rates", 0.0)
+        steered.world.put("policies/all-west", PolicyProgram("all-west", _WEST))
+        steered.world.put("policy-of/rates", PolicyChoice("rates", "all-west"))
+        after = steered.run(1.0)[-1]
+        moved = steered.shares.moved_recently("rates", steered.now)
+        self.assertAlmostEqual(moved, moved_part(before, after))
+        self.assertGreater(moved, 0.02)
+        history = [after, *steered.run(9.0)]
+        moved = steered.shares.moved_recently("rates", steered.now)
+        self.assertAlmostEqual(moved, moved_part(history[-11], history[-1]), delta=0.02)
+        self.assertEqual(steered.shares.moved_recently("quotes", steered.now), 0.0)
+
     def test_a_choice_that_is_withdrawn_or_unknown_falls_back(self) -> None:
         steered = Steered()
         steered.world.put("policy-of/rates", PolicyChoice("rates", "nobody-wrote-it"))
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -86,6 +86,12 @@
         self.assertIn("not run", trace.meaning)
         self.assertIn("s2 had 2 of this VM's requests (2.2 allowed)", trace.lines[-1])
 
+    def test_trace_of_a_request_that_moved_names_the_server_that_was_sooner(self) -> None:
+        sends = [["s4", "answered", "answered", 310.0]]
+        lines = [*LOG, _request(102.0, "abc3", sends=sends, sooner=["s4"])]
+        trace = reconstruct_trace(parse_log_lines(lines), "abc3")
+        self.assertIn("s4 was expected to answer sooner", trace.lines[-1])
+
     def test_deciding_rule(self) -> None:
         room = {"server_id": "s2"}
         cases = (
