--- a/sprucewinch/gateway/requests/choice/region_moves.py
+++ b/sprucewinch/gateway/requests/choice/region_moves.py
@@ -29,7 +29,8 @@
 shares, which may begin in the same window."""
 
 _MAX_PART = 0.3
-"""Largest part of a service's requests that moves."""
+"""Largest part of a service's requests that moves. When the other regions have no room any more,
+all of it returns at once, as no server is left for a slow return."""
 
 _MAX_DELAYED = 0.05
 """Largest fraction of a window's requests whose moves wait for requests that want to move, though a
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -194,7 +194,7 @@
     answer: Optional[Answer] = None
     seconds: float = 0.0
     statement: ServerStatement = NOTHING_STATED
-    selected: "SelectionReason | None" = None
+    selected: Optional["SelectionReason"] = None
 
 
 class RefusalReason(enum.Enum):
--- a/tests/test_gateway_placement_load.py
+++ b/tests/test_gateway_placement_load.py
@@ -355,6 +355,21 @@
         self.assertGreater(gain, 0.04)
         self.assertLess(fleet.largest_shift(), CAP)
 
+    def test_servers_of_a_region_that_are_back_without_their_objects(self) -> None:
+        def prepare(fleet: Fleet) -> None:
+            def lose_objects(_now: float) -> None:
+                for entry in fleet.entries.values():
+                    if fleet.regions[entry.hall] == "r0":
+                        fleet.workers[entry.id].warm.clear()
+                        for vm in fleet.vms:
+                            vm.outliers.sent_objects.forget(entry.id)
+
+            fleet.at(5.0, lose_objects)
+
+        gain, _, fleet = self._compare((8, 8, 8), 15, lambda _now, _home: 0.7, prepare)
+        self.assertGreater(gain, 0.05)
+        self.assertLess(fleet.largest_shift(), CAP)
+
     def test_more_than_the_servers_bear(self) -> None:
         gain, _, _ = self._compare((8, 8, 8), 12, lambda _now, _home: 1.3)
         self.assertGreater(gain, 0.08)
