Soak: HELD tells for how long the VM waited for a processor

The soak now reads the kernel's count of each VM's waits (/proc/PID/schedstat) and says in HELD how long the VM waited meanwhile. It excuses nothing. Tests: the wait is told and HELD stays; only waits over 0.15 s of one process count.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,14 +12,25 @@
 from unittest import mock
 
 from standins.scripted_server import Run, ScriptedServer
+from standins.virtual import VirtualLoop, pass_time, run_virtual
 from tests import gateway_process
 from tools.entry_vm import METRICS_PORT, ROOT, EntryVm, free_port, own_address
 from tools.ports import RUN_START
+from tools.soak import own_lag
 from tools.soak.__main__ import SoakError, parse_seeds, run_days
 from tools.soak.backend_servers import SoakServer, body_of
 from tools.soak.configuration import BOOK, RATES
 from tools.soak.day import plan
-from tools.soak.ledger import Attempt, CrashingSend, End, Leaving, Ledger, TroubleSpan, Version
+from tools.soak.ledger import (
+    Attempt,
+    CrashingSend,
+    End,
+    Leaving,
+    Ledger,
+    ProcessorWait,
+    TroubleSpan,
+    Version,
+)
 from tools.soak.promises.answers import judge_answer
 from tools.soak.promises.evidence import Evidence, gather_runs
 from tools.soak.promises.judge import judge
@@ -199,6 +210,30 @@
         day.attempt(took_s=3.1)
         self.assertEqual(day.rules(), {"HELD"})
 
+    def test_a_wait_for_a_processor_is_told_and_excuses_nothing(self) -> None:
+        day = Judged()
+        day.attempt(took_s=3.1)
+        for vm, at in (("vm1", 101.0), ("vm1", 99.0), ("vm2", 101.0)):
+            day.ledger.waits.append(ProcessorWait(vm, at, 1.5))
+        self.assertEqual(day.rules(), {"HELD"})
+        self.assertIn("that VM waited 1.50 s", day.ledger.broken[0].what)
+
+    def test_only_long_waits_of_one_process_are_recorded(self) -> None:
+        async def main(_loop: VirtualLoop) -> list[ProcessorWait]:
+            ledger, vm = Ledger(), mock.Mock(process=mock.Mock(pid=1))
+            vm.name = "vm1"
+            totals = iter((5.0, 5.1, 6.1, 6.1, 9.0, 9.0))
+            with mock.patch.object(own_lag, "_waited_s", lambda _pid: next(totals)):
+                watch = asyncio.ensure_future(own_lag.watch_own_lag(ledger, {"vm1": vm}))
+                await pass_time(0.21)
+                vm.process.pid = 2
+                await pass_time(0.1)
+                watch.cancel()
+            return ledger.waits
+
+        waits = run_virtual(main)
+        self.assertEqual([(w.vm, round(w.waited_s, 3)) for w in waits], [("vm1", 1.0)])
+
     def test_an_end_that_nobody_asked_for_and_a_stop_that_takes_too_long(self) -> None:
         day = Judged()
         day.attempt()
--- a/tools/soak/ledger.py
+++ b/tools/soak/ledger.py
@@ -139,6 +139,20 @@
     rule: str
 
 
+class ProcessorWait(NamedTuple):
+    """A wait of an entry VM's process for a processor.
+
+    Args:
+        vm: The entry VM.
+        at: End of the wait, as monotonic time in seconds.
+        waited_s: Its length, in seconds.
+    """
+
+    vm: str
+    at: float
+    waited_s: float
+
+
 class MemoryUse(NamedTuple):
     """Memory of an entry VM while callers read slowly or not at all.
 
@@ -186,6 +200,7 @@
         crashes: Times at which servers crashed, by the target of the request that crashed them.
         ends: Time and exit status of each end of a process, by entry VM.
         signalled: Time and number of each signal sent, by entry VM.
+        waits: Long waits of entry VMs for a processor.
         memory: Memory of entry VMs while callers did not read.
         quiet_from: Time from which no trouble is left and everything has to work.
     """
@@ -200,6 +215,7 @@
         self.crashes: dict[str, list[float]] = defaultdict(list)
         self.ends: dict[str, list[tuple[float, int]]] = defaultdict(list)
         self.signalled: dict[str, list[tuple[float, int]]] = defaultdict(list)
+        self.waits: list[ProcessorWait] = []
         self.memory: list[MemoryUse] = []
         self.quiet_from = float("inf")
 
--- a/tools/soak/promises/waiting.py
+++ b/tools/soak/promises/waiting.py
@@ -20,5 +20,13 @@
         if took > limit and evidence.without_faults(
             attempt.vm, attempt.sent_at, attempt.sent_at + limit
         ):
-            what = f"{attempt.request_id} at {attempt.vm} took {took:.2f} s"
+            waits = [
+                wait.waited_s
+                for wait in evidence.ledger.waits
+                if wait.vm == attempt.vm and attempt.sent_at <= wait.at <= attempt.ended_at
+            ]
+            what = (
+                f"{attempt.request_id} at {attempt.vm} took {took:.2f} s, "
+                f"in which that VM waited {sum(waits):.2f} s for a processor"
+            )
             evidence.ledger.record_broken("HELD", what)
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -66,7 +66,7 @@
         peer_port = free_port("127.0.0.1")
         for number, zone in enumerate(z for z in ZONES for _ in range(_VMS_PER_ZONE)):
             await self._add_vm(f"vm{number}", zone, peer_port, folder)
-        watch = asyncio.create_task(watch_own_lag(self.ledger))
+        watch = asyncio.create_task(watch_own_lag(self.ledger, self.vms))
         self._stack.callback(watch.cancel)
         self.keeper.start()
 
