--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -2,20 +2,16 @@
 
 Owns the order in which the parts are created (`make_parts`): state, membership and following,
 servers, crashes, workspaces, regions, requests, load sharing. The parameters of each function show
-what its parts depend on. Relies on every folder of the gateway except `lifecycle`; `daemon`,
-`lifecycle`, `vm_state` and `vm_metrics` use its types.
+what its parts depend on. Relies on every folder of the gateway except `lifecycle`, and on `parts`
+for the types.
 """
 
-import random
 from collections.abc import Callable
-from typing import NamedTuple
 
-from ..clock import Clock
 from .crashes.crash_reports import CrashReport, CrashReporter, SuccessReport
 from .crashes.quarantine import Quarantine
 from .crashes.quarantine_store import QuarantineStore
 from .datagrams import Datagrams
-from .decision_log import DecisionLog
 from .following.fetch_failures import FetchFailures
 from .following.follow_role import FollowRole
 from .following.large_items import LargeItems
@@ -28,7 +24,17 @@
 from .membership.heartbeats import Heartbeats
 from .membership.registrar import Registrar
 from .membership.vm_capacity import requests_per_s
-from .platform_adapter import PlatformAdapter
+from .parts import (
+    Context,
+    Crashes,
+    Fleet,
+    Parts,
+    Regions,
+    Requests,
+    Servers,
+    State,
+    Workspaces,
+)
 from .quotas.exchange import QuotaExchange
 from .quotas.owners import QuotaOwners
 from .quotas.parts import QuotaParts
@@ -55,126 +61,14 @@
 from .servers.probe import Prober
 from .settings import GatewaySettings
 from .state.outages import StoreOutages
-from .state.store import Store
 from .state.store_view import StoreView
 from .statements.server_quotas import FleetServerQuotas, ServerQuotas
 from .statements.start_asks import StartAsks
 from .statements.statement_report import StatementReport
 from .statements.statements import Statements
-from .timing import Timing
 from .workspaces.admission import WorkspaceAdmission
 
 
-class Context(NamedTuple):
-    """Dependencies that are common to all parts.
-
-    Args:
-        settings: Settings of this process.
-        adapter: Adapter to the platform.
-        clock: Source of time.
-        rng: Source of randomness.
-        events: Decision log and counters.
-        ready: Returns whether callers may be sent to this VM.
-    """
-
-    settings: GatewaySettings
-    adapter: PlatformAdapter
-    clock: Clock
-    rng: random.Random
-    events: DecisionLog
-    ready: Callable[[], bool]
-
-    @property
-    def monotonic(self) -> Callable[[], float]:
-        """Return the source of monotonic time, in seconds."""
-        return self.clock.monotonic
-
-    @property
-    def timing(self) -> Timing:
-        """Return the sources of time and randomness of a loop."""
-        return Timing(self.clock.monotonic, self.rng)
-
-
-class State(NamedTuple):
-    """The client of the store, this VM's copy of its items, and the store's outages."""
-
-    store: Store
-    view: StoreView
-    outages: StoreOutages
-
-
-class Fleet(NamedTuple):
-    """The parts that communicate with other VMs: membership and following the store."""
-
-    datagrams: Datagrams
-    gossip: Gossip
-    heartbeats: Heartbeats
-    registrar: Registrar
-    directory: Directory
-    follow_role: FollowRole
-    notices: ProgressNotices
-    store_follower: StoreFollower
-    large_items: LargeItems
-    peer_follower: PeerFollower
-
-
-class Servers(NamedTuple):
-    """The parts that track backend servers."""
-
-    registry: BackendRegistry
-    outliers: OutlierDetector
-    estimates: LiveEstimates
-    statements: Statements
-    start_asks: StartAsks
-    pool: ConnectionPool
-    prober: Prober
-
-
-class Crashes(NamedTuple):
-    """The parts that quarantine requests that crash backend servers."""
-
-    quarantine: Quarantine
-    reporter: CrashReporter
-    store: QuarantineStore
-
-
-class Workspaces(NamedTuple):
-    """The parts that check the keys and quotas of workspaces."""
-
-    admission: WorkspaceAdmission
-    quotas: FleetQuotas
-    exchange: QuotaExchange
-
-
-class Regions(NamedTuple):
-    """The parts that steer between regions."""
-
-    policies: PolicyTable
-    reports: RegionReports
-    shares: RegionShares
-
-
-class Requests(NamedTuple):
-    """The parts that process requests."""
-
-    pipeline: Pipeline
-    app: GatewayApp
-
-
-class Parts(NamedTuple):
-    """All parts of one VM except its listeners and those of `lifecycle`."""
-
-    state: State
-    fleet: Fleet
-    servers: Servers
-    crashes: Crashes
-    workspaces: Workspaces
-    regions: Regions
-    requests: Requests
-    region_reporter: RegionReporter
-    load_sharing: LoadSharing
-
-
 def make_parts(
     context: Context, incarnation: int, on_unreadable: Callable[[str, str], None]
 ) -> Parts:
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -17,13 +17,14 @@
 from ..clock import Clock, SystemClock
 from ..net.http_server import AsgiApp
 from ..process_signals import ProcessSignals
-from .composition import Context, Parts, make_parts
+from .composition import make_parts
 from .decision_log import DecisionLog
 from .internal_apps import DeltaApp, TextApp
 from .lifecycle.reload import Reloader
 from .lifecycle.shutdown import Shutdown
 from .lifecycle.upkeep import Upkeep
 from .listeners import Listeners
+from .parts import Context, Parts
 from .platform_adapter import PlatformAdapter
 from .settings import GatewaySettings
 from .vm_metrics import vm_metrics
--- a/sprucewinch/gateway/lifecycle/upkeep.py
+++ b/sprucewinch/gateway/lifecycle/upkeep.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
-from ..composition import Regions, Servers, State, Workspaces
+from ..parts import Regions, Servers, State, Workspaces
 from ..statements.server_quotas import forget_unstated
 
 _SWEEP_INTERVAL_S = 1.0
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -5,7 +5,7 @@
 change.
 """
 
-from .composition import Context, Parts
+from .parts import Context, Parts
 from .servers.capacity.live_estimates import MAX_REPORT_AGE_S
 
 
--- a/sprucewinch/gateway/vm_state.py
+++ b/sprucewinch/gateway/vm_state.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from .composition import Context, Crashes, Parts, Regions, Servers, Workspaces
+from .parts import Context, Crashes, Parts, Regions, Servers, Workspaces
 from .requests.admission.gate import KindRates
 from .statements.process_statements import ProcessStatements, ServerProcessId
 
