A request that is cancelled with the loop ends at once instead of waiting for its turn

Cause: uvicorn answers a cancelled request with 500; behind a caller that reads nothing its turn never comes, and the end of the loop waits for it for ever. Seen in the clean-up of a wrong version's test, which ran into its time-out of 180 s.

Change: Exchange.send_500_response sends nothing for a cancelled task; its connection is cut.

Measured: the new test failed before the change; the wrong version is red. The process test of a stop with a caller that reads nothing is green with and without the change, as there the first answer has begun. Loops in the tests of unread answers are bounded.

--- a/sprucewinch/net/_exchange.py
+++ b/sprucewinch/net/_exchange.py
@@ -209,6 +209,12 @@
         if not self.response_complete and not self.disconnected:
             self.connection.cut()
 
+    async def send_500_response(self) -> None:
+        # A cancelled request ends at once: the loop ends, and its turn may never come.
+        task = asyncio.current_task()
+        if task is None or not task.cancelling():
+            await super().send_500_response()
+
     async def send(self, message: Any) -> None:
         if self.response_started:
             await self._send_body(message)
--- a/tests/test_gateway_answer_budget.py
+++ b/tests/test_gateway_answer_budget.py
@@ -119,6 +119,16 @@
     return [int(part[:3]) for part in one.written.split(b"HTTP/1.1 ")[1:]]
 
 
+async def read_until(one: OneConnection, condition: Callable[[], bool]) -> None:
+    """Let a caller read until a condition holds, at most for 5 s."""
+    for _ in range(500):
+        if condition():
+            return
+        one.transport.read()
+        await pass_time(0.01)
+    raise AssertionError("the caller does not get what it should read")
+
+
 def play(main: Play) -> None:
     """Run a test on a virtual loop."""
 
@@ -137,9 +147,7 @@
             held = vm.app.bodies.answer_bytes
             self.assertAlmostEqual(held, _LARGE_BYTES, delta=1000)
             self.assertLess(len(one.transport.unread), 200_000)
-            while one.transport.unread:
-                one.transport.read()
-                await pass_time(0.01)
+            await read_until(one, lambda: not one.transport.unread)
             await pass_time(0.5)
             self.assertEqual((statuses(one), vm.app.bodies.answer_bytes), ([200], 0))
             self.assertEqual(one.written.count(b"x" * _LARGE_BYTES), 1)
@@ -171,14 +179,10 @@
             await pass_time(1.0)
             self.assertEqual(vm.app.in_flight, MAX_REQUESTS_AT_ONCE)
             self.assertFalse(one.transport.reads)
-            while len(one.written) < 1.5 * _LARGE_BYTES:
-                one.transport.read()
-                await pass_time(0.01)
+            await read_until(one, lambda: len(one.written) >= 1.5 * _LARGE_BYTES)
             self.assertEqual(vm.app.in_flight, MAX_REQUESTS_AT_ONCE - 1)
             self.assertEqual(await vm.answers(3), [200] * 3)
-            while one.transport.unread:
-                one.transport.read()
-                await pass_time(0.01)
+            await read_until(one, lambda: not one.transport.unread)
             await pass_time(1.0)
             one.transport.stalled = False
             one.transport.read()
--- a/tests/test_pipelined_protocol.py
+++ b/tests/test_pipelined_protocol.py
@@ -223,6 +223,26 @@
         play(main)
 
 
+class EndOfTheLoop(unittest.TestCase):
+    def test_requests_that_are_cancelled_end_also_if_the_caller_reads_nothing(self) -> None:
+        async def main(app: ScriptedApp) -> None:
+            one = OneConnection(app)
+            one.transport.stalled = True
+            one.receive(get("/" + "a" * 15_000), get("/b"), get("/c"), get("/once/d"))
+            one.transport.HIGH_BYTES = 1000
+            app.end("/" + "a" * 15_000)
+            app.end("/b")
+            await settle()
+            self.assertEqual(len(one.state.tasks), 3)
+            for task in list(one.state.tasks):
+                task.cancel()
+            await settle()
+            self.assertFalse(one.state.tasks)
+            self.assertTrue(one.transport.closing)
+
+        play(main)
+
+
 class Stops(unittest.TestCase):
     def test_a_stop_closes_after_the_last_that_has_begun(self) -> None:
         async def main(app: ScriptedApp) -> None:
--- a/tests/test_process_pipelined.py
+++ b/tests/test_process_pipelined.py
@@ -66,6 +66,18 @@
         self.assertEqual(self.runs("once"), 1)
         self.assertEqual(await self.vms[0].ended(), 0)
 
+    async def test_a_stop_ends_although_a_caller_reads_nothing(self) -> None:
+        for backend in self.backends:
+            backend.answer_bytes = b"x" * _LARGE_BYTES
+        _, writer = await self._connect()
+        writer.transport.pause_reading()
+        ids = [f"q{number}" for number in range(3)]
+        writer.write(b"".join(_request(request_id, "/rates/a") for request_id in ids))
+        await self.until(lambda: self._runs(*ids), "the requests to run")
+        self.vms[0].signal(signal.SIGTERM)
+        self.assertEqual(await self.vms[0].ended(), 0)
+        self.assertEqual(self.vms[0].lines[-1]["event"], "stop")
+
     async def test_callers_that_read_nothing_are_closed_and_others_served(self) -> None:
         vm = self.vms[0]
         large = b"x" * _LARGE_BYTES
--- a/tools/wrong_connection_versions.py
+++ b/tools/wrong_connection_versions.py
@@ -192,6 +192,14 @@
         "return False",
         _PROTOCOL_TESTS,
     ),
+    WrongVersion(
+        "LOST",
+        "a request that is cancelled waits for its turn, so that the process does not end",
+        _EXCHANGE,
+        "if task is None or not task.cancelling():",
+        "if True:",
+        _PROTOCOL_TESTS,
+    ),
     WrongVersion(
         "LOST",
         "a stop drops requests that have begun",
