Admission divides a service by this VM's part of the callers

Change: membership/caller_part estimates the part from the capacities of the region's VMs; even where one is not known.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -19,6 +19,7 @@
 from .following.peer_follower import PeerFollower
 from .following.store_follower import StoreFollower
 from .load_sharing.load_sharing import LoadSharing
+from .membership.caller_part import own_part
 from .membership.directory import Directory
 from .membership.gossip import Gossip
 from .membership.heartbeats import Heartbeats
@@ -88,7 +89,7 @@
     crashes = make_crashes(context, state, fleet)
     workspaces = make_workspaces(context, state, fleet)
     regions = make_regions(context, state, servers, on_unreadable)
-    requests = make_requests(context, state, servers, crashes, workspaces, regions)
+    requests = make_requests(context, state, servers, crashes, workspaces, regions, fleet.gossip)
     region_reporter = make_region_reporter(context, state, fleet, regions, requests)
     return Parts(
         state=state,
@@ -321,6 +322,7 @@
     crashes: Crashes,
     workspaces: Workspaces,
     regions: Regions,
+    gossip: Gossip,
 ) -> Requests:
     """Create the parts that process requests.
 
@@ -331,6 +333,7 @@
         crashes: The parts that quarantine requests that crash backend servers.
         workspaces: The parts that check the keys and quotas of workspaces.
         regions: The parts that steer between regions.
+        gossip: Knows the capacity of the other VMs.
     """
     settings = context.settings
     server_quotas = FleetServerQuotas(workspaces.quotas, context.monotonic)
@@ -340,7 +343,11 @@
         servers.registry, servers.outliers, estimates=servers.estimates, moves=moves
     )
     admission = AdmissionGate(
-        servers.registry, context.rng, events=context.events, estimates=servers.estimates
+        servers.registry,
+        context.rng,
+        events=context.events,
+        estimates=servers.estimates,
+        caller_part=lambda: own_part(settings.region, state.view.members.values(), gossip),
     )
     pipeline = Pipeline(
         state.view,
--- a/sprucewinch/gateway/requests/admission/gate.py
+++ b/sprucewinch/gateway/requests/admission/gate.py
@@ -16,7 +16,7 @@
 
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple, Optional, Union
 
 from ...estimates.admission_verdict import AdmissionVerdict
@@ -103,6 +103,7 @@
         rng: Source of the jitter of return times.
         events: Counts verdicts; None to count none.
         estimates: Estimates of backend servers; None where there are none.
+        caller_part: Returns this VM's part of all callers; None for an even part.
     """
 
     def __init__(
@@ -112,6 +113,7 @@
         *,
         events: Optional[EventLog] = None,
         estimates: Optional[ServerEstimates] = None,
+        caller_part: Optional[Callable[[], float]] = None,
     ) -> None:
         self.registry = registry
         self.events = events or NoEvents()
@@ -119,7 +121,7 @@
         self.services: dict[str, ServiceState] = {}
         self.return_times = RetryAfterTimes(registry, rng)
         self._returning = ReturningCallers()
-        self._rates = ServiceRates(registry)
+        self._rates = ServiceRates(registry, caller_part)
         registry.store_view.listeners.append(self._on_change)
 
     def _on_change(self, change: Change) -> None:
--- a/sprucewinch/gateway/requests/admission/service_rate.py
+++ b/sprucewinch/gateway/requests/admission/service_rate.py
@@ -11,7 +11,8 @@
 Tests: tests/test_gateway_admission_gate.py.
 """
 
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple, Optional
 
 from ...estimates.server_estimate import ServerEstimates
 from ...estimates.service_room import sum_room
@@ -50,10 +51,13 @@
         registry: Backend servers.
     """
 
-    __slots__ = ("_capacities", "registry")
+    __slots__ = ("_capacities", "caller_part", "registry")
 
-    def __init__(self, registry: BackendRegistry) -> None:
+    def __init__(
+        self, registry: BackendRegistry, caller_part: Optional[Callable[[], float]] = None
+    ) -> None:
         self.registry = registry
+        self.caller_part = caller_part or self._even_part
         self._capacities: dict[tuple[str, tuple[str, ...]], ServiceCapacity] = {}
 
     def capacity(
@@ -77,9 +81,12 @@
         """Drop the sums, as services may be gone."""
         self._capacities.clear()
 
+    def _even_part(self) -> float:
+        return 1.0 / max(1, self.registry.vm_count())
+
     def even_slots(self, capacity: ServiceCapacity) -> float:
         """Return an even part of the slots of a service for each VM."""
-        return capacity.slots / max(1, self.registry.vm_count())
+        return capacity.slots * self.caller_part()
 
     def _sum(
         self, service: str, route: Route, estimates: ServerEstimates, now: float
--- a/tests/test_gateway_caller_spread.py
+++ b/tests/test_gateway_caller_spread.py
@@ -7,9 +7,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sprucewinch.gateway.membership.caller_part import own_part
 from sprucewinch.gateway.membership.caller_spread import MIN_ADDRESSES, Candidate, spread_callers
 from sprucewinch.gateway.membership.directory import Directory
-from sprucewinch.gateway.membership.gossip import Gossip
+from sprucewinch.gateway.membership.gossip import Gossip, Heartbeat, HeartbeatRow
 from sprucewinch.gateway.membership.vm_capacity import requests_per_s
 from sprucewinch.gateway.resources import Member
 from sprucewinch.gateway.state.store_view import StoreView
@@ -87,6 +88,31 @@
                 self.assertIn(vm.address, found)
 
 
+class OwnParts(unittest.TestCase):
+    def part(self, capacities: dict[str, int], own: str = "vm0", other_regions: int = 0) -> float:
+        """Return the part of one VM, which has heard of the others of its region."""
+        gossip = Gossip(own, 1, random.Random(1), requests_per_s=capacities[own])
+        rows = tuple(
+            HeartbeatRow(name, 1, 1, True, requests_per_s=capacity)
+            for name, capacity in capacities.items()
+            if name != own
+        )
+        gossip.receive(Heartbeat("vm9", 0, rows), 0.0)
+        members = [Member(name, "z", "east", "", "") for name in capacities]
+        members += [Member(f"w{n}", "y", "west", "", "") for n in range(other_regions)]
+        return own_part("east", members, gossip)
+
+    def test_callers_of_a_region_come_by_capacity(self) -> None:
+        self.assertAlmostEqual(self.part({"vm0": 300, "vm1": 100}), 0.75)
+        self.assertAlmostEqual(self.part({"vm0": 300, "vm1": 100}, other_regions=2), 0.375)
+        self.assertAlmostEqual(self.part({"vm0": 300, "vm1": 100}, own="vm1"), 0.25)
+
+    def test_the_part_is_even_where_a_capacity_is_not_known(self) -> None:
+        self.assertAlmostEqual(self.part({"vm0": 300, "vm1": 0}), 0.5)
+        self.assertAlmostEqual(self.part({"vm0": 0, "vm1": 100, "vm2": 100}), 1 / 3)
+        self.assertEqual(own_part("east", [], Gossip("vm0", 1, random.Random(1))), 1.0)
+
+
 class LookUps(unittest.TestCase):
     def test_the_capacity_of_other_vms_comes_with_their_heartbeats(self) -> None:
         vms = {}
