--- a/sprucewinch/gateway/load_sharing/load_summary.py
+++ b/sprucewinch/gateway/load_sharing/load_summary.py
@@ -37,6 +37,7 @@
 """Largest pace in a row, in per cent of the usual time of work."""
 
 _PERCENT = 100
+"""Pace of a server at which work takes its usual time, in per cent."""
 
 
 class LoadRow(msgspec.Struct, array_like=True, frozen=True):
--- a/sprucewinch/gateway/requests/admission/gate.py
+++ b/sprucewinch/gateway/requests/admission/gate.py
@@ -226,7 +226,7 @@
         wanted = state.demand.wanted(ask.kind, now)
         deviation = trust(estimate) * queue_deviation(estimate, ask.queue_reference_s)
         capacity = self._capacity(ask, now)
-        asked = wanted.total / max(_MIN_SLOTS, self._rates.even_slots(capacity))
+        asked = wanted.total / max(_MIN_SLOTS, self._rates.caller_slots(capacity))
         state.part.update(asked, capacity.utilization, deviation, now)
         if state.part.has_room:
             request.service_turn = Turn()
@@ -245,7 +245,7 @@
 
     def _own_slots(self, ask: RoomRequest, capacity: ServiceCapacity) -> float:
         """Return this VM's part of the slots of a service."""
-        return self._rates.even_slots(capacity) * self._state(ask).part.value
+        return self._rates.caller_slots(capacity) * self._state(ask).part.value
 
     def _counts(self, ask: RoomRequest) -> KindCounts:
         return self._state(ask).demand.counts(ask.kind)
--- a/sprucewinch/gateway/requests/admission/service_rate.py
+++ b/sprucewinch/gateway/requests/admission/service_rate.py
@@ -1,14 +1,14 @@
-"""How much work the servers of a service do, and an even part of that for each VM.
+"""How much work the servers of a service do, and the part of that for this VM.
 
 Each server contributes its slots divided by its pace: a server at which work takes twice as long
 has room half as often. The sum, divided by the usual work of a request, is the rate at which room
-comes for requests of its kind. The number of VMs divides it, as callers choose their VM at random;
-`sent_part.FleetPart` corrects that where they don't.
+comes for requests of its kind. This VM has the part of it that is its part of the callers
+(`membership.caller_part`, else an even part); `sent_part.FleetPart` corrects what that misses.
 
-Inputs are the offered servers of a service in the regions that a route allows, their estimates, the
-number of VMs, and monotonic times in seconds. The sums over all servers are kept for `_KEPT_S`.
-They bound what is sent under overload and space the return times of refused callers (`gate`).
-Tests: tests/test_gateway_admission_gate.py.
+Inputs are the offered servers of a service in the regions that a route allows, their estimates,
+this VM's part of the callers, and monotonic times in seconds. The sums over all servers are kept
+for `_KEPT_S`. They bound what is sent under overload and space the return times of refused callers
+(`gate`). Tests: tests/test_gateway_admission_gate.py.
 """
 
 from collections.abc import Callable
@@ -49,6 +49,7 @@
 
     Args:
         registry: Backend servers.
+        caller_part: Returns this VM's part of all callers; None for an even part.
     """
 
     __slots__ = ("_capacities", "caller_part", "registry")
@@ -84,8 +85,8 @@
     def _even_part(self) -> float:
         return 1.0 / max(1, self.registry.vm_count())
 
-    def even_slots(self, capacity: ServiceCapacity) -> float:
-        """Return an even part of the slots of a service for each VM."""
+    def caller_slots(self, capacity: ServiceCapacity) -> float:
+        """Return the part of a service's slots that is for the callers of this VM."""
         return capacity.slots * self.caller_part()
 
     def _sum(
--- a/sprucewinch/net/_request_scope.py
+++ b/sprucewinch/net/_request_scope.py
@@ -1,4 +1,8 @@
-"""Fills in the ASGI scope of a request from what its parser has read."""
+"""Fills in the ASGI scope of a request from what its parser has read.
+
+Owns the translation of a request's line into the fields of the scope; the headers are in it
+already. Relies on httptools for the URL. Tests: tests/test_pipelined_protocol.py.
+"""
 
 import urllib.parse
 from typing import Any
--- a/tests/test_gateway_admission_gate.py
+++ b/tests/test_gateway_admission_gate.py
@@ -246,7 +246,7 @@
         self.path.estimates.by_id["s1"] = estimate(pace=3.0)
         capacity = self._capacity(self.path)
         self.assertAlmostEqual(capacity.slots, 6 + 6 / 3)
-        self.assertAlmostEqual(self.rates.even_slots(capacity), (6 + 6 / 3) / 2)
+        self.assertAlmostEqual(self.rates.caller_slots(capacity), (6 + 6 / 3) / 2)
         self.assertEqual(self._capacity(self.path, regions=("west",)).slots, 0.0)
 
     def test_a_change_shows_after_a_moment(self) -> None:
