--- a/sprucewinch/gateway/load_sharing/load_summary.py
+++ b/sprucewinch/gateway/load_sharing/load_summary.py
@@ -8,7 +8,7 @@
 networks.
 
 `sent_ms` is the sender's monotonic clock, from which the receiver tells how late a message arrives
-(`sender_clocks`); `sender` names the sender's process, as that clock starts anew with a machine.
+(`sender_clocks`); `sender` names the sender's process, as that clock starts anew with its host.
 
 Owns the message, its bounds and the name of a process; relies on nothing. Tests:
 `test_gateway_load_summary`, `test_formats`.
--- a/sprucewinch/gateway/servers/capacity/pace.py
+++ b/sprucewinch/gateway/servers/capacity/pace.py
@@ -1,6 +1,6 @@
 """How fast one backend server works at the moment, from what it states.
 
-A server shares its machine with others and may therefore work several times slower than usual for a
+A server shares its host with others and may therefore work several times slower than usual for a
 fraction of a second. It states its pace with each answer (`statements.load_report`), which shows
 this sooner than the mean of its answer times. The newest statement counts, by the time at which the
 server made it; it reaches this VM in an answer or in another VM's summary. As a pace lasts for
--- a/sprucewinch/gateway/statements/load_report.py
+++ b/sprucewinch/gateway/statements/load_report.py
@@ -2,7 +2,7 @@
 
 The report is a list of figures, separated by commas: requests running, requests waiting, slots, and
 from some servers the pace, which says how long work takes there at the moment, in per cent of its
-usual time. A server shares its machine with others, so its pace may change several times a second
+usual time. A server shares its host with others, so its pace may change several times a second
 while its load does not. Figures after the fourth belong to later versions of the format and are
 ignored.
 
