--- a/tests/test_process_requests.py
+++ b/tests/test_process_requests.py
@@ -31,7 +31,7 @@
             self.assertEqual(await self.runs("twice"), 1)
         with self.subTest("a booking sent to two VMs at the same time runs once"):
             ticket = await self.ticket(first)
-            both = [self.book(vm, "race", ticket, "?work_ms=200") for vm in (first, second)]
+            both = [self.book(vm, "race", ticket, "?work_ms=2000") for vm in (first, second)]
             statuses = sorted(status for status, _ in await asyncio.gather(*both))
             self.assertEqual(statuses, [200, 409])
             self.assertEqual(await self.runs("race"), 1)
