--- /dev/null
+++ b/tests/test_gateway_fleet_limits.py
@@ -0,0 +1,193 @@
+"""Limits over the fleet, through starts of VMs, outages of the store and returns of it."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from standins.consortium_store import Fault
+from standins.virtual import VirtualLoop, run_virtual
+
+from .limit_fleet import COLD_LIMIT, LimitFleet, ready
+
+_VMS = 4
+
+
+class RestartCourse(NamedTuple):
+    """Starts of VMs while every answer is lost.
+
+    Args:
+        rounds: How often each VM starts again.
+        together: True when all do so at once, False for one after the other.
+        pause_s: Time between two rounds, in seconds.
+        per_s: Requests a second.
+        before_s: Time from the first failure to the first start, in seconds.
+        store_is_away: True when the store does not answer meanwhile.
+    """
+
+    rounds: int
+    together: bool = False
+    pause_s: float = 0.0
+    per_s: float = 20.0
+    before_s: float = 10.0
+    store_is_away: bool = False
+
+
+RESTART_COURSES = (
+    RestartCourse(0),
+    RestartCourse(1),
+    RestartCourse(3),
+    RestartCourse(3, together=True, pause_s=2.5),
+    RestartCourse(4, together=True, pause_s=2.0),
+    RestartCourse(1, store_is_away=True),
+    RestartCourse(1, together=True, per_s=200.0, before_s=1.2),
+)
+
+
+class RetriesBeyondTheBudget(unittest.TestCase):
+    """A VM that started had the whole of its part again, whatever its predecessor had spent."""
+
+    def test_retries_of_all_processes_of_all_vms_stay_within_the_limit(self) -> None:
+        for course in RESTART_COURSES:
+            with self.subTest(course=course):
+                run_virtual(lambda loop, c=course: self._run(loop, c))
+
+    async def _run(self, loop: VirtualLoop, course: RestartCourse) -> None:
+        fleet = await ready(loop, vms=_VMS)
+        await asyncio.sleep(10.0 if course.before_s > 2.0 else 0.0)
+        traffic = loop.create_task(fleet.traffic(course.per_s, 30.0))
+        fleet.fails = float(course.before_s > 2.0)
+        await asyncio.sleep(10.0)
+        fleet.fails = 1.0
+        await asyncio.sleep(course.before_s)
+        fleet.store.fault = Fault.RESET if course.store_is_away else Fault.NONE
+        for _ in range(course.rounds):
+            await self._round(fleet, course)
+        fleet.store.fault = Fault.NONE
+        await traffic
+        self.assertLessEqual(fleet.retries_over_limit(), 0.0)
+        self.assertGreater(fleet.most_repeats(), 0)
+
+    async def _round(self, fleet: LimitFleet, course: RestartCourse) -> None:
+        if course.together:
+            await asyncio.gather(*(fleet.restart_vm(number) for number in range(_VMS)))
+        else:
+            for number in range(_VMS):
+                await fleet.restart_vm(number)
+        await asyncio.sleep(course.pause_s)
+
+
+_COLD = ("i-0", "i-1", "i-2")
+_COLD_S = 5.0
+
+
+async def _turns_cold(fleet: LimitFleet) -> None:
+    for server_id in _COLD:
+        fleet.turn_cold(server_id, _COLD_S)
+
+
+async def _turns_cold_without_the_store(fleet: LimitFleet) -> None:
+    fleet.store.fault = Fault.RESET
+    await asyncio.sleep(3.0)
+    await _turns_cold(fleet)
+    await asyncio.sleep(_COLD_S)
+    fleet.store.fault = Fault.NONE
+
+
+async def _starts_again(fleet: LimitFleet) -> None:
+    await asyncio.gather(*(fleet.start_server_again(each, 0.5, _COLD_S) for each in _COLD))
+
+
+async def _starts_again_without_the_store(fleet: LimitFleet) -> None:
+    fleet.store.fault = Fault.RESET
+    await asyncio.sleep(3.0)
+    await _starts_again(fleet)
+    await asyncio.sleep(_COLD_S)
+    fleet.store.fault = Fault.NONE
+
+
+async def _returns_from_a_copy(fleet: LimitFleet, starting_vms: int) -> None:
+    copy = fleet.store.copy()
+    await asyncio.sleep(1.6)
+    fleet.store.fault = Fault.RESET
+    await asyncio.sleep(0.5)
+    await _turns_cold(fleet)
+    await asyncio.sleep(0.5)
+    fleet.writes_entries = False
+    fleet.store.return_from(copy)
+    fleet.store.fault = Fault.NONE
+    await asyncio.gather(*(fleet.restart_vm(number) for number in range(starting_vms)))
+    await asyncio.sleep(3.0)
+    fleet.writes_entries = True
+
+
+async def _evacuation_ends(fleet: LimitFleet) -> None:
+    fleet.store.put("op/evacuate/east-a", b"{}")
+    await asyncio.sleep(3.0)
+    fleet.writes_entries = False
+    for server_id, process in fleet.processes.items():
+        if process.hall == "east-a":
+            fleet.turn_cold(server_id, _COLD_S)
+    fleet.store.remove("op/evacuate/east-a")
+    await asyncio.gather(*(fleet.restart_vm(number) for number in range(_VMS)))
+    await asyncio.sleep(1.5)
+    fleet.writes_entries = True
+
+
+async def _registrations_lapse(fleet: LimitFleet) -> None:
+    fleet.store.fault = Fault.RESET
+    await asyncio.sleep(3.0)
+    for key in [key for key in fleet.store.items if "/members/" in key]:
+        fleet.store.remove(key)
+    fleet.store.fault = Fault.NONE
+    await _turns_cold(fleet)
+    await asyncio.sleep(_COLD_S)
+
+
+class ColdCourse(NamedTuple):
+    """How servers turn cold.
+
+    Args:
+        run: The course.
+        grace_s: Time for which no VM can know, in seconds.
+    """
+
+    run: Callable[[LimitFleet], Awaitable[None]]
+    grace_s: float = 0.0
+
+
+_HEALTH_GRACE_S = 1.0
+"""Time within which VMs have to know what only health answers tell, in seconds."""
+
+COLD_COURSES = (
+    ColdCourse(_turns_cold),
+    ColdCourse(_turns_cold_without_the_store, _HEALTH_GRACE_S),
+    ColdCourse(_starts_again),
+    ColdCourse(_starts_again_without_the_store, _HEALTH_GRACE_S),
+    ColdCourse(lambda fleet: _returns_from_a_copy(fleet, 2), _HEALTH_GRACE_S),
+    ColdCourse(lambda fleet: _returns_from_a_copy(fleet, _VMS), _HEALTH_GRACE_S),
+    ColdCourse(_evacuation_ends),
+    ColdCourse(_registrations_lapse),
+)
+
+
+class ColdServersFlooded(unittest.TestCase):
+    """VMs took servers for warm of which they knew nothing, or divided the limit by too few VMs."""
+
+    def test_requests_of_all_vms_to_a_cold_server_stay_within_the_limit(self) -> None:
+        for number, course in enumerate(COLD_COURSES):
+            with self.subTest(number=number):
+                run_virtual(lambda loop, c=course: self._run(loop, c))
+
+    async def _run(self, loop: VirtualLoop, course: ColdCourse) -> None:
+        fleet = await ready(loop, vms=_VMS)
+        traffic = loop.create_task(fleet.traffic(240.0, 18.0, objects=8))
+        await asyncio.sleep(5.0)
+        await course.run(fleet)
+        await traffic
+        self.assertLessEqual(fleet.most_at_cold_servers(course.grace_s), COLD_LIMIT)
+        self.assertGreater(fleet.served(), 0.98)
+
+
+if __name__ == "__main__":
+    unittest.main()
