Events and metrics that tell who spends the retry budget, and why a server counts as cold

Change: the event retry-budget with the counts, the number of VMs that share the slack and the age of the process; counters retries_taken and retries_denied; the event server-cold with its reason; gauges limit_vms and servers_cold. No decision changes.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -198,7 +198,13 @@
     settings = context.settings
     reports = PeerReports(fleet.datagrams, fleet.follow_role)
     registry = BackendRegistry(
-        state.view, settings.bounds, settings.name, settings.regions, state.outages, reports
+        state.view,
+        settings.bounds,
+        settings.name,
+        settings.regions,
+        state.outages,
+        reports,
+        context.events,
     )
     outliers = OutlierDetector(registry, reports, context.events)
     fleet.datagrams.register(OverloadReport, registry.load_reports.on_overload_report)
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -102,7 +102,12 @@
         self.quarantine = sender.quarantine
         self.return_times = RetryAfterTimes(self.registry, timing.rng)
         self.splits = Splits()
-        self.budgets = RetryBudgets(bounds)
+        self.budgets = RetryBudgets(
+            bounds,
+            vm_count=self.registry.vm_count,
+            monotonic=timing.monotonic,
+            events=sender.events,
+        )
         self.demand: dict[str, SlidingCount] = {}
         self.fair_orders: dict[str, FairOrder] = {}
         self.routes = RoutesInForce(store_view, admission)
@@ -241,8 +246,7 @@
 
     def _retry_taker(self, route: Route) -> Callable[[], bool]:
         """Return what takes one retry from the budget of the route's first service."""
-        budget = self.budgets.of(route.parts[0].service)
-        return lambda: budget.take(self.monotonic(), self.registry.vm_count())
+        return lambda: self.budgets.take(route.parts[0].service)
 
     async def _unserved(
         self, request: ClientRequest, route: Route, service: str, refusal: RefusalReason
@@ -309,11 +313,9 @@
     ) -> Attempt:
         """Send a request, and return the attempt that decides what follows."""
         request.route_name = route.name
-
-        def take_retry() -> bool:
-            return self.budgets.of(service).take(self.monotonic(), self.registry.vm_count())
-
-        attempts = await self.hedged_sender.send(request, route, selection, until, take_retry)
+        attempts = await self.hedged_sender.send(
+            request, route, selection, until, lambda: self.budgets.take(service)
+        )
         request.attempts.extend(attempts)
         return attempts[-1]
 
@@ -324,8 +326,7 @@
         decision = self._after_crash(request, attempt) or decide_retry(request, route, attempt)
         if not decision.uses_budget:
             return decision
-        taken = self.budgets.of(service).take(self.monotonic(), self.registry.vm_count())
-        return decision if taken else without_budget(attempt)
+        return decision if self.budgets.take(service) else without_budget(attempt)
 
     def _after_crash(self, request: ClientRequest, attempt: Attempt) -> Optional[RetryDecision]:
         if attempt.cause != CRASHED:
--- a/sprucewinch/gateway/requests/retry_budget.py
+++ b/sprucewinch/gateway/requests/retry_budget.py
@@ -12,10 +12,14 @@
 windows' edges.
 
 Ratio, slack and window come from the settings (`Bounds`). Retries are logged in `sends` of the
-event `request` and counted in `repeats_after_…`. The tests are in tests/test_gateway_pipeline.py
-(`Repeats`, `OwnFailures`) and tests/test_gateway_retry_budget.py.
+event `request` and counted in `repeats_after_…`; `retries_taken` and `retries_denied` count what
+the budgets were asked for, and the event `retry-budget` shows one that is spent. The tests are in
+tests/test_gateway_pipeline.py (`Repeats`, `OwnFailures`) and tests/test_gateway_retry_budget.py.
 """
 
+from collections.abc import Callable
+
+from ..events import EventLog
 from ..settings import Bounds
 from .sliding_count import SlidingCount
 
@@ -31,6 +35,12 @@
 """Multiple of the limit's window over which retries are counted, as retries may drop out of the
 window later elsewhere."""
 
+_LOG_PAUSE_S = 5.0
+"""Shortest time between two lines about the budget of one service, in seconds."""
+
+_TIME_DIGITS = 3
+"""Decimal places of a time in seconds, which give it to the millisecond."""
+
 
 class WindowRetryBudget:
     """The retry budget of one service at this VM.
@@ -83,13 +93,36 @@
 
     Args:
         bounds: Limits of the fleet, from the settings.
+        vm_count: Returns the number of VMs that share the slack.
+        monotonic: Source of monotonic time, in seconds.
+        events: Counts retries, and logs budgets that are spent.
     """
 
-    __slots__ = ("_by_service", "bounds")
-
-    def __init__(self, bounds: Bounds) -> None:
+    __slots__ = (
+        "_by_service",
+        "_logged_at",
+        "bounds",
+        "events",
+        "monotonic",
+        "started_at",
+        "vm_count",
+    )
+
+    def __init__(
+        self,
+        bounds: Bounds,
+        *,
+        vm_count: Callable[[], int],
+        monotonic: Callable[[], float],
+        events: EventLog,
+    ) -> None:
         self.bounds = bounds
+        self.vm_count = vm_count
+        self.monotonic = monotonic
+        self.events = events
+        self.started_at = monotonic()
         self._by_service: dict[str, WindowRetryBudget] = {}
+        self._logged_at: dict[str, float] = {}
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Apply new limits; see `WindowRetryBudget.set_bounds`."""
@@ -103,3 +136,27 @@
         if budget is None:
             budget = self._by_service[service] = WindowRetryBudget(self.bounds)
         return budget
+
+    def take(self, service: str) -> bool:
+        """Take one retry from the budget of a service; False when none is left."""
+        now, vm_count = self.monotonic(), self.vm_count()
+        if self.of(service).take(now, vm_count):
+            self.events.count("retries_taken")
+            return True
+        self.events.count("retries_denied")
+        self._log_spent(service, now, vm_count)
+        return False
+
+    def _log_spent(self, service: str, now: float, vm_count: int) -> None:
+        if now - self._logged_at.get(service, float("-inf")) < _LOG_PAUSE_S:
+            return
+        self._logged_at[service] = now
+        budget = self.of(service)
+        self.events.state(
+            "retry-budget",
+            service=service,
+            retries=budget.retries.count(now),
+            requests=budget.requests.count(now),
+            vms=vm_count,
+            age_s=round(now - self.started_at, _TIME_DIGITS),
+        )
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple, Optional
 
+from ..events import EventLog, NoEvents
 from ..resources import BackendEntry, Evacuation, RouteConfiguration
 from ..settings import Bounds
 from ..state.outages import StoreOutages
@@ -30,6 +31,9 @@
 writes its entry again within seconds; if it were treated as a new one, it would count as cold and
 get a few requests a second instead of its share."""
 
+_TIME_DIGITS = 3
+"""Decimal places of a time in seconds, which give it to the millisecond."""
+
 
 class _Unreadable(NamedTuple):
     """A server whose entry cannot be read, and the monotonic time since when, in seconds."""
@@ -48,6 +52,7 @@
         regions: Region of each data hall.
         outages: Records when the store was unreachable.
         reports: Sends overload reports to other VMs; None to send none.
+        events: Logs which servers count as cold, and why.
     """
 
     def __init__(
@@ -58,7 +63,9 @@
         regions: dict[str, str],
         outages: StoreOutages,
         reports: Optional[ReportSender] = None,
+        events: Optional[EventLog] = None,
     ) -> None:
+        self.events = events or NoEvents()
         self.store_view = store_view
         self.regions = regions
         self.generation = 0
@@ -258,29 +265,34 @@
         server.backend = backend
         server.usual_load = self.usual_loads.setdefault(backend.service, UsualLoad())
         server.drop_at = None
-        _apply_cold_start(server, self.cold_starts.on_entry(backend, now, new=new), self.to_probe)
+        self._apply_cold_start(server, self.cold_starts.on_entry(backend, now, new=new), now)
 
     def _count_hall_as_cold(self, hall: str, now: float) -> None:
         """Count a data hall's servers as cold after its evacuation has ended."""
         for server in self.servers.values():
             if server.backend.hall == hall:
-                _apply_cold_start(
-                    server, self.cold_starts.on_evacuation_end(server.backend, now), self.to_probe
-                )
+                start = self.cold_starts.on_evacuation_end(server.backend, now)
+                self._apply_cold_start(server, start, now)
+
+    def _apply_cold_start(self, server: BackendServer, start: ColdStart, now: float) -> None:
+        if start.probe:
+            self.to_probe.append(server)
+        if start.cold_until <= server.cold_until:
+            return
+        if not server.cold(now):
+            self.events.state(
+                "server-cold",
+                server=server.backend.id,
+                why=start.reason.value,
+                for_s=round(start.cold_until - now, _TIME_DIGITS),
+            )
+        server.cold_until = start.cold_until
 
     def _regroup(self) -> None:
         self.generation += 1
         self.by_service = _offered_by_service(self.servers.values(), self.store_view.evacuated)
 
 
-def _apply_cold_start(
-    server: BackendServer, start: ColdStart, to_probe: list[BackendServer]
-) -> None:
-    server.cold_until = max(server.cold_until, start.cold_until)
-    if start.probe:
-        to_probe.append(server)
-
-
 def _offered_by_service(
     servers: Iterable[BackendServer], evacuated: Collection[str]
 ) -> dict[str, tuple[BackendServer, ...]]:
--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -16,10 +16,12 @@
 
 Owns this VM's sends to cold servers within `_COLD_WINDOW_S` and the part of them that is answered
 in time. Relies on `state` for the configuration, the registered VMs and the outages of the store.
-Results show as refusals with the outcome `no-server` in the event `request`, and in `cold` of a
-VM's state. Tests: `test_gateway_cold_limit`, `test_gateway_outliers.ColdServers`.
+Results show in the event `server-cold`, as refusals with the outcome `no-server` in the event
+`request`, and in `cold` of a VM's state. Tests: `test_gateway_cold_limit`,
+`test_gateway_outliers.ColdServers`.
 """
 
+import enum
 import math
 from collections import deque
 from typing import NamedTuple, Optional
@@ -194,6 +196,17 @@
     return share + (rank < remainder)
 
 
+class ColdReason(enum.Enum):
+    """Why a server counts as cold."""
+
+    ENTRY = "entry"
+    """Its entry says so."""
+    NEW = "new"
+    """It appeared after this VM's start."""
+    EVACUATION_ENDED = "evacuation-ended"
+    """The evacuation of its data hall has ended."""
+
+
 class ColdStart(NamedTuple):
     """Until when a server counts as cold, and whether to probe it.
 
@@ -201,10 +214,12 @@
         cold_until: Monotonic time until which it counts as cold, in seconds; minus infinity if
             nothing states that it is cold.
         probe: True if the server is to be probed, as the store does not show whether it is cold.
+        reason: Why it counts as cold.
     """
 
     cold_until: float
     probe: bool
+    reason: ColdReason
 
 
 class ColdStarts:
@@ -237,7 +252,9 @@
         if appeared:
             cold_s = max(cold_s, self._warmup_s(backend.service))
         probe = appeared and self.lapsed_entries.may_lapse(now)
-        return ColdStart(now + cold_s + COLD_MARGIN_S if cold_s > 0 else float("-inf"), probe)
+        reason = ColdReason.NEW if appeared else ColdReason.ENTRY
+        cold_until = now + cold_s + COLD_MARGIN_S if cold_s > 0 else float("-inf")
+        return ColdStart(cold_until, probe, reason)
 
     def on_evacuation_end(self, backend: BackendEntry, now: float) -> ColdStart:
         """Return until when a server counts as cold after the evacuation of its data hall.
@@ -246,7 +263,8 @@
             backend: The server's entry.
             now: Monotonic time, in seconds.
         """
-        return ColdStart(now + self._warmup_s(backend.service) + COLD_MARGIN_S, True)
+        cold_until = now + self._warmup_s(backend.service) + COLD_MARGIN_S
+        return ColdStart(cold_until, True, ColdReason.EVACUATION_ENDED)
 
     def _warmup_s(self, service: str) -> float:
         rule = service_rule(self.store_view, service)
--- a/tests/test_formats_gateway.py
+++ b/tests/test_formats_gateway.py
@@ -225,6 +225,7 @@
 capacity_requests_per_s 750
 configuration_version 7
 in_flight 0
+limit_vms 1
 load_rows_dropped 0
 load_rows_used 0
 load_summaries_received 0
@@ -236,6 +237,7 @@
 requests_behind_others 0
 requests_held 0
 server_links_up 1
+servers_cold 0
 servers_leaving 0
 servers_limited 0
 servers_load_age_s 0
--- a/tests/test_formats_lines.py
+++ b/tests/test_formats_lines.py
@@ -40,6 +40,8 @@
     "probe": ("server", "status", "cold_s"),
     "reload": ("outcome",),
     "request": ("id", "outcome", "status", "route", "object", "ms", "version", "sends"),
+    "retry-budget": ("service", "retries", "requests", "vms", "age_s"),
+    "server-cold": ("server", "why", "for_s"),
     "server-ejected": ("server", "for_s", "usual_ms"),
     "server-links": ("up", "tried", "reached", "refused"),
     "server-rests": ("server", "why", "id"),
@@ -188,6 +190,24 @@
     return vm
 
 
+async def _with_a_spent_budget(loop: VirtualLoop) -> VirtualGateway:
+    vm = await VirtualGateway(loop, servers=3).started()
+    for server in vm.servers:
+        server.spoil_of = lambda _run: Spoil.FAILED
+    for _ in range(120):
+        await vm.ask(headers=CALLER)
+        await pass_time(0.02)
+    return vm
+
+
+async def _spent_budget(loop: VirtualLoop) -> list[str]:
+    return (await _with_a_spent_budget(loop)).lines
+
+
+async def _counted_denials(loop: VirtualLoop) -> str:
+    return (await _with_a_spent_budget(loop)).metrics()
+
+
 DRIVERS: tuple[Callable[[VirtualLoop], Coroutine[Any, Any, list[str]]], ...] = (
     _a_day,
     _whole_run,
@@ -196,6 +216,7 @@
     _store_in_trouble,
     _peers,
     _caller_that_reads_nothing,
+    _spent_budget,
 )
 
 
@@ -293,12 +314,20 @@
         "requests_no-server",
         "requests_stopping",
         "requests_timeout",
+        "retries_denied",
+        "retries_taken",
         "server_restarts",
     )
 
     def test_names(self) -> None:
         seen: set[str] = set()
-        counted = (_counted_faults, _counted_repeats, _counted_refusals, _counted_unread)
+        counted = (
+            _counted_faults,
+            _counted_repeats,
+            _counted_refusals,
+            _counted_unread,
+            _counted_denials,
+        )
         for driver in counted:
             text = run_virtual(driver)
             seen |= {line.rpartition(" ")[0] for line in text.splitlines()}
