Retry budget: no process starts with retries in hand

Cause: the limit holds over the fleet and over a window, and each process kept its counts in memory. A process that had just started had its whole part of the slack, whatever its predecessor had spent, and requests of the nine seconds before could pay for retries just before others paid for new ones.

The slack is divided among all VMs that were registered or heard within the last minute. A request that is passed to another VM is counted once, and a retry to whichever service of a split route takes from all of them.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -198,14 +198,10 @@
     settings = context.settings
     reports = PeerReports(fleet.datagrams, fleet.follow_role)
     registry = BackendRegistry(
-        state.view,
-        settings.bounds,
-        settings.name,
-        settings.regions,
-        state.outages,
-        reports,
-        context.events,
+        state.view, settings.bounds, settings.name, settings.regions, state.outages, reports
     )
+    registry.events = context.events
+    registry.known_vms.heard = lambda: fleet.gossip.latest
     outliers = OutlierDetector(registry, reports, context.events)
     fleet.datagrams.register(OverloadReport, registry.load_reports.on_overload_report)
     fleet.datagrams.register(FailureReport, outliers.on_failure_report)
--- a/sprucewinch/gateway/lifecycle/upkeep.py
+++ b/sprucewinch/gateway/lifecycle/upkeep.py
@@ -69,7 +69,7 @@
         self.requests.relay_pool.sweep()
         self.servers.outliers.drop_removed()
         registry = self.servers.registry
-        registry.forget_old_statements(self.monotonic())
+        registry.forget_old(self.monotonic())
         forget_unstated(self.workspaces.quotas, registry.statement_table)
         self._limit_connections()
         self.reload_if_changed()
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -110,6 +110,7 @@
         waited_for_room: True once admission has let it wait.
         relayed_by: Entry VM that passed it on; empty when it came from its caller.
         earlier_runs: Backend servers on which it may have run before it was passed on.
+        counted: True once a VM has counted it for the retry budget of its service.
     """
 
     id: str
@@ -141,6 +142,7 @@
     waited_for_room: bool = False
     relayed_by: str = ""
     earlier_runs: int = 0
+    counted: bool = False
 
     async def has_turn(self) -> bool:
         """Wait until all requests ahead on the connection are answered; False if it closes."""
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -156,6 +156,7 @@
             relayed: What the other VM states of it.
         """
         request.relayed_by, request.earlier_runs = relayed.sender or "unnamed", relayed.earlier_runs
+        request.counted = relayed.counted
         if not relayed.workspace:
             return None
         workspace = self.admission.workspace(relayed.workspace)
@@ -245,8 +246,9 @@
         return count.count(now) / DEMAND_WINDOW_S if count else 0.0
 
     def _retry_taker(self, route: Route) -> Callable[[], bool]:
-        """Return what takes one retry from the budget of the route's first service."""
-        return lambda: self.budgets.take(route.parts[0].service)
+        """Return what takes one retry to whichever service of a route another VM chooses."""
+        services = {part.service for part in route.parts}
+        return lambda: self.budgets.take_any(services)
 
     async def _unserved(
         self, request: ClientRequest, route: Route, service: str, refusal: RefusalReason
@@ -295,7 +297,9 @@
         """Return the service of a request, chosen again if its route no longer has that service."""
         if not service:
             service = self.splits.service(route, request.key or request.id)
-            self.budgets.of(service).record_request(now)
+            if not request.counted:
+                self.budgets.record_request(service)
+                request.counted = True
             self.demand.setdefault(service, SlidingCount(DEMAND_WINDOW_S)).add(now)
             fair_order = self.fair_orders.setdefault(service, FairOrder())
             request.steps_over_share = fair_order.record_request(request.caller.workspace, now)
--- a/sprucewinch/gateway/requests/relay/relay.py
+++ b/sprucewinch/gateway/requests/relay/relay.py
@@ -189,6 +189,7 @@
             request.attempts.append(passed.attempt)
             if passed.outcome is RelayOutcome.NOT_TAKEN:
                 continue
+            request.counted = True
             lost = passed.attempt.cause == LOST
             if not (lost and _may_run(request, route) and take_retry()):
                 return self._reply(passed, request, route)
--- a/sprucewinch/gateway/requests/relay/relay_message.py
+++ b/sprucewinch/gateway/requests/relay/relay_message.py
@@ -33,6 +33,9 @@
 RUNS = "sprucewinch-relay-runs"
 """Request header: backend servers on which the request may have run before."""
 
+COUNTED = "sprucewinch-relay-counted"
+"""Request header: 1 when the VM that passes the request on has counted it for the retry budget."""
+
 OUTCOME = "sprucewinch-relay-outcome"
 """Answer header: a `RelayOutcome`."""
 
@@ -68,12 +71,14 @@
         workspace: Name of the caller's workspace; empty when it needs none.
         earlier_runs: Backend servers on which the request may have run.
         version: Version of the configuration that its caller may have seen in effect.
+        counted: True when that VM has counted it for the retry budget.
     """
 
     sender: str
     workspace: str = ""
     earlier_runs: int = 0
     version: int = 0
+    counted: bool = False
 
 
 def encode_request(
@@ -92,6 +97,7 @@
     lines += [f"{name}: {value}" for name, value in request.headers]
     lines += [f"{deadline_header}: {left_ms}", f"{SENDER}: {sender}"]
     lines += [f"{VERSION}: {version}", f"{RUNS}: {request.possible_runs()}"]
+    lines.append(f"{COUNTED}: {int(request.counted)}")
     if request.caller.workspace is not None:
         lines.append(f"{WORKSPACE}: {request.caller.workspace.name}")
     lines.append(f"content-length: {len(request.body)}")
@@ -106,6 +112,7 @@
         stated.get(WORKSPACE, ""),
         _whole_number(stated.get(RUNS)),
         _whole_number(stated.get(VERSION)),
+        bool(_whole_number(stated.get(COUNTED))),
     )
 
 
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple, Optional
 
 from ..events import EventLog, NoEvents
+from ..membership.known_vms import KnownVms
 from ..resources import BackendEntry, Evacuation, RouteConfiguration
 from ..settings import Bounds
 from ..state.outages import StoreOutages
@@ -52,7 +53,10 @@
         regions: Region of each data hall.
         outages: Records when the store was unreachable.
         reports: Sends overload reports to other VMs; None to send none.
+
+    Attributes:
         events: Logs which servers count as cold, and why.
+        known_vms: The VMs among which the fleet's limits are divided.
     """
 
     def __init__(
@@ -63,9 +67,8 @@
         regions: dict[str, str],
         outages: StoreOutages,
         reports: Optional[ReportSender] = None,
-        events: Optional[EventLog] = None,
     ) -> None:
-        self.events = events or NoEvents()
+        self.events: EventLog = NoEvents()
         self.store_view = store_view
         self.regions = regions
         self.generation = 0
@@ -77,6 +80,7 @@
         self.work_times = WorkTimes()
         self.usual_loads: dict[str, UsualLoad] = {}
         self.lapsed_entries = LapsedEntries(outages)
+        self.known_vms = KnownVms(name, store_view)
         self.cold_limit = ColdLimit(store_view, bounds, name, regions)
         self.cold_starts = ColdStarts(store_view, self.lapsed_entries)
         self.incarnations = Incarnations()
@@ -108,7 +112,7 @@
 
     def vm_count(self) -> int:
         """Return how many VMs may share the fleet's limits; a high count is the safe side."""
-        return self.cold_limit.vm_count()
+        return self.known_vms.count()
 
     def record_success(self, server: BackendServer, seconds: float, now: float) -> None:
         """Record an answer that the server itself gave, and the time it took, in seconds."""
@@ -185,10 +189,11 @@
         if accepted:
             self._regroup()
 
-    def forget_old_statements(self, now: float) -> None:
-        """Drop the statements of servers that have long had no entry; part of the regular sweep."""
+    def forget_old(self, now: float) -> None:
+        """Drop VMs and statements of servers that are long gone; part of the regular sweep."""
         held = {ServerProcessId.of(server.backend) for server in self.servers.values()}
         self.statement_table.forget_old(held, now)
+        self.known_vms.forget_old(now)
 
     def _on_change(self, change: Change) -> None:
         if isinstance(change.after, RouteConfiguration):
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -181,6 +181,10 @@
     return plain._replace(**changes)
 
 
+_AGE_S = 60.0
+"""Age of the process of a `PipelineFixture`, in seconds."""
+
+
 class PipelineFixture:
     """A pipeline with scripted backend servers.
 
@@ -246,6 +250,8 @@
             bounds=BOUNDS,
             timing=Timing(loop.time, random.Random(1)),
         )
+        # A process that has run for a while has retries in hand.
+        self.pipeline.budgets.started_at = loop.time() - _AGE_S
 
     def _feedback(self) -> AttemptFeedback:
         registry, time = self.world.registry, self.loop.time
--- a/tests/test_gateway_fleet_limits.py
+++ b/tests/test_gateway_fleet_limits.py
@@ -23,6 +23,7 @@
         per_s: Requests a second.
         before_s: Time from the first failure to the first start, in seconds.
         store_is_away: True when the store does not answer meanwhile.
+        registrations_lapse: True when no VM is registered before the first start.
     """
 
     rounds: int
@@ -31,6 +32,7 @@
     per_s: float = 20.0
     before_s: float = 10.0
     store_is_away: bool = False
+    registrations_lapse: bool = False
 
 
 RESTART_COURSES = (
@@ -41,6 +43,8 @@
     RestartCourse(4, together=True, pause_s=2.0),
     RestartCourse(1, store_is_away=True),
     RestartCourse(1, together=True, per_s=200.0, before_s=1.2),
+    RestartCourse(0, registrations_lapse=True),
+    RestartCourse(2, together=True, pause_s=2.0, registrations_lapse=True),
 )
 
 
@@ -60,6 +64,8 @@
         await asyncio.sleep(10.0)
         fleet.fails = 1.0
         await asyncio.sleep(course.before_s)
+        if course.registrations_lapse:
+            await _lapse_registrations(fleet)
         fleet.store.fault = Fault.RESET if course.store_is_away else Fault.NONE
         for _ in range(course.rounds):
             await self._round(fleet, course)
@@ -77,6 +83,15 @@
         await asyncio.sleep(course.pause_s)
 
 
+async def _lapse_registrations(fleet: LimitFleet) -> None:
+    """Let the registrations of all VMs lapse while the store is away."""
+    fleet.store.fault = Fault.RESET
+    await asyncio.sleep(3.0)
+    for key in [key for key in fleet.store.items if "/members/" in key]:
+        fleet.store.remove(key)
+    fleet.store.fault = Fault.NONE
+
+
 _COLD = ("i-0", "i-1", "i-2")
 _COLD_S = 5.0
 
@@ -135,11 +150,7 @@
 
 
 async def _registrations_lapse(fleet: LimitFleet) -> None:
-    fleet.store.fault = Fault.RESET
-    await asyncio.sleep(3.0)
-    for key in [key for key in fleet.store.items if "/members/" in key]:
-        fleet.store.remove(key)
-    fleet.store.fault = Fault.NONE
+    await _lapse_registrations(fleet)
     await _turns_cold(fleet)
     await asyncio.sleep(_COLD_S)
 
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -40,6 +40,12 @@
     run_virtual(run)
 
 
+def _counted(fleet: RelayFleet) -> int:
+    """Return the requests that all VMs have counted for their retry budgets."""
+    now = fleet.loop.time()
+    return sum(vm.path.pipeline.budgets.of("rates").requests.count(now) for vm in fleet.vms)
+
+
 class Relayed(unittest.TestCase):
     def test_a_request_at_a_vm_without_links_runs_once_and_is_answered_whole(self) -> None:
         for fault in CUTS:
@@ -193,6 +199,20 @@
         self.assertEqual((reply.status, fleet.runs("q")), expected)
         self.assertEqual(request.attempts[0].cause, LOST)
 
+    def test_a_request_counts_once_for_the_retry_budget_over_all_vms(self) -> None:
+        async def main(fleet: RelayFleet) -> None:
+            first = fleet.vms[0]
+            await fleet.lose_links(first)
+            before = _counted(fleet)
+            for number in range(5):
+                await first.run(fleet.request(f"q{number}"))
+            counted = fleet.request("counted")
+            counted.counted = True
+            await first.run(counted)
+            self.assertEqual(_counted(fleet) - before, 5)
+
+        _with_fleet(main)
+
     def test_a_vm_without_links_or_too_old_says_that_it_took_nothing(self) -> None:
         async def main(fleet: RelayFleet) -> None:
             second = fleet.vms[1]
