Cold limit: VMs without a registration do not each take the whole of it

Callers saw: nothing. With registrations lapsed or revoked, the VMs together could send a cold server many times what it bears.

Cause: the limit was divided among the VMs registered at the moment, and a VM that is not registered ranked itself behind them and took their whole remainder.

Change: the limit is divided among membership.known_vms, which keep a registration for a minute after it is gone. A VM that was never registered has no part; VMs that are heard but not registered lower everybody's.

--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -81,7 +81,7 @@
         self.usual_loads: dict[str, UsualLoad] = {}
         self.lapsed_entries = LapsedEntries(outages)
         self.known_vms = KnownVms(name, store_view)
-        self.cold_limit = ColdLimit(store_view, bounds, name, regions)
+        self.cold_limit = ColdLimit(store_view, self.known_vms, bounds, regions)
         self.cold_starts = ColdStarts(store_view, self.lapsed_entries)
         self.incarnations = Incarnations()
         self.load_reports = LoadReports(self.servers, self.times, reports or NoReports())
--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -6,8 +6,9 @@
 
 All VMs together may send a cold server at most the requests a second that the service's rule
 states, times the fleet's factor plus its slack (`cold_over`, `cold_slack`). `_BOUND_USED_FRACTION`
-of that bound is divided among the registered VMs: most of it among the VMs of the server's region,
-the remainder among the others. Requests that do not divide evenly go to the first VMs in an order
+of that bound is divided among the VMs of `membership.known_vms`, which include those that are no
+longer registered but may still send: most of it among the VMs of the server's region, the remainder
+among the others. Requests that do not divide evenly go to the first VMs in an order
 by hash. The bound is divided in advance because VMs that asked each other before each send would be
 too late, and a bound that is not divided is exceeded. If the configuration states no bound, or 0,
 each VM may send a cold server as many requests as the server has slots. While less than
@@ -27,6 +28,7 @@
 from typing import NamedTuple, Optional
 
 from ..._hash import hash64
+from ..membership.known_vms import KnownVms
 from ..resources import BackendEntry, ServiceRule
 from ..settings import Bounds
 from ..state.store_view import StoreView
@@ -104,17 +106,18 @@
 
     Args:
         store_view: What this VM holds of the store.
+        known_vms: The VMs among which the limit is divided, and this VM's name.
         bounds: The bounds that apply to the whole fleet.
-        name: Name of this VM.
         regions: Region of each data hall.
     """
 
     def __init__(
-        self, store_view: StoreView, bounds: Bounds, name: str, regions: dict[str, str]
+        self, store_view: StoreView, known_vms: KnownVms, bounds: Bounds, regions: dict[str, str]
     ) -> None:
         self.store_view = store_view
+        self.known_vms = known_vms
         self.bounds = bounds
-        self.name = name
+        self.name = known_vms.name
         self.regions = regions
         self.answered_fraction: dict[str, float] = {}
 
@@ -122,10 +125,6 @@
         """Replace the fleet's bounds."""
         self.bounds = bounds
 
-    def vm_count(self) -> int:
-        """Return how many VMs may share the fleet's limits; a high count is the safe side."""
-        return max(1, len(self.store_view.members))
-
     def allowance(self, backend: BackendEntry) -> int:
         """Return how many requests this VM may send a cold server in `_COLD_WINDOW_S`."""
         rule = service_rule(self.store_view, backend.service)
@@ -156,10 +155,19 @@
         )
 
     def _own_part(self, backend: BackendEntry, fleet: int) -> int:
-        """Return this VM's part of the fleet's requests to a server; all parts add up to them."""
+        """Return this VM's part of the fleet's requests to a server; all parts add up to them.
+
+        It is 0 for a VM that is not registered, as the others do not leave it a part.
+        """
+        members = self.known_vms.members()
+        if self.name not in members:
+            return 0
+        unregistered = self.known_vms.count() - len(members)
+        if unregistered > 0:
+            return fleet // (len(members) + unregistered)
         rank = self._rank(backend)
         region_vms = self._region_vm_count(backend)
-        other_vms = self.vm_count() - region_vms
+        other_vms = len(members) - region_vms
         region_requests = _region_requests(fleet, region_vms, other_vms)
         if rank < region_vms:
             return _part_at_rank(region_requests, region_vms, rank)
@@ -168,14 +176,14 @@
     def _region_vm_count(self, backend: BackendEntry) -> int:
         """Return how many VMs are registered in a server's region."""
         region = self.regions.get(backend.hall, "")
-        return sum(member.region == region for member in self.store_view.members.values())
+        return sum(member.region == region for member in self.known_vms.members().values())
 
     def _rank(self, backend: BackendEntry) -> int:
         """Return how many VMs precede this one for a server; VMs of its region come first."""
         region = self.regions.get(backend.hall, "")
         order_by_vm = {
             member.name: (member.region != region, hash64(f"{backend.id}|{member.name}"))
-            for member in self.store_view.members.values()
+            for member in self.known_vms.members().values()
         }
         own = order_by_vm.get(self.name)
         if own is None:
--- a/tests/test_gateway_cold_limit.py
+++ b/tests/test_gateway_cold_limit.py
@@ -52,6 +52,25 @@
         self.assertLessEqual(_most_in_a_second(sent), _LIMIT)
         self.assertGreater(len(sent), 0)
 
+    def test_vms_without_registration_do_not_each_take_the_whole_limit(self) -> None:
+        """A VM that was not in its own list took the whole of the limit."""
+        for kept in (0, 1, 2):
+            worlds = _fleet(6, 6)
+            for world in worlds:
+                for number in range(kept, 6):
+                    world.remove(f"members/vm{number}", 101.0)
+            allowances = [
+                w.registry.cold_limit.allowance(w.registry.servers["new"].backend) for w in worlds
+            ]
+            self.assertLessEqual(sum(allowances), _LIMIT)
+            self.assertGreater(sum(allowances), 0)
+
+    def test_a_vm_that_was_never_registered_takes_no_part(self) -> None:
+        worlds = [*_fleet(6, 6), *_fleet(1, 6)]
+        newcomer = worlds[-1].registry
+        newcomer.known_vms.name = newcomer.cold_limit.name = "vm9"
+        self.assertEqual(newcomer.cold_limit.allowance(newcomer.servers["new"].backend), 0)
+
     def test_most_of_the_limit_is_for_vms_of_the_servers_region(self) -> None:
         in_region, elsewhere = 0, 0
         for world in _fleet(12, 12):
