Cold limit: a request counts from its first byte on

Callers saw: nothing; a cold server got more in a second than the VMs together had counted.

Cause: a request counted towards the limit when its server was selected. It goes out after its connection is established, up to 0.35 s later, in a second in which the next ones count too.

Evidence: with connections that take 0.3 s and then none, one VM sends 18 requests in a second of an allowance of 14 (the test failed before).

Change: the count moves to the first byte, and the limit is checked again there, as the server's own statements are. A request that may not be sent chooses anew, without a retry of the budget.

--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -130,7 +130,7 @@
         self.registry.take(server, started)
         try:
             async with asyncio.timeout(until - started):
-                return await self._exchange(request, selection, until, max_idle_s)
+                return await self._exchange(request, selection, started, until, max_idle_s)
         except TimeoutError:
             if not request.at_server:
                 # No connection was established in time, so no byte was sent.
@@ -141,7 +141,12 @@
             self.registry.release(server, started)
 
     async def _exchange(
-        self, request: ClientRequest, selection: Selection, until: float, max_idle_s: float
+        self,
+        request: ClientRequest,
+        selection: Selection,
+        started: float,
+        until: float,
+        max_idle_s: float,
     ) -> Attempt:
         backend = selection.server.backend
         try:
@@ -149,8 +154,8 @@
         except ConnectFailedError:
             return Attempt(backend.id, Verdict.NOT_RUN, False, UNREACHABLE)
         # While the connection was established, the server may have left, its data hall may have
-        # been evacuated, or the server may have stated a rate limit or requested a pause.
-        if not self._may_send(selection):
+        # been evacuated, the server may have turned cold or stated a rate limit or a pause.
+        if not self._may_send(selection, started):
             connection.close()
             return Attempt(backend.id, Verdict.NOT_RUN, False, NOT_OFFERED)
         if self.quarantine.refusal(request) is not None:
@@ -169,7 +174,7 @@
         statement = read_statement(answer, self.names, request.id, self.wall())
         return Attempt(backend.id, judged.verdict, True, judged.cause, answer, statement=statement)
 
-    def _may_send(self, selection: Selection) -> bool:
+    def _may_send(self, selection: Selection, started: float) -> bool:
         """Return whether the server still accepts the request, right before the first byte."""
         stated, now = selection.server.stated, self.monotonic()
         if (
@@ -177,8 +182,9 @@
             or stated.pause_until > now
         ):
             return False
-        granted = selection.grant.quota is not None
-        return granted or not stated.is_limited(now)
+        if selection.grant.quota is None and stated.is_limited(now):
+            return False
+        return self.registry.start_sending(selection.server, started, now)
 
     async def _detect_crash(
         self,
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -158,6 +158,25 @@
         server.started.append(now)
         server.cold_sends.record(now)
 
+    def start_sending(self, server: BackendServer, started: float, now: float) -> bool:
+        """Count a request from its first byte on, instead of from the start of its attempt.
+
+        Args:
+            server: The server.
+            started: Monotonic time at which the attempt started, in seconds.
+            now: Monotonic time, in seconds.
+
+        Returns:
+            False, and nothing counted, when the server is cold and may get no further request.
+        """
+        server.cold_sends.remove(started)
+        if server.cold(now) and not server.cold_allowed(
+            now, self.cold_limit.allowance(server.backend)
+        ):
+            return False
+        server.cold_sends.record(now)
+        return True
+
     def release(self, server: BackendServer, started: float) -> None:
         """Record the end of a request that was sent at a monotonic time, in seconds."""
         server.in_flight -= 1
--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -15,6 +15,9 @@
 `_MIN_ANSWERED_FRACTION` of the requests to a service's cold servers are answered in time, the fleet
 sends each of them only `_COLD_TRIALS_PER_S`.
 
+A request counts from its first byte on, and is checked again then: requests that waited for a
+connection would otherwise go out together in a later second than they were counted in.
+
 Owns this VM's sends to cold servers within `_COLD_WINDOW_S` and the part of them that is answered
 in time. Relies on `state` for the configuration, the registered VMs and the outages of the store.
 Results show in the event `server-cold`, as refusals with the outcome `no-server` in the event
--- a/tests/test_gateway_cold_limit.py
+++ b/tests/test_gateway_cold_limit.py
@@ -1,5 +1,6 @@
 """The limit on cold backend servers, which all VMs keep without asking each other."""
 
+import asyncio
 import random
 import unittest
 
@@ -8,8 +9,9 @@
 
 from sprucewinch.gateway.resources import BackendEntry, Evacuation
 from sprucewinch.gateway.servers.cold_limit import ColdSends
+from standins.virtual import VirtualLoop, pass_time, run_virtual
 
-from .gateway_fakes import BOUNDS, RULE, StoreFixture, route
+from .gateway_fakes import BOUNDS, RULE, PipelineFixture, StoreFixture, route
 
 _LIMIT = RULE.cold_per_s * BOUNDS.cold_over + BOUNDS.cold_slack
 
@@ -71,6 +73,30 @@
         newcomer.known_vms.name = newcomer.cold_limit.name = "vm9"
         self.assertEqual(newcomer.cold_limit.allowance(newcomer.servers["new"].backend), 0)
 
+    def test_requests_that_waited_for_connections_do_not_go_out_together(self) -> None:
+        """They counted when they were selected, in an earlier second."""
+
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop, servers=1)
+            path.world.configure(route(timeout_s=5.0))
+            server = path.world.registry.servers["s0"]
+            server.cold_until = loop.time() + 10.0
+            server.limit.value = 100.0
+            path.delay(path.servers["s0"], 0.3)
+            work = [
+                asyncio.create_task(path.pipeline.run(path.request(f"a{n}"))) for n in range(30)
+            ]
+            await pass_time(1.16)
+            path.delay(path.servers["s0"], 0.0)
+            work += [
+                asyncio.create_task(path.pipeline.run(path.request(f"b{n}"))) for n in range(30)
+            ]
+            await asyncio.gather(*work)
+            self.assertLessEqual(_most_in_a_second(path.servers["s0"].arrivals), 0.8 * _LIMIT)
+            self.assertGreater(len(path.servers["s0"].arrivals), 9)
+
+        run_virtual(main)
+
     def test_most_of_the_limit_is_for_vms_of_the_servers_region(self) -> None:
         in_region, elsewhere = 0, 0
         for world in _fleet(12, 12):
