Servers are asked whether they are cold while entries say nothing of now

Callers saw: late answers of servers that were cold; a server that turned cold, or started again under its id, while the store did not answer got up to 51 requests in a second of 18 (FAILBACK).

Cause: only a server's entry told that it is cold, and entries cannot be written without the store; health answers were asked for once, of servers that appeared. What nobody knew counted as warm.

Evidence: no VM wrote a line about these servers until the store was back (event server-cold).

Change: while the store does not answer, the VMs in touch share the servers, and each is asked every half second by one of them, of its region where there is one; after the store's return from an older copy all are asked once. Who hears that a server is cold tells all VMs. A server that could not be reached and then is is doubted: it gets no more than a cold one until it answers a health check without stating a time. Probes no longer wait for each other.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -59,6 +59,8 @@
 from .resources import Member
 from .servers.backend_registry import BackendRegistry
 from .servers.capacity.live_estimates import LiveEstimates
+from .servers.cold_reports import ColdReports
+from .servers.health_asks import HealthAsks
 from .servers.links.link_check import LinkCheck
 from .servers.links.server_links import ServerLinks
 from .servers.outliers import OutlierDetector
@@ -209,6 +211,11 @@
     statements = Statements(table, reports.send_statement, context.events, context.rng)
     pool = ConnectionPool(context.adapter.names.request_id, context.monotonic)
     fleet.datagrams.register(StatementReport, statements.on_report)
+    prober = _prober(context, registry, statements)
+    cold_reports = ColdReports(registry, fleet.datagrams, fleet.follow_role)
+    prober.on_cold.append(cold_reports.tell)
+    pool.on_unreachable.append(registry.address_failed)
+    pool.on_connected.append(lambda address: registry.address_reached(address, context.monotonic()))
     return Servers(
         registry=registry,
         outliers=outliers,
@@ -216,7 +223,9 @@
         statements=statements,
         start_asks=StartAsks(table, fleet.datagrams, fleet.follow_role, context.monotonic),
         pool=pool,
-        prober=_prober(context, registry, statements),
+        prober=prober,
+        cold_reports=cold_reports,
+        health_asks=HealthAsks(registry, state.outages, fleet.gossip.in_touch, context.monotonic),
         links=_links(context, fleet, registry, pool),
     )
 
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -183,6 +183,8 @@
             self.fleet.large_items.run,
             self.fleet.registrar.run,
             self.servers.prober.run,
+            self.servers.cold_reports.run,
+            self.servers.health_asks.run,
             self.servers.links.run,
             self.servers.start_asks.run,
             self.fleet.heartbeats.run,
--- a/sprucewinch/gateway/parts.py
+++ b/sprucewinch/gateway/parts.py
@@ -37,6 +37,8 @@
 from .requests.relay.relay_app import RelayApp
 from .servers.backend_registry import BackendRegistry
 from .servers.capacity.live_estimates import LiveEstimates
+from .servers.cold_reports import ColdReports
+from .servers.health_asks import HealthAsks
 from .servers.links.server_links import ServerLinks
 from .servers.outliers import OutlierDetector
 from .servers.pool import ConnectionPool
@@ -114,6 +116,8 @@
     start_asks: StartAsks
     pool: ConnectionPool
     prober: Prober
+    cold_reports: ColdReports
+    health_asks: HealthAsks
     links: ServerLinks
 
 
--- a/sprucewinch/gateway/requests/choice/server_choice.py
+++ b/sprucewinch/gateway/requests/choice/server_choice.py
@@ -101,7 +101,7 @@
         """
         ranking = self._ranking(request, route, first.service, now)
         server = self.selector.usable_after(request, ranking, first.server, now)
-        return None if server is None or server.cold(now) else server
+        return None if server is None or server.limited_as_cold(now) else server
 
     def _ranking(self, request: ClientRequest, route: Route, service: str, now: float) -> Ranking:
         key = request.key if route.affinity and request.key else request.id
--- a/sprucewinch/gateway/requests/choice/server_selection.py
+++ b/sprucewinch/gateway/requests/choice/server_selection.py
@@ -170,7 +170,9 @@
         if len(request.unreachable_attempts()) >= MAX_UNREACHABLE_FALLBACKS:
             return None
         fallbacks = (
-            s for s in skipped if not s.cold(now) and declines_until(request, s, now) is None
+            s
+            for s in skipped
+            if not s.limited_as_cold(now) and declines_until(request, s, now) is None
         )
         return next(fallbacks, None)
 
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -20,7 +20,7 @@
 from .capacity.service_times import ServiceTimes
 from .capacity.usual_load import UsualLoad
 from .capacity.work_times import WorkTimes, work_without_queue_s
-from .cold_limit import ColdLimit, ColdStart, ColdStarts
+from .cold_limit import COLD_MARGIN_S, ColdLimit, ColdReason, ColdStart, ColdStarts
 from .incarnations import Incarnations, Succession
 from .lapsed_entries import LapsedEntries
 from .load_reports import LoadReports
@@ -87,6 +87,7 @@
         self.load_reports = LoadReports(self.servers, self.times, reports or NoReports())
         self.on_restart: list[Callable[[BackendServer], None]] = []
         self._unreadable: dict[str, _Unreadable] = {}
+        self._failed_addresses: set[str] = set()
         store_view.listeners.append(self._on_change)
 
     def set_bounds(self, bounds: Bounds) -> None:
@@ -167,10 +168,11 @@
             now: Monotonic time, in seconds.
 
         Returns:
-            False, and nothing counted, when the server is cold and may get no further request.
+            False, and nothing counted, when the server is limited as a cold one and may get no
+            further request.
         """
         server.cold_sends.remove(started)
-        if server.cold(now) and not server.cold_allowed(
+        if server.limited_as_cold(now) and not server.cold_allowed(
             now, self.cold_limit.allowance(server.backend)
         ):
             return False
@@ -183,6 +185,47 @@
         server.started.remove(started)
         server.room.wake_next()
 
+    def count_as_cold(
+        self, server: BackendServer, until: float, reason: ColdReason, now: float
+    ) -> None:
+        """Count a server as cold, unless it counts as cold for longer already.
+
+        Args:
+            server: The server.
+            until: Monotonic time until which it is cold, in seconds.
+            reason: What says so.
+            now: Monotonic time, in seconds.
+        """
+        if until <= max(server.cold_until, now):
+            return
+        if not server.cold(now):
+            self.events.state(
+                "server-cold",
+                server=server.backend.id,
+                why=reason.value,
+                for_s=round(until - now, _TIME_DIGITS),
+            )
+        server.cold_until = until
+
+    def address_failed(self, address: str) -> None:
+        """Record that no connection to an address could be established."""
+        self._failed_addresses.add(address)
+
+    def address_reached(self, address: str, now: float) -> None:
+        """Record that a connection was established; after failures a new process may answer.
+
+        Args:
+            address: `IP:PORT`.
+            now: Monotonic time, in seconds.
+        """
+        if address not in self._failed_addresses:
+            return
+        self._failed_addresses.discard(address)
+        for server in self.servers.values():
+            if server.backend.address == address:
+                warmup_s = self.cold_starts.warmup_s(server.backend.service)
+                server.doubted_until = now + warmup_s + COLD_MARGIN_S
+
     def drop_lapsed(self, now: float) -> None:
         """Drop servers whose entries did not return in time after an outage of the store."""
         overdue = [
@@ -213,6 +256,7 @@
         held = {ServerProcessId.of(server.backend) for server in self.servers.values()}
         self.statement_table.forget_old(held, now)
         self.known_vms.forget_old(now)
+        self._failed_addresses &= {server.backend.address for server in self.servers.values()}
 
     def _on_change(self, change: Change) -> None:
         if isinstance(change.after, RouteConfiguration):
@@ -301,16 +345,7 @@
     def _apply_cold_start(self, server: BackendServer, start: ColdStart, now: float) -> None:
         if start.probe:
             self.to_probe.append(server)
-        if start.cold_until <= server.cold_until:
-            return
-        if not server.cold(now):
-            self.events.state(
-                "server-cold",
-                server=server.backend.id,
-                why=start.reason.value,
-                for_s=round(start.cold_until - now, _TIME_DIGITS),
-            )
-        server.cold_until = start.cold_until
+        self.count_as_cold(server, start.cold_until, start.reason, now)
 
     def _regroup(self) -> None:
         self.generation += 1
--- a/sprucewinch/gateway/servers/backend_server.py
+++ b/sprucewinch/gateway/servers/backend_server.py
@@ -37,6 +37,7 @@
         "backend",
         "cold_sends",
         "cold_until",
+        "doubted_until",
         "drop_at",
         "estimate",
         "in_flight",
@@ -61,6 +62,7 @@
         self.answered_at = float("-inf")
         self.latency_s: Optional[float] = None
         self.cold_until = float("-inf")
+        self.doubted_until = float("-inf")
         self.drop_at: Optional[float] = None
         self.overload_reported_at = float("-inf")
         self.cold_sends = ColdSends()
@@ -96,6 +98,14 @@
         """Return whether it still counts as cold."""
         return now < self.cold_until
 
+    def doubted(self, now: float) -> bool:
+        """Return whether it may have turned cold without this VM's knowledge."""
+        return now < self.doubted_until
+
+    def limited_as_cold(self, now: float) -> bool:
+        """Return whether it gets no more requests than a cold server bears."""
+        return self.cold(now) or self.doubted(now)
+
     def load(self, now: float) -> float:
         """Return the estimated number of requests that it holds, those of other VMs included."""
         usual = self.usual_load.per_slot(now) * self.backend.capacity
--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -1,8 +1,9 @@
 """Decides which backend servers count as cold, and how many requests this VM may send them.
 
-A server counts as cold if its entry says so, if it appears after this VM's start, or if the
-evacuation of its data hall has ended; in each case for the stated time or its service's warm-up,
-plus `COLD_MARGIN_S`.
+A server counts as cold if its entry or a health answer says so, if it appears after this VM's
+start, or if the evacuation of its data hall has ended; in each case for the stated time or its
+service's warm-up, plus `COLD_MARGIN_S`. One that could not be reached and then is may be a new
+process: it is doubted, and gets no more than a cold one, until it answers (`health_asks`).
 
 All VMs together may send a cold server at most the requests a second that the service's rule
 states, times the fleet's factor plus its slack (`cold_over`, `cold_slack`). `_BOUND_USED_FRACTION`
@@ -216,6 +217,10 @@
     """It appeared after this VM's start."""
     EVACUATION_ENDED = "evacuation-ended"
     """The evacuation of its data hall has ended."""
+    HEALTH = "health"
+    """It says so in a health answer."""
+    TOLD = "told"
+    """Another VM tells that it says so."""
 
 
 class ColdStart(NamedTuple):
@@ -261,7 +266,7 @@
         appeared = new and self.counts_new_as_cold
         cold_s = backend.cold_for_s
         if appeared:
-            cold_s = max(cold_s, self._warmup_s(backend.service))
+            cold_s = max(cold_s, self.warmup_s(backend.service))
         probe = appeared and self.lapsed_entries.may_lapse(now)
         reason = ColdReason.NEW if appeared else ColdReason.ENTRY
         cold_until = now + cold_s + COLD_MARGIN_S if cold_s > 0 else float("-inf")
@@ -274,10 +279,11 @@
             backend: The server's entry.
             now: Monotonic time, in seconds.
         """
-        cold_until = now + self._warmup_s(backend.service) + COLD_MARGIN_S
+        cold_until = now + self.warmup_s(backend.service) + COLD_MARGIN_S
         return ColdStart(cold_until, True, ColdReason.EVACUATION_ENDED)
 
-    def _warmup_s(self, service: str) -> float:
+    def warmup_s(self, service: str) -> float:
+        """Return how long a server of a service is cold after its start, in seconds."""
         rule = service_rule(self.store_view, service)
         return rule.warmup_s if rule else _DEFAULT_WARMUP_S
 
--- /dev/null
+++ b/sprucewinch/gateway/servers/health_asks.py
@@ -0,0 +1,147 @@
+"""Decides which backend servers this VM asks whether they are cold, and when.
+
+Entries of the store tell it as long as servers can write them. Without that, only health answers
+do. A server is asked
+
+- every `_ASK_INTERVAL_S` while the store does not answer, and shortly after;
+- once after the store's return from an older copy, whose entries may be older than the truth;
+- every `_ASK_INTERVAL_S` while it is doubted, by each VM that doubts it.
+
+The VMs in touch share the first two: each server is asked by one of them, of its own region if
+there is one. A VM that no other one reaches asks all servers. Servers that are known to be cold are
+not asked.
+
+Relies on `probe` for the questions, on `cold_reports` for telling the others, and on `gossip` for
+the VMs in touch. Owns the division of the servers among the VMs. Results show in the event `probe`
+and in the metric `probes`. Times are monotonic, in seconds. Tests: `test_gateway_health_asks`.
+"""
+
+import asyncio
+import bisect
+from collections.abc import Callable, Collection
+
+from ..._hash import hash64
+from ..state.outages import StoreOutages
+from .backend_registry import BackendRegistry
+from .backend_server import BackendServer
+
+_TICK_S = 0.1
+"""Time between two looks for servers to ask, in seconds."""
+
+_ASK_INTERVAL_S = 0.5
+"""Time between two questions to a server, in seconds. A server that turns cold is known to be so
+within twice that."""
+
+_ALL = ""
+"""Stands for all regions; no region has an empty name."""
+
+_POINTS = 16
+"""Points of each VM on the ring, so that the parts are of similar size."""
+
+
+class HealthAsks:
+    """Asks servers whether they are cold.
+
+    Args:
+        registry: Backend servers; asks those of its list `to_probe`.
+        outages: Records when the store was unreachable.
+        in_touch: Returns whether another VM is in touch at a monotonic time, in seconds.
+        monotonic: Source of monotonic time, in seconds.
+    """
+
+    def __init__(
+        self,
+        registry: BackendRegistry,
+        outages: StoreOutages,
+        in_touch: Callable[[str, float], bool],
+        monotonic: Callable[[], float],
+    ) -> None:
+        self.registry = registry
+        self.outages = outages
+        self.in_touch = in_touch
+        self.monotonic = monotonic
+        self._asks_all = False
+        self._asked_at: dict[BackendServer, float] = {}
+        registry.store_view.on_era.append(self._on_era)
+
+    async def run(self) -> None:
+        """Ask servers when it is time, until cancelled."""
+        while True:
+            self.ask_due(self.monotonic())
+            await asyncio.sleep(_TICK_S)
+
+    def ask_due(self, now: float) -> None:
+        """Ask the servers that are due.
+
+        Args:
+            now: Monotonic time, in seconds.
+        """
+        servers = [server for server in self.registry.servers.values() if not server.cold(now)]
+        due = [server for server in servers if server.doubted(now) and self._is_due(server, now)]
+        if self._asks_all or self.outages.entries_may_have_lapsed(now):
+            shared = self._own_part(servers, now)
+            due += [s for s in shared if self._asks_all or self._is_due(s, now)]
+            self._asks_all = False
+        for server in dict.fromkeys(due):
+            self._asked_at[server] = now
+            self.registry.to_probe.append(server)
+        if not due:
+            self._asked_at = {s: at for s, at in self._asked_at.items() if not _is_old(at, now)}
+
+    def _on_era(self, _era: int) -> None:
+        self._asks_all = True
+
+    def _is_due(self, server: BackendServer, now: float) -> bool:
+        return _is_old(self._asked_at.get(server, float("-inf")), now)
+
+    def _own_part(self, servers: Collection[BackendServer], now: float) -> list[BackendServer]:
+        """Return the servers that this VM asks of those that the VMs in touch share."""
+        rings = self._rings(now)
+        regions = self.registry.regions
+        own = self.registry.known_vms.name
+        return [
+            server
+            for server in servers
+            if (rings.get(regions.get(server.backend.hall, "")) or rings[_ALL]).owner(
+                server.backend.id
+            )
+            == own
+        ]
+
+    def _rings(self, now: float) -> dict[str, "_Ring"]:
+        """Return the VMs in touch, by region and all together; this VM counts as in touch."""
+        own = self.registry.known_vms.name
+        members = self.registry.known_vms.members().values()
+        names: dict[str, list[str]] = {_ALL: [own]}
+        for member in members:
+            if member.name == own:
+                names.setdefault(member.region, []).append(own)
+            elif self.in_touch(member.name, now):
+                names.setdefault(member.region, []).append(member.name)
+                names[_ALL].append(member.name)
+        return {region: _Ring(vms) for region, vms in names.items()}
+
+
+class _Ring:
+    """Divides names among VMs so that few change their VM when a VM comes or goes.
+
+    Args:
+        vms: Names of the VMs, at least one.
+    """
+
+    __slots__ = ("_points", "_vms")
+
+    def __init__(self, vms: Collection[str]) -> None:
+        by_point = sorted(
+            (hash64(f"ring|{number}|{name}"), name) for name in vms for number in range(_POINTS)
+        )
+        self._points = [point for point, _ in by_point]
+        self._vms = [name for _, name in by_point]
+
+    def owner(self, name: str) -> str:
+        """Return the VM of a name."""
+        return self._vms[bisect.bisect(self._points, hash64(name)) % len(self._vms)]
+
+
+def _is_old(asked_at: float, now: float) -> bool:
+    return now - asked_at >= _ASK_INTERVAL_S
--- a/sprucewinch/gateway/servers/probe.py
+++ b/sprucewinch/gateway/servers/probe.py
@@ -1,14 +1,17 @@
 """Probes backend servers for whether they are cold, where the store does not show it.
 
 Servers of a data hall whose evacuation has ended, and servers that appear while the store is
-unavailable, count as cold and are probed once with a GET on their service's health path. If that
-very process answers and states the time left until it is warm, in milliseconds, that time applies.
-After any other answer, an answer of another process, or none, the server stays cold for its
-service's warm-up. A server that is leaving, or that has asked for a pause or a rate limit, is not
+unavailable, count as cold and are probed once with a GET on their service's health path; further
+ones are named by `health_asks`. If that very process answers and states the time left until it is
+warm, in milliseconds, that time applies, and other VMs are told (`cold_reports`). After any other
+answer, an answer of another process, or none, a server that counts as cold stays so for its
+service's warm-up. One that is only doubted is doubted no longer when that very process answers and
+states no time. A server that is leaving, or that has asked for a pause or a rate limit, is not
 probed. Whatever else the probed process states in its answer counts as in an answer to a request.
 
-A server is probed once and not repeatedly, as each probe costs it a new connection. Without probes,
-a data hall whose servers were still warm after an evacuation got few requests for 3.5 s.
+Probes do not wait for each other: a server that does not answer delays none of the others. Each
+costs its server a new connection. Without probes, a data hall whose servers were still warm after
+an evacuation got few requests for 3.5 s.
 
 Relies on the registry for the servers to probe, on `statements` for what they state, and on
 `net.connection`. Results show in the event `probe`, with status 0 for no answer, and in the metric
@@ -27,7 +30,7 @@
 from ..statements.statements import ServerAnswer, Statements
 from .backend_registry import BackendRegistry
 from .backend_server import BackendServer
-from .cold_limit import COLD_MARGIN_S, service_rule
+from .cold_limit import COLD_MARGIN_S, ColdReason, service_rule
 
 _POLL_PAUSE_S = 0.05
 """Pause between two checks for servers to probe, in seconds."""
@@ -51,10 +54,12 @@
     Args:
         status: HTTP status; `_NO_ANSWER` if no complete answer came in time.
         cold_left_s: Time for which the server stays cold, in seconds; None if it states none.
+        by_process: True if the very process that was asked has answered that it is well.
     """
 
     status: int
     cold_left_s: Optional[float] = None
+    by_process: bool = False
 
 
 class Prober:
@@ -69,6 +74,9 @@
         wall: Returns the time of day, in seconds since the epoch.
         incarnation_of: Returns the incarnation that the body of an answer states; None if it states
             none.
+
+    Attributes:
+        on_cold: Called with each server that states that it is cold.
     """
 
     def __init__(
@@ -86,18 +94,25 @@
         self.statements = statements
         self.names = names
         self.incarnation_of = incarnation_of
+        self.on_cold: list[Callable[[BackendServer], None]] = []
         self.events = events
         self.monotonic = monotonic
         self.wall = wall
 
     async def run(self) -> None:
         """Probe until cancelled."""
-        while True:
-            await asyncio.sleep(_POLL_PAUSE_S)
-            to_probe = list(self.registry.to_probe)
-            self.registry.to_probe.clear()
-            if to_probe:
-                await asyncio.gather(*(self.probe(server) for server in to_probe))
+        running: set[asyncio.Task[None]] = set()
+        try:
+            while True:
+                await asyncio.sleep(_POLL_PAUSE_S)
+                for server in self.registry.to_probe:
+                    task = asyncio.create_task(self.probe(server))
+                    running.add(task)
+                    task.add_done_callback(running.discard)
+                self.registry.to_probe.clear()
+        finally:
+            for task in tuple(running):
+                task.cancel()
 
     async def probe(self, server: BackendServer) -> None:
         """Probe one server for how long it stays cold; without a clear answer it counts as cold."""
@@ -111,10 +126,24 @@
         answer = await get(server.backend.address, rule.health_path, Patience.in_all(_TIMEOUT_S))
         result = self._read(answer, server, started)
         left_s = result.cold_left_s
+        if result.by_process:
+            server.doubted_until = float("-inf")
         if left_s is not None:
-            server.cold_until = self.monotonic() + left_s + COLD_MARGIN_S if left_s else 0.0
+            self._set_cold(server, left_s)
         self.events.state("probe", server=server.backend.id, status=result.status, cold_s=left_s)
 
+    def _set_cold(self, server: BackendServer, left_s: float) -> None:
+        """Apply the time, in seconds, for which a server states that it stays cold."""
+        if not left_s:
+            server.cold_until = 0.0
+            return
+        now = self.monotonic()
+        until = now + left_s + COLD_MARGIN_S
+        self.registry.count_as_cold(server, until, ColdReason.HEALTH, now)
+        server.cold_until = until
+        for listener in self.on_cold:
+            listener(server)
+
     def _declines_requests(self, server: BackendServer) -> bool:
         """Return whether a server itself states that it is leaving, paused or limited."""
         now, stated = self.monotonic(), server.stated
@@ -129,9 +158,10 @@
             return ProbeResult(answer.status)
         self._take_statement(answer, server, started)
         left_ms = answer.header(self.names.cold_ms)
-        if answer.status != HTTPStatus.OK or left_ms is None or not left_ms.isdigit():
-            return ProbeResult(answer.status)
-        return ProbeResult(answer.status, int(left_ms) / _MS_PER_S)
+        well = answer.status == HTTPStatus.OK
+        if not well or left_ms is None or not left_ms.isdigit():
+            return ProbeResult(answer.status, by_process=well)
+        return ProbeResult(answer.status, int(left_ms) / _MS_PER_S, by_process=True)
 
     def _take_statement(self, answer: Answer, server: BackendServer, started: float) -> None:
         """Process what a server states of itself in the answer to a probe."""
--- a/sprucewinch/gateway/servers/usability.py
+++ b/sprucewinch/gateway/servers/usability.py
@@ -4,9 +4,9 @@
 of the store changes or a server states that it is leaving: a server that is draining or leaving, or
 whose data hall is evacuated, is not offered to any request. The second runs for each request: an
 offered server is skipped if it declines requests itself (it asked for a pause, or its rate limit is
-used up), is in back-off after failures, is silent, is ejected as an outlier, or is cold and has
-used up this VM's allowance. In both checks the first reason that holds is returned. Times are
-monotonic, in seconds.
+used up), is in back-off after failures, is silent, is ejected as an outlier, or is cold, or may be,
+and has used up this VM's allowance. In both checks the first reason that holds is returned. Times
+are monotonic, in seconds.
 
 The first check and the server's own statements are evaluated again before the first byte of a
 request is sent (`requests.sender`). The other conditions are not: the request itself counts
@@ -89,6 +89,6 @@
         return UnusableReason.SILENT
     if ejected(server, now):
         return UnusableReason.EJECTED
-    if server.cold_until > now and not server.cold_allowed(now, cold_allowance(server.backend)):
+    if server.limited_as_cold(now) and not server.cold_allowed(now, cold_allowance(server.backend)):
         return UnusableReason.COLD
     return None
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -12,10 +12,11 @@
 from typing import Any, NamedTuple, Optional
 
 from standins.consortium_store import Fault
-from standins.scripted_server import Run, ScriptedServer, Spoil
+from standins.scripted_server import HEALTH_PATH, Run, ScriptedServer, Spoil
 from standins.virtual import VirtualLoop, pass_time
 
 from .crash_fleet import CrashFleet, CrashVm
+from .gateway_process import CONFIGURATION
 
 SERVICE = "rates"
 RATIO, SLACK, WINDOW_S = 0.2, 64.0, 10.0
@@ -84,6 +85,9 @@
         self.down: set[int] = set()
         self.writes_entries = True
         super().__init__(loop, vms=vms, servers=servers, seed=seed)
+        rule = {**CONFIGURATION["Services"][0], "HealthPath": HEALTH_PATH}
+        configuration = {**CONFIGURATION, "Services": [rule]}
+        self.store.put("op/config", json.dumps(configuration).encode())
 
     def _serve(self, address: str, hall: str) -> None:
         server_id = f"i-{next(self._names)}"
--- a/tests/test_formats_gateway.py
+++ b/tests/test_formats_gateway.py
@@ -238,6 +238,7 @@
 requests_held 0
 server_links_up 1
 servers_cold 0
+servers_doubted 0
 servers_leaving 0
 servers_limited 0
 servers_load_age_s 0
