A process that has just started does not take listed servers for warm

Callers saw: late answers of cold servers; up to 68 requests in a second of 18 at a server that an evacuation had left cold, when VMs started at its end; 45 after the store's return from an older copy.

Cause: a process knows the servers that are listed at its start by their entries alone. What other VMs had learnt (the end of an evacuation, a health answer, that an entry is older than the truth) was in their memory, and what the process did not know it took for warm.

Evidence: server-cold lines of these courses come with the servers' next entries, seconds late, at processes of less than 2 s of age.

Change: listed servers are unproven for a second, in which they get no more than cold ones. The answer to the ask after a start brings what the other VM counts as cold and proves the rest, unless that VM has just started itself; then the servers, which the registered VMs share, are asked, and what they answer is told to all. In its first 3 s a process sends each cold server one request in the window at most, as it may know few of the other VMs and not what its predecessor sent.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -67,6 +67,7 @@
 from .servers.peer_reports import FailureReport, OverloadReport, PeerReports
 from .servers.pool import ConnectionPool
 from .servers.probe import Prober
+from .servers.start_doubts import StartDoubts
 from .settings import GatewaySettings
 from .state.outages import StoreOutages
 from .state.store_view import StoreView
@@ -213,7 +214,10 @@
     fleet.datagrams.register(StatementReport, statements.on_report)
     prober = _prober(context, registry, statements)
     cold_reports = ColdReports(registry, fleet.datagrams, fleet.follow_role)
-    prober.on_cold.append(cold_reports.tell)
+    prober.on_health.append(lambda server, cold: cold_reports.tell(server, cold=cold))
+    start_doubts = StartDoubts(registry, cold_reports, fleet.datagrams)
+    start_asks = StartAsks(table, fleet.datagrams, fleet.follow_role, context.monotonic)
+    start_asks.on_asked.append(start_doubts.answer)
     pool.on_unreachable.append(registry.address_failed)
     pool.on_connected.append(lambda address: registry.address_reached(address, context.monotonic()))
     return Servers(
@@ -221,10 +225,11 @@
         outliers=outliers,
         estimates=LiveEstimates(registry, outliers),
         statements=statements,
-        start_asks=StartAsks(table, fleet.datagrams, fleet.follow_role, context.monotonic),
+        start_asks=start_asks,
         pool=pool,
         prober=prober,
         cold_reports=cold_reports,
+        start_doubts=start_doubts,
         health_asks=HealthAsks(registry, state.outages, fleet.gossip.in_touch, context.monotonic),
         links=_links(context, fleet, registry, pool),
     )
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -184,6 +184,7 @@
             self.fleet.registrar.run,
             self.servers.prober.run,
             self.servers.cold_reports.run,
+            self.servers.start_doubts.run,
             self.servers.health_asks.run,
             self.servers.links.run,
             self.servers.start_asks.run,
--- a/sprucewinch/gateway/parts.py
+++ b/sprucewinch/gateway/parts.py
@@ -43,6 +43,7 @@
 from .servers.outliers import OutlierDetector
 from .servers.pool import ConnectionPool
 from .servers.probe import Prober
+from .servers.start_doubts import StartDoubts
 from .settings import GatewaySettings
 from .state.outages import StoreOutages
 from .state.store import Store
@@ -117,6 +118,7 @@
     pool: ConnectionPool
     prober: Prober
     cold_reports: ColdReports
+    start_doubts: StartDoubts
     health_asks: HealthAsks
     links: ServerLinks
 
--- a/sprucewinch/gateway/requests/choice/server_selection.py
+++ b/sprucewinch/gateway/requests/choice/server_selection.py
@@ -72,7 +72,7 @@
         self.times = registry.times
         self.ejected = outliers.ejected
         self.spillover = Spillover(self._is_usable, outliers.sent_objects.is_warm)
-        self.cold_allowance = registry.cold_limit.allowance
+        self.cold_allowance = registry.cold_allowance
 
     def choose(
         self, request: ClientRequest, ranking: Ranking, service: str, now: float, route: Route
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -32,6 +32,10 @@
 writes its entry again within seconds; if it were treated as a new one, it would count as cold and
 get a few requests a second instead of its share."""
 
+UNPROVEN_S = 1.0
+"""Time for which a server that is listed at the start is unproven, in seconds: long enough for the
+answers of other VMs, and for a health check and the report on it."""
+
 _TIME_DIGITS = 3
 """Decimal places of a time in seconds, which give it to the millisecond."""
 
@@ -57,6 +61,10 @@
     Attributes:
         events: Logs which servers count as cold, and why.
         known_vms: The VMs among which the fleet's limits are divided.
+        settled: False while this process may not know the VMs that share the limit on cold servers;
+            see `start_doubts`.
+        doubts_listed: True while servers that are listed at the start are unproven; see
+            `start_doubts`.
     """
 
     def __init__(
@@ -88,6 +96,8 @@
         self.on_restart: list[Callable[[BackendServer], None]] = []
         self._unreadable: dict[str, _Unreadable] = {}
         self._failed_addresses: set[str] = set()
+        self.settled = True
+        self.doubts_listed = False
         store_view.listeners.append(self._on_change)
 
     def set_bounds(self, bounds: Bounds) -> None:
@@ -159,6 +169,16 @@
         server.started.append(now)
         server.cold_sends.record(now)
 
+    def cold_allowance(self, server: BackendServer, now: float) -> int:
+        """Return how many requests this VM may send a server that is limited as a cold one.
+
+        Args:
+            server: The server.
+            now: Monotonic time, in seconds.
+        """
+        part = self.cold_limit.allowance(server.backend)
+        return part if self.settled or not server.cold(now) else min(part, 1)
+
     def start_sending(self, server: BackendServer, started: float, now: float) -> bool:
         """Count a request from its first byte on, instead of from the start of its attempt.
 
@@ -173,7 +193,7 @@
         """
         server.cold_sends.remove(started)
         if server.limited_as_cold(now) and not server.cold_allowed(
-            now, self.cold_limit.allowance(server.backend)
+            now, self.cold_allowance(server, now)
         ):
             return False
         server.cold_sends.record(now)
@@ -226,6 +246,12 @@
                 warmup_s = self.cold_starts.warmup_s(server.backend.service)
                 server.doubted_until = now + warmup_s + COLD_MARGIN_S
 
+    def prove_listed(self) -> None:
+        """Record that servers listed at the start are as their entries and other VMs say."""
+        self.doubts_listed = False
+        for server in self.servers.values():
+            server.unproven_until = float("-inf")
+
     def drop_lapsed(self, now: float) -> None:
         """Drop servers whose entries did not return in time after an outage of the store."""
         overdue = [
@@ -333,6 +359,8 @@
         server.backend = backend
         server.usual_load = self.usual_loads.setdefault(backend.service, UsualLoad())
         server.drop_at = None
+        if new and self.doubts_listed and not self.cold_starts.counts_new_as_cold:
+            server.unproven_until = now + UNPROVEN_S
         self._apply_cold_start(server, self.cold_starts.on_entry(backend, now, new=new), now)
 
     def _count_hall_as_cold(self, hall: str, now: float) -> None:
--- a/sprucewinch/gateway/servers/backend_server.py
+++ b/sprucewinch/gateway/servers/backend_server.py
@@ -50,6 +50,7 @@
         "seed",
         "started",
         "stated",
+        "unproven_until",
         "usual_load",
     )
 
@@ -63,6 +64,7 @@
         self.latency_s: Optional[float] = None
         self.cold_until = float("-inf")
         self.doubted_until = float("-inf")
+        self.unproven_until = float("-inf")
         self.drop_at: Optional[float] = None
         self.overload_reported_at = float("-inf")
         self.cold_sends = ColdSends()
@@ -102,9 +104,17 @@
         """Return whether it may have turned cold without this VM's knowledge."""
         return now < self.doubted_until
 
+    def unproven(self, now: float) -> bool:
+        """Return whether this process started a moment ago and knows its entry alone."""
+        return now < self.unproven_until
+
     def limited_as_cold(self, now: float) -> bool:
         """Return whether it gets no more requests than a cold server bears."""
-        return self.cold(now) or self.doubted(now)
+        return self.cold(now) or self.doubted(now) or self.unproven(now)
+
+    def record_health(self) -> None:
+        """Record that this very process has answered a health check."""
+        self.doubted_until = self.unproven_until = float("-inf")
 
     def load(self, now: float) -> float:
         """Return the estimated number of requests that it holds, those of other VMs included."""
--- a/sprucewinch/gateway/servers/capacity/live_estimates.py
+++ b/sprucewinch/gateway/servers/capacity/live_estimates.py
@@ -56,7 +56,7 @@
     def __init__(self, registry: BackendRegistry, outliers: OutlierDetector) -> None:
         self.registry = registry
         self.ejected = outliers.ejected
-        self.cold_allowance = registry.cold_limit.allowance
+        self.cold_allowance = registry.cold_allowance
         self.warm_objects = WarmObjects(registry, outliers.sent_objects)
         self._rooms: dict[tuple[str, str], _CachedRoom] = {}
 
--- a/sprucewinch/gateway/servers/health_asks.py
+++ b/sprucewinch/gateway/servers/health_asks.py
@@ -1,15 +1,18 @@
 """Decides which backend servers this VM asks whether they are cold, and when.
 
 Entries of the store tell it as long as servers can write them. Without that, only health answers
-do. A server is asked
+do. A server is asked every `_ASK_INTERVAL_S`
 
-- every `_ASK_INTERVAL_S` while the store does not answer, and shortly after;
-- once after the store's return from an older copy, whose entries may be older than the truth;
-- every `_ASK_INTERVAL_S` while it is doubted, by each VM that doubts it.
+- while the store does not answer, and shortly after;
+- for `_ENTRIES_BACK_S` after the store's return from an older copy, as its entries may be older
+  than the truth;
+- while it is unproven after the start of a process (`start_doubts`);
+- while it is doubted, by each VM that doubts it.
 
-The VMs in touch share the first two: each server is asked by one of them, of its own region if
-there is one. A VM that no other one reaches asks all servers. Servers that are known to be cold are
-not asked.
+The VMs in touch share the first three. Each server is asked by `_ASKING_VMS` of them, as one may
+have died a moment ago, and of its own region if there is one. For `HEARTBEAT_TIMEOUT_S` after the
+start all registered VMs count as in touch, as no heartbeat can have come from them. A VM that no
+other one reaches asks all servers. Servers that are known to be cold are not asked.
 
 Relies on `probe` for the questions, on `cold_reports` for telling the others, and on `gossip` for
 the VMs in touch. Owns the division of the servers among the VMs. Results show in the event `probe`
@@ -21,6 +24,7 @@
 from collections.abc import Callable, Collection
 
 from ..._hash import hash64
+from ..membership.gossip import HEARTBEAT_TIMEOUT_S
 from ..state.outages import StoreOutages
 from .backend_registry import BackendRegistry
 from .backend_server import BackendServer
@@ -28,9 +32,16 @@
 _TICK_S = 0.1
 """Time between two looks for servers to ask, in seconds."""
 
-_ASK_INTERVAL_S = 0.5
-"""Time between two questions to a server, in seconds. A server that turns cold is known to be so
-within twice that."""
+_ASK_INTERVAL_S = 0.6
+"""Time between two questions of a VM to a server, in seconds. With the time for the answer and for
+telling the others, a server that turns cold is known to be so within a second."""
+
+_ASKING_VMS = 2
+"""VMs that ask one server."""
+
+_ENTRIES_BACK_S = 3.0
+"""Time within which every running server has written its entry again, in seconds: two of its
+heartbeats."""
 
 _ALL = ""
 """Stands for all regions; no region has an empty name."""
@@ -60,7 +71,8 @@
         self.outages = outages
         self.in_touch = in_touch
         self.monotonic = monotonic
-        self._asks_all = False
+        self.started_at = monotonic()
+        self._entries_old_until = float("-inf")
         self._asked_at: dict[BackendServer, float] = {}
         registry.store_view.on_era.append(self._on_era)
 
@@ -78,10 +90,9 @@
         """
         servers = [server for server in self.registry.servers.values() if not server.cold(now)]
         due = [server for server in servers if server.doubted(now) and self._is_due(server, now)]
-        if self._asks_all or self.outages.entries_may_have_lapsed(now):
-            shared = self._own_part(servers, now)
-            due += [s for s in shared if self._asks_all or self._is_due(s, now)]
-            self._asks_all = False
+        if not (now < self._entries_old_until or self.outages.entries_may_have_lapsed(now)):
+            servers = [server for server in servers if server.unproven(now)]
+        due += [s for s in self._own_part(servers, now) if self._is_due(s, now)]
         for server in dict.fromkeys(due):
             self._asked_at[server] = now
             self.registry.to_probe.append(server)
@@ -89,24 +100,24 @@
             self._asked_at = {s: at for s, at in self._asked_at.items() if not _is_old(at, now)}
 
     def _on_era(self, _era: int) -> None:
-        self._asks_all = True
+        self._entries_old_until = self.monotonic() + _ENTRIES_BACK_S
 
     def _is_due(self, server: BackendServer, now: float) -> bool:
         return _is_old(self._asked_at.get(server, float("-inf")), now)
 
     def _own_part(self, servers: Collection[BackendServer], now: float) -> list[BackendServer]:
         """Return the servers that this VM asks of those that the VMs in touch share."""
+        if not servers:
+            return []
         rings = self._rings(now)
         regions = self.registry.regions
         own = self.registry.known_vms.name
-        return [
-            server
-            for server in servers
-            if (rings.get(regions.get(server.backend.hall, "")) or rings[_ALL]).owner(
-                server.backend.id
-            )
-            == own
-        ]
+
+        def asks(server: BackendServer) -> bool:
+            region = regions.get(server.backend.hall, "")
+            return own in rings.get(region, rings[_ALL]).owners(server.backend.id, _ASKING_VMS)
+
+        return [server for server in servers if asks(server)]
 
     def _rings(self, now: float) -> dict[str, "_Ring"]:
         """Return the VMs in touch, by region and all together; this VM counts as in touch."""
@@ -116,7 +127,7 @@
         for member in members:
             if member.name == own:
                 names.setdefault(member.region, []).append(own)
-            elif self.in_touch(member.name, now):
+            elif now - self.started_at < HEARTBEAT_TIMEOUT_S or self.in_touch(member.name, now):
                 names.setdefault(member.region, []).append(member.name)
                 names[_ALL].append(member.name)
         return {region: _Ring(vms) for region, vms in names.items()}
@@ -138,9 +149,15 @@
         self._points = [point for point, _ in by_point]
         self._vms = [name for _, name in by_point]
 
-    def owner(self, name: str) -> str:
-        """Return the VM of a name."""
-        return self._vms[bisect.bisect(self._points, hash64(name)) % len(self._vms)]
+    def owners(self, name: str, count: int) -> list[str]:
+        """Return the first VMs of a name, or all if there are fewer."""
+        first = bisect.bisect(self._points, hash64(name))
+        found: dict[str, None] = {}
+        for step in range(len(self._vms)):
+            found[self._vms[(first + step) % len(self._vms)]] = None
+            if len(found) == count:
+                break
+        return list(found)
 
 
 def _is_old(asked_at: float, now: float) -> bool:
--- a/sprucewinch/gateway/servers/probe.py
+++ b/sprucewinch/gateway/servers/probe.py
@@ -76,7 +76,7 @@
             none.
 
     Attributes:
-        on_cold: Called with each server that states that it is cold.
+        on_health: Called with a server whose answer other VMs may need, and whether it is cold.
     """
 
     def __init__(
@@ -94,7 +94,7 @@
         self.statements = statements
         self.names = names
         self.incarnation_of = incarnation_of
-        self.on_cold: list[Callable[[BackendServer], None]] = []
+        self.on_health: list[Callable[[BackendServer, bool], None]] = []
         self.events = events
         self.monotonic = monotonic
         self.wall = wall
@@ -127,11 +127,19 @@
         result = self._read(answer, server, started)
         left_s = result.cold_left_s
         if result.by_process:
-            server.doubted_until = float("-inf")
+            self._record_health(server, left_s or 0.0)
         if left_s is not None:
             self._set_cold(server, left_s)
         self.events.state("probe", server=server.backend.id, status=result.status, cold_s=left_s)
 
+    def _record_health(self, server: BackendServer, left_s: float) -> None:
+        """Record that a server has answered, and tell other VMs what they may not know."""
+        unproven = server.unproven(self.monotonic())
+        server.record_health()
+        if left_s or unproven:
+            for listener in self.on_health:
+                listener(server, left_s > 0)
+
     def _set_cold(self, server: BackendServer, left_s: float) -> None:
         """Apply the time, in seconds, for which a server states that it stays cold."""
         if not left_s:
@@ -141,8 +149,6 @@
         until = now + left_s + COLD_MARGIN_S
         self.registry.count_as_cold(server, until, ColdReason.HEALTH, now)
         server.cold_until = until
-        for listener in self.on_cold:
-            listener(server)
 
     def _declines_requests(self, server: BackendServer) -> bool:
         """Return whether a server itself states that it is leaving, paused or limited."""
--- /dev/null
+++ b/sprucewinch/gateway/servers/start_doubts.py
@@ -0,0 +1,87 @@
+"""Decides what a process that has just started takes for known about backend servers.
+
+A process knows the servers that are listed at its start by their entries alone. It does not know
+what others learnt otherwise: that an evacuation has just ended, what a health answer said, or that
+an entry comes from an older copy of the store. So these servers are unproven for `UNPROVEN_S`, in
+which they get no more than cold ones, unless another VM tells what it knows, or they answer a
+health check (`health_asks`). The answer to an ask after a start (`statements.start_asks`) therefore
+brings the servers that the other VM counts as cold; a VM that has just started itself says so, and
+proves nothing.
+
+In its first `_SETTLING_S` a process may know few of the VMs that share the limit on cold servers,
+and not what its predecessor sent. It then sends each of them at most one request within the
+window of that limit (`BackendRegistry.settled`).
+
+Owns the message. Relies on `cold_reports` for the rows and on the registry for the servers. Results
+show in the metric `servers_doubted`. Times are monotonic, in seconds. Tests:
+`test_gateway_start_doubts`, `test_gateway_fleet_limits`.
+"""
+
+import asyncio
+
+import msgspec
+
+from ..datagrams import Datagrams
+from .backend_registry import BackendRegistry
+from .cold_reports import MAX_ROWS, ColdReport, ColdReports, ColdRow
+
+_SETTLING_S = 3.0
+"""Age of a process from which it knows the other VMs, in seconds: within it, registrations and
+heartbeats have arrived."""
+
+
+class ColdKnown(msgspec.Struct, array_like=True, frozen=True, tag="cold-known"):
+    """What a VM knows of cold servers, for one that has started; its tag is `cold-known`.
+
+    Args:
+        settled: False if the sender has itself just started.
+        rows: Servers that it counts as cold.
+    """
+
+    settled: bool
+    rows: tuple[ColdRow, ...] = ()
+
+
+class StartDoubts:
+    """Ends the doubts of this process's start, and answers VMs that have just started.
+
+    Args:
+        registry: Backend servers.
+        cold_reports: Makes and applies rows.
+        datagrams: The endpoint between VMs.
+    """
+
+    def __init__(
+        self, registry: BackendRegistry, cold_reports: ColdReports, datagrams: Datagrams
+    ) -> None:
+        self.registry = registry
+        self.cold_reports = cold_reports
+        self.datagrams = datagrams
+        registry.settled = False
+        registry.doubts_listed = True
+        datagrams.register(ColdKnown, self._on_known)
+
+    async def run(self) -> None:
+        """Wait until this process has settled, then until it is cancelled."""
+        await asyncio.sleep(_SETTLING_S)
+        self.registry.settled = True
+        await asyncio.Event().wait()
+
+    def answer(self, address: str, now: float) -> None:
+        """Tell a VM that has started which servers this one counts as cold.
+
+        Args:
+            address: `IP:PORT` of that VM.
+            now: Monotonic time, in seconds.
+        """
+        rows = self.cold_reports.cold_rows(now)
+        while len(rows) > MAX_ROWS:
+            self.datagrams.send(ColdReport(tuple(rows[:MAX_ROWS])), (address,))
+            del rows[:MAX_ROWS]
+        settled = self.registry.settled
+        self.datagrams.send(ColdKnown(settled, tuple(rows)), (address,))
+
+    def _on_known(self, known: ColdKnown, now: float) -> None:
+        self.cold_reports.apply(known.rows, now)
+        if known.settled:
+            self.registry.prove_listed()
--- a/sprucewinch/gateway/servers/usability.py
+++ b/sprucewinch/gateway/servers/usability.py
@@ -69,7 +69,7 @@
     server: BackendServer,
     now: float,
     ejected: Callable[[BackendServer, float], bool],
-    cold_allowance: Callable[[BackendEntry], int],
+    cold_allowance: Callable[[BackendServer, float], int],
 ) -> Optional[UnusableReason]:
     """Return why an offered server is skipped now; None if it may get a request.
 
@@ -77,8 +77,8 @@
         server: The server.
         now: Monotonic time, in seconds.
         ejected: Returns whether a server is ejected at a monotonic time, in seconds.
-        cold_allowance: Returns how many requests this VM may send a cold server within the window
-            of `cold_limit`.
+        cold_allowance: Returns how many requests this VM may send a server that is limited as a
+            cold one within the window of `cold_limit`, at a monotonic time, in seconds.
     """
     if server.stated.declines_until(now) is not None:
         asked_pause = server.stated.pause_until > now
@@ -89,6 +89,6 @@
         return UnusableReason.SILENT
     if ejected(server, now):
         return UnusableReason.EJECTED
-    if server.limited_as_cold(now) and not server.cold_allowed(now, cold_allowance(server.backend)):
+    if server.limited_as_cold(now) and not server.cold_allowed(now, cold_allowance(server, now)):
         return UnusableReason.COLD
     return None
--- a/sprucewinch/gateway/statements/start_asks.py
+++ b/sprucewinch/gateway/statements/start_asks.py
@@ -49,6 +49,9 @@
         datagrams: The endpoint between VMs.
         follow_role: Chooses the VMs to ask.
         monotonic: Returns monotonic time, in seconds.
+
+    Attributes:
+        on_asked: Called with the address of a VM that asks, and the monotonic time, in seconds.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         self.follow_role = follow_role
         self.monotonic = monotonic
         self.until = monotonic() + _MAX_ASKING_S
+        self.on_asked: list[Callable[[str, float], None]] = []
         self._answered = asyncio.Event()
         datagrams.register(StatementsRequest, self._on_ask)
         datagrams.register(StatementsEnd, self._on_end)
@@ -86,6 +90,8 @@
         ]
         for process, stated in rows[-_MAX_REPORTS:]:
             self.datagrams.send(_report(process, stated, now), (sender,))
+        for listener in self.on_asked:
+            listener(sender, now)
         self.datagrams.send(StatementsEnd(), (sender,))
 
     def _on_end(self, _end: StatementsEnd, _now: float) -> None:
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -30,7 +30,10 @@
         "capacity_requests_per_s": parts.fleet.gossip.requests_per_s,
         "limit_vms": parts.servers.registry.vm_count(),
         "backend_servers": len(view.backends),
-        "servers_doubted": sum(s.doubted(now) for s in parts.servers.registry.servers.values()),
+        "servers_doubted": sum(
+            s.limited_as_cold(now) and not s.cold(now)
+            for s in parts.servers.registry.servers.values()
+        ),
         "servers_cold": sum(s.cold(now) for s in parts.servers.registry.servers.values()),
         "requests_held": len(parts.crashes.quarantine.entries),
         "quota_asks": parts.workspaces.exchange.asked,
