A silent store is noticed by the lack of confirmations, not by the first call that fails

Callers saw: late answers of servers that turned cold in the first seconds of a silent outage; up to 33 requests in a second of 18.

Cause: servers were asked from the moment on that the store counts as away. A silent store looks like a quiet one for up to 5 s: the watch has to time out first, and VMs that follow others only notice after them.

Change: servers are asked as soon as nobody has confirmed for 0.75 s that this VM holds the newest revision. Answers of warm servers that were not limited write no line.

--- a/sprucewinch/gateway/servers/health_asks.py
+++ b/sprucewinch/gateway/servers/health_asks.py
@@ -3,13 +3,15 @@
 Entries of the store tell it as long as servers can write them. Without that, only health answers
 do. A server is asked every `_ASK_INTERVAL_S`
 
-- while the store does not answer, and shortly after;
+- while nobody has confirmed for `_MAX_CONFIRMATION_AGE_S` that this VM holds the store's newest
+  revision, which shows a silent store long before a call to it fails;
+- shortly after the store did not answer, while entries may be missing;
 - for `_ENTRIES_BACK_S` after the store's return from an older copy, as its entries may be older
   than the truth;
 - while it is unproven after the start of a process (`start_doubts`);
 - while it is doubted, by each VM that doubts it.
 
-The VMs in touch share the first three. Each server is asked by `_ASKING_VMS` of them, as one may
+The VMs in touch share the first four. Each server is asked by `_ASKING_VMS` of them, as one may
 have died a moment ago, and of its own region if there is one. For `HEARTBEAT_TIMEOUT_S` after the
 start all registered VMs count as in touch, as no heartbeat can have come from them. A VM that no
 other one reaches asks all servers. Servers that are known to be cold are not asked.
@@ -36,6 +38,10 @@
 """Time between two questions of a VM to a server, in seconds. With the time for the answer and for
 telling the others, a server that turns cold is known to be so within a second."""
 
+_MAX_CONFIRMATION_AGE_S = 0.75
+"""Age of the last confirmation from which entries say nothing of now, in seconds. While servers
+write their heartbeats, it stays below two thirds of that."""
+
 _ASKING_VMS = 2
 """VMs that ask one server."""
 
@@ -90,7 +96,7 @@
         """
         servers = [server for server in self.registry.servers.values() if not server.cold(now)]
         due = [server for server in servers if server.doubted(now) and self._is_due(server, now)]
-        if not (now < self._entries_old_until or self.outages.entries_may_have_lapsed(now)):
+        if self._entries_tell(now):
             servers = [server for server in servers if server.unproven(now)]
         due += [s for s in self._own_part(servers, now) if self._is_due(s, now)]
         for server in dict.fromkeys(due):
@@ -99,6 +105,12 @@
         if not due:
             self._asked_at = {s: at for s, at in self._asked_at.items() if not _is_old(at, now)}
 
+    def _entries_tell(self, now: float) -> bool:
+        """Return whether the store's entries say which servers are cold now."""
+        confirmed = now - self.registry.store_view.confirmed_at <= _MAX_CONFIRMATION_AGE_S
+        lapsed = self.outages.entries_may_have_lapsed(now)
+        return confirmed and not lapsed and now >= self._entries_old_until
+
     def _on_era(self, _era: int) -> None:
         self._entries_old_until = self.monotonic() + _ENTRIES_BACK_S
 
--- a/sprucewinch/gateway/servers/probe.py
+++ b/sprucewinch/gateway/servers/probe.py
@@ -123,6 +123,7 @@
             return
         self.events.count("probes")
         started = self.monotonic()
+        was_limited = server.limited_as_cold(started)
         answer = await get(server.backend.address, rule.health_path, Patience.in_all(_TIMEOUT_S))
         result = self._read(answer, server, started)
         left_s = result.cold_left_s
@@ -130,7 +131,10 @@
             self._record_health(server, left_s or 0.0)
         if left_s is not None:
             self._set_cold(server, left_s)
-        self.events.state("probe", server=server.backend.id, status=result.status, cold_s=left_s)
+        if was_limited or left_s or not result.by_process:
+            self.events.state(
+                "probe", server=server.backend.id, status=result.status, cold_s=left_s
+            )
 
     def _record_health(self, server: BackendServer, left_s: float) -> None:
         """Record that a server has answered, and tell other VMs what they may not know."""
--- a/tests/test_gateway_fleet_limits.py
+++ b/tests/test_gateway_fleet_limits.py
@@ -1,9 +1,13 @@
 """Limits over the fleet, through starts of VMs, outages of the store and returns of it."""
 
 import asyncio
+import random
 import unittest
-from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, NamedTuple
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 
 from standins.consortium_store import Fault
 from standins.virtual import VirtualLoop, run_virtual
@@ -212,5 +216,112 @@
         self.assertGreater(fleet.served(), 0.98)
 
 
+_STEPS = 9
+_MAX_PAUSE_S = 2.5
+_PEAK_PER_S = 160.0
+
+
+class Interleaving:
+    """A random course of everything that may come between a limit and those who keep it.
+
+    Args:
+        fleet: The fleet.
+        rng: Source of the course.
+    """
+
+    def __init__(self, fleet: LimitFleet, rng: random.Random) -> None:
+        self.fleet = fleet
+        self.rng = rng
+        self.copies = [fleet.store.copy()]
+        self.work: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Make all steps, undo what lasts, and wait for what still goes on."""
+        steps = (
+            self.store_fails,
+            self.store_answers,
+            self.store_returns,
+            self.registrations_lapse,
+            self.servers_turn_cold,
+            self.servers_turn_cold,
+            self.server_starts_again,
+            self.vms_start,
+            self.vms_start,
+            self.vms_start,
+            self.answers_fail,
+            self.answers_fail,
+            self.settings_reload,
+        )
+        for _ in range(_STEPS):
+            self.rng.choice(steps)()
+            await asyncio.sleep(self.rng.choice((0.0, 0.2, _MAX_PAUSE_S * self.rng.random())))
+        self.store_answers()
+        await asyncio.gather(*self.work)
+
+    def store_fails(self) -> None:
+        self.fleet.store.fault = self.rng.choice((Fault.RESET, Fault.BUSY, Fault.SILENT))
+
+    def store_answers(self) -> None:
+        self.fleet.store.fault = Fault.NONE
+
+    def store_returns(self) -> None:
+        self.fleet.store.return_from(self.rng.choice(self.copies))
+        self.copies = [self.fleet.store.copy()]
+        self.store_answers()
+
+    def registrations_lapse(self) -> None:
+        self.copies.append(self.fleet.store.copy())
+        for key in [key for key in self.fleet.store.items if "/members/" in key]:
+            self.fleet.store.remove(key)
+
+    def servers_turn_cold(self) -> None:
+        for server_id in self.rng.sample(sorted(self.fleet.processes), 2):
+            self.fleet.turn_cold(server_id, self.rng.uniform(1.5, 5.0))
+
+    def server_starts_again(self) -> None:
+        server_id = self.rng.choice(sorted(self.fleet.processes))
+        self._start(self.fleet.start_server_again(server_id, self.rng.uniform(0.3, 2.0)))
+
+    def vms_start(self) -> None:
+        up = [number for number in range(_VMS) if number not in self.fleet.down]
+        for number in up[: self.rng.randint(1, _VMS)]:
+            self._start(self.fleet.restart_vm(number, self.rng.uniform(0.4, 1.5)))
+
+    def answers_fail(self) -> None:
+        self.fleet.fails = self.rng.choice((0.0, 1.0, 1.0))
+
+    def settings_reload(self) -> None:
+        for vm in self.fleet.vms:
+            vm.gateway._apply_settings(vm.gateway.settings)
+
+    def _start(self, course: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(course)
+        self.work.add(task)
+        task.add_done_callback(self.work.discard)
+
+
+class AnyInterleaving(unittest.TestCase):
+    @settings(max_examples=3, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+    @given(st.integers(0, 1 << 30))
+    def test_both_limits_are_kept_in_any_interleaving(self, seed: int) -> None:
+        run_virtual(lambda loop: self._run(loop, seed))
+
+    async def _run(self, loop: VirtualLoop, seed: int) -> None:
+        rng = random.Random(seed)
+        fleet = await ready(loop, vms=_VMS, seed=seed)
+        traffic = loop.create_task(self._rise_and_fall(fleet, rng))
+        await asyncio.sleep(3.0)
+        await Interleaving(fleet, rng).run()
+        await asyncio.sleep(4.0)
+        traffic.cancel()
+        self.assertLessEqual(fleet.most_at_cold_servers(_HEALTH_GRACE_S), COLD_LIMIT)
+        self.assertLessEqual(fleet.retries_over_limit(), 0.0)
+
+    async def _rise_and_fall(self, fleet: LimitFleet, rng: random.Random) -> None:
+        objects = rng.choice((4, 8, 24))
+        while True:
+            await fleet.traffic(_PEAK_PER_S * rng.choice((0.05, 0.2, 1.0)), 1.5, objects=objects)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_gateway_health_asks.py
+++ b/tests/test_gateway_health_asks.py
@@ -32,6 +32,11 @@
     return asks
 
 
+def _store_answers(asks: HealthAsks) -> None:
+    asks.outages.record_answer(95.0)
+    asks.registry.store_view.confirm(105.0)
+
+
 def _asked(asks: HealthAsks, now: float) -> list[str]:
     asks.registry.to_probe.clear()
     asks.ask_due(now)
@@ -69,9 +74,16 @@
 
     def test_nothing_is_asked_while_the_store_answers(self) -> None:
         asks = _asks(0, 1, set())
-        asks.outages.record_answer(95.0)
+        _store_answers(asks)
         self.assertEqual(_asked(asks, 100.0), [])
 
+    def test_servers_are_asked_as_soon_as_the_store_is_silent(self) -> None:
+        """The first call to a silent store fails seconds later."""
+        asks = _asks(0, 1, set())
+        asks.outages.record_answer(95.0)
+        asks.registry.store_view.confirm(100.0)
+        self.assertEqual([len(_asked(asks, at)) for at in (100.7, 100.8)], [0, _SERVERS])
+
     def test_servers_that_are_known_to_be_cold_are_not_asked(self) -> None:
         asks = _asks(0, 1, set())
         asks.registry.servers["s7"].cold_until = 103.0
@@ -80,7 +92,7 @@
 
     def test_all_are_asked_for_a_while_after_a_return_from_an_older_copy(self) -> None:
         asks = _asks(0, 1, set())
-        asks.outages.record_answer(95.0)
+        _store_answers(asks)
         for listener in asks.registry.store_view.on_era:
             listener(1)
         counts = [len(_asked(asks, 100.0 + second)) for second in range(5)]
@@ -88,7 +100,7 @@
 
     def test_a_server_is_asked_while_it_is_unproven_after_the_start(self) -> None:
         asks = _asks(0, 1, set())
-        asks.outages.record_answer(95.0)
+        _store_answers(asks)
         for number in (3, 4):
             asks.registry.servers[f"s{number}"].unproven_until = 101.0
         self.assertEqual(_asked(asks, 100.0), ["s3", "s4"])
@@ -110,6 +122,7 @@
             path = PipelineFixture(loop, servers=2)
             path.world.configure(route())
             registry = path.world.registry
+            registry.store_view.confirm(loop.time() + 9.0)
             asks = HealthAsks(registry, path.world.outages, lambda _n, _t: False, loop.time)
             tasks = [loop.create_task(prober_of(path).run()), loop.create_task(asks.run())]
             registry.address_failed(path.addresses["s0"])
@@ -142,7 +155,7 @@
 
     def test_a_doubted_server_without_an_answer_is_asked_again(self) -> None:
         asks = _asks(0, 1, set())
-        asks.outages.record_answer(95.0)
+        _store_answers(asks)
         asks.registry.servers["s3"].doubted_until = 103.0
         self.assertEqual(_asked(asks, 100.0), ["s3"])
         self.assertEqual(_asked(asks, 100.3), [])
