--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -95,6 +95,7 @@
         states_load: Returns the value of `X-Server-Load`, read at each answer; None for no header.
         pace_percent: How long its work takes now, in per cent of its usual time.
         spoil_of: Returns the defect of a run's answer while the script has none.
+        cold_spans: Beginning and end of each time for which the server is cold.
         spoilt: Defect of the last spoilt answer to each request, by the request's id.
         turns_away: Returns True to refuse the next request with status 503 and `rest` as
             `Retry-After`.
@@ -127,6 +128,7 @@
         self.on_run: Callable[[Run], None] = _ignore_run
         self.cold_ms: Optional[int] = None
         self.cold_until = 0.0
+        self.cold_spans: list[tuple[float, float]] = []
         self.cold_factor = 2.0
         self.probes = 0
         self.turns_probes_away = False
@@ -170,7 +172,12 @@
 
     def turn_cold(self, seconds: float) -> None:
         """Be slow for some seconds, as after a start, and report the time left to probes."""
-        self.cold_until = self.loop.time() + seconds
+        now = self.loop.time()
+        if self.cold_until > now and self.cold_spans:
+            self.cold_spans[-1] = (self.cold_spans[-1][0], now)
+        self.cold_until = now + seconds
+        if seconds > 0:
+            self.cold_spans.append((now, self.cold_until))
 
     def warmup_left_ms(self) -> Optional[int]:
         """Return the warm-up time reported to probes, in milliseconds; None to report nothing."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -299,6 +299,13 @@
         (outcome,) = asyncio.run(run_days([700019], jobs=1))
         self.assertEqual(outcome.broken, ())
 
+    def test_a_day_of_kills_in_series_and_cold_servers_keeps_the_limits(self) -> None:
+        names = {row.kind.__name__ for row in plan(800038)}
+        expected = {"FailAnswers", "ColdWithoutStore", "FewCallers", "KillAllSeries", "LoseLinks"}
+        self.assertLessEqual(expected, names)
+        (outcome,) = asyncio.run(run_days([800038], jobs=1))
+        self.assertEqual(outcome.broken, ())
+
     def test_days_that_broke_a_promise_once_keep_it(self) -> None:
         days = tomllib.loads(_SEEDS.read_text(encoding="utf-8"))["day"]
         outcomes = asyncio.run(run_days([day["seed"] for day in days], jobs=2))
--- a/tools/soak/backend_servers.py
+++ b/tools/soak/backend_servers.py
@@ -186,13 +186,28 @@
         server.relay.cut()
         self._store.remove(_key(server))
 
-    async def restart(self, server: SoakServer, down_s: float, *, silent: bool) -> None:
+    def turn_cold(self, server: SoakServer, cold_s: float, *, writes: bool) -> None:
+        """Let a running backend server turn cold for some seconds, and write so if it can."""
+        server.stand_in.turn_cold(cold_s)
+        if writes:
+            self._store.put(_key(server), server.entry(warm_in_s=cold_s))
+
+    def write_entries(self) -> None:
+        """Let all running servers write their entries, as they do at intervals."""
+        for server in self.running.values():
+            left_ms = server.stand_in.warmup_left_ms() or 0
+            self._store.put(_key(server), server.entry(warm_in_s=left_ms / _MS_PER_S))
+
+    async def restart(
+        self, server: SoakServer, down_s: float, *, silent: bool, writes: bool = True
+    ) -> None:
         """Kill a backend server and start it again under its id, without any earlier state.
 
         Args:
             server: The server.
             down_s: Time between the two processes, in seconds.
             silent: True to reset connections to the killed process only when the next one runs.
+            writes: True if the next process can write its entry.
         """
         self._retire(server)
         if silent:
@@ -216,7 +231,8 @@
         )
         self.running[stand_in.server_id] = again
         stand_in.on_run = lambda run: self._on_run(again, run)
-        self._store.put(_key(again), again.entry(warm_in_s=_WARMUP_S))
+        if writes:
+            self._store.put(_key(again), again.entry(warm_in_s=_WARMUP_S))
 
     async def overwrite_entry(self, server: SoakServer, value: bytes, for_s: float) -> None:
         """Overwrite the entry of a backend server, which writes it again after some seconds."""
--- a/tools/soak/configuration.py
+++ b/tools/soak/configuration.py
@@ -32,7 +32,7 @@
 _CONNECTIONS = 100
 """Connections that a backend server accepts."""
 
-_COLD_PER_S = 20.0
+COLD_PER_S = 20.0
 """Requests a second that a cold backend server may get."""
 
 KEY_START = "key-of-"
@@ -95,7 +95,7 @@
                 "MaxConnections": _CONNECTIONS,
                 "HealthPath": HEALTH_PATH,
                 "Warmup": "1s",
-                "ColdPerS": _COLD_PER_S,
+                "ColdPerS": COLD_PER_S,
             }
             for name in SERVICES
         ]
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -144,8 +144,9 @@
         await _traffic(world, planned, seed)
         await judge_shown_keys(world)
         runs = gather_runs(world.backends.all_servers())
-        stand_ins = tuple(server.stand_in for server in world.backends.all_servers())
-        evidence = Evidence(world.ledger, runs, world.loop.time(), stand_ins)
+        servers = tuple(world.backends.all_servers())
+        stand_ins = tuple(server.stand_in for server in servers)
+        evidence = Evidence(world.ledger, runs, world.loop.time(), stand_ins, servers)
         broken = tuple(judge(evidence))
     finally:
         await world.stop()
--- a/tools/soak/promises/evidence.py
+++ b/tools/soak/promises/evidence.py
@@ -59,12 +59,14 @@
         runs: Runs at backend servers, by request id, for those that ran.
         ended_at: End of the day, as monotonic time in seconds.
         stand_ins: All backend servers of the day, with their own records.
+        servers: The same with their services.
     """
 
     ledger: Ledger
     runs: Mapping[str, list[Seen]]
     ended_at: float
     stand_ins: tuple[ScriptedServer, ...] = ()
+    servers: tuple[SoakServer, ...] = ()
 
     def runs_of(self, attempt: Attempt) -> list[Seen]:
         """Return the runs of an attempt's request."""
--- a/tools/soak/promises/judge.py
+++ b/tools/soak/promises/judge.py
@@ -11,6 +11,7 @@
 from .evidence import Evidence
 from .large_answers import lost_ones_come_back, memory_is_bounded
 from .leavings import no_requests_after_bound
+from .limits import cold_servers_are_spared, retries_within_budget
 from .links import served_without_links
 from .recovery import recovers
 from .runs import at_most_once, refused_never_ran, right_service
@@ -40,6 +41,8 @@
     lost_ones_come_back,
     memory_is_bounded,
     served_without_links,
+    cold_servers_are_spared,
+    retries_within_budget,
 )
 
 
--- a/tools/soak/troubles/kinds.py
+++ b/tools/soak/troubles/kinds.py
@@ -6,6 +6,14 @@
 """
 
 from .callers import Downloads, SendTogether, SlowReaders
+from .limits import (
+    ColdWithoutStore,
+    FailAnswers,
+    FewCallers,
+    KillAllSeries,
+    KillSeries,
+    TurnCold,
+)
 from .older_copy import StoreReturns
 from .operators import Change, Evacuate
 from .processes import (
@@ -110,6 +118,21 @@
 FIRST_SEED_OF_COPY_KINDS = 700_000
 """First seed that draws from `COPY_KINDS` too."""
 
+LIMIT_KINDS: tuple[type[Trouble], ...] = (
+    KillSeries,
+    KillAllSeries,
+    FailAnswers,
+    FailAnswers,
+    TurnCold,
+    ColdWithoutStore,
+    ColdWithoutStore,
+    FewCallers,
+) * 5
+"""What makes limits of the whole fleet hard to keep, drawn often so that these overlap."""
+
+FIRST_SEED_OF_LIMIT_KINDS = 800_000
+"""First seed that draws from `LIMIT_KINDS` too."""
+
 _ADDED = (
     (FIRST_SEED_OF_ADDED_KINDS, ADDED_KINDS),
     (FIRST_SEED_OF_CRASH_KINDS, CRASH_KINDS),
@@ -118,6 +141,7 @@
     (FIRST_SEED_OF_CALLER_KINDS, CALLER_KINDS),
     (FIRST_SEED_OF_LINK_KINDS, LINK_KINDS),
     (FIRST_SEED_OF_COPY_KINDS, COPY_KINDS),
+    (FIRST_SEED_OF_LIMIT_KINDS, LIMIT_KINDS),
 )
 """Kinds beside `KINDS`, each with the first seed that draws from them, in this order."""
 
