Health asks and retry budgets: the cost in large fleets

Cause: each request counted the VMs anew for the retry budget, and each look for servers to ask went over all servers and divided them among all VMs.

Change: VMs are counted once in 0.25 s; while entries tell and nothing is doubted a look does nothing; the division is kept for a second unless servers change.

--- a/sprucewinch/gateway/requests/retry_budget.py
+++ b/sprucewinch/gateway/requests/retry_budget.py
@@ -133,7 +133,9 @@
 
     __slots__ = (
         "_by_service",
+        "_counted_at",
         "_logged_at",
+        "_vm_count",
         "bounds",
         "events",
         "monotonic",
@@ -155,6 +157,8 @@
         self.events = events
         self.started_at = monotonic()
         self._by_service: dict[str, WindowRetryBudget] = {}
+        self._vm_count = 1
+        self._counted_at = float("-inf")
         self._logged_at: dict[str, float] = {}
 
     def set_bounds(self, bounds: Bounds) -> None:
@@ -172,7 +176,8 @@
 
     def record_request(self, service: str) -> None:
         """Count a caller's request for a service."""
-        self.of(service).record_request(self.monotonic(), self.vm_count())
+        now = self.monotonic()
+        self.of(service).record_request(now, self._vms(now))
 
     def take(self, service: str) -> bool:
         """Take one retry from the budget of a service; False when none is left."""
@@ -187,7 +192,8 @@
         Returns:
             False, and nothing taken, when one of them has none left.
         """
-        now, vm_count = self.monotonic(), self.vm_count()
+        now = self.monotonic()
+        vm_count = self._vms(now)
         spent = [each for each in services if not self.of(each).has_retry(now, vm_count)]
         if spent:
             self.events.count("retries_denied")
@@ -198,6 +204,12 @@
         self.events.count("retries_taken")
         return True
 
+    def _vms(self, now: float) -> int:
+        """Return the number of VMs, which is counted once in `_STEP_S`, not for each request."""
+        if now - self._counted_at >= _STEP_S:
+            self._vm_count, self._counted_at = self.vm_count(), now
+        return self._vm_count
+
     def _log_spent(self, service: str, now: float, vm_count: int) -> None:
         if now - self._logged_at.get(service, float("-inf")) < _LOG_PAUSE_S:
             return
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -61,6 +61,7 @@
     Attributes:
         events: Logs which servers count as cold, and why.
         known_vms: The VMs among which the fleet's limits are divided.
+        doubts_until: Monotonic time from which no server is doubted or unproven, in seconds.
         settled: False while this process may not know the VMs that share the limit on cold servers;
             see `start_doubts`.
         doubts_listed: True while servers that are listed at the start are unproven; see
@@ -96,6 +97,7 @@
         self.on_restart: list[Callable[[BackendServer], None]] = []
         self._unreadable: dict[str, _Unreadable] = {}
         self._failed_addresses: set[str] = set()
+        self.doubts_until = float("-inf")
         self.settled = True
         self.doubts_listed = False
         store_view.listeners.append(self._on_change)
@@ -245,6 +247,7 @@
             if server.backend.address == address:
                 warmup_s = self.cold_starts.warmup_s(server.backend.service)
                 server.doubted_until = now + warmup_s + COLD_MARGIN_S
+                self.doubts_until = max(self.doubts_until, server.doubted_until)
 
     def prove_listed(self) -> None:
         """Record that servers listed at the start are as their entries and other VMs say."""
@@ -361,6 +364,7 @@
         server.drop_at = None
         if new and self.doubts_listed and not self.cold_starts.counts_new_as_cold:
             server.unproven_until = now + UNPROVEN_S
+            self.doubts_until = max(self.doubts_until, server.unproven_until)
         self._apply_cold_start(server, self.cold_starts.on_entry(backend, now, new=new), now)
 
     def _count_hall_as_cold(self, hall: str, now: float) -> None:
--- a/sprucewinch/gateway/servers/health_asks.py
+++ b/sprucewinch/gateway/servers/health_asks.py
@@ -49,10 +49,14 @@
 """Time within which every running server has written its entry again, in seconds: two of its
 heartbeats."""
 
+_SHARE_INTERVAL_S = 1.0
+"""Time after which the servers are divided among the VMs again, in seconds; at once when the
+servers change."""
+
 _ALL = ""
 """Stands for all regions; no region has an empty name."""
 
-_POINTS = 16
+_POINTS = 8
 """Points of each VM on the ring, so that the parts are of similar size."""
 
 
@@ -79,6 +83,9 @@
         self.monotonic = monotonic
         self.started_at = monotonic()
         self._entries_old_until = float("-inf")
+        self._shared: set[str] = set()
+        self._shared_at = float("-inf")
+        self._shared_generation = -1
         self._asked_at: dict[BackendServer, float] = {}
         registry.store_view.on_era.append(self._on_era)
 
@@ -94,6 +101,8 @@
         Args:
             now: Monotonic time, in seconds.
         """
+        if self._entries_tell(now) and now >= self.registry.doubts_until:
+            return
         servers = [server for server in self.registry.servers.values() if not server.cold(now)]
         due = [server for server in servers if server.doubted(now) and self._is_due(server, now)]
         if self._entries_tell(now):
@@ -119,8 +128,14 @@
 
     def _own_part(self, servers: Collection[BackendServer], now: float) -> list[BackendServer]:
         """Return the servers that this VM asks of those that the VMs in touch share."""
-        if not servers:
-            return []
+        generation = self.registry.generation
+        if now - self._shared_at >= _SHARE_INTERVAL_S or self._shared_generation != generation:
+            self._shared_at, self._shared_generation = now, generation
+            self._shared = self._share(now)
+        return [server for server in servers if server.backend.id in self._shared]
+
+    def _share(self, now: float) -> set[str]:
+        """Return the ids of the servers that this VM asks."""
         rings = self._rings(now)
         regions = self.registry.regions
         own = self.registry.known_vms.name
@@ -129,7 +144,7 @@
             region = regions.get(server.backend.hall, "")
             return own in rings.get(region, rings[_ALL]).owners(server.backend.id, _ASKING_VMS)
 
-        return [server for server in servers if asks(server)]
+        return {name for name, server in self.registry.servers.items() if asks(server)}
 
     def _rings(self, now: float) -> dict[str, "_Ring"]:
         """Return the VMs in touch, by region and all together; this VM counts as in touch."""
--- a/tests/test_gateway_health_asks.py
+++ b/tests/test_gateway_health_asks.py
@@ -103,6 +103,7 @@
         _store_answers(asks)
         for number in (3, 4):
             asks.registry.servers[f"s{number}"].unproven_until = 101.0
+        asks.registry.doubts_until = 101.0
         self.assertEqual(_asked(asks, 100.0), ["s3", "s4"])
         asks.registry.servers["s3"].record_health()
         self.assertEqual(_asked(asks, 100.75), ["s4"])
@@ -156,7 +157,7 @@
     def test_a_doubted_server_without_an_answer_is_asked_again(self) -> None:
         asks = _asks(0, 1, set())
         _store_answers(asks)
-        asks.registry.servers["s3"].doubted_until = 103.0
+        asks.registry.servers["s3"].doubted_until = asks.registry.doubts_until = 103.0
         self.assertEqual(_asked(asks, 100.0), ["s3"])
         self.assertEqual(_asked(asks, 100.3), [])
         self.assertEqual(_asked(asks, 100.7), ["s3"])
