A VM that is not registered yet serves its callers

Callers saw: 503 no-server for up to a second after the first start of a VM.

Change: for servers that are only unproven a VM that is not registered yet takes an even part, at least one; without any other VM there is no limit. Servers that are known to be cold get one request in the window, as before.

--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -178,8 +178,11 @@
             server: The server.
             now: Monotonic time, in seconds.
         """
-        part = self.cold_limit.allowance(server.backend)
-        return part if self.settled or not server.cold(now) else min(part, 1)
+        if self.settled:
+            return self.cold_limit.allowance(server.backend)
+        if server.cold(now):
+            return 1
+        return self.cold_limit.first_allowance(server.backend)
 
     def start_sending(self, server: BackendServer, started: float, now: float) -> bool:
         """Count a request from its first byte on, instead of from the start of its attempt.
--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -131,9 +131,29 @@
 
     def allowance(self, backend: BackendEntry) -> int:
         """Return how many requests this VM may send a cold server in `_COLD_WINDOW_S`."""
+        fleet = self._fleet_allowance(backend)
+        return backend.capacity if fleet is None else self._own_part(backend, fleet)
+
+    def first_allowance(self, backend: BackendEntry) -> int:
+        """Return the same for a server that is only unproven, right after this process's start.
+
+        This VM may not be registered yet. Without any other VM there is nobody to share with, and
+        nobody who could have left servers cold.
+        """
+        fleet, vms = self._fleet_allowance(backend), self.known_vms.count()
+        if vms == 1:
+            return _MAX_SEND_TIMES
+        if fleet is None:
+            return backend.capacity
+        if self.name in self.known_vms.members():
+            return self._own_part(backend, fleet)
+        return max(1, fleet // vms)
+
+    def _fleet_allowance(self, backend: BackendEntry) -> Optional[int]:
+        """Return how many requests all VMs may send; None if no limit is configured."""
         rule = service_rule(self.store_view, backend.service)
         if rule is None or rule.cold_per_s <= 0:
-            return backend.capacity
+            return None
         bound = rule.cold_per_s * self.bounds.cold_over + self.bounds.cold_slack
         fleet = math.floor(_BOUND_USED_FRACTION * bound)
         if (
@@ -141,7 +161,7 @@
             < _MIN_ANSWERED_FRACTION
         ):
             fleet = min(fleet, _COLD_TRIALS_PER_S)
-        return self._own_part(backend, fleet)
+        return fleet
 
     def tries_first(self, backend: BackendEntry) -> bool:
         """Return whether this VM tries a server before all others."""
