--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -56,6 +56,7 @@
         self.name = f"vm{number}"
         self.hall = HALLS[number % len(HALLS)]
         self.fault = LinkFault.NONE
+        self.accepts_first = False
         self.open: set[Connection] = set()
         self.path = path = PipelineFixture(loop, servers=0)
         path.pool.connect = self._connect
@@ -90,6 +91,8 @@
         self.task = loop.create_task(self.links.run())
 
     async def _connect(self, address: str, timeout_s: float, **options: Any) -> Connection:
+        if self.accepts_first and self.fault is not LinkFault.NONE:
+            return await self._connect_to_proxy(address, timeout_s, **options)
         if self.fault is LinkFault.SILENT:
             await asyncio.sleep(timeout_s)
             raise ConnectFailedError(address)
@@ -100,6 +103,16 @@
         self.open = {each for each in self.open if each.alive} | {connection}
         return connection
 
+    async def _connect_to_proxy(self, address: str, timeout_s: float, **options: Any) -> Connection:
+        """Return a connection that comes up and is then reset, or silent, by what lies between."""
+        connection = await connect(address, timeout_s, **options)
+        transport: Any = connection.transport
+        if self.fault is LinkFault.SILENT:
+            transport.held = transport.peer.held = True
+        else:
+            self.loop.call_later(2 * self.loop.delay_s, transport.abort)
+        return connection
+
     async def _connect_to_vm(self, address: str, timeout_s: float, **options: Any) -> Connection:
         self.passed_over.append(await connect(address, timeout_s, **options))
         return self.passed_over[-1]
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -240,6 +240,26 @@
         _with_fleet(main)
 
 
+class AcceptedFirst(unittest.TestCase):
+    """Something between accepts connections, and then resets them or stays silent."""
+
+    def test_callers_of_a_vm_whose_connections_come_up_and_end_are_served(self) -> None:
+        for fault in (LinkFault.RESET, LinkFault.SILENT):
+            with self.subTest(fault=fault):
+                _with_fleet(lambda fleet, f=fault: self._served(fleet, f))
+
+    async def _served(self, fleet: RelayFleet, fault: LinkFault) -> None:
+        cut = fleet.vms[0]
+        cut.accepts_first = True
+        cut.cut(fault)
+        work = []
+        for number in range(60):
+            work.append(asyncio.create_task(cut.run(fleet.request(f"q{number}"))))
+            await pass_time(0.05)
+        statuses = [(await each).status for each in work]
+        self.assertGreaterEqual(sum(status == 200 for status in statuses[20:]), 36)
+
+
 class Messages(unittest.TestCase):
     def test_what_the_other_vm_reads_is_what_was_stated(self) -> None:
         async def main(fleet: RelayFleet) -> None:
