Cold limit: a VM that is heard before it is registered does not take the parts of all

Callers saw: nothing; in a fleet of more VMs than the limit has requests, cold servers got none at all while one VM was heard without being registered, as after each start.

Cause: the limit was then divided evenly and rounded down.

Evidence: with 6 VMs and two heard ones the allowances added up to 6 of 14 (the test failed before); with 35 they would be 0, by reading.

Change: one request is left to each such VM, and the rest is divided as ever.

Measured: the allowances of 6 and of 35 VMs add up to the limit less two.

--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -181,14 +181,13 @@
     def _own_part(self, backend: BackendEntry, fleet: int) -> int:
         """Return this VM's part of the fleet's requests to a server; all parts add up to them.
 
-        It is 0 for a VM that is not registered, as the others do not leave it a part.
+        It is 0 for a VM that was never registered. One request is left to each such VM that the
+        others have heard, as it may have just started (`start_doubts`).
         """
         members = self.known_vms.members()
         if self.name not in members:
             return 0
-        unregistered = self.known_vms.count() - len(members)
-        if unregistered > 0:
-            return fleet // (len(members) + unregistered)
+        fleet = max(0, fleet - (self.known_vms.count() - len(members)))
         rank = self._rank(backend)
         region_vms = self._region_vm_count(backend)
         other_vms = len(members) - region_vms
--- a/tests/test_gateway_cold_limit.py
+++ b/tests/test_gateway_cold_limit.py
@@ -73,6 +73,16 @@
         newcomer.known_vms.name = newcomer.cold_limit.name = "vm9"
         self.assertEqual(newcomer.cold_limit.allowance(newcomer.servers["new"].backend), 0)
 
+    def test_a_vm_that_is_heard_before_it_is_registered_is_left_one_request(self) -> None:
+        for vms in (6, 35):
+            worlds = _fleet(vms, vms)
+            for world in worlds:
+                world.registry.known_vms.heard = lambda: ("new1", "new2")
+            allowances = [
+                w.registry.cold_limit.allowance(w.registry.servers["new"].backend) for w in worlds
+            ]
+            self.assertEqual(sum(allowances), int(0.8 * _LIMIT) - 2)
+
     def test_requests_that_waited_for_connections_do_not_go_out_together(self) -> None:
         """They counted when they were selected, in an earlier second."""
 
