Probes: a failure inside one reaches the log

Change: a task group; an error ends the loop, which is counted, logged as fault and started again, as before.

Measured: test_gateway_probe, test_gateway_health_asks, test_formats_lines pass.

--- a/sprucewinch/gateway/servers/probe.py
+++ b/sprucewinch/gateway/servers/probe.py
@@ -101,18 +101,12 @@
 
     async def run(self) -> None:
         """Probe until cancelled."""
-        running: set[asyncio.Task[None]] = set()
-        try:
+        async with asyncio.TaskGroup() as probes:
             while True:
                 await asyncio.sleep(_POLL_PAUSE_S)
                 for server in self.registry.to_probe:
-                    task = asyncio.create_task(self.probe(server))
-                    running.add(task)
-                    task.add_done_callback(running.discard)
+                    probes.create_task(self.probe(server))
                 self.registry.to_probe.clear()
-        finally:
-            for task in tuple(running):
-                task.cancel()
 
     async def probe(self, server: BackendServer) -> None:
         """Probe one server for how long it stays cold; without a clear answer it counts as cold."""
