A server that cannot be asked is not doubted

Callers saw: 503 no-server for up to 3.5 s after lost links were back, where services have no health path.

Cause: a server that was out of reach is doubted until it answers a health check; without a health path nobody can ask, and it got no more than a cold one for its whole warm-up.

Change: only servers with a health path are doubted.

--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -20,7 +20,14 @@
 from .capacity.service_times import ServiceTimes
 from .capacity.usual_load import UsualLoad
 from .capacity.work_times import WorkTimes, work_without_queue_s
-from .cold_limit import COLD_MARGIN_S, ColdLimit, ColdReason, ColdStart, ColdStarts
+from .cold_limit import (
+    COLD_MARGIN_S,
+    ColdLimit,
+    ColdReason,
+    ColdStart,
+    ColdStarts,
+    service_rule,
+)
 from .incarnations import Incarnations, Succession
 from .lapsed_entries import LapsedEntries
 from .load_reports import LoadReports
@@ -239,6 +246,8 @@
     def address_reached(self, address: str, now: float) -> None:
         """Record that a connection was established; after failures a new process may answer.
 
+        A server that cannot be asked, as its service has no health path, is not doubted.
+
         Args:
             address: `IP:PORT`.
             now: Monotonic time, in seconds.
@@ -247,9 +256,9 @@
             return
         self._failed_addresses.discard(address)
         for server in self.servers.values():
-            if server.backend.address == address:
-                warmup_s = self.cold_starts.warmup_s(server.backend.service)
-                server.doubted_until = now + warmup_s + COLD_MARGIN_S
+            rule = service_rule(self.store_view, server.backend.service)
+            if server.backend.address == address and rule is not None and rule.health_path:
+                server.doubted_until = now + rule.warmup_s + COLD_MARGIN_S
                 self.doubts_until = max(self.doubts_until, server.doubted_until)
 
     def prove_listed(self) -> None:
--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -285,7 +285,7 @@
         appeared = new and self.counts_new_as_cold
         cold_s = backend.cold_for_s
         if appeared:
-            cold_s = max(cold_s, self.warmup_s(backend.service))
+            cold_s = max(cold_s, self._warmup_s(backend.service))
         probe = appeared and self.lapsed_entries.may_lapse(now)
         reason = ColdReason.NEW if appeared else ColdReason.ENTRY
         cold_until = now + cold_s + COLD_MARGIN_S if cold_s > 0 else float("-inf")
@@ -298,11 +298,10 @@
             backend: The server's entry.
             now: Monotonic time, in seconds.
         """
-        cold_until = now + self.warmup_s(backend.service) + COLD_MARGIN_S
+        cold_until = now + self._warmup_s(backend.service) + COLD_MARGIN_S
         return ColdStart(cold_until, True, ColdReason.EVACUATION_ENDED)
 
-    def warmup_s(self, service: str) -> float:
-        """Return how long a server of a service is cold after its start, in seconds."""
+    def _warmup_s(self, service: str) -> float:
         rule = service_rule(self.store_view, service)
         return rule.warmup_s if rule else _DEFAULT_WARMUP_S
 
--- a/tests/test_gateway_health_asks.py
+++ b/tests/test_gateway_health_asks.py
@@ -6,11 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sprucewinch.gateway.resources import BackendEntry
+from sprucewinch.gateway.resources import BackendEntry, RouteConfiguration
 from sprucewinch.gateway.servers.health_asks import HealthAsks
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
-from .gateway_fakes import REGIONS, PipelineFixture, StoreFixture, route
+from .gateway_fakes import REGIONS, RULE, PipelineFixture, StoreFixture, route
 from .test_gateway_probe import prober_of
 
 _SERVERS = 40
@@ -139,6 +139,20 @@
 
         run_virtual(main)
 
+    def test_a_server_that_cannot_be_asked_is_not_doubted(self) -> None:
+        """It got no more than a cold one for its whole warm-up after each lost link."""
+
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop, servers=1)
+            rule = RULE._replace(health_path="")
+            path.world.put("configuration", RouteConfiguration(1, (route(),), {"rates": rule}))
+            registry = path.world.registry
+            registry.address_failed(path.addresses["s0"])
+            registry.address_reached(path.addresses["s0"], loop.time())
+            self.assertFalse(registry.servers["s0"].limited_as_cold(loop.time()))
+
+        run_virtual(main)
+
     def test_a_doubted_server_that_states_that_it_is_cold_is_cold(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             path = PipelineFixture(loop, servers=1)
