--- a/tools/wrong_statement_versions.py
+++ b/tools/wrong_statement_versions.py
@@ -100,8 +100,8 @@
         "BUDGET",
         "the last resort goes to a server that asked for a pause",
         f"{_REQUESTS}/choice/server_selection.py",
-        "if not s.cold(now) and declines_until(request, s, now) is None",
-        "if not s.cold(now)",
+        "if not s.limited_as_cold(now) and declines_until(request, s, now) is None",
+        "if not s.limited_as_cold(now)",
         _ROWS,
     ),
     WrongVersion(
