Servers are not asked while a store in which nothing changes is quiet

Cause: servers were asked when nobody had confirmed the entries for 0.75 s.

A silent store is noticed that much later.

--- a/sprucewinch/gateway/servers/health_asks.py
+++ b/sprucewinch/gateway/servers/health_asks.py
@@ -4,7 +4,7 @@
 do. A server is asked every `_ASK_INTERVAL_S`
 
 - while nobody has confirmed for `_MAX_CONFIRMATION_AGE_S` that this VM holds the store's newest
-  revision, which shows a silent store long before a call to it fails;
+  revision, which shows a silent store before a call to it fails;
 - shortly after the store did not answer, while entries may be missing;
 - for `_ENTRIES_BACK_S` after the store's return from an older copy, as its entries may be older
   than the truth;
@@ -27,7 +27,7 @@
 
 from ..._hash import hash64
 from ..membership.gossip import HEARTBEAT_TIMEOUT_S
-from ..state.outages import StoreOutages
+from ..state.outages import MAX_ANSWER_AGE_S, StoreOutages
 from .backend_registry import BackendRegistry
 from .backend_server import BackendServer
 
@@ -38,9 +38,10 @@
 """Time between two questions of a VM to a server, in seconds. With the time for the answer and for
 telling the others, a server that turns cold is known to be so within a second."""
 
-_MAX_CONFIRMATION_AGE_S = 0.75
-"""Age of the last confirmation from which entries say nothing of now, in seconds. While servers
-write their heartbeats, it stays below two thirds of that."""
+_MAX_CONFIRMATION_AGE_S = MAX_ANSWER_AGE_S
+"""Age of the last confirmation from which entries say nothing of now, in seconds. A store in which
+nothing changes answers a watch only at its end, so a shorter time would ask servers all the time.
+"""
 
 _ASKING_VMS = 2
 """VMs that ask one server."""
