--- a/review/3/case.py
+++ b/review/3/case.py
@@ -45,7 +45,7 @@
 MIN_LATE_FRACTION = 0.25
 """Part of the requests beyond their `Timeout` from which the rule is broken."""
 
-CALLERS = 12
+CALLERS = 24
 UPLOAD_BYTES = 300_000
 """Size of an upload: the site file states 60 kB on average and 360 kB at most."""
 
