--- a/review/harness.py
+++ b/review/harness.py
@@ -171,6 +171,7 @@
         self.vms: list[Vm] = []
         self.servers: list[ScriptedServer] = []
         self.store = StoreStandIn(asyncio.get_running_loop())
+        self.store.states_era = False  # The pages at hand have no such header.
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> "Deployment":
@@ -310,7 +311,15 @@
     """Return a configuration of one host with the given routes."""
     table = {
         "Version": "r12",
-        "Services": [{"Name": SERVICE, "MaxConnections": 390, "Warmup": "3s", "ColdPerS": 9.2}],
+        "Services": [
+            {
+                "Name": SERVICE,
+                "HealthPath": "/healthz",
+                "MaxConnections": 390,
+                "Warmup": "3s",
+                "ColdPerS": 9.2,
+            }
+        ],
         "Limits": {
             "MaxHeaderBytes": 16384,
             "MaxBodyBytes": 1 << 20,
