A body whose request is answered no longer keeps its connection from being read

Cause: the end of an answer was taken for the end of its exchange. What was held of the body (262,091 bytes in a stuck connection; line empty and open, answer complete, parser within the body) kept reading paused, and nobody would ever take it. While a body was incomplete no timeout ran, so nothing bounded a body that stands still, refused or accepted; and a closing answer reset the connection of a caller that was still sending.

Change: one state of a connection says what the next bytes belong to (net/_inbound), each state with a limit on time and size. The rest of an answered body is read and dropped; an answer to one longer than MaxBodyBytes, or that its caller may leave out (Expect), closes; a connection that closes while its caller sends lingers. One lazy timer replaces those of headers and idleness. The margin on IdleTimeout is 0.5 s instead of 5, so that a connection ends within a second of its limits. Gauges and counters show the states and what ended connections.

Tests changed: three in test_pipelined_protocol asked for an immediate close after a refusal with bytes behind it; they now ask that the connection sends nothing more, reads on and ends by itself. 413 to a whole body of 1,001 bytes no longer closes (test_formats_gateway, test_pipelined_requests): its end is known; a body that is cut off does, and what stands behind it never runs. `keepalive_s` of make_listener is ListenerLimits.idle_s.

--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -18,6 +18,7 @@
 from ..net.http_server import AsgiApp
 from ..process_signals import ProcessSignals
 from .composition import make_parts
+from .connection_metrics import ConnectionMetrics
 from .decision_log import DecisionLog
 from .internal_apps import DeltaApp, PeerApp, TextApp
 from .lifecycle.reload import Reloader
@@ -80,7 +81,7 @@
         self.state, self.fleet, self.servers = parts.state, parts.fleet, parts.servers
         self.crashes, self.regions = parts.crashes, parts.regions
         self.requests, self.region_reporter = parts.requests, parts.region_reporter
-        self.listeners = Listeners(settings.max_files)
+        self.listeners = Listeners(settings.max_files, ConnectionMetrics(self.events))
         self.state.view.listeners.append(self.events.learned)
         self.state.view.listeners.append(self.listeners.on_change)
         self.reloader = Reloader(reread, self._apply_settings, self.events)
@@ -212,4 +213,4 @@
         return vm_state(self.context, self.parts).to_json()
 
     def _report(self) -> str:
-        return vm_metrics(self.context, self.parts)
+        return vm_metrics(self.context, self.parts, self.listeners.connections())
--- a/sprucewinch/gateway/listeners.py
+++ b/sprucewinch/gateway/listeners.py
@@ -5,12 +5,15 @@
 """
 
 import asyncio
+from collections.abc import Iterator
 from typing import Optional
 
 import uvicorn
 
 from ..net.answer_memory import AnswerMemory
-from ..net.http_server import AsgiApp, ListenerLimits, bind, keep_alive, make_listener
+from ..net.connection_counts import ConnectionCounts, ListenerConnection
+from ..net.http_server import AsgiApp, bind, make_listener
+from ..net.listener_limits import ListenerLimits
 from .resources import RouteConfiguration
 from .state.store_view import Change
 
@@ -32,8 +35,8 @@
 _HEADER_MARGIN_S = 1.0
 """Safety margin on the header timeout stated to callers, in seconds."""
 
-_IDLE_MARGIN_S = 5.0
-"""Safety margin on the idle timeout of a persistent connection stated to callers, in seconds."""
+_IDLE_MARGIN_S = 0.5
+"""Safety margin on the idle timeout stated to callers, in seconds."""
 
 _START_POLL_INTERVAL_S = 0.005
 """Time between two checks whether a listener has started, in seconds."""
@@ -44,9 +47,11 @@
 
     Args:
         max_files: File descriptors that the process may open.
+        counts: Counts what ends connections.
     """
 
-    def __init__(self, max_files: int) -> None:
+    def __init__(self, max_files: int, counts: ConnectionCounts) -> None:
+        self.counts = counts
         connections = int(max_files * _CALLER_CONNECTIONS_FRACTION)
         self.limits = ListenerLimits(_INITIAL_MAX_HEADER_BYTES, connections, connections)
         self.servers: list[uvicorn.Server] = []
@@ -74,7 +79,20 @@
 
     def make(self, app: AsgiApp, memory: Optional[AnswerMemory]) -> uvicorn.Server:
         """Return a server for an application, with the limits on callers; see `serve`."""
-        return make_listener(app, self.limits, max_at_once=MAX_REQUESTS_AT_ONCE, memory=memory)
+        return make_listener(
+            app,
+            self.limits,
+            max_at_once=MAX_REQUESTS_AT_ONCE,
+            memory=memory,
+            counts=self.counts,
+        )
+
+    def connections(self) -> Iterator[ListenerConnection]:
+        """Yield the open connections of all listeners."""
+        for server in self.servers:
+            for connection in server.server_state.connections:
+                assert isinstance(connection, ListenerConnection)
+                yield connection
 
     def stop_accepting(self) -> None:
         """Refuse new connections and close idle ones; requests in flight continue."""
@@ -98,6 +116,6 @@
         self.limits.change(
             header_bytes=limits.header_bytes + _HEADER_MARGIN_BYTES,
             header_s=limits.header_s + _HEADER_MARGIN_S,
+            idle_s=limits.idle_s + _IDLE_MARGIN_S,
+            body_bytes=limits.body_bytes,
         )
-        for server in self.servers:
-            keep_alive(server, limits.idle_s + _IDLE_MARGIN_S)
--- a/sprucewinch/gateway/requests/app.py
+++ b/sprucewinch/gateway/requests/app.py
@@ -42,7 +42,7 @@
         relayed: What the VM states that passes the request on; None for one of a caller.
     """
 
-    __slots__ = ("arrived_at", "body", "body_begun", "relayed", "request", "scope", "turn")
+    __slots__ = ("arrived_at", "body", "relayed", "request", "scope", "turn")
 
     def __init__(
         self,
@@ -56,18 +56,8 @@
         self.body = body
         self.turn = turn_of(scope)
         self.arrived_at = now - (self.turn.waited_s if self.turn else 0.0)
-        self.body_begun = False
         self.request: Optional[ClientRequest] = None
 
-    @property
-    def body_partly_read(self) -> bool:
-        """Return whether the body was read only in part, so that the connection must close.
-
-        The listener discards a body that nobody began to read as it arrives. To close the
-        connection then would reset it, and the caller might never see its answer.
-        """
-        return self.body_begun and not self.body.complete
-
     def hold_answer(self, reply: Reply) -> None:
         """Count an answer of a backend server, which stays in memory until the caller reads it."""
         if self.turn is not None and reply.answer is not None:
@@ -198,8 +188,7 @@
 
     def _closes(self, exchange: Exchange) -> bool:
         """Return whether an answer itself must close its connection, whatever follows on it."""
-        closes = self.stopping and exchange.close_connection()
-        return closes or exchange.body_partly_read
+        return self.stopping and exchange.close_connection()
 
     async def _reply(self, exchange: Exchange, task: asyncio.Task) -> Reply:
         """Return the final answer, from the pipeline or because the process ends."""
@@ -239,7 +228,6 @@
             The answer to a request whose body is refused; None when it is accepted.
         """
         body = exchange.body
-        exchange.body_begun = True
         await body.keep_start(self.bodies.room_bytes(self.limits.body_bytes) + 1)
         self.bodies.take(len(body.first))
         request.body = body.first
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -5,12 +5,24 @@
 change.
 """
 
+from collections.abc import Iterable
+
+from ..net.connection_counts import ListenerConnection
+from .connection_metrics import connection_gauges
 from .parts import Context, Parts
 from .servers.capacity.live_estimates import MAX_REPORT_AGE_S
 
 
-def vm_metrics(context: Context, parts: Parts) -> str:
-    """Return the metrics of a VM as lines of name and value."""
+def vm_metrics(
+    context: Context, parts: Parts, connections: Iterable[ListenerConnection] = ()
+) -> str:
+    """Return the metrics of a VM as lines of name and value.
+
+    Args:
+        context: Common dependencies.
+        parts: The parts of the VM.
+        connections: The open connections of its listeners.
+    """
     now = context.monotonic()
     view = parts.state.view
     gauges = {
@@ -40,6 +52,7 @@
         "server_links_up": parts.servers.links.up,
         **_statement_gauges(parts, now),
         **_load_gauges(parts, now),
+        **connection_gauges(connections),
         "neighbour_deltas": parts.fleet.peer_follower.deltas_applied,
     }
     return context.events.report(gauges)
--- a/sprucewinch/net/_departure.py
+++ b/sprucewinch/net/_departure.py
@@ -60,9 +60,19 @@
 
 def _has_left(transport: asyncio.BaseTransport) -> bool:
     """Return whether the other side has closed its connection; False where nobody can tell."""
+    return bool(_events(transport, select.POLLRDHUP) & _LEFT)
+
+
+def has_arrived(transport: asyncio.BaseTransport) -> bool:
+    """Return whether bytes or the end of a connection wait in the kernel; False if unknown."""
+    return bool(_events(transport, select.POLLIN))
+
+
+def _events(transport: asyncio.BaseTransport, asked: int) -> int:
+    """Return what is true of a connection's socket among the events asked for; 0 if unknown."""
     sock = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
-        return False
+        return 0
     poll = select.poll()
-    poll.register(sock.fileno(), select.POLLRDHUP)
-    return any(event & _LEFT for _, event in poll.poll(0))
+    poll.register(sock.fileno(), asked)
+    return next((event for _, event in poll.poll(0)), 0)
--- a/sprucewinch/net/_exchange.py
+++ b/sprucewinch/net/_exchange.py
@@ -88,6 +88,10 @@
     def begin(self, exchange: "Exchange") -> None:
         """Pass a request to the application."""
 
+    @abc.abstractmethod
+    def keeps_after(self, exchange: "Exchange") -> bool:
+        """Return whether the next request is read after an answer that is sent now."""
+
     @abc.abstractmethod
     def close_behind(self) -> None:
         """Drop all behind the head, whose answer closes the connection."""
@@ -219,6 +223,7 @@
         if self.response_started:
             await self._send_body(message)
         elif self.connection.is_head(self) or await self.wait_for_turn():
+            self.keep_alive = self.keep_alive and self.connection.keeps_after(self)
             await super().send(message)
             if not self.keep_alive and not self.disconnected:
                 self.connection.close_behind()
--- a/sprucewinch/net/_pipelined_protocol.py
+++ b/sprucewinch/net/_pipelined_protocol.py
@@ -1,16 +1,23 @@
 """A connection of a listener whose requests run at once and are answered in their order.
 
 Owns the reading of a connection: which bytes are parsed, when reading pauses, and what is ignored
-once the connection closes. `_answer_order` decides which requests run and whose answer is sent;
-`_exchange` holds one of them. Relies on uvicorn's httptools protocol for parsing and framing.
+once the connection closes. `_inbound` decides what arriving bytes belong to and when they are late,
+`_answer_order` which requests run and whose answer is sent; `_exchange` holds one of them. Relies
+on uvicorn's httptools protocol for parsing and framing.
 
 Bytes are parsed in small pieces, so that a caller that sends a thousand requests in one packet has
 only a few more than it may run parsed and in memory; the rest waits as bytes, and nothing more is
 read, nor while the caller leaves too much unread (`_unread_answers`). While reading is paused,
-`_departure` watches whether the caller leaves: the backend servers must not work on for it. Tests:
-tests/test_pipelined_protocol.py, tests/test_pipelined_requests.py.
+`_departure` watches whether the caller leaves: the backend servers must not work on for it.
+
+An answer may be whole before the body of its request is. The rest of that body is then read and
+dropped, and the next request behind it is served. A connection that closes before it has read what
+its caller sent lingers: it sends nothing more, reads until the caller closes, and ends after
+`LINGER_S` at the latest. Tests: tests/test_pipelined_protocol.py, tests/test_pipelined_requests.py,
+tests/test_body_after_answer.py.
 """
 
+import abc
 import asyncio
 from typing import Any, Optional, Union
 
@@ -19,26 +26,39 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ._answer_order import AnswerOrder
-from ._departure import DepartureWatch
+from ._departure import DepartureWatch, has_arrived
 from ._exchange import INVALID_REQUEST, Connection, Entry, Exchange, FinalBytes
+from ._inbound import Inbound, ReadState
+from ._lazy_timer import LazyTimer
 from ._request_scope import complete_scope
 from ._unread_answers import UnreadAnswers
 from ._write_side import WriteSide
 from .answer_memory import AnswerMemory, UncountedAnswers
+from .connection_counts import ConnectionCounts, ListenerConnection, Uncounted
+from .content_length import content_length
+from .listener_limits import ListenerLimits
 
 _PIECE_BYTES = 2048
 """Bytes that are parsed at a time; the shortest request has 18."""
 
 
-class PipelinedProtocol(HttpToolsProtocol, Connection):
+class PipelinedProtocol(HttpToolsProtocol, Connection, ListenerConnection):
     """One connection of a listener."""
 
+    limits: ListenerLimits
+    """Limits of the listener, shared by all its connections."""
+
     max_at_once = 1
     """Maximum number of the connection's requests that run at once."""
 
     memory: AnswerMemory = UncountedAnswers()
     """Memory of the answers of all the listener's connections."""
 
+    counts: ConnectionCounts = Uncounted()
+    """Counts what ends the listener's connections."""
+
+    inbound: Inbound
+    timer: LazyTimer
     watch: DepartureWatch
     out: WriteSide
 
@@ -49,8 +69,6 @@
         self._head: Optional[Entry] = None
         self._unparsed: Union[bytes, memoryview] = b""
         self._received_at = 0.0
-        self._in_message = False
-        self._in_body = False
         self._behind = 0
         self.unread = UnreadAnswers(self.memory)
 
@@ -59,6 +77,16 @@
         """Whether no further request is read."""
         return self.order.closed
 
+    @property
+    def read_state(self) -> ReadState:
+        """What the bytes that arrive next belong to."""
+        return self.inbound.state
+
+    @property
+    def read_paused(self) -> bool:
+        """Whether nothing is read until requests or their answers have gone on."""
+        return self.flow.read_paused
+
     def is_head(self, entry: Entry) -> bool:
         """Return whether all answers ahead of an entry are whole."""
         return self.order.head is entry
@@ -67,6 +95,20 @@
         """Pass a request to the application."""
         self._start_asgi_task(exchange, self.app)
 
+    def keeps_after(self, exchange: Exchange) -> bool:
+        """Return whether the next request is read after an answer that is sent now.
+
+        What is left of its request's body must be worth reading. A caller that waits for 100
+        Continue may send the body or leave it out, so nobody can tell where its next request
+        begins.
+        """
+        if exchange is not self.cycle or self.inbound.state is not ReadState.BODY:
+            return True
+        if exchange.waiting_for_100_continue and not self.inbound.body_bytes:
+            return False
+        length = content_length(exchange.scope) or 0
+        return not self.inbound.exceeds_limit(max(length, self.inbound.body_bytes))
+
     def body_taken(self) -> None:
         """Read on, as the application has taken what was read of a body."""
         if self.flow.read_paused:
@@ -96,7 +138,7 @@
         if self.ignoring:
             return
         self.ignoring = True
-        if self._in_body and self.order.last is self.cycle:
+        if self.inbound.in_body and self.order.last is self.cycle:
             if self.cycle.response_started:
                 self.cut()
                 return
@@ -109,13 +151,18 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Prepare to read and write."""
         super().connection_made(transport)
+        self.inbound = Inbound(self.limits, self.loop.time())
+        self.timer = LazyTimer(self.loop, self._time_out)
         self.watch = DepartureWatch(self.loop, transport, self._leave)
-        self.out = WriteSide(self.loop, transport, self.unread, self._on_measured)
+        self.out = WriteSide(
+            self.loop, transport, self.unread, on_measured=self._on_measured, on_close=self._close
+        )
 
     def connection_lost(self, exc: Optional[Exception]) -> None:
         """End all requests of the connection."""
         self.ignoring = True
         self._unparsed = b""
+        self.timer.stop()
         self.watch.stop()
         self.out.end()
         self._drop_all()
@@ -127,10 +174,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; those behind the last request are dropped."""
-        self._unset_keepalive_if_required()
-        if self.ignoring or self.transport.is_closing():
+        if self.transport.is_closing():
             return
         self._received_at = self.loop.time()
+        if self.ignoring:
+            self.inbound.ignore(self._received_at)
+            self._watch_time()
+            return
         self._unparsed = bytes(self._unparsed) + data if self._unparsed else data
         self._parse()
 
@@ -140,7 +190,7 @@
             self.ignoring = True
         if self.ignoring:
             return
-        self._in_message = True
+        self.inbound.begin_head(self._received_at)
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
@@ -152,26 +202,35 @@
         complete_scope(self.scope, self.parser, self.url, self.root_path)  # type: ignore[arg-type]
         exchange = Exchange(self, self._received_at)
         self.cycle = exchange
-        self._in_body = True
+        self.inbound.begin_body(self._received_at)
         self.order.add(exchange, is_last=not exchange.keep_alive)
         self._count_behind()
         self._advance()
 
     def on_body(self, body: bytes) -> None:
         """Keep a chunk of the body, unless its request is over."""
-        if not self.ignoring and not self.cycle.disconnected:
+        if self.ignoring:
+            return
+        self.inbound.add_body(len(body), self._received_at)
+        if self.inbound.state is ReadState.DISCARDED:
+            self._discard_body()
+        elif not self.cycle.disconnected:
             super().on_body(body)
 
     def on_message_complete(self) -> None:
         """End the body of a request."""
         if self.ignoring:
             return
-        self._in_message = self._in_body = False
+        self.inbound.end_message(self._received_at)
         super().on_message_complete()
 
     def on_response_complete(self) -> None:
         """Let the next answer be sent, begin further requests, and read on."""
+        answered = self.order.head
         self.order.complete_head()
+        self.inbound.answer(self.loop.time(), current=answered is self.cycle)
+        if self.inbound.state is ReadState.DISCARDED:
+            self.cycle.body.clear()
         self._count_behind()
         self._go_on()
 
@@ -190,7 +249,11 @@
         if len(self.order):
             self.read_no_more()
         else:
-            self.transport.close()
+            self.out.close()
+
+    @abc.abstractmethod
+    def refuse_late(self) -> None:
+        """Refuse a request whose headers or body are late."""
 
     def _advance(self) -> None:
         """Begin the requests that may run, and give its turn to a new head."""
@@ -220,13 +283,13 @@
     def _go_on(self) -> None:
         """Do what may be done now that an answer was sent or read."""
         self.out.measure()
-        if self.transport.is_closing():
+        if self.out.is_closing():
             return
         self._advance()
         if self._unparsed or self.flow.read_paused:
             self._parse()
         else:
-            self._rest()
+            self._watch_time()
 
     def _on_measured(self) -> None:
         now = self.loop.time()
@@ -250,12 +313,58 @@
             if self.ignoring:
                 self._unparsed = b""
         self._adjust_reading()
-        self._rest()
+        self._watch_time()
+
+    def _discard_body(self) -> None:
+        """Close the connection when more of an answered request's body comes than is read."""
+        if self.inbound.body_too_long:
+            self.counts.count_long_body()
+            self.out.close()
 
-    def _rest(self) -> None:
-        """Start the idle timeout if there is nothing to do."""
-        if not len(self.order) and not self._in_message and not self.transport.is_closing():
-            self._start_idle_timeout()
+    def _watch_time(self) -> None:
+        """Move the deadline of the next bytes; nothing is late while the connection waits."""
+        self.timer.move(None if self._is_patient else self.inbound.deadline)
+
+    @property
+    def _is_patient(self) -> bool:
+        """Whether the caller may take any time for its next bytes."""
+        state = self.inbound.state
+        if state is ReadState.LINGERING:
+            return False
+        if state is ReadState.IDLE and len(self.order):
+            return True
+        return self.flow.read_paused or self.ignoring
+
+    def _time_out(self) -> None:
+        """End a connection whose caller takes too long for its next bytes."""
+        if self.transport.is_closing():
+            return
+        state = self.inbound.state
+        self.counts.count_timeout(state)
+        if state is ReadState.HEAD or state is ReadState.BODY:
+            self.refuse_late()
+        else:
+            self._drop_all()
+            self.transport.close()
+
+    @property
+    def _has_more_to_read(self) -> bool:
+        """Whether the caller has sent more than was read, or is about to."""
+        if self.inbound.state is not ReadState.IDLE or self._unparsed:
+            return True
+        return self.flow.read_paused and has_arrived(self.transport)
+
+    def _close(self) -> None:
+        """Close the connection, after some time to read if its caller has more to send."""
+        if not self._has_more_to_read:
+            self.transport.close()
+            return
+        self.ignoring = True
+        self._unparsed = b""
+        self.inbound.linger(self.loop.time())
+        self.transport.write_eof()
+        self._adjust_reading()
+        self._watch_time()
 
     def _feed(self, piece: memoryview) -> None:
         try:
@@ -270,12 +379,12 @@
     @property
     def _waits(self) -> bool:
         """Whether further requests must wait; the body of one that has begun is read on."""
-        return (self.order.full or self.unread.blocks) and not self._in_body
+        return (self.order.full or self.unread.blocks) and not self.inbound.in_body
 
     @property
     def _body_is_ahead(self) -> bool:
         """Whether more of a body was read than the application has taken."""
-        return self._in_body and len(self.cycle.body) > HIGH_WATER_LIMIT
+        return self.inbound.state is ReadState.BODY and len(self.cycle.body) > HIGH_WATER_LIMIT
 
     def _adjust_reading(self) -> None:
         """Pause or resume reading; bytes that will be ignored are read, to notice the end."""
@@ -289,9 +398,5 @@
         else:
             self.flow.resume_reading()
             self.watch.stop()
-
-    def _start_idle_timeout(self) -> None:
-        self._unset_keepalive_if_required()
-        self.timeout_keep_alive_task = self.loop.call_later(
-            self.timeout_keep_alive, self.timeout_keep_alive_handler
-        )
+            self.inbound.resume(self.loop.time())
+        self._watch_time()
--- a/sprucewinch/net/_write_side.py
+++ b/sprucewinch/net/_write_side.py
@@ -22,21 +22,35 @@
         transport: The connection.
         unread: Answers of the connection that its caller has not read.
         on_measured: Called after each measurement at an interval.
+        on_close: Called once, when nothing more is written.
     """
 
-    __slots__ = ("_timer", "loop", "on_measured", "transport", "unread", "written_bytes")
+    __slots__ = (
+        "_timer",
+        "closed",
+        "loop",
+        "on_close",
+        "on_measured",
+        "transport",
+        "unread",
+        "written_bytes",
+    )
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         transport: asyncio.Transport,
         unread: UnreadAnswers,
+        *,
         on_measured: Callable[[], None],
+        on_close: Callable[[], None],
     ) -> None:
         self.loop = loop
         self.transport = transport
         self.unread = unread
         self.on_measured = on_measured
+        self.on_close = on_close
+        self.closed = False
         self.written_bytes = 0
         self._timer: Optional[asyncio.TimerHandle] = None
 
@@ -46,12 +60,14 @@
         self.transport.write(data)
 
     def close(self) -> None:
-        """Close the connection once all is sent."""
-        self.transport.close()
+        """Write nothing more, and let the connection close once all is sent."""
+        if not self.is_closing():
+            self.closed = True
+            self.on_close()
 
     def is_closing(self) -> bool:
-        """Return whether the connection is closing."""
-        return self.transport.is_closing()
+        """Return whether nothing more is written."""
+        return self.closed or self.transport.is_closing()
 
     def measure(self) -> None:
         """Measure now, and at intervals until all is sent."""
--- a/sprucewinch/net/http_server.py
+++ b/sprucewinch/net/http_server.py
@@ -7,7 +7,6 @@
 `connections` and `tasks` hold the listener's open connections and its requests in flight.
 """
 
-import asyncio
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable, Iterator
@@ -20,6 +19,8 @@
 from ._pipelined_protocol import PipelinedProtocol
 from .address import parse_address
 from .answer_memory import AnswerMemory, UncountedAnswers
+from .connection_counts import ConnectionCounts, Uncounted
+from .listener_limits import ListenerLimits
 from .outcome import Outcome, Reason
 
 AsgiApp = Callable[[dict, Callable[[], Awaitable[dict]], Callable[[dict], Awaitable[None]]], Any]
@@ -30,9 +31,6 @@
 _BACKLOG = 2048
 """Connections that may wait to be accepted, which is uvicorn's default."""
 
-_KEEPALIVE_TIMEOUT_S = 30
-"""Time that a connection may stay idle between requests, unless the listener states another."""
-
 _RETRY_AFTER_S = 1
 """`Retry-After` of a listener's refusal: the smallest positive value of this header."""
 
@@ -52,38 +50,6 @@
     )
 
 
-class ListenerLimits:
-    """Limits of one listener; `change` replaces some of them while it runs.
-
-    Args:
-        header_bytes: Maximum size of a request's target and headers, in bytes.
-        connections: Maximum number of open connections.
-        requests: Maximum number of requests in flight.
-        header_s: Timeout of a request's headers, in seconds; None for no timeout.
-    """
-
-    __slots__ = ("connections", "header_bytes", "header_s", "requests")
-
-    def __init__(
-        self, header_bytes: int, connections: int, requests: int, header_s: Optional[float] = None
-    ) -> None:
-        self.header_bytes = header_bytes
-        self.connections = connections
-        self.requests = requests
-        self.header_s = header_s
-
-    def change(self, *, header_bytes: int, header_s: Optional[float]) -> None:
-        """Replace the limits on headers.
-
-        Args:
-            header_bytes: Maximum size of a request's target and headers, in bytes; applies also to
-                headers that are being read.
-            header_s: Timeout of headers that begin later, in seconds; None for no timeout.
-        """
-        self.header_bytes = header_bytes
-        self.header_s = header_s
-
-
 class LimitedProtocol(PipelinedProtocol):
     """One connection of a listener; sends a refusal and closes when a limit is exceeded.
 
@@ -91,42 +57,43 @@
     needs a subclass, made by `limited_by`, that holds its limits.
     """
 
-    limits: ListenerLimits
-    """Limits of the listener, shared by all its connections."""
-
     header_bytes = 0
     """Bytes of the current request's target and headers so far."""
 
-    header_timer: Optional[asyncio.TimerHandle] = None
-    """Timer of the current request's headers; None while no headers are being read."""
-
     @classmethod
     def limited_by(
-        cls, limits: ListenerLimits, max_at_once: int, memory: AnswerMemory
+        cls,
+        limits: ListenerLimits,
+        *,
+        max_at_once: int,
+        memory: AnswerMemory,
+        counts: ConnectionCounts,
     ) -> type["LimitedProtocol"]:
         """Return a subclass whose connections enforce the given limits."""
-        values = {"limits": limits, "max_at_once": max_at_once, "memory": memory}
+        values = {
+            "limits": limits,
+            "max_at_once": max_at_once,
+            "memory": memory,
+            "counts": counts,
+        }
         return type(cls.__name__, (cls,), values)
 
     def connection_made(self, transport: Any) -> None:
-        """Refuse the connection when too many are open; else start its idle timeout."""
+        """Refuse the connection when too many are open."""
         super().connection_made(transport)
         if len(self.connections) > self.limits.connections:
             self._send_refusal(b"503 Service Unavailable", Reason.OVERLOADED_VM)
             return
-        self._start_idle_timeout()
-
-    def connection_lost(self, exc: Optional[Exception]) -> None:
-        """Cancel the timer of headers that have not arrived."""
-        self._cancel_header_timer()
-        super().connection_lost(exc)
+        self._watch_time()
 
     def on_message_begin(self) -> None:
-        """Start to count the bytes and the time of a new request's headers."""
+        """Start to count the bytes of a new request's headers."""
         super().on_message_begin()
-        if not self.ignoring:
-            self.header_bytes = 0
-            self._start_header_timer()
+        self.header_bytes = 0
+
+    def refuse_late(self) -> None:
+        """Refuse a request whose headers or body are late."""
+        self._send_refusal(b"408 Request Timeout", Reason.MALFORMED)
 
     def on_url(self, url: bytes) -> None:
         """Count a chunk of the target."""
@@ -140,7 +107,6 @@
 
     def on_headers_complete(self) -> None:
         """Pass the request to the application, unless too many are in flight."""
-        self._cancel_header_timer()
         if self.ignoring:
             return
         if len(self.tasks) >= self.limits.requests:
@@ -149,24 +115,6 @@
         self.scope[TARGET_KEY] = self.url
         super().on_headers_complete()
 
-    def _start_header_timer(self) -> None:
-        if self.limits.header_s is not None:
-            self.header_timer = self.loop.call_later(
-                self.limits.header_s, self._refuse_late_headers
-            )
-
-    def _refuse_late_headers(self) -> None:
-        if self.flow.read_paused:
-            # They may have arrived, behind requests that are still running.
-            self._start_header_timer()
-            return
-        self._send_refusal(b"408 Request Timeout", Reason.MALFORMED)
-
-    def _cancel_header_timer(self) -> None:
-        if self.header_timer is not None:
-            self.header_timer.cancel()
-            self.header_timer = None
-
     def _count_header_bytes(self, size: int) -> None:
         before = self.header_bytes
         self.header_bytes += size
@@ -216,25 +164,31 @@
     app: AsgiApp,
     limits: ListenerLimits,
     *,
-    keepalive_s: float = _KEEPALIVE_TIMEOUT_S,
     max_at_once: int = 1,
     memory: Optional[AnswerMemory] = None,
+    counts: Optional[ConnectionCounts] = None,
 ) -> uvicorn.Server:
     """Return a server for an ASGI application, to be given a bound socket.
 
     Args:
         app: The application.
         limits: Limits of the listener; they may change while it runs.
-        keepalive_s: Time that a connection may stay idle, in seconds; see `keep_alive`.
         max_at_once: Maximum number of one connection's requests that run at once. An application
             that is given more than 1 waits for its turn (`connection_turn`) with each request
             that must not run twice.
         memory: Memory of the answers that callers have not read; None to count none.
+        counts: Counts what ends connections; None to count nothing.
     """
+    protocol = LimitedProtocol.limited_by(
+        limits,
+        max_at_once=max_at_once,
+        memory=memory or UncountedAnswers(),
+        counts=counts or Uncounted(),
+    )
     config = uvicorn.Config(
         app,
         loop="none",
-        http=LimitedProtocol.limited_by(limits, max_at_once, memory or UncountedAnswers()),
+        http=protocol,
         ws="none",
         interface="asgi3",
         lifespan="off",
@@ -244,16 +198,5 @@
         date_header=False,
         proxy_headers=False,
         backlog=_BACKLOG,
-        timeout_keep_alive=int(keepalive_s),
     )
     return _Server(config)
-
-
-def keep_alive(server: uvicorn.Server, seconds: float) -> None:
-    """Change the idle timeout of a server's new connections.
-
-    Args:
-        server: The server.
-        seconds: Time that a connection may stay idle, in seconds; rounded down to whole seconds.
-    """
-    server.config.timeout_keep_alive = int(seconds)
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -79,6 +79,7 @@
         self.link = link
         self.unsent = bytearray()
         self.sending = False
+        self.ended = False
         self.peer: Optional[MemoryTransport] = None
         self.protocol: Optional[asyncio.Protocol] = None
         self.closing = False
@@ -104,6 +105,12 @@
         self.unsent.clear()
         self._end(ConnectionResetError("reset by peer"))
 
+    def write_eof(self) -> None:
+        """Send the end of what this end writes; it goes on reading."""
+        self.ended = True
+        if not self.sending and not self.unsent:
+            self._call_after_delay(self._end_writing)
+
     def is_closing(self) -> bool:
         """Return whether this end is closed."""
         return self.closing
@@ -157,6 +164,15 @@
         self._send_piece()
         if self.closing and not self.unsent:
             self._call_after_delay(self._end_peer, None)
+        elif self.ended and not self.unsent:
+            self._call_after_delay(self._end_writing)
+
+    def _end_writing(self) -> None:
+        peer = self.peer
+        if peer is None or peer.closing or peer.protocol is None or self.held:
+            return
+        if not peer.protocol.eof_received():
+            peer.close()
 
     def _deliver_to_peer(self, data: bytes) -> None:
         peer = self.peer
--- a/tests/pipelined_app.py
+++ b/tests/pipelined_app.py
@@ -7,9 +7,11 @@
 
 from uvicorn.server import ServerState
 
+from sprucewinch.net._inbound import LINGER_S
 from sprucewinch.net.answer_memory import AnswerMemory
 from sprucewinch.net.connection_turn import turn_of
 from sprucewinch.net.http_server import ListenerLimits, make_listener
+from standins.virtual import pass_time
 
 
 def silent_logger() -> logging.Logger:
@@ -42,6 +44,7 @@
         written: What the caller has read.
         unread: What the transport has not sent, as the caller does not read.
         stalled: True while the caller reads nothing.
+        ended: True once nothing more is written.
     """
 
     HIGH_BYTES = 65_536
@@ -54,6 +57,7 @@
         self.unread = b""
         self.protocol: Any = None
         self.closing = False
+        self.ended = False
         self.reads = True
         self.stalled = False
         self.paused = False
@@ -95,6 +99,9 @@
         if protocol is not None:
             self.loop.call_soon(protocol.connection_lost, None)
 
+    def write_eof(self) -> None:
+        self.ended = True
+
     def is_closing(self) -> bool:
         return self.closing
 
@@ -253,6 +260,14 @@
     return whole(path)[: 1 - len(path)]
 
 
+async def lingers(one: OneConnection) -> bool:
+    """Return whether a connection sends nothing more, reads on, and ends by itself."""
+    began = one.transport.ended and one.transport.reads and not one.transport.closing
+    one.receive(b"more")
+    await pass_time(LINGER_S)
+    return began and one.transport.closing
+
+
 async def settle() -> None:
     """Let everything run that can."""
     for _ in range(30):
--- a/tools/wrong_connection_versions.py
+++ b/tools/wrong_connection_versions.py
@@ -15,7 +15,41 @@
 _BUDGET_TESTS = ("tests.test_gateway_answer_budget",)
 _VM_TESTS = ("tests.test_pipelined_requests",)
 
+_AFTER_ANSWER_TESTS = ("tests.test_body_after_answer",)
+
 CONNECTION_VERSIONS = (
+    WrongVersion(
+        "CONFIG",
+        "what is held of a body that is answered keeps the connection from being read",
+        f"{_NET}/_inbound.py",
+        "            self.state = ReadState.DISCARDED\n",
+        "",
+        _AFTER_ANSWER_TESTS,
+    ),
+    WrongVersion(
+        "CONFIG",
+        "a body that is answered may take any time",
+        f"{_NET}/_inbound.py",
+        "            self._until = now + self.limits.idle_s\n",
+        "",
+        _AFTER_ANSWER_TESTS,
+    ),
+    WrongVersion(
+        "MIXED",
+        "a connection with unread bytes is closed at once",
+        _PROTOCOL,
+        "if not self._has_more_to_read:",
+        "if True:",
+        _AFTER_ANSWER_TESTS,
+    ),
+    WrongVersion(
+        "UNASKED",
+        "a body that its caller may leave out is awaited",
+        _PROTOCOL,
+        "if exchange.waiting_for_100_continue and not self.inbound.body_bytes:",
+        "if False:",
+        _AFTER_ANSWER_TESTS,
+    ),
     WrongVersion(
         "ORDER",
         "an answer does not wait for those ahead",
@@ -52,7 +86,7 @@
         "ORDER",
         "the body of a request at the bound is not read",
         _PROTOCOL,
-        "return (self.order.full or self.unread.blocks) and not self._in_body",
+        "return (self.order.full or self.unread.blocks) and not self.inbound.in_body",
         "return self.order.full or self.unread.blocks",
         _PROTOCOL_TESTS,
     ),
@@ -60,7 +94,7 @@
         "ORDER",
         "a body that nobody reads is read on",
         _PROTOCOL,
-        "return self._in_body and len(self.cycle.body) > HIGH_WATER_LIMIT",
+        "return self.inbound.state is ReadState.BODY and len(self.cycle.body) > HIGH_WATER_LIMIT",
         "return False",
         _PROTOCOL_TESTS,
     ),
@@ -99,17 +133,17 @@
     WrongVersion(
         "ORDER",
         "headers that wait behind others time out",
-        f"{_NET}/http_server.py",
-        "if self.flow.read_paused:",
-        "if False:",
+        _PROTOCOL,
+        "return self.flow.read_paused or self.ignoring",
+        "return self.ignoring",
         _PROTOCOL_TESTS,
     ),
     WrongVersion(
         "ORDER",
         "a connection with requests that run counts as idle",
         _PROTOCOL,
-        "if not len(self.order) and not self._in_message and",
-        "if not self._in_message and",
+        "if state is ReadState.IDLE and len(self.order):",
+        "if False:",
         _PROTOCOL_TESTS,
     ),
     WrongVersion(
@@ -188,7 +222,7 @@
         "GONE",
         "a caller that leaves while reading is paused is not noticed",
         f"{_NET}/_departure.py",
-        "return any(event & _LEFT for _, event in poll.poll(0))",
+        "return bool(_events(transport, select.POLLRDHUP) & _LEFT)",
         "return False",
         _PROTOCOL_TESTS,
     ),
@@ -296,8 +330,8 @@
         "MEMORY",
         "the protocol does not ask whether requests wait for memory",
         _PROTOCOL,
-        "return (self.order.full or self.unread.blocks) and not self._in_body",
-        "return self.order.full and not self._in_body",
+        "return (self.order.full or self.unread.blocks) and not self.inbound.in_body",
+        "return self.order.full and not self.inbound.in_body",
         _BUDGET_TESTS,
     ),
     WrongVersion(
