Memory of request bodies counts as they arrive, and a body that is late is refused

What callers saw: 300 uploads that stand still took 384 MB of a VM that may use 300; the platform ends such a process with all its requests. An upload that stood still got no answer, whatever the timeout of its route.

Cause: bodies counted only once they were whole, so any number of them was read at the same time, and nothing gave back what was held. Some 60 MB more were held by empty views of what had been read at once (256 kB a connection).

Change: bytes count as they arrive; a stated length beyond the limit or the memory is refused before the body is read. Bodies that are being read share a quarter of the memory of bodies, but for the first, so that a single large one is still served. Without room, the body that has stood still for the longest gives way. A request is refused (503 no-time, nothing was sent) when its time ends before its body is whole. The rest of what was parsed is dropped when it is empty.

--- a/sprucewinch/gateway/requests/app.py
+++ b/sprucewinch/gateway/requests/app.py
@@ -12,13 +12,15 @@
 from ...net.asgi import AsgiBody, Receive, Send
 from ...net.body import CallerLeftError
 from ...net.connection_turn import turn_of
+from ...net.content_length import content_length
 from ..events import EventLog, NoEvents
 from ..header_names import HeaderNames
 from ..resources import CallerLimits
 from ..state.store_view import StoreView
 from .callers.answer_budget import AnswerBudget
 from .callers.answer_writer import write_reply
-from .callers.body_admission import BodyAdmission, BodyMemory, admit_body
+from .callers.body_admission import BodyAdmission, BodyMemory
+from .callers.body_reader import BodyReader
 from .callers.request_reader import RequestReader
 from .client_request import ClientRequest, RefusalReason, Reply
 from .outcome import final_answer
@@ -105,6 +107,7 @@
         self.events = events
         self.monotonic = monotonic
         self.bodies = BodyMemory(memory_bytes)
+        self.body_reader = BodyReader(self.bodies, monotonic)
         self.counters = counters or NoEvents()
         self.answers = AnswerBudget(self.bodies, self.counters)
         self.in_flight = 0
@@ -222,16 +225,19 @@
         return await self.pipeline.admit(request)
 
     async def _read_body(self, exchange: Exchange, request: ClientRequest) -> Optional[Reply]:
-        """Read a body up to the largest accepted size, plus one byte to detect a longer one.
-
-        Returns:
-            The answer to a request whose body is refused; None when it is accepted.
-        """
-        body = exchange.body
-        await body.keep_start(self.bodies.room_bytes(self.limits.body_bytes) + 1)
-        self.bodies.take(len(body.first))
-        request.body = body.first
-        return self._refusal_by_body(request, body)
+        """Read a body; return the answer to a request whose body is refused, else None."""
+        admission = await self.body_reader.read(
+            exchange.body,
+            content_length(exchange.scope),
+            limit_bytes=self.limits.body_bytes,
+            until=self.pipeline.held_until(request),
+        )
+        request.body = exchange.body.first
+        if admission is BodyAdmission.TOO_LARGE:
+            return final_answer.refused_for_good(RefusalReason.TOO_LARGE)
+        if admission is BodyAdmission.NO_MEMORY:
+            return final_answer.refused_for_lack_of_memory()
+        return self.pipeline.late_reply() if admission is BodyAdmission.LATE else None
 
     def _read_request(self, exchange: Exchange) -> ClientRequest:
         read = self.reader.read(exchange.scope, exchange.body.first, exchange.arrived_at)
@@ -240,15 +246,6 @@
         read.request.turn = exchange.turn
         return read.request
 
-    def _refusal_by_body(self, request: ClientRequest, body: AsgiBody) -> Optional[Reply]:
-        limit_bytes = self.limits.body_bytes
-        admission = admit_body(len(request.body), limit_bytes, complete=body.complete)
-        if admission is BodyAdmission.TOO_LARGE:
-            return final_answer.refused_for_good(RefusalReason.TOO_LARGE)
-        if admission is BodyAdmission.NO_MEMORY:
-            return final_answer.refused_for_lack_of_memory()
-        return None
-
     async def _run_while_caller_stays(
         self, request: ClientRequest, body: AsgiBody, task: asyncio.Task
     ) -> Reply:
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -236,6 +236,17 @@
             return final_answer.forwarded(attempt, route)
         return await self._unserved(request, route, service, decision.refusal)
 
+    def held_until(self, request: ClientRequest) -> float:
+        """Return the monotonic time until which a request is held, in seconds."""
+        route = self.routes.find(request)
+        if isinstance(route, RefusalReason):
+            return request.deadline
+        return hold_time(request, route).until
+
+    def late_reply(self) -> Reply:
+        """Return the final answer of a request whose time ends before its body is whole."""
+        return final_answer.refused(RefusalReason.NO_TIME, self.rng)
+
     def stop_reply(self, request: ClientRequest) -> Reply:
         """Return the final answer of a request that is abandoned because the process ends."""
         return final_answer.stopped(request, self.rng)
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -28,6 +28,7 @@
     gauges = {
         "in_flight": parts.requests.app.in_flight,
         "body_bytes": parts.requests.app.buffered,
+        "bodies_arriving": parts.requests.app.bodies.arriving,
         "answer_bytes": parts.requests.app.bodies.answer_bytes,
         "requests_behind_others": parts.requests.app.answers.behind,
         "backend_connections_opened": parts.servers.pool.opened + parts.servers.links.check.opened,
--- a/sprucewinch/net/_pipelined_protocol.py
+++ b/sprucewinch/net/_pipelined_protocol.py
@@ -310,7 +310,8 @@
             unparsed = memoryview(self._unparsed)
             self._unparsed = unparsed[_PIECE_BYTES:]
             self._feed(unparsed[:_PIECE_BYTES])
-            if self.ignoring:
+            if self.ignoring or not self._unparsed:
+                # An empty view would keep all that was read.
                 self._unparsed = b""
         self._adjust_reading()
         self._watch_time()
--- a/tests/test_formats_gateway.py
+++ b/tests/test_formats_gateway.py
@@ -222,6 +222,7 @@
 answer_bytes 0
 backend_connections_opened 1
 backend_servers 2
+bodies_arriving 0
 body_bytes 0
 capacity_requests_per_s 750
 configuration_version 7
--- a/tools/wrong_connection_versions.py
+++ b/tools/wrong_connection_versions.py
@@ -15,6 +15,7 @@
 _BUDGET_TESTS = ("tests.test_gateway_answer_budget",)
 _VM_TESTS = ("tests.test_pipelined_requests",)
 
+_BODY_MEMORY_TESTS = ("tests.test_gateway_body_memory",)
 _AFTER_ANSWER_TESTS = ("tests.test_body_after_answer",)
 
 CONNECTION_VERSIONS = (
@@ -34,6 +35,30 @@
         "",
         _AFTER_ANSWER_TESTS,
     ),
+    WrongVersion(
+        "MEMORY",
+        "a body that stands still keeps its memory",
+        f"{_REQUESTS}/callers/body_admission.py",
+        "return body if now - body.progress_at >= MIN_STALL_S else None",
+        "return None",
+        _BODY_MEMORY_TESTS,
+    ),
+    WrongVersion(
+        "MEMORY",
+        "a body counts only once it is whole",
+        f"{_REQUESTS}/callers/body_reader.py",
+        "if not self.memory.grow(arriving, len(chunk), self.monotonic()):",
+        "if False:",
+        _BODY_MEMORY_TESTS,
+    ),
+    WrongVersion(
+        "CONFIG",
+        "a request waits for its body beyond its time",
+        f"{_REQUESTS}/callers/body_reader.py",
+        "timer = asyncio.timeout(until - self.monotonic())",
+        "timer = asyncio.timeout(None)",
+        _BODY_MEMORY_TESTS,
+    ),
     WrongVersion(
         "MIXED",
         "a connection with unread bytes is closed at once",
