A body behind an offer to upgrade is the body of its request

Cause: httptools reads no body behind such an offer, and the listener, which ignores offers, gave what follows to the same parser as further requests.

Change: a second parser starts at the body, with the framing headers that the first one has checked (net/_ignored_upgrade). So the body, its trailers and what follows are read as without the offer; CONNECT, two framings and HTTP/1.0 end as before.

--- a/sprucewinch/net/_pipelined_protocol.py
+++ b/sprucewinch/net/_pipelined_protocol.py
@@ -28,6 +28,7 @@
 from ._answer_order import AnswerOrder
 from ._departure import DepartureWatch, has_arrived
 from ._exchange import INVALID_REQUEST, Connection, Entry, Exchange, FinalBytes
+from ._ignored_upgrade import parser_at_body
 from ._inbound import Inbound, ReadState
 from ._lazy_timer import LazyTimer
 from ._request_scope import complete_scope
@@ -69,6 +70,7 @@
         self._head: Optional[Entry] = None
         self._unparsed: Union[bytes, memoryview] = b""
         self._received_at = 0.0
+        self._offers_upgrade = False
         self._behind = 0
         self.unread = UnreadAnswers(self.memory)
 
@@ -203,6 +205,7 @@
         exchange = Exchange(self, self._received_at)
         self.cycle = exchange
         self.inbound.begin_body(self._received_at)
+        self._offers_upgrade = self.parser.should_upgrade()
         self.order.add(exchange, is_last=not exchange.keep_alive)
         self._count_behind()
         self._advance()
@@ -218,8 +221,8 @@
             super().on_body(body)
 
     def on_message_complete(self) -> None:
-        """End the body of a request."""
-        if self.ignoring:
+        """End the body of a request; one that offers an upgrade is read by another parser."""
+        if self.ignoring or self._offers_upgrade:
             return
         self.inbound.end_message(self._received_at)
         super().on_message_complete()
@@ -368,14 +371,23 @@
         self._watch_time()
 
     def _feed(self, piece: memoryview) -> None:
-        try:
-            self.parser.feed_data(piece)
-        except httptools.HttpParserError:
-            self.refuse(INVALID_REQUEST)
-        except httptools.HttpParserUpgrade as upgrade:
-            # The upgrade is ignored, so what follows are further requests.
-            rest = bytes(piece[upgrade.args[0] :])
-            self._unparsed = rest + bytes(self._unparsed)
+        while piece:
+            try:
+                self.parser.feed_data(piece)
+            except httptools.HttpParserError:
+                self.refuse(INVALID_REQUEST)
+            except httptools.HttpParserUpgrade as upgrade:
+                self._ignore_upgrade()
+                piece = piece[upgrade.args[0] :]
+                continue
+            return
+
+    def _ignore_upgrade(self) -> None:
+        """Read on behind an offer to upgrade: the body of its request, then further requests."""
+        self._offers_upgrade = False
+        if not self.ignoring:
+            version = self.parser.get_http_version()
+            self.parser = parser_at_body(self, self.headers, version)
 
     @property
     def _waits(self) -> bool:
--- a/tools/wrong_connection_versions.py
+++ b/tools/wrong_connection_versions.py
@@ -15,6 +15,7 @@
 _BUDGET_TESTS = ("tests.test_gateway_answer_budget",)
 _VM_TESTS = ("tests.test_pipelined_requests",)
 
+_FRAMING_TESTS = ("tests.test_request_framing",)
 _BODY_MEMORY_TESTS = ("tests.test_gateway_body_memory",)
 _AFTER_ANSWER_TESTS = ("tests.test_body_after_answer",)
 
@@ -35,6 +36,22 @@
         "",
         _AFTER_ANSWER_TESTS,
     ),
+    WrongVersion(
+        "UNASKED",
+        "what follows an offer to upgrade is a request",
+        _PROTOCOL,
+        "self._offers_upgrade = self.parser.should_upgrade()",
+        "self._offers_upgrade = False",
+        _FRAMING_TESTS,
+    ),
+    WrongVersion(
+        "UNASKED",
+        "a body in chunks behind an offer to upgrade has no framing",
+        f"{_NET}/_ignored_upgrade.py",
+        '_FRAMING_HEADERS = (b"content-length", b"transfer-encoding")',
+        '_FRAMING_HEADERS = (b"content-length",)',
+        _FRAMING_TESTS,
+    ),
     WrongVersion(
         "MEMORY",
         "a body that stands still keeps its memory",
@@ -151,8 +168,8 @@
         "ORDER",
         "what follows an upgrade is lost",
         _PROTOCOL,
-        "rest = bytes(piece[upgrade.args[0] :])",
-        'rest = b""',
+        "piece = piece[upgrade.args[0] :]",
+        "return",
         _PROTOCOL_TESTS,
     ),
     WrongVersion(
