A stop promises "not run" only for what may not have run

Cause: `at_server` was cleared at the end of the exchange, and the attempt added to the request only after the check whether the server crashed. A stop in between found no trace of the run. So did one after the first of two tries.

Change: ClientRequest.record adds an attempt and clears `at_server` in one step; `may_have_run` asks both, for final answers and for quota that is returned.

--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -92,7 +92,9 @@
         key: Key of the object that it concerns; empty when there is none.
         attempts: Its attempts so far.
         blocked: Why no server could be selected the last time that this happened; None if never.
-        at_server: True while a backend server may be working on it.
+        at_server: True from the first byte that is sent to a backend server or another VM until
+            `record` takes the attempt, unless that shows that the request did not run: it may run,
+            or have run, and `attempts` does not tell.
         target_hash: See `crashes.fingerprint`; None until it is needed.
         fingerprint: Fingerprint of this and all equal requests; None until it is needed.
         on_trial: True when it is sent although equal requests have crashed servers.
@@ -144,6 +146,16 @@
     earlier_runs: int = 0
     counted: bool = False
 
+    def record(self, *attempts: "Attempt") -> None:
+        """Add attempts that have ended; from now on they tell whether the request may have run."""
+        self.attempts.extend(attempts)
+        self.at_server = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether it may run or have run anywhere; False promises that it never will."""
+        return self.at_server or self.possible_runs() > 0
+
     async def has_turn(self) -> bool:
         """Wait until all requests ahead on the connection are answered; False if it closes."""
         return self.turn is None or await self.turn.wait_for_turn()
--- a/sprucewinch/gateway/requests/hedging/hedged_sender.py
+++ b/sprucewinch/gateway/requests/hedging/hedged_sender.py
@@ -105,7 +105,6 @@
         take_retry: TakeRetry,
     ) -> list[Attempt]:
         tries = [self._start(request, route, selection, until)]
-        attempts: list[Attempt] = []
         try:
             await asyncio.wait({tries[0].task}, timeout=delay_s)
             if not tries[0].task.done():
@@ -114,12 +113,10 @@
                     self.events.count("requests_hedged")
                     copy = dataclasses.replace(request, at_server=False)
                     tries.append(self._start(copy, route, second, until))
-            attempts = await self._first_answered(tries)
-            return attempts
+            return await self._first_answered(tries)
         finally:
             await _end(tries)
-            # After an end without attempts, nothing else tells that a server may run the request.
-            request.at_server = not attempts and any(each.request.at_server for each in tries)
+            request.at_server = any(each.request.at_server for each in tries)
 
     def _start(
         self, request: ClientRequest, route: Route, selection: Selection, until: float
--- a/sprucewinch/gateway/requests/outcome/final_answer.py
+++ b/sprucewinch/gateway/requests/outcome/final_answer.py
@@ -181,8 +181,8 @@
 
 def stopped(request: ClientRequest, rng: random.Random) -> Reply:
     """Return the final answer of a request that is abandoned because the process ends."""
-    may_run = request.at_server or request.possible_runs()
-    return refused(RefusalReason.FAILED if may_run else RefusalReason.STOPPING, rng)
+    reason = RefusalReason.FAILED if request.may_have_run else RefusalReason.STOPPING
+    return refused(reason, rng)
 
 
 def _certain_reason(request: ClientRequest, refusal: RefusalReason) -> RefusalReason:
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -185,7 +185,7 @@
 
     def return_unused_quota(self, request: ClientRequest) -> None:
         """Return the quota that a request took from its workspace, if no server has run it."""
-        if not request.at_server and not request.possible_runs():
+        if not request.may_have_run:
             self.admission.give_back(request.caller)
 
     async def run(self, request: ClientRequest) -> Reply:
@@ -331,7 +331,7 @@
         attempts = await self.hedged_sender.send(
             request, route, selection, until, lambda: self.budgets.take(service)
         )
-        request.attempts.extend(attempts)
+        request.record(*attempts)
         return attempts[-1]
 
     def _decide_retry(
--- a/sprucewinch/gateway/requests/relay/relay.py
+++ b/sprucewinch/gateway/requests/relay/relay.py
@@ -186,7 +186,7 @@
             if peer is None or now >= until or not _may_run(request, route):
                 return None
             passed = await self._pass_to(peer, request, route, until)
-            request.attempts.append(passed.attempt)
+            request.record(passed.attempt)
             if passed.outcome is RelayOutcome.NOT_TAKEN:
                 continue
             request.counted = True
@@ -210,7 +210,6 @@
             passed = _Passed(attempt, RelayOutcome.UNKNOWN)
         finally:
             self.peers.end(peer.name)
-        request.at_server = False
         now = self.timing.monotonic()
         if passed.attempt.cause in (NOT_TAKEN, LOST):
             self.peers.record_failure(peer.name, now)
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -110,7 +110,7 @@
         server = selection.server
         started = self.monotonic()
         attempt = await self._attempt(request, selection, started, until, max_idle_s)
-        request.at_server = False
+        request.at_server = attempt.verdict is not Verdict.NOT_RUN
         attempt = attempt._replace(seconds=self.monotonic() - started)
         if not attempt.may_have_arrived:
             self.server_quotas.give_back(selection.grant)
--- a/tools/wrong_connection_versions.py
+++ b/tools/wrong_connection_versions.py
@@ -52,6 +52,14 @@
         '_FRAMING_HEADERS = (b"content-length",)',
         _FRAMING_TESTS,
     ),
+    WrongVersion(
+        "REFUSED",
+        "a stop promises that what may have run did not, until its attempt is recorded",
+        f"{_REQUESTS}/sender.py",
+        "request.at_server = attempt.verdict is not Verdict.NOT_RUN",
+        "request.at_server = False",
+        ("tests.test_gateway_stop_promises",),
+    ),
     WrongVersion(
         "MEMORY",
         "a body that stands still keeps its memory",
