--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -280,6 +280,8 @@
             "Change",
             34: "StoreFaulty SlowServers TurnedAway Stop CutFromStore Change RollingStop "
             "KillInStop StoreFaulty Change",
+            1000003: "KillInStop RefusedUploads UpgradeOffers LimitItself StalledUploads "
+            "RefusedUploads SpoilEntry Change FailAnswers Change",
         }
         for seed, names in kept.items():
             planned = [row.kind.__name__ for row in plan(seed)]
--- a/tools/soak/troubles/callers.py
+++ b/tools/soak/troubles/callers.py
@@ -92,6 +92,17 @@
         attempt.ended_at = self.world.loop.time()
         judge_answer(self.world.ledger, attempt, received.body, received.headers)
 
+    async def watch_memory(self, vm: EntryVm, end: float) -> None:
+        """Record the memory of an entry VM, unless it is not ready or ends meanwhile."""
+        process = vm.process
+        if vm.name not in self.world.keeper.ready or process is None:
+            return
+        before = most = _memory_mb(process.pid)
+        while self.world.loop.time() < end and process.returncode is None:
+            most = max(most, _memory_mb(process.pid))
+            await asyncio.sleep(_MEMORY_POLL_S)
+        self.world.ledger.memory.append(MemoryUse(vm.name, before, most))
+
     async def add_downloads(self) -> None:
         """Add the route of large answers, if the configuration lacks it."""
         if DOWNLOADS not in self.world.configuration.services:
@@ -212,7 +223,7 @@
         vm = self.world.vms[self.rng.choice(tuple(self.world.vms))]
         end = self.world.loop.time() + _UNREAD_S
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._watch_memory(vm, end))
+            group.create_task(self.watch_memory(vm, end))
             count = self.rng.randint(*_UNREAD_CONNECTIONS)
             for number in range(count):
                 group.create_task(self._send_on(end, vm, count, reads=number % 2 == 0))
@@ -244,17 +255,6 @@
         if connection.problem:
             self.world.ledger.record_broken("MIXED", f"to a slow reader: {connection.problem}")
 
-    async def _watch_memory(self, vm: EntryVm, end: float) -> None:
-        """Record the memory of an entry VM, unless it is not ready or ends meanwhile."""
-        process = vm.process
-        if vm.name not in self.world.keeper.ready or process is None:
-            return
-        before = most = _memory_mb(process.pid)
-        while self.world.loop.time() < end and process.returncode is None:
-            most = max(most, _memory_mb(process.pid))
-            await asyncio.sleep(_MEMORY_POLL_S)
-        self.world.ledger.memory.append(MemoryUse(vm.name, before, most))
-
 
 def _memory_mb(pid: int) -> float:
     """Return the resident memory of a process in MiB; 0 if it has ended."""
--- a/tools/soak/troubles/kinds.py
+++ b/tools/soak/troubles/kinds.py
@@ -42,6 +42,7 @@
 from .statements import AskRest, LeaveByWord, LimitItself, StateLoad
 from .store import CutFromStore, StoreFaulty, StoreForgets, StoreSlow, TurnedAway
 from .trouble import Trouble
+from .uploads import RefusedUploads, StalledUploads, UpgradeOffers
 from .workspaces import HotWorkspace, Keys, LowerRate
 
 KINDS: tuple[type[Trouble], ...] = (
@@ -133,6 +134,17 @@
 FIRST_SEED_OF_LIMIT_KINDS = 800_000
 """First seed that draws from `LIMIT_KINDS` too."""
 
+UPLOAD_KINDS: tuple[type[Trouble], ...] = (
+    RefusedUploads,
+    RefusedUploads,
+    UpgradeOffers,
+    StalledUploads,
+) * 8
+"""Uploads that are refused, stand still or offer an upgrade, beside all other troubles."""
+
+FIRST_SEED_OF_UPLOAD_KINDS = 1_000_000
+"""First seed that draws from `UPLOAD_KINDS` too."""
+
 _ADDED = (
     (FIRST_SEED_OF_ADDED_KINDS, ADDED_KINDS),
     (FIRST_SEED_OF_CRASH_KINDS, CRASH_KINDS),
@@ -142,6 +154,7 @@
     (FIRST_SEED_OF_LINK_KINDS, LINK_KINDS),
     (FIRST_SEED_OF_COPY_KINDS, COPY_KINDS),
     (FIRST_SEED_OF_LIMIT_KINDS, LIMIT_KINDS),
+    (FIRST_SEED_OF_UPLOAD_KINDS, UPLOAD_KINDS),
 )
 """Kinds beside `KINDS`, each with the first seed that draws from them, in this order."""
 
