A caller that leaves while a body pauses its connection is noticed

What callers saw: nothing; a VM kept the connection of a caller that left while more of its body was read than its application had taken, until the application went on.

Cause: uvicorn's `on_body` pauses reading by itself, so `_adjust_reading` found reading paused already and did not start to watch for the caller's end.

Change: the listener keeps the bytes of a body itself; `_adjust_reading` alone pauses, and starts the watch.

Failed before: tests.test_body_after_answer, test_a_caller_that_leaves_a_body_that_nobody_takes_is_noticed (open after 0.5 s). After: 3 of 3. A caller whose end waits behind bytes that its own kernel still holds is not seen while reading pauses; that was so before.

--- a/sprucewinch/net/_pipelined_protocol.py
+++ b/sprucewinch/net/_pipelined_protocol.py
@@ -214,11 +214,14 @@
         """Keep a chunk of the body, unless its request is over."""
         if self.ignoring:
             return
-        self.inbound.add_body(len(body), self._received_at)
-        if self.inbound.state is ReadState.DISCARDED:
+        inbound, exchange = self.inbound, self.cycle
+        inbound.add_body(len(body), self._received_at)
+        if inbound.state is ReadState.DISCARDED:
             self._discard_body()
-        elif not self.cycle.disconnected:
-            super().on_body(body)
+        elif not exchange.disconnected:
+            # uvicorn would pause reading here, unknown to `_adjust_reading`.
+            exchange.body += body
+            exchange.message_event.set()
 
     def on_message_complete(self) -> None:
         """End the body of a request; one that offers an upgrade is read by another parser."""
--- a/tests/test_body_after_answer.py
+++ b/tests/test_body_after_answer.py
@@ -32,9 +32,12 @@
     def __init__(self) -> None:
         self.bodies: list[tuple[str, bytes]] = []
         self.left: list[str] = []
+        self.taking = asyncio.Event()
+        self.taking.set()
 
     async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
         path = scope["path"]
+        await self.taking.wait()
         if not path.startswith("/refused"):
             body = b""
             more = True
@@ -310,6 +313,7 @@
         )
 
         async def stop() -> None:
+            self.app.taking.set()
             self.server.should_exit = True
             for connection in list(self.server.server_state.connections):
                 connection.transport.abort()
@@ -355,6 +359,23 @@
             self.assertEqual(await asyncio.gather(*(one() for _ in range(8))), [expected] * 8)
         await self._until_none_is_open(LINGER_S)
 
+    async def test_a_caller_that_leaves_a_body_that_nobody_takes_is_noticed(self) -> None:
+        # Guards against a pause of reading in which nobody watches for the caller's end.
+        self.app.taking.clear()
+        _, writer = await self._connect()
+        writer.write(post("/upload", b"x" * 100_000)[:-1])
+        [connection] = await self._connections()
+        while not connection.read_paused:
+            await asyncio.sleep(0.01)
+        writer.close()
+        await self._until_none_is_open(0.5)
+
+    async def _connections(self) -> list[Any]:
+        async with asyncio.timeout(5):
+            while not self.server.server_state.connections:
+                await asyncio.sleep(0.01)
+        return list(self.server.server_state.connections)
+
     async def test_a_stop_ends_connections_that_read_refused_bodies(self) -> None:
         _, writer = await self._connect()
         writer.write(post("/refused", b"x" * LONG)[:100_000])
