A body that stands still gives way also to requests that need little

Change: BodyMemory.make_room has bodies that stand still give way; the check of a stated length and that of the memory for unread answers ask it. It replaces room_bytes, and its tests ask the same bounds of it.

Failed before: test_gateway_body_memory.WholeVm, an_upload_that_stands_still_with_all_memory_keeps_out_nobody (503, 503 for 200, 200). After: it passes.

--- a/sprucewinch/gateway/requests/app.py
+++ b/sprucewinch/gateway/requests/app.py
@@ -228,7 +228,7 @@
         """Return the answer to a request that is refused by its head; None when it is admitted."""
         if not request.path.startswith("/"):
             return final_answer.refused_for_good(RefusalReason.MALFORMED)
-        if self.answers.used_up:
+        if self.answers.used_up and not self.bodies.make_room(1, self.monotonic()):
             return final_answer.refused_for_lack_of_memory()
         if self.ends_at < math.inf and self.pipeline.held_until(request) > self.ends_at:
             return self.pipeline.stop_reply(request)
--- a/sprucewinch/gateway/requests/callers/body_admission.py
+++ b/sprucewinch/gateway/requests/callers/body_admission.py
@@ -21,7 +21,6 @@
 
 import enum
 from collections.abc import Callable
-from typing import Optional
 
 MAX_BODIES_FRACTION = 0.25
 """Fraction of the process's memory that request bodies and unread answers may use together."""
@@ -106,13 +105,19 @@
         """Number of bodies that are being read."""
         return len(self._by_begin)
 
-    def room_bytes(self, limit_bytes: int) -> int:
-        """Return the largest body that may be read now, in bytes.
+    def make_room(self, size_bytes: int, now: float) -> bool:
+        """Return whether there is room, for which bodies that stand still may have to give way.
 
         Args:
-            limit_bytes: The configuration's limit on a body, in bytes.
+            size_bytes: The bytes that need it.
+            now: Monotonic time, in seconds.
         """
-        return max(0, min(limit_bytes, self.max_bytes - self.used_bytes))
+        if size_bytes > self.max_bytes:
+            return False
+        while self.used_bytes + size_bytes > self.max_bytes:
+            if not self._give_up_one(now):
+                return False
+        return True
 
     def take(self, size_bytes: int) -> None:
         """Count a body that is now in memory."""
@@ -149,12 +154,8 @@
         self._by_progress.pop(body, None)
         self._by_progress[body] = None
         while not self._has_room(body, size_bytes):
-            stalled = self._stalled(now)
-            if stalled is None:
+            if not self._give_up_one(now):
                 return False
-            self.end(stalled)
-            stalled.given_up = True
-            stalled.give_up()
         body.size_bytes += size_bytes
         self.arriving_bytes += size_bytes
         self.held_bytes += size_bytes
@@ -178,10 +179,15 @@
         beside_first = self.arriving_bytes - first.size_bytes + size_bytes
         return beside_first <= self.max_bytes * READING_FRACTION
 
-    def _stalled(self, now: float) -> Optional[ArrivingBody]:
-        """Return the body with bytes that stood still for the longest, if that is long enough."""
-        body = next(iter(self._by_progress))
-        return body if now - body.progress_at >= MIN_STALL_S else None
+    def _give_up_one(self, now: float) -> bool:
+        """Give up the body that has stood still for the longest, if that is long enough."""
+        body = next(iter(self._by_progress), None)
+        if body is None or now - body.progress_at < MIN_STALL_S:
+            return False
+        self.end(body)
+        body.given_up = True
+        body.give_up()
+        return True
 
 
 def admit_body(size_bytes: int, limit_bytes: int, *, complete: bool) -> BodyAdmission:
--- a/sprucewinch/gateway/requests/callers/body_reader.py
+++ b/sprucewinch/gateway/requests/callers/body_reader.py
@@ -45,7 +45,7 @@
             CallerLeftError: When the caller closed its connection before the end.
         """
         stated_bytes = stated_bytes or 0
-        fits = stated_bytes <= self.memory.room_bytes(stated_bytes)
+        fits = not stated_bytes or self.memory.make_room(stated_bytes, self.monotonic())
         admission = admit_body(stated_bytes, limit_bytes, complete=fits)
         if admission is BodyAdmission.ADMITTED:
             admission = await self._read_in_time(body, limit_bytes, until)
--- a/tests/test_gateway_body_memory.py
+++ b/tests/test_gateway_body_memory.py
@@ -64,6 +64,14 @@
         self.memory.end(second)
         self.assertEqual((self.memory.held_bytes, self.memory.arriving_bytes), (0, 0))
 
+    def test_room_is_made_by_bodies_that_stand_still(self) -> None:
+        # Guards against a body that stands still and has all requests of its VM refused.
+        first = self.begin("first")
+        self.memory.grow(first, BUDGET_BYTES, 0.0)
+        self.assertFalse(self.memory.make_room(1, MIN_STALL_S - 0.1))
+        self.assertTrue(self.memory.make_room(1, MIN_STALL_S))
+        self.assertEqual((self.given_up, self.memory.held_bytes), (["first"], 0))
+
     @given(
         st.lists(
             st.tuples(
@@ -187,6 +195,24 @@
 
         run_virtual(main)
 
+    def test_an_upload_that_stands_still_with_all_memory_keeps_out_nobody(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            vm = await VirtualGateway(loop, servers=1).started()
+            app = vm.gateway.requests.app
+            app.bodies.max_bytes = 900
+            stalled = await connect(loop, vm)
+            head = request("s", "/none/1", method="POST", more="transfer-encoding: chunked\r\n")
+            stalled.send(head + b"384\r\n" + b"x" * 900 + b"\r\n")
+            await pass_time(MIN_STALL_S + 0.1)
+            self.assertTrue(app.answers.used_up)
+            other = await connect(loop, vm)
+            other.send(request("o1"), request("o2", "/book/1", method="POST", body=b"x" * 800))
+            await other.until_answered(2)
+            self.assertEqual([answer.status for answer in other.answers], [200, 200])
+            self.assertEqual([answer.status for answer in stalled.answers], [503])
+
+        run_virtual(main)
+
     def test_uploads_that_stand_still_do_not_keep_out_others(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             vm = await VirtualGateway(loop, servers=1).started()
--- a/tests/test_gateway_request_rules.py
+++ b/tests/test_gateway_request_rules.py
@@ -204,15 +204,16 @@
 
 
 class BodiesInMemory(unittest.TestCase):
-    def test_a_body_may_fill_what_the_limit_and_the_memory_leave(self) -> None:
+    def test_a_body_may_fill_what_the_memory_leaves(self) -> None:
         memory = BodyMemory(400)
-        self.assertEqual((memory.room_bytes(30), memory.room_bytes(300)), (30, 100))
+        self.assertEqual([memory.make_room(size, 0.0) for size in (100, 101)], [True, False])
         memory.take(80)
-        self.assertEqual((memory.room_bytes(30), memory.held_bytes), (20, 80))
+        self.assertEqual([memory.make_room(size, 0.0) for size in (20, 21)], [True, False])
+        self.assertEqual(memory.held_bytes, 80)
         memory.take(80)
-        self.assertEqual(memory.room_bytes(30), 0)
+        self.assertFalse(memory.make_room(1, 0.0))
         memory.release(160)
-        self.assertEqual(memory.room_bytes(30), 30)
+        self.assertTrue(memory.make_room(100, 0.0))
 
     def test_an_incomplete_body_is_refused_with_its_reason(self) -> None:
         self.assertIs(admit_body(10, 10, complete=True), BodyAdmission.ADMITTED)
