--- a/sprucewinch/gateway/requests/callers/body_admission.py
+++ b/sprucewinch/gateway/requests/callers/body_admission.py
@@ -10,8 +10,8 @@
 process must stay within its memory whatever callers send. So each byte counts when it arrives. A
 caller that sends a part of a body and then nothing must not keep out those that send theirs: all
 bodies that are being read share `READING_FRACTION` of the memory, except that the one that began
-first may use all that is left, and when there is no room, the body that has stood still for the
-longest is given up, from `MIN_STALL_S` on.
+first may use all that is left. When there is no room, the body that has been stalled for the
+longest is evicted, from `MIN_STALL_S` on.
 
 A refusal is logged in the event `request` with the `outcome` `too-large`, or `no-room` without
 `blocked`; the gauges `body_bytes` and `bodies_arriving` show the memory in use. The tests are in
@@ -29,7 +29,7 @@
 """Fraction of that memory that bodies which are being read may use, beside the first of them."""
 
 MIN_STALL_S = 0.5
-"""Time without a byte after which a body gives way to others, in seconds."""
+"""Time without a byte after which a body is stalled, and may be evicted, in seconds."""
 
 
 class BodyAdmission(enum.Enum):
@@ -49,21 +49,21 @@
     """A body that is being read.
 
     Args:
-        give_up: Ends the reading; called at most once.
+        evict: Ends the reading; called at most once.
 
     Attributes:
         size_bytes: What has arrived of it, in bytes.
         progress_at: Monotonic time of its last byte, in seconds.
-        given_up: True once it has given way to another body.
+        evicted: True once it was refused to make room.
     """
 
-    __slots__ = ("give_up", "given_up", "progress_at", "size_bytes")
+    __slots__ = ("evict", "evicted", "progress_at", "size_bytes")
 
-    def __init__(self, give_up: Callable[[], None]) -> None:
-        self.give_up = give_up
+    def __init__(self, evict: Callable[[], None]) -> None:
+        self.evict = evict
         self.size_bytes = 0
         self.progress_at = 0.0
-        self.given_up = False
+        self.evicted = False
 
 
 class BodyMemory:
@@ -106,7 +106,7 @@
         return len(self._by_begin)
 
     def make_room(self, size_bytes: int, now: float) -> bool:
-        """Return whether there is room, for which bodies that stand still may have to give way.
+        """Return whether there is room, for which stalled bodies may be evicted.
 
         Args:
             size_bytes: The bytes that need it.
@@ -115,7 +115,7 @@
         if size_bytes > self.max_bytes:
             return False
         while self.used_bytes + size_bytes > self.max_bytes:
-            if not self._give_up_one(now):
+            if not self._evict_stalled(now):
                 return False
         return True
 
@@ -148,13 +148,13 @@
         Returns:
             False when the body must be refused; the bytes are not counted then.
         """
-        if body.given_up:
+        if body.evicted:
             return False
         body.progress_at = now
         self._by_progress.pop(body, None)
         self._by_progress[body] = None
         while not self._has_room(body, size_bytes):
-            if not self._give_up_one(now):
+            if not self._evict_stalled(now):
                 return False
         body.size_bytes += size_bytes
         self.arriving_bytes += size_bytes
@@ -162,7 +162,7 @@
         return True
 
     def end(self, body: ArrivingBody) -> None:
-        """Forget a body that is no longer read; one that has given way is forgotten already."""
+        """Forget a body that is no longer read; an evicted one is forgotten already."""
         if body not in self._by_begin:
             return
         del self._by_begin[body]
@@ -179,14 +179,14 @@
         beside_first = self.arriving_bytes - first.size_bytes + size_bytes
         return beside_first <= self.max_bytes * READING_FRACTION
 
-    def _give_up_one(self, now: float) -> bool:
-        """Give up the body that has stood still for the longest, if that is long enough."""
+    def _evict_stalled(self, now: float) -> bool:
+        """Evict the body that has been stalled for the longest; False if none is stalled."""
         body = next(iter(self._by_progress), None)
         if body is None or now - body.progress_at < MIN_STALL_S:
             return False
         self.end(body)
-        body.given_up = True
-        body.give_up()
+        body.evicted = True
+        body.evict()
         return True
 
 
--- a/sprucewinch/gateway/requests/callers/body_reader.py
+++ b/sprucewinch/gateway/requests/callers/body_reader.py
@@ -1,6 +1,6 @@
 """Reads the body of a request into memory, within its time and the memory of all bodies.
 
-Owns the reading itself. `body_admission` decides what is accepted and which body gives way; the
+Owns the reading itself. `body_admission` decides what is accepted and which body is evicted; the
 listener ends a connection whose caller sends nothing for its idle timeout (`net._inbound`). Sizes
 are in bytes, times in monotonic seconds.
 
@@ -61,7 +61,7 @@
             async with timer:
                 return await self._collect(body, arriving, limit_bytes)
         except TimeoutError:
-            return BodyAdmission.NO_MEMORY if arriving.given_up else BodyAdmission.LATE
+            return BodyAdmission.NO_MEMORY if arriving.evicted else BodyAdmission.LATE
         finally:
             self.memory.end(arriving)
 
--- a/sprucewinch/net/_inbound.py
+++ b/sprucewinch/net/_inbound.py
@@ -1,7 +1,7 @@
 """Decides what the bytes that arrive on a connection belong to, and until when they are awaited.
 
 One state covers what is parsed, whether an application takes it, and what limits it. Each state has
-a limit on its time, so that no connection outlasts a caller that stands still:
+a limit on its time, so that no connection outlasts a stalled caller:
 
 | state | next bytes | time | size | beyond it |
 | --- | --- | --- | --- | --- |
@@ -9,7 +9,7 @@
 | `HEAD` | headers | `header_s` since the first byte | `header_bytes` | 408, 431 |
 | `BODY` | a body that is taken | `idle_s` since the last byte | the application's | 408 |
 | `DISCARDED` | an answered body | `idle_s` since byte and answer | `body_bytes` | ends |
-| `LINGERING` | of no request | `LINGER_SILENCE_S` since the last byte, `LINGER_S` | - | ends |
+| `LINGERING` | no request | `LINGER_SILENCE_S` since the last byte, `LINGER_S` | - | ends |
 
 Time counts only while the connection reads: a caller is not late with what the listener does not
 take. A body is read to its end after its answer because the next request stands behind it, and
--- a/tests/test_body_after_answer.py
+++ b/tests/test_body_after_answer.py
@@ -236,8 +236,8 @@
         play(main)
 
 
-class StandsStill(unittest.TestCase):
-    def test_a_caller_that_stands_still_in_a_refused_body_is_closed(self) -> None:
+class Stalled(unittest.TestCase):
+    def test_a_caller_that_stalls_in_a_refused_body_is_closed(self) -> None:
         # Guards against connections that stay open for good.
         whole = post("/refused", b"x" * LONG)
         in_chunks = chunked("/refused", b"x" * LONG)
@@ -272,8 +272,8 @@
 
         play(main)
 
-    def test_a_caller_that_stands_still_in_a_body_gets_408(self) -> None:
-        # Guards against uploads that stand still and are never answered.
+    def test_a_caller_that_stalls_in_a_body_gets_408(self) -> None:
+        # Guards against stalled uploads that are never answered.
         for name, data in (
             ("length", post("/upload", b"x" * LONG)[:100_000]),
             ("chunks", chunked("/upload", b"x" * LONG)[:100_000]),
--- a/tests/test_gateway_body_memory.py
+++ b/tests/test_gateway_body_memory.py
@@ -1,4 +1,4 @@
-"""Memory of bodies counts as they arrive; who stands still gives way to who sends."""
+"""Memory of bodies counts as they arrive; stalled ones are evicted."""
 
 import asyncio
 import unittest
@@ -29,10 +29,10 @@
 class Arriving(unittest.TestCase):
     def setUp(self) -> None:
         self.memory = BodyMemory(MEMORY_BYTES)
-        self.given_up: list[str] = []
+        self.evicted: list[str] = []
 
     def begin(self, name: str, now: float = 0.0) -> ArrivingBody:
-        body = ArrivingBody(lambda: self.given_up.append(name))
+        body = ArrivingBody(lambda: self.evicted.append(name))
         self.memory.begin(body, now)
         return body
 
@@ -44,33 +44,33 @@
         self.assertFalse(self.memory.grow(first, 1, 0.0))
         self.assertEqual(self.memory.held_bytes, BUDGET_BYTES)
 
-    def test_the_body_that_stood_still_for_the_longest_gives_way(self) -> None:
-        # Guards against uploads that stand still and keep out those that go on.
+    def test_the_body_that_is_stalled_for_the_longest_is_evicted(self) -> None:
+        # Guards against stalled uploads that keep out those that go on.
         bodies = [self.begin(name) for name in "abcd"]
         for number, body in enumerate(bodies[1:]):
             self.assertTrue(self.memory.grow(body, 80, number / 10))
         late = self.begin("late", MIN_STALL_S)
         self.assertTrue(self.memory.grow(late, 80, MIN_STALL_S + 0.05))
-        # `a` holds nothing; `c` and `d` have not stood still for long.
-        self.assertEqual(self.given_up, ["b"])
+        # `a` holds nothing; `c` and `d` are not stalled yet.
+        self.assertEqual(self.evicted, ["b"])
 
-    def test_a_body_that_has_given_way_is_counted_no_more(self) -> None:
+    def test_an_evicted_body_is_counted_no_more(self) -> None:
         first, second = self.begin("first"), self.begin("second")
         self.memory.grow(first, BUDGET_BYTES, 0.0)
         self.assertFalse(self.memory.grow(second, 1, MIN_STALL_S - 0.1))
         self.assertTrue(self.memory.grow(second, 1, MIN_STALL_S))
-        self.assertEqual((self.given_up, self.memory.held_bytes), (["first"], 1))
+        self.assertEqual((self.evicted, self.memory.held_bytes), (["first"], 1))
         self.memory.end(first)
         self.memory.end(second)
         self.assertEqual((self.memory.held_bytes, self.memory.arriving_bytes), (0, 0))
 
-    def test_room_is_made_by_bodies_that_stand_still(self) -> None:
-        # Guards against a body that stands still and has all requests of its VM refused.
+    def test_room_is_made_by_evicting_stalled_bodies(self) -> None:
+        # Guards against a stalled body that has all requests of its VM refused.
         first = self.begin("first")
         self.memory.grow(first, BUDGET_BYTES, 0.0)
         self.assertFalse(self.memory.make_room(1, MIN_STALL_S - 0.1))
         self.assertTrue(self.memory.make_room(1, MIN_STALL_S))
-        self.assertEqual((self.given_up, self.memory.held_bytes), (["first"], 0))
+        self.assertEqual((self.evicted, self.memory.held_bytes), (["first"], 0))
 
     @given(
         st.lists(
@@ -96,13 +96,13 @@
                 body = bodies[number] = ArrivingBody(lambda: None)
                 memory.begin(body, now)
                 sizes[body] = 0
-            elif step == "grow" and body is not None and not body.given_up:
+            elif step == "grow" and body is not None and not body.evicted:
                 if memory.grow(body, size, now):
                     sizes[body] += size
             elif step == "end" and body is not None:
                 memory.end(bodies.pop(number))
                 del sizes[body]
-            kept = {body: size for body, size in sizes.items() if not body.given_up}
+            kept = {body: size for body, size in sizes.items() if not body.evicted}
             self.assertEqual(memory.held_bytes, sum(kept.values()))
             self.assertLessEqual(memory.held_bytes, BUDGET_BYTES)
             beside_first = list(kept.values())[1:]
@@ -110,7 +110,7 @@
 
 
 def body_of(*chunks: bytes, ends: bool = True) -> AsgiBody:
-    """Return a body whose chunks have arrived; one that does not end stands still then."""
+    """Return a body whose chunks have arrived; one that does not end is stalled then."""
     messages = [
         {"type": "http.request", "body": chunk, "more_body": not ends or number < len(chunks) - 1}
         for number, chunk in enumerate(chunks)
@@ -195,7 +195,7 @@
 
         run_virtual(main)
 
-    def test_an_upload_that_stands_still_with_all_memory_keeps_out_nobody(self) -> None:
+    def test_a_stalled_upload_with_all_memory_keeps_out_nobody(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             vm = await VirtualGateway(loop, servers=1).started()
             app = vm.gateway.requests.app
@@ -213,7 +213,7 @@
 
         run_virtual(main)
 
-    def test_uploads_that_stand_still_do_not_keep_out_others(self) -> None:
+    def test_stalled_uploads_do_not_keep_out_others(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             vm = await VirtualGateway(loop, servers=1).started()
             app = vm.gateway.requests.app
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -21,7 +21,7 @@
 
 class States(unittest.TestCase):
     def test_each_state_has_a_deadline(self) -> None:
-        # Guards against a connection that outlasts a caller which stands still.
+        # Guards against a connection that outlasts a stalled caller.
         inbound = Inbound(limits(), 0.0)
         found = [(inbound.state, inbound.deadline)]
         inbound.begin_head(1.0)
--- a/tests/test_process_uploads.py
+++ b/tests/test_process_uploads.py
@@ -1,4 +1,4 @@
-"""Open files and memory of a real process beside callers that are refused, leave or stand still."""
+"""Open files and memory of a real process beside callers that are refused, leave or stall."""
 
 import asyncio
 import json
@@ -106,8 +106,8 @@
         for writer in writers:
             writer.close()
 
-    async def test_uploads_that_stand_still_take_little_memory_and_others_are_served(self) -> None:
-        # Guards against uploads that stand still and use up the memory of the process.
+    async def test_stalled_uploads_take_little_memory_and_others_are_served(self) -> None:
+        # Guards against stalled uploads that use up the memory of the process.
         async def stall(number: int) -> asyncio.StreamWriter:
             _, writer = await self._connect()
             writer.write(_request(f"stalled{number}", "/book/1", 900_000)[:-100_000])
--- a/tools/wrong_connection_versions.py
+++ b/tools/wrong_connection_versions.py
@@ -70,7 +70,7 @@
     ),
     WrongVersion(
         "MEMORY",
-        "a body that stands still keeps its memory",
+        "a stalled body keeps its memory",
         f"{_REQUESTS}/callers/body_admission.py",
         "if body is None or now - body.progress_at < MIN_STALL_S:",
         "if True:",
