--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -11,6 +11,9 @@
 
 from .formats_gateway import CONFIGURATION, VirtualGateway
 
+_ACCEPTS_S = 3.3
+"""Time for which a listener accepts connections in a stop, in seconds."""
+
 
 class StopTimesCases(unittest.TestCase):
     def test_a_usual_grace_period_leaves_time_for_callers_and_for_final_answers(self) -> None:
@@ -38,14 +41,12 @@
         vm.store.put("op/config", unlimited)
         await pass_time(1.0)
 
-        async def connections() -> None:
+        async def listener() -> None:
+            """Stand for a listener: it ends once it accepts no more and all is answered."""
+            await asyncio.sleep(_ACCEPTS_S)
             while vm.gateway.requests.app.in_flight:
                 await asyncio.sleep(0.05)
 
-        async def listener() -> None:
-            await asyncio.sleep(3.3)
-            await connections()
-
         vm.gateway.listeners.tasks.append(asyncio.create_task(listener()))
         return vm
 
