Requests to cold servers are logged with the part that allowed them

On call could not tell why a cold server was flooded: neither a VM's part, the reason for it nor the number of VMs that it divided by was written. The event cold-send and the counters cold_sends_WHY give all three for each request to a server that is limited as a cold one; no decision changes. tests.test_formats_lines brings the event about.

--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -163,7 +163,7 @@
             return Attempt(backend.id, Verdict.NOT_RUN, False, STOPPING)
         # While the connection was established, the server may have left, its data hall may have
         # been evacuated, the server may have turned cold or stated a rate limit or a pause.
-        if not self._may_send(selection, started):
+        if not self._may_send(request, selection, started):
             connection.close()
             return Attempt(backend.id, Verdict.NOT_RUN, False, NOT_OFFERED)
         if self.quarantine.refusal(request) is not None:
@@ -187,7 +187,7 @@
         shortest_s = self.registry.times.low_quantile_s(selection.service)
         return self.process_end.may_send(request, until, self.monotonic(), shortest_s)
 
-    def _may_send(self, selection: Selection, started: float) -> bool:
+    def _may_send(self, request: ClientRequest, selection: Selection, started: float) -> bool:
         """Return whether the server still accepts the request, right before the first byte."""
         stated, now = selection.server.stated, self.monotonic()
         if (
@@ -197,7 +197,7 @@
             return False
         if selection.grant.quota is None and stated.is_limited(now):
             return False
-        return self.registry.start_sending(selection.server, started, now)
+        return self.registry.start_sending(selection.server, started, now, request.id)
 
     async def _detect_crash(
         self,
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -23,6 +23,8 @@
 from .cold_limit import (
     COLD_MARGIN_S,
     ColdLimit,
+    ColdPart,
+    ColdPartReason,
     ColdReason,
     ColdStart,
     ColdStarts,
@@ -185,32 +187,54 @@
             server: The server.
             now: Monotonic time, in seconds.
         """
+        return self._cold_part(server, now).requests
+
+    def _cold_part(self, server: BackendServer, now: float) -> ColdPart:
         if self.settled:
-            return self.cold_limit.allowance(server.backend)
+            return ColdPart(self.cold_limit.allowance(server.backend), ColdPartReason.PART)
         if server.cold(now):
-            return 1
-        return self.cold_limit.first_allowance(server.backend)
+            return ColdPart(1, ColdPartReason.START)
+        return ColdPart(self.cold_limit.first_allowance(server.backend), ColdPartReason.UNPROVEN)
 
-    def start_sending(self, server: BackendServer, started: float, now: float) -> bool:
+    def start_sending(
+        self, server: BackendServer, started: float, now: float, request_id: str
+    ) -> bool:
         """Count a request from its first byte on, instead of from the start of its attempt.
 
         Args:
             server: The server.
             started: Monotonic time at which the attempt started, in seconds.
             now: Monotonic time, in seconds.
+            request_id: The request's id, for the log.
 
         Returns:
             False, and nothing counted, when the server is limited as a cold one and may get no
             further request.
         """
         server.cold_sends.remove(started)
-        if server.limited_as_cold(now) and not server.cold_allowed(
-            now, self.cold_allowance(server, now)
-        ):
+        if not server.limited_as_cold(now):
+            server.cold_sends.record(now)
+            return True
+        part = self._cold_part(server, now)
+        if not server.cold_allowed(now, part.requests):
             return False
         server.cold_sends.record(now)
+        self._log_cold_send(server, part, request_id)
         return True
 
+    def _log_cold_send(self, server: BackendServer, part: ColdPart, request_id: str) -> None:
+        """Log a request to a server that is limited as a cold one, and what allowed it."""
+        self.events.count(f"cold_sends_{part.reason.value}")
+        self.events.state(
+            "cold-send",
+            server=server.backend.id,
+            id=request_id,
+            why=part.reason.value,
+            part=part.requests,
+            sent=len(server.cold_sends.sent_at),
+            vms=self.vm_count(),
+        )
+
     def release(self, server: BackendServer, started: float) -> None:
         """Record the end of a request that was sent at a monotonic time, in seconds."""
         server.in_flight -= 1
--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -105,6 +105,29 @@
         return len(self.sent_at) < allowance
 
 
+class ColdPartReason(enum.Enum):
+    """What decides how many requests this VM may send a server that is limited as a cold one."""
+
+    PART = "part"
+    """Its part of the fleet's limit."""
+    START = "start"
+    """This process has just started."""
+    UNPROVEN = "unproven"
+    """This process has just started, and nothing but its entry tells about the server."""
+
+
+class ColdPart(NamedTuple):
+    """How many requests this VM may send a server that is limited as a cold one.
+
+    Args:
+        requests: Requests within `_COLD_WINDOW_S`.
+        reason: What decides it.
+    """
+
+    requests: int
+    reason: ColdPartReason
+
+
 class ColdLimit:
     """This VM's part of the fleet's limit on cold servers.
 
--- a/tests/test_formats_lines.py
+++ b/tests/test_formats_lines.py
@@ -33,6 +33,7 @@
         "body_bytes",
         "budget_bytes",
     ),
+    "cold-send": ("server", "id", "why", "part", "sent", "vms"),
     "configuration": ("version", "routes"),
     "fact": ("key", "word", "revision"),
     "fault": ("loop", "error"),
@@ -151,6 +152,7 @@
     await pass_time(2.0)
     vm.store.remove("op/evacuate/east-a")
     await pass_time(2.0)
+    await vm.ask(headers=CALLER)
     await _start_again(vm)
     for number, server in enumerate(vm.servers):
         del loop.listeners[f"10.0.0.{number + 1}:80"]
@@ -365,6 +367,7 @@
     await pass_time(2.0)
     vm.store.remove("op/evacuate/east-a")
     await pass_time(2.0)
+    await vm.ask(headers=CALLER)
     await _start_again(vm)
     await vm.fail_a_loop()
     for _ in range(400):
