--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -23,8 +23,14 @@
 """Limit on retries: part of the requests in the window, and a number beyond that."""
 
 COLD_PER_S, COLD_OVER, COLD_SLACK = 9.0, 1.5, 5.0
-COLD_LIMIT = COLD_PER_S * COLD_OVER + COLD_SLACK
-"""Most requests that a cold server may get in a second."""
+
+
+def cold_limit(cold_per_s: float) -> float:
+    """Return the most requests that a cold server may get in a second."""
+    return cold_per_s * COLD_OVER + COLD_SLACK
+
+
+COLD_LIMIT = cold_limit(COLD_PER_S)
 
 _HEARTBEAT_S = 1.5
 _WORK_S = 0.1
@@ -71,9 +77,22 @@
         vms: Number of VMs.
         servers: Number of backend servers.
         seed: Seed of the VMs' randomness.
+        cold_per_s: Requests a second that a cold server can handle, by the configuration.
+
+    Attributes:
+        cold_limit: Most requests that a cold server may get in a second.
     """
 
-    def __init__(self, loop: VirtualLoop, *, vms: int = 4, servers: int = 8, seed: int = 1) -> None:
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        *,
+        vms: int = 4,
+        servers: int = 8,
+        seed: int = 1,
+        cold_per_s: float = COLD_PER_S,
+    ) -> None:
+        self.cold_limit = cold_limit(cold_per_s)
         self.processes: dict[str, Process] = {}
         self.ended: list[Process] = []
         self.sequences: dict[str, int] = {}
@@ -85,7 +104,7 @@
         self.down: set[int] = set()
         self.writes_entries = True
         super().__init__(loop, vms=vms, servers=servers, seed=seed)
-        rule = {**CONFIGURATION["Services"][0], "HealthPath": HEALTH_PATH}
+        rule = {**CONFIGURATION["Services"][0], "HealthPath": HEALTH_PATH, "ColdPerS": cold_per_s}
         configuration = {**CONFIGURATION, "Services": [rule]}
         self.store.put("op/config", json.dumps(configuration).encode())
 
--- a/tests/test_gateway_fleet_limits.py
+++ b/tests/test_gateway_fleet_limits.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import unittest
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any, NamedTuple
 
 from hypothesis import HealthCheck, given, settings
@@ -12,6 +12,7 @@
 from standins.consortium_store import Fault
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
+from .cold_courses import COLD_COURSES, HEALTH_GRACE_S, ColdCourse, lapse_registrations
 from .limit_fleet import COLD_LIMIT, LimitFleet, ready
 
 _VMS = 4
@@ -69,7 +70,7 @@
         fleet.fails = 1.0
         await pass_time(course.before_s)
         if course.registrations_lapse:
-            await _lapse_registrations(fleet)
+            await lapse_registrations(fleet)
         fleet.store.fault = Fault.RESET if course.store_is_away else Fault.NONE
         for _ in range(course.rounds):
             await self._round(fleet, course)
@@ -87,117 +88,6 @@
         await pass_time(course.pause_s)
 
 
-async def _lapse_registrations(fleet: LimitFleet) -> None:
-    """Let the registrations of all VMs lapse while the store is away."""
-    fleet.store.fault = Fault.RESET
-    await pass_time(3.0)
-    for key in [key for key in fleet.store.items if "/members/" in key]:
-        fleet.store.remove(key)
-    fleet.store.fault = Fault.NONE
-
-
-_COLD = ("i-0", "i-1", "i-2")
-_COLD_S = 5.0
-
-
-async def _turns_cold(fleet: LimitFleet) -> None:
-    for server_id in _COLD:
-        fleet.turn_cold(server_id, _COLD_S)
-
-
-async def _turns_cold_without_the_store(fleet: LimitFleet) -> None:
-    fleet.store.fault = Fault.RESET
-    await pass_time(3.0)
-    await _turns_cold(fleet)
-    await pass_time(_COLD_S)
-    fleet.store.fault = Fault.NONE
-
-
-async def _starts_again(fleet: LimitFleet) -> None:
-    await asyncio.gather(*(fleet.start_server_again(each, 0.5, _COLD_S) for each in _COLD))
-
-
-async def _starts_again_without_the_store(fleet: LimitFleet) -> None:
-    fleet.store.fault = Fault.RESET
-    await pass_time(3.0)
-    await _starts_again(fleet)
-    await pass_time(_COLD_S)
-    fleet.store.fault = Fault.NONE
-
-
-async def _returns_from_a_copy(fleet: LimitFleet, starting_vms: int) -> None:
-    copy = fleet.store.copy()
-    await pass_time(1.6)
-    fleet.store.fault = Fault.RESET
-    await pass_time(0.5)
-    await _turns_cold(fleet)
-    await pass_time(0.5)
-    fleet.writes_entries = False
-    fleet.store.return_from(copy)
-    fleet.store.fault = Fault.NONE
-    await asyncio.gather(*(fleet.restart_vm(number) for number in range(starting_vms)))
-    await pass_time(3.0)
-    fleet.writes_entries = True
-
-
-async def _evacuation_ends(fleet: LimitFleet) -> None:
-    fleet.store.put("op/evacuate/east-a", b"{}")
-    await pass_time(3.0)
-    fleet.writes_entries = False
-    for server_id, process in fleet.processes.items():
-        if process.hall == "east-a":
-            fleet.turn_cold(server_id, _COLD_S)
-    fleet.store.remove("op/evacuate/east-a")
-    await asyncio.gather(*(fleet.restart_vm(number) for number in range(_VMS)))
-    await pass_time(1.5)
-    fleet.writes_entries = True
-
-
-async def _registrations_lapse(fleet: LimitFleet) -> None:
-    await _lapse_registrations(fleet)
-    await _turns_cold(fleet)
-    await pass_time(_COLD_S)
-
-
-async def _registrations_are_revoked(fleet: LimitFleet) -> None:
-    """The store takes what three of four VMs register at once away again."""
-    revoked = [f"sprucewinch/members/vm{number}" for number in range(1, _VMS)]
-    for step in range(60):
-        for key in revoked:
-            fleet.store.remove(key)
-        if step == 20:
-            await _turns_cold(fleet)
-        await pass_time(0.1)
-
-
-class ColdCourse(NamedTuple):
-    """How servers turn cold.
-
-    Args:
-        run: The course.
-        grace_s: Time for which no VM can know, in seconds.
-    """
-
-    run: Callable[[LimitFleet], Awaitable[None]]
-    grace_s: float = 0.0
-
-
-_HEALTH_GRACE_S = 1.0
-"""Time within which VMs have to know what only health answers tell, in seconds."""
-
-COLD_COURSES = (
-    ColdCourse(_turns_cold),
-    ColdCourse(_turns_cold_without_the_store, _HEALTH_GRACE_S),
-    ColdCourse(_starts_again),
-    ColdCourse(_starts_again_without_the_store, _HEALTH_GRACE_S),
-    ColdCourse(lambda fleet: _returns_from_a_copy(fleet, 2), _HEALTH_GRACE_S),
-    ColdCourse(lambda fleet: _returns_from_a_copy(fleet, _VMS), _HEALTH_GRACE_S),
-    ColdCourse(_evacuation_ends),
-    ColdCourse(_registrations_lapse, _HEALTH_GRACE_S),
-    ColdCourse(_registrations_are_revoked),
-)
-
-
 class ColdServersFlooded(unittest.TestCase):
     """VMs took servers for warm of which they knew nothing, or divided the limit by too few VMs."""
 
@@ -314,7 +204,7 @@
         await Interleaving(fleet, rng).run()
         await pass_time(4.0)
         traffic.cancel()
-        self.assertLessEqual(fleet.most_at_cold_servers(_HEALTH_GRACE_S), COLD_LIMIT)
+        self.assertLessEqual(fleet.most_at_cold_servers(HEALTH_GRACE_S), COLD_LIMIT)
         self.assertLessEqual(fleet.retries_over_limit(), 0.0)
 
     async def _rise_and_fall(self, fleet: LimitFleet, rng: random.Random) -> None:
