A VM that starts again does not write its registration again

Each start wrote the registration before the store's items had arrived, and so looked missing: one call and one change at every VM for each of 35 starts of a herd kill, and a process could not tell its predecessor's registration, which the other VMs know, from one of its own that they may not know yet. The registrar now waits until the items are held. tests.test_gateway_registrar failed before (four registrations with new revisions) and passes now.

--- a/sprucewinch/gateway/membership/registrar.py
+++ b/sprucewinch/gateway/membership/registrar.py
@@ -1,9 +1,10 @@
 """Writes this VM's registration to the store and removes those of VMs long out of touch.
 
-Owns the loop, its pauses and the calls. Relies on `registration` for the write that is due. A
-failed call is repeated with bounded, random exponential back-off. Until a registration succeeds,
-other VMs do not know this VM. The store follower reports the outage only while this VM follows the
-store; while it follows peers, a failed write is not reported.
+Owns the loop, its pauses and the calls. Relies on `registration` for the write that is due, and
+waits until the store's items are held: the registration that a predecessor left is not written
+again. A failed call is repeated with bounded, random exponential back-off. Until a registration
+succeeds, other VMs do not know this VM. The store follower reports the outage only while this VM
+follows the store; while it follows peers, a failed write is not reported.
 """
 
 import asyncio
@@ -20,6 +21,9 @@
 _POLL_INTERVAL_S = 2.0
 """Pause between two checks for a write that is due, in seconds."""
 
+_LOAD_POLL_INTERVAL_S = 0.02
+"""Pause between two checks whether the store's items are held, in seconds."""
+
 _FIXED_BACKOFF_S = 0.1
 """Fixed part of the pause after a failed call, in seconds."""
 
@@ -55,6 +59,8 @@
 
     async def run(self) -> None:
         """Make each write that is due, until cancelled."""
+        while not self.rule.store_view.is_loaded:
+            await asyncio.sleep(_LOAD_POLL_INTERVAL_S)
         failures = 0
         while True:
             try:
--- a/sprucewinch/gateway/state/store_view.py
+++ b/sprucewinch/gateway/state/store_view.py
@@ -115,6 +115,11 @@
         """Whether a configuration is held."""
         return self.configuration is not None
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the store's items are held, from the store or from another VM."""
+        return self.confirmed_at > float("-inf")
+
     @property
     def era(self) -> int:
         """Era of the store that this VM has seen."""
