All VMs together send a cold server what its bound allows, however many have just started

Cause: a limit over the fleet with a minimum for each member. A process that had not settled sent each cold server one request, and an unproven one at least one, whatever the bound and the number of VMs; one request was left to each VM that was only heard.

Now a VM's part follows from names alone (membership/fleet_parts): requests are dealt along a ring of the VMs of the server's region, and of the others. A VM that does not know of another one takes the same part or more, so that lists that differ add up to no more than is divided, as long as each VM with a part is in the lists of the others. known_vms states from when that is so: at once for a registration that is there at the start, 3 s after a new one. A process sends nothing to a known cold server until the window has passed since its start, as its predecessor may have used the part; to one that is only unproven, its part of what settled VMs leave (bound less 0.8 of it).

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -207,6 +207,7 @@
     )
     registry.events = context.events
     registry.known_vms.heard = lambda: fleet.gossip.latest
+    registry.cold_limit.started_at = context.started_at
     outliers = OutlierDetector(registry, reports, context.events)
     fleet.datagrams.register(OverloadReport, registry.load_reports.on_overload_report)
     fleet.datagrams.register(FailureReport, outliers.on_failure_report)
@@ -217,7 +218,9 @@
     prober = _prober(context, registry, statements)
     cold_reports = ColdReports(registry, fleet.datagrams, fleet.follow_role)
     prober.on_health.append(lambda server, cold: cold_reports.tell(server, cold=cold))
-    start_doubts = StartDoubts(registry, cold_reports, fleet.datagrams)
+    start_doubts = StartDoubts(
+        registry, cold_reports, fleet.datagrams, started_at=context.started_at
+    )
     start_asks = StartAsks(table, fleet.datagrams, fleet.follow_role, context.monotonic)
     start_asks.on_asked.append(start_doubts.answer)
     pool.on_unreachable.append(registry.address_failed)
@@ -231,7 +234,6 @@
         pool=pool,
         prober=prober,
         cold_reports=cold_reports,
-        start_doubts=start_doubts,
         health_asks=HealthAsks(registry, state.outages, fleet.gossip.in_touch, context.monotonic),
         links=_links(context, fleet, registry, pool),
     )
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -53,6 +53,7 @@
         stop_asked: Returns whether the process received a signal to stop before `run`.
         clock: Source of time.
         rng: Source of randomness.
+        started_at: Monotonic time at which this process started, in seconds; None for now.
 
     Raises:
         SettingsError: If the settings name a policy that is not shipped.
@@ -67,6 +68,7 @@
         stop_asked: Callable[[], bool] = lambda: False,
         clock: Optional[Clock] = None,
         rng: Optional[random.Random] = None,
+        started_at: Optional[float] = None,
     ) -> None:
         self.settings = settings
         self.adapter = adapter
@@ -76,7 +78,13 @@
         self.incarnation = int(self.clock.wall() * _MS_PER_S)
         self.events = DecisionLog(log.line, monotonic=self.clock.monotonic, wall=self.clock.wall)
         self.context = Context(
-            settings, adapter, self.clock, rng or random.Random(), self.events, self.ready
+            settings,
+            adapter,
+            self.clock,
+            rng or random.Random(),
+            self.events,
+            self.ready,
+            self.clock.monotonic() if started_at is None else started_at,
         )
         self.parts = parts = make_parts(self.context, self.incarnation, self._report_unreadable)
         self.state, self.fleet, self.servers = parts.state, parts.fleet, parts.servers
@@ -195,7 +203,6 @@
             self.fleet.registrar.run,
             self.servers.prober.run,
             self.servers.cold_reports.run,
-            self.servers.start_doubts.run,
             self.servers.health_asks.run,
             self.servers.links.run,
             self.servers.start_asks.run,
--- a/sprucewinch/gateway/lifecycle/upkeep.py
+++ b/sprucewinch/gateway/lifecycle/upkeep.py
@@ -56,6 +56,7 @@
         if self.state.view.has_configuration:
             self.servers.registry.count_new_as_cold()
         self.state.view.drop_lost(now)
+        self.servers.registry.known_vms.refresh()
         self.servers.registry.drop_lapsed(now)
         self.servers.registry.accept_outdated_entries(now)
         self.requests.pipeline.sender.feedback.held_failures.release(now)
--- a/sprucewinch/gateway/parts.py
+++ b/sprucewinch/gateway/parts.py
@@ -43,7 +43,6 @@
 from .servers.outliers import OutlierDetector
 from .servers.pool import ConnectionPool
 from .servers.probe import Prober
-from .servers.start_doubts import StartDoubts
 from .settings import GatewaySettings
 from .state.outages import StoreOutages
 from .state.store import Store
@@ -64,6 +63,7 @@
         rng: Source of randomness.
         events: Decision log and counters.
         ready: Returns whether callers may be sent to this VM.
+        started_at: Monotonic time at which this process started, in seconds.
     """
 
     settings: GatewaySettings
@@ -72,6 +72,7 @@
     rng: random.Random
     events: DecisionLog
     ready: Callable[[], bool]
+    started_at: float
 
     @property
     def monotonic(self) -> Callable[[], float]:
@@ -118,7 +119,6 @@
     pool: ConnectionPool
     prober: Prober
     cold_reports: ColdReports
-    start_doubts: StartDoubts
     health_asks: HealthAsks
     links: ServerLinks
 
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -24,7 +24,6 @@
     COLD_MARGIN_S,
     ColdLimit,
     ColdPart,
-    ColdPartReason,
     ColdReason,
     ColdStart,
     ColdStarts,
@@ -71,8 +70,6 @@
         events: Logs which servers count as cold, and why.
         known_vms: The VMs among which the fleet's limits are divided.
         doubts_until: Monotonic time from which no server is doubted or unproven, in seconds.
-        settled: False while this process may not know the VMs that share the limit on cold servers;
-            see `start_doubts`.
         doubts_listed: True while servers that are listed at the start are unproven; see
             `start_doubts`.
     """
@@ -107,7 +104,6 @@
         self._unreadable: dict[str, _Unreadable] = {}
         self._failed_addresses: set[str] = set()
         self.doubts_until = float("-inf")
-        self.settled = True
         self.doubts_listed = False
         store_view.listeners.append(self._on_change)
 
@@ -190,11 +186,7 @@
         return self._cold_part(server, now).requests
 
     def _cold_part(self, server: BackendServer, now: float) -> ColdPart:
-        if self.settled:
-            return ColdPart(self.cold_limit.allowance(server.backend), ColdPartReason.PART)
-        if server.cold(now):
-            return ColdPart(1, ColdPartReason.START)
-        return ColdPart(self.cold_limit.first_allowance(server.backend), ColdPartReason.UNPROVEN)
+        return self.cold_limit.part(server.backend, now, known_cold=server.cold(now))
 
     def start_sending(
         self, server: BackendServer, started: float, now: float, request_id: str
--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -7,14 +7,17 @@
 
 All VMs together may send a cold server at most the requests a second that the service's rule
 states, times the fleet's factor plus its slack (`cold_over`, `cold_slack`). `_BOUND_USED_FRACTION`
-of that bound is divided among the VMs of `membership.known_vms`, which include those that are no
-longer registered but may still send: most of it among the VMs of the server's region, the remainder
-among the others. Requests that do not divide evenly go to the first VMs in an order
-by hash. The bound is divided in advance because VMs that asked each other before each send would be
-too late, and a bound that is not divided is exceeded. If the configuration states no bound, or 0,
-each VM may send a cold server as many requests as the server has slots. While less than
-`_MIN_ANSWERED_FRACTION` of the requests to a service's cold servers are answered in time, the fleet
-sends each of them only `_COLD_TRIALS_PER_S`.
+of that bound is divided among the VMs by name (`membership.fleet_parts`). Where VMs are more than
+requests, most have no part of a server. The bound is divided in advance because VMs that asked each
+other before each send would be too late, and a bound that is not divided is exceeded. If the
+configuration states no bound, or 0, each VM may send a cold server as many requests as the server
+has slots. While less than `_MIN_ANSWERED_FRACTION` of the requests to a service's cold servers are
+answered in time, the fleet sends each of them only `_COLD_TRIALS_PER_S`.
+
+A process that has just started does not know what its predecessor sent within the window. It sends
+nothing to a server that is known to be cold until the window has passed since its start, and until
+all others count this VM (`KnownVms.known_since`). At that time most servers are only unproven; to
+these it may send its part of the rest of the bound, which settled processes leave unused.
 
 A request counts from its first byte on, and is checked again then: requests that waited for a
 connection would otherwise go out together in a later second than they were counted in.
@@ -31,7 +34,7 @@
 from collections import deque
 from typing import NamedTuple, Optional
 
-from ..._hash import hash64
+from ..membership.fleet_parts import FleetParts
 from ..membership.known_vms import KnownVms
 from ..resources import BackendEntry, ServiceRule
 from ..settings import Bounds
@@ -60,10 +63,6 @@
 _COLD_TRIALS_PER_S = 2
 """Requests a second from all VMs together to a cold server while most answers come too late."""
 
-_REGION_FRACTION = 0.75
-"""Fraction of the limit for the VMs of a cold server's region, as most requests for its objects
-arrive there; the remainder is for the VMs of other regions."""
-
 _MAX_SEND_TIMES = 64
 """Maximum number of send times kept for each server."""
 
@@ -111,9 +110,7 @@
     PART = "part"
     """Its part of the fleet's limit."""
     START = "start"
-    """This process has just started."""
-    UNPROVEN = "unproven"
-    """This process has just started, and nothing but its entry tells about the server."""
+    """Its part of what is left for processes that have just started."""
 
 
 class ColdPart(NamedTuple):
@@ -136,6 +133,9 @@
         known_vms: The VMs among which the limit is divided, and this VM's name.
         bounds: The bounds that apply to the whole fleet.
         regions: Region of each data hall.
+
+    Attributes:
+        started_at: Monotonic time at which this process started, in seconds.
     """
 
     def __init__(
@@ -143,52 +143,54 @@
     ) -> None:
         self.store_view = store_view
         self.known_vms = known_vms
+        self.parts = FleetParts(known_vms)
         self.bounds = bounds
-        self.name = known_vms.name
         self.regions = regions
+        self.started_at = float("-inf")
         self.answered_fraction: dict[str, float] = {}
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Replace the fleet's bounds."""
         self.bounds = bounds
 
+    def part(self, backend: BackendEntry, now: float, *, known_cold: bool) -> ColdPart:
+        """Return how many requests this VM may send a server that is limited as a cold one.
+
+        Args:
+            backend: The server's entry.
+            now: Monotonic time, in seconds.
+            known_cold: False if it is only doubted or unproven.
+        """
+        if now >= max(self.started_at + _COLD_WINDOW_S, self.known_vms.known_since):
+            return ColdPart(self.allowance(backend), ColdPartReason.PART)
+        if known_cold and self._bound(backend) is not None:
+            return ColdPart(0, ColdPartReason.START)
+        return ColdPart(self.first_allowance(backend), ColdPartReason.START)
+
     def allowance(self, backend: BackendEntry) -> int:
         """Return how many requests this VM may send a cold server in `_COLD_WINDOW_S`."""
-        fleet = self._fleet_allowance(backend)
-        return backend.capacity if fleet is None else self._own_part(backend, fleet)
+        bound = self._bound(backend)
+        if bound is None:
+            return backend.capacity
+        return self._own_part(backend, self._used(backend.service, bound))
 
     def first_allowance(self, backend: BackendEntry) -> int:
         """Return the same for a server that is only unproven, right after this process's start.
 
-        This VM may not be registered yet. Without any other VM there is nobody to share with, and
-        nobody who could have left servers cold.
+        Without any other VM there is nobody to share with.
         """
-        fleet, vms = self._fleet_allowance(backend), self.known_vms.count()
-        if vms == 1:
-            return _MAX_SEND_TIMES
-        if fleet is None:
+        bound = self._bound(backend)
+        if bound is None:
             return backend.capacity
-        if self.name in self.known_vms.members():
-            return self._own_part(backend, fleet)
-        return max(1, fleet // vms)
-
-    def _fleet_allowance(self, backend: BackendEntry) -> Optional[int]:
-        """Return how many requests all VMs may send; None if no limit is configured."""
-        rule = service_rule(self.store_view, backend.service)
-        if rule is None or rule.cold_per_s <= 0:
-            return None
-        bound = rule.cold_per_s * self.bounds.cold_over + self.bounds.cold_slack
-        fleet = math.floor(_BOUND_USED_FRACTION * bound)
-        if (
-            self.answered_fraction.get(backend.service, _INITIAL_ANSWERED_FRACTION)
-            < _MIN_ANSWERED_FRACTION
-        ):
-            fleet = min(fleet, _COLD_TRIALS_PER_S)
-        return fleet
+        if self.known_vms.count() == 1:
+            return math.floor(_BOUND_USED_FRACTION * bound)
+        if self.known_vms.known_since > float("-inf"):
+            return 0
+        return self._own_part(backend, math.floor(bound) - math.floor(_BOUND_USED_FRACTION * bound))
 
     def tries_first(self, backend: BackendEntry) -> bool:
         """Return whether this VM tries a server before all others."""
-        return self._rank(backend) == 0
+        return self.parts.is_first(backend.id, self._region(backend))
 
     def record_attempt(self, service: str, answered: bool) -> None:
         """Record whether a request to a cold server of a service was answered in time.
@@ -201,53 +203,24 @@
             float(answered) - fraction
         )
 
-    def _own_part(self, backend: BackendEntry, fleet: int) -> int:
-        """Return this VM's part of the fleet's requests to a server; all parts add up to them.
+    def _bound(self, backend: BackendEntry) -> Optional[float]:
+        """Return the most requests of all VMs in a second; None if no limit is configured."""
+        rule = service_rule(self.store_view, backend.service)
+        if rule is None or rule.cold_per_s <= 0:
+            return None
+        return rule.cold_per_s * self.bounds.cold_over + self.bounds.cold_slack
+
+    def _used(self, service: str, bound: float) -> int:
+        """Return how many requests all VMs may send of those that the bound allows."""
+        used = math.floor(_BOUND_USED_FRACTION * bound)
+        answered = self.answered_fraction.get(service, _INITIAL_ANSWERED_FRACTION)
+        return used if answered >= _MIN_ANSWERED_FRACTION else min(used, _COLD_TRIALS_PER_S)
 
-        It is 0 for a VM that was never registered. One request is left to each such VM that the
-        others have heard, as it may have just started (`start_doubts`).
-        """
-        members = self.known_vms.members()
-        if self.name not in members:
-            return 0
-        fleet = max(0, fleet - (self.known_vms.count() - len(members)))
-        rank = self._rank(backend)
-        region_vms = self._region_vm_count(backend)
-        other_vms = len(members) - region_vms
-        region_requests = _region_requests(fleet, region_vms, other_vms)
-        if rank < region_vms:
-            return _part_at_rank(region_requests, region_vms, rank)
-        return _part_at_rank(fleet - region_requests, other_vms, rank - region_vms)
-
-    def _region_vm_count(self, backend: BackendEntry) -> int:
-        """Return how many VMs are registered in a server's region."""
-        region = self.regions.get(backend.hall, "")
-        return sum(member.region == region for member in self.known_vms.members().values())
-
-    def _rank(self, backend: BackendEntry) -> int:
-        """Return how many VMs precede this one for a server; VMs of its region come first."""
-        region = self.regions.get(backend.hall, "")
-        order_by_vm = {
-            member.name: (member.region != region, hash64(f"{backend.id}|{member.name}"))
-            for member in self.known_vms.members().values()
-        }
-        own = order_by_vm.get(self.name)
-        if own is None:
-            return len(order_by_vm) + 1
-        return sum(key < own for key in order_by_vm.values())
-
-
-def _region_requests(fleet: int, region_vms: int, other_vms: int) -> int:
-    """Return how many of the fleet's requests to a server the VMs of its region may send."""
-    if region_vms == 0:
-        return 0
-    return math.ceil(_REGION_FRACTION * fleet) if other_vms else fleet
-
-
-def _part_at_rank(requests: int, vms: int, rank: int) -> int:
-    """Return the part of the VM at a rank, from 0, when requests are divided among VMs."""
-    share, remainder = divmod(requests, max(1, vms))
-    return share + (rank < remainder)
+    def _own_part(self, backend: BackendEntry, requests: int) -> int:
+        return self.parts.part(backend.id, self._region(backend), requests)
+
+    def _region(self, backend: BackendEntry) -> str:
+        return self.regions.get(backend.hall, "")
 
 
 class ColdReason(enum.Enum):
--- a/sprucewinch/gateway/servers/health_asks.py
+++ b/sprucewinch/gateway/servers/health_asks.py
@@ -22,11 +22,10 @@
 """
 
 import asyncio
-import bisect
 from collections.abc import Callable, Collection
 
-from ..._hash import hash64
 from ..membership.gossip import HEARTBEAT_TIMEOUT_S
+from ..membership.vm_ring import VmRing
 from ..state.outages import MAX_ANSWER_AGE_S, StoreOutages
 from .backend_registry import BackendRegistry
 from .backend_server import BackendServer
@@ -143,11 +142,11 @@
 
         def asks(server: BackendServer) -> bool:
             region = regions.get(server.backend.hall, "")
-            return own in rings.get(region, rings[_ALL]).owners(server.backend.id, _ASKING_VMS)
+            return own in rings.get(region, rings[_ALL]).first(server.backend.id, _ASKING_VMS)
 
         return {name for name, server in self.registry.servers.items() if asks(server)}
 
-    def _rings(self, now: float) -> dict[str, "_Ring"]:
+    def _rings(self, now: float) -> dict[str, VmRing]:
         """Return the VMs in touch, by region and all together; this VM counts as in touch."""
         own = self.registry.known_vms.name
         members = self.registry.known_vms.members().values()
@@ -158,34 +157,7 @@
             elif now - self.started_at < HEARTBEAT_TIMEOUT_S or self.in_touch(member.name, now):
                 names.setdefault(member.region, []).append(member.name)
                 names[_ALL].append(member.name)
-        return {region: _Ring(vms) for region, vms in names.items()}
-
-
-class _Ring:
-    """Divides names among VMs so that few change their VM when a VM comes or goes.
-
-    Args:
-        vms: Names of the VMs, at least one.
-    """
-
-    __slots__ = ("_points", "_vms")
-
-    def __init__(self, vms: Collection[str]) -> None:
-        by_point = sorted(
-            (hash64(f"ring|{number}|{name}"), name) for name in vms for number in range(_POINTS)
-        )
-        self._points = [point for point, _ in by_point]
-        self._vms = [name for _, name in by_point]
-
-    def owners(self, name: str, count: int) -> list[str]:
-        """Return the first VMs of a name, or all if there are fewer."""
-        first = bisect.bisect(self._points, hash64(name))
-        found: dict[str, None] = {}
-        for step in range(len(self._vms)):
-            found[self._vms[(first + step) % len(self._vms)]] = None
-            if len(found) == count:
-                break
-        return list(found)
+        return {region: VmRing(vms, points=_POINTS) for region, vms in names.items()}
 
 
 def _is_old(asked_at: float, now: float) -> bool:
--- a/sprucewinch/gateway/servers/start_doubts.py
+++ b/sprucewinch/gateway/servers/start_doubts.py
@@ -8,17 +8,14 @@
 brings the servers that the other VM counts as cold; a VM that has just started itself says so, and
 proves nothing.
 
-In its first `_SETTLING_S` a process may know few of the VMs that share the limit on cold servers,
-and not what its predecessor sent. It then sends each of them at most one request within the
-window of that limit (`BackendRegistry.settled`).
+A process that is younger than `_SETTLING_S` may not have heard what others know, so its answer
+proves nothing. What it may send to servers that are cold or unproven is decided by `cold_limit`.
 
 Owns the message. Relies on `cold_reports` for the rows and on the registry for the servers. Results
 show in the metric `servers_doubted`. Times are monotonic, in seconds. Tests:
 `test_gateway_start_doubts`, `test_gateway_fleet_limits`.
 """
 
-import asyncio
-
 import msgspec
 
 from ..datagrams import Datagrams
@@ -26,8 +23,8 @@
 from .cold_reports import MAX_ROWS, ColdReport, ColdReports, ColdRow
 
 _SETTLING_S = 3.0
-"""Age of a process from which it knows the other VMs, in seconds: within it, registrations and
-heartbeats have arrived."""
+"""Age of a process from which it knows what other VMs do, in seconds: within it, their answers,
+registrations and heartbeats have arrived."""
 
 
 class ColdKnown(msgspec.Struct, array_like=True, frozen=True, tag="cold-known"):
@@ -49,24 +46,24 @@
         registry: Backend servers.
         cold_reports: Makes and applies rows.
         datagrams: The endpoint between VMs.
+        started_at: Monotonic time at which this process started, in seconds.
     """
 
     def __init__(
-        self, registry: BackendRegistry, cold_reports: ColdReports, datagrams: Datagrams
+        self,
+        registry: BackendRegistry,
+        cold_reports: ColdReports,
+        datagrams: Datagrams,
+        *,
+        started_at: float,
     ) -> None:
         self.registry = registry
         self.cold_reports = cold_reports
         self.datagrams = datagrams
-        registry.settled = False
+        self.settled_from = started_at + _SETTLING_S
         registry.doubts_listed = True
         datagrams.register(ColdKnown, self._on_known)
 
-    async def run(self) -> None:
-        """Wait until this process has settled, then until it is cancelled."""
-        await asyncio.sleep(_SETTLING_S)
-        self.registry.settled = True
-        await asyncio.Event().wait()
-
     def answer(self, address: str, now: float) -> None:
         """Tell a VM that has started which servers this one counts as cold.
 
@@ -78,7 +75,7 @@
         while len(rows) > MAX_ROWS:
             self.datagrams.send(ColdReport(tuple(rows[:MAX_ROWS])), (address,))
             del rows[:MAX_ROWS]
-        settled = self.registry.settled
+        settled = now >= self.settled_from
         self.datagrams.send(ColdKnown(settled, tuple(rows)), (address,))
 
     def _on_known(self, known: ColdKnown, now: float) -> None:
