Requests wait a moment until a starting VM's servers are proven

Cause: servers that are listed at a start are unproven until another VM or a health answer tells about them, and that took 0.2 to 0.4 s longer than it needs: the first ask went out before other VMs were known and was repeated 0.2 s later, always to the same three, and the first answer ended it, also that of a VM that had just started; servers were looked at, and others told, every 0.1 s. A request that came meanwhile was refused, and its caller came back to another VM in the same state.

A VM now asks as soon as it knows others, random ones, until one answers that has not just started; looks and messages come every 50 ms; a request waits at most 0.3 s for proof. The tests of the wait and of the asks failed before.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -221,7 +221,13 @@
     start_doubts = StartDoubts(
         registry, cold_reports, fleet.datagrams, started_at=context.started_at
     )
-    start_asks = StartAsks(table, fleet.datagrams, fleet.follow_role, context.monotonic)
+    start_asks = StartAsks(
+        table,
+        fleet.datagrams,
+        fleet.follow_role,
+        context.timing,
+        learnt=lambda: not registry.doubts_listed,
+    )
     start_asks.on_asked.append(start_doubts.answer)
     pool.on_unreachable.append(registry.address_failed)
     pool.on_connected.append(lambda address: registry.address_reached(address, context.monotonic()))
--- a/sprucewinch/gateway/requests/choice/server_choice.py
+++ b/sprucewinch/gateway/requests/choice/server_choice.py
@@ -35,6 +35,12 @@
 _MIN_WAIT_S = 0.001
 """Shortest wait for a server that accepts no requests at the moment."""
 
+_MAX_PROOF_WAIT_S = 0.3
+"""Longest time after its arrival for which a request waits until servers are proven, in seconds."""
+
+_PROOF_POLL_INTERVAL_S = 0.02
+"""Time between two looks of a request that waits until servers are proven, in seconds."""
+
 
 class ServerChoice:
     """Chooses the backend servers of requests.
@@ -135,7 +141,8 @@
         ranking = self._ranking(request, route, service, now)
         selection = self.selector.choose(request, ranking, service, now, route)
         if selection is RefusalReason.NO_SERVER:
-            waited = await self._wait_until_accepted(request, route, now)
+            waited = await self._wait_for_proof(request, ranking, now)
+            waited = waited or await self._wait_until_accepted(request, route, now)
             return None if waited else selection
         server = (
             selection.server
@@ -192,6 +199,18 @@
             ask.request.service_turn = turn._replace(come=True)
         return end.may_check_again
 
+    async def _wait_for_proof(self, request: ClientRequest, ranking: Ranking, now: float) -> bool:
+        """Wait a moment if a server may soon be proven; False when there is none, or no time.
+
+        After a start, servers are proven within a fraction of a second. A caller that is refused
+        may come back to another VM that has just started.
+        """
+        until = min(request.arrived_at + _MAX_PROOF_WAIT_S, request.deadline)
+        if now >= until or not self.selector.awaits_proof(request, ranking, now):
+            return False
+        await asyncio.sleep(_PROOF_POLL_INTERVAL_S)
+        return True
+
     async def _wait_until_accepted(self, request: ClientRequest, route: Route, now: float) -> bool:
         """Wait until a server accepts requests again; False when that would take too long.
 
--- a/sprucewinch/gateway/requests/choice/server_selection.py
+++ b/sprucewinch/gateway/requests/choice/server_selection.py
@@ -191,6 +191,17 @@
         others = (server for server in local_servers if server is not first)
         return next((s for s in others if self._is_usable(request, s, now)), None)
 
+    def awaits_proof(self, request: ClientRequest, ranking: Ranking, now: float) -> bool:
+        """Return whether a server that this request has not tried is unproven.
+
+        Args:
+            request: The request.
+            ranking: Servers of its object, in order of preference.
+            now: Monotonic time, in seconds.
+        """
+        tried_servers = request.tried_servers()
+        return any(s.unproven(now) and s.backend.id not in tried_servers for s in ranking.servers)
+
     def _earliest_acceptance(
         self, request: ClientRequest, ranking: Ranking, now: float
     ) -> Optional[float]:
--- a/sprucewinch/gateway/servers/health_asks.py
+++ b/sprucewinch/gateway/servers/health_asks.py
@@ -30,7 +30,7 @@
 from .backend_registry import BackendRegistry
 from .backend_server import BackendServer
 
-_TICK_S = 0.1
+_TICK_S = 0.05
 """Time between two looks for servers to ask, in seconds."""
 
 _ASK_INTERVAL_S = 0.6
--- a/sprucewinch/gateway/statements/start_asks.py
+++ b/sprucewinch/gateway/statements/start_asks.py
@@ -1,7 +1,8 @@
 """Asks other VMs after a start what servers have stated, and answers VMs that have just started.
 
-Owns the message `StatementsRequest` and when it is sent: to `_ASKED_VMS` VMs every `_ASK_PAUSE_S`,
-until one has answered or `_MAX_ASKING_S` have passed. Without it, a VM that starts would send
+Owns the message `StatementsRequest` and when it is sent: as soon as other VMs are known, to
+`_ASKED_VMS` random VMs of the region every `_ASK_PAUSE_S`, until one has answered that knows more
+than this VM, or `_MAX_ASKING_S` have passed. Without it, a VM that starts would send
 limited, paused and leaving servers one request each to learn their state. Relies on
 `process_statements` for the rows and on `follow_role` for the VMs. Tests:
 tests/test_gateway_statements.py.
@@ -14,6 +15,8 @@
 
 from ..datagrams import Datagrams
 from ..following.follow_role import FollowRole
+from ..resources import Member
+from ..timing import Timing
 from .process_statements import ProcessStatements, ServerProcessId, StatementTable
 from .statement_report import MS_PER_S, StatementReport
 
@@ -23,6 +26,9 @@
 _ASK_PAUSE_S = 0.2
 """Time between two asks, in seconds; an answer takes a tenth of it."""
 
+_LOAD_POLL_INTERVAL_S = 0.02
+"""Pause between two checks whether other VMs are known, in seconds."""
+
 _MAX_ASKING_S = 3.0
 """Time after the start for which a VM asks, in seconds."""
 
@@ -48,7 +54,8 @@
         table: The known statements of all processes.
         datagrams: The endpoint between VMs.
         follow_role: Chooses the VMs to ask.
-        monotonic: Returns monotonic time, in seconds.
+        timing: Sources of time and randomness.
+        learnt: Returns whether a VM has answered that has not just started itself.
 
     Attributes:
         on_asked: Called with the address of a VM that asks, and the monotonic time, in seconds.
@@ -59,13 +66,16 @@
         table: StatementTable,
         datagrams: Datagrams,
         follow_role: FollowRole,
-        monotonic: Callable[[], float],
+        timing: Timing,
+        *,
+        learnt: Callable[[], bool],
     ) -> None:
         self.table = table
         self.datagrams = datagrams
         self.follow_role = follow_role
-        self.monotonic = monotonic
-        self.until = monotonic() + _MAX_ASKING_S
+        self.timing = timing
+        self.learnt = learnt
+        self.until = timing.monotonic() + _MAX_ASKING_S
         self.on_asked: list[Callable[[str, float], None]] = []
         self._answered = asyncio.Event()
         datagrams.register(StatementsRequest, self._on_ask)
@@ -73,12 +83,25 @@
 
     async def run(self) -> None:
         """Ask until a VM has answered or the time has passed, then wait to be cancelled."""
-        while self.monotonic() < self.until and not self._answered.is_set():
-            asked = list(self.follow_role.recipients(changed=False))[:_ASKED_VMS]
+        while self.timing.monotonic() < self.until and not (
+            self._answered.is_set() and self.learnt()
+        ):
+            asked = self._vms_to_ask()
             self.datagrams.send(StatementsRequest(), [member.peer_address for member in asked])
-            await asyncio.sleep(_ASK_PAUSE_S)
+            await asyncio.sleep(_ASK_PAUSE_S if asked else _LOAD_POLL_INTERVAL_S)
         await asyncio.Event().wait()
 
+    def _vms_to_ask(self) -> list[Member]:
+        """Return random VMs of the region, or of others if the region has too few."""
+        members = [
+            member
+            for member in self.follow_role.store_view.members.values()
+            if member.name != self.follow_role.name
+        ]
+        self.timing.rng.shuffle(members)
+        members.sort(key=lambda member: member.region != self.follow_role.region)
+        return members[:_ASKED_VMS]
+
     def _on_ask(self, _ask: StatementsRequest, now: float) -> None:
         sender = self.datagrams.last_sender
         if sender is None:
--- a/tests/test_formats_lines.py
+++ b/tests/test_formats_lines.py
@@ -72,7 +72,7 @@
 "object":"7","ms":0.0,"version":0,"sends":[]}
 {"time":1000.008,"event":"configuration","version":7,"routes":3}
 {"time":1000.008,"event":"fact","key":"servers/s0","word":"new","revision":1}
-{"time":1000.154,"event":"probe","server":"s0","status":200,"cold_s":null}
+{"time":1000.054,"event":"probe","server":"s0","status":200,"cold_s":null}
 {"time":1000.508,"event":"store","up":true,"problem":"","at":2}
 {"time":1000.514,"event":"fact","key":"sprucewinch/members/vm1","word":"new","revision":3}
 {"time":1003.054,"event":"request","id":"q1","outcome":"answered","status":200,"route":"r1",\
--- a/tests/test_gateway_start_doubts.py
+++ b/tests/test_gateway_start_doubts.py
@@ -1,5 +1,6 @@
 """What a process that has just started takes for known about servers."""
 
+import asyncio
 import unittest
 from typing import Optional
 
@@ -11,7 +12,8 @@
 from sprucewinch.gateway.servers.start_doubts import ColdKnown, StartDoubts
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
-from .gateway_fakes import StoreFixture, route
+from .gateway_fakes import PipelineFixture, StoreFixture, route
+from .limit_fleet import ready
 
 _PEER = ("10.1.0.2", 70)
 
@@ -149,5 +151,59 @@
         run_virtual(main)
 
 
+class ProofIsAwaited(unittest.TestCase):
+    """Callers were refused while the servers of a VM that had just started were unproven."""
+
+    def test_a_request_waits_until_a_server_is_proven(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop, servers=1)
+            path.world.configure(route(timeout_s=5.0))
+            for number in range(1, 40):
+                other = Member(f"vm{number}", "east-a", "east", "127.0.0.1:1", "127.0.0.1:2")
+                path.world.put(f"members/vm{number}", other)
+            registry = path.world.registry
+            server = registry.servers["s0"]
+            registry.cold_limit.started_at = loop.time()
+            server.unproven_until = loop.time() + 1.0
+            self.assertEqual(registry.cold_allowance(server, loop.time()), 0)
+            loop.call_later(0.2, registry.prove_listed)
+            started = loop.time()
+            reply = await path.pipeline.run(path.request("a"))
+            self.assertEqual(reply.status, 200)
+            self.assertLess(loop.time() - started, 0.4)
+
+        run_virtual(main)
+
+    def test_a_request_does_not_wait_for_a_server_that_is_cold(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop, servers=1)
+            path.world.configure(route(timeout_s=5.0))
+            registry = path.world.registry
+            registry.cold_limit.started_at = loop.time()
+            registry.servers["s0"].cold_until = loop.time() + 3.0
+            started = loop.time()
+            reply = await path.pipeline.run(path.request("a"))
+            self.assertEqual((reply.status, loop.time()), (503, started))
+
+        run_virtual(main)
+
+
+class AsksAfterAStart(unittest.TestCase):
+    def test_a_vm_asks_others_until_one_answers_that_has_not_just_started(self) -> None:
+        """It asked the same three, and stopped at the first answer, whoever gave it."""
+
+        async def main(loop: VirtualLoop) -> None:
+            fleet = await ready(loop, vms=18)
+            await pass_time(3.0)
+            await asyncio.gather(*(fleet.restart_vm(number) for number in range(15)))
+            await pass_time(0.7)
+            doubtful = [
+                vm.name for vm in fleet.vms[:15] if vm.gateway.servers.registry.doubts_listed
+            ]
+            self.assertEqual(doubtful, [])
+
+        run_virtual(main)
+
+
 if __name__ == "__main__":
     unittest.main()
