A VM vouches for servers only while entries say which are cold

Cause: a VM answers one that has just started which servers it counts as cold, and so proves the others. After the store's return from an older copy, or while it is away, entries say nothing of now, and what the VM has not asked yet may be cold. The two VMs that ask a server may both have just died; their next processes, to which the proof went, did not ask, as a process that starts in the new era cannot see that its entries are old. Evidence: all 30 requests of the second came without a cold-send line, 2.5 to 3.4 s after the server had turned cold.

A VM now says so with its answer, which then proves nothing, and the process that starts asks its share of the servers for 3 s. The test failed before (the message had no such field and proved all). Older VMs ignore the new field.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -218,8 +218,9 @@
     prober = _prober(context, registry, statements)
     cold_reports = ColdReports(registry, fleet.datagrams, fleet.follow_role)
     prober.on_health.append(lambda server, cold: cold_reports.tell(server, cold=cold))
+    health_asks = HealthAsks(registry, state.outages, fleet.gossip.in_touch, context.monotonic)
     start_doubts = StartDoubts(
-        registry, cold_reports, fleet.datagrams, started_at=context.started_at
+        registry, cold_reports, health_asks, fleet.datagrams, started_at=context.started_at
     )
     start_asks = StartAsks(
         table,
@@ -240,7 +241,7 @@
         pool=pool,
         prober=prober,
         cold_reports=cold_reports,
-        health_asks=HealthAsks(registry, state.outages, fleet.gossip.in_touch, context.monotonic),
+        health_asks=health_asks,
         links=_links(context, fleet, registry, pool),
     )
 
--- a/sprucewinch/gateway/servers/health_asks.py
+++ b/sprucewinch/gateway/servers/health_asks.py
@@ -7,7 +7,8 @@
   revision, which shows a silent store before a call to it fails;
 - shortly after the store did not answer, while entries may be missing;
 - for `_ENTRIES_BACK_S` after the store's return from an older copy, as its entries may be older
-  than the truth;
+  than the truth, and for as long after another VM has told a process that starts that entries say
+  nothing of now;
 - while it is unproven after the start of a process (`start_doubts`);
 - while it is doubted, by each VM that doubts it.
 
@@ -101,11 +102,11 @@
         Args:
             now: Monotonic time, in seconds.
         """
-        if self._entries_tell(now) and now >= self.registry.doubts_until:
+        if self.entries_tell(now) and now >= self.registry.doubts_until:
             return
         servers = [server for server in self.registry.servers.values() if not server.cold(now)]
         due = [server for server in servers if server.doubted(now) and self._is_due(server, now)]
-        if self._entries_tell(now):
+        if self.entries_tell(now):
             servers = [server for server in servers if server.unproven(now)]
         due += [s for s in self._own_part(servers, now) if self._is_due(s, now)]
         for server in dict.fromkeys(due):
@@ -114,15 +115,23 @@
         if not due:
             self._asked_at = {s: at for s, at in self._asked_at.items() if not _is_old(at, now)}
 
-    def _entries_tell(self, now: float) -> bool:
-        """Return whether the store's entries say which servers are cold now."""
+    def entries_tell(self, now: float) -> bool:
+        """Return whether the store's entries say which servers are cold now.
+
+        Args:
+            now: Monotonic time, in seconds.
+        """
         confirmed = now - self.registry.store_view.confirmed_at <= _MAX_CONFIRMATION_AGE_S
         lapsed = self.outages.entries_may_have_lapsed(now)
         return confirmed and not lapsed and now >= self._entries_old_until
 
-    def _on_era(self, _era: int) -> None:
+    def distrust_entries(self) -> None:
+        """Ask servers for `_ENTRIES_BACK_S`, as their entries may be older than the truth."""
         self._entries_old_until = self.monotonic() + _ENTRIES_BACK_S
 
+    def _on_era(self, _era: int) -> None:
+        self.distrust_entries()
+
     def _is_due(self, server: BackendServer, now: float) -> bool:
         return _is_old(self._asked_at.get(server, float("-inf")), now)
 
--- a/sprucewinch/gateway/servers/start_doubts.py
+++ b/sprucewinch/gateway/servers/start_doubts.py
@@ -6,7 +6,9 @@
 which they get no more than cold ones, unless another VM tells what it knows, or they answer a
 health check (`health_asks`). The answer to an ask after a start (`statements.start_asks`) therefore
 brings the servers that the other VM counts as cold; a VM that has just started itself says so, and
-proves nothing.
+proves nothing. Neither does one for which entries say nothing of now (`health_asks`): what it has
+not been told yet may be cold. The process that starts then asks servers too, as it cannot see that
+by itself.
 
 A process that is younger than `_SETTLING_S` may not have heard what others know, so its answer
 proves nothing. What it may send to servers that are cold or unproven is decided by `cold_limit`.
@@ -21,6 +23,7 @@
 from ..datagrams import Datagrams
 from .backend_registry import BackendRegistry
 from .cold_reports import MAX_ROWS, ColdReport, ColdReports, ColdRow
+from .health_asks import HealthAsks
 
 _SETTLING_S = 3.0
 """Age of a process from which it knows what other VMs do, in seconds: within it, their answers,
@@ -33,10 +36,12 @@
     Args:
         settled: False if the sender has itself just started.
         rows: Servers that it counts as cold.
+        entries_old: True if the store's entries say nothing of now.
     """
 
     settled: bool
     rows: tuple[ColdRow, ...] = ()
+    entries_old: bool = False
 
 
 class StartDoubts:
@@ -45,6 +50,7 @@
     Args:
         registry: Backend servers.
         cold_reports: Makes and applies rows.
+        health_asks: Knows whether entries say which servers are cold now.
         datagrams: The endpoint between VMs.
         started_at: Monotonic time at which this process started, in seconds.
     """
@@ -53,12 +59,14 @@
         self,
         registry: BackendRegistry,
         cold_reports: ColdReports,
+        health_asks: HealthAsks,
         datagrams: Datagrams,
         *,
         started_at: float,
     ) -> None:
         self.registry = registry
         self.cold_reports = cold_reports
+        self.health_asks = health_asks
         self.datagrams = datagrams
         self.settled_from = started_at + _SETTLING_S
         registry.doubts_listed = True
@@ -76,9 +84,13 @@
             self.datagrams.send(ColdReport(tuple(rows[:MAX_ROWS])), (address,))
             del rows[:MAX_ROWS]
         settled = now >= self.settled_from
-        self.datagrams.send(ColdKnown(settled, tuple(rows)), (address,))
+        entries_old = not self.health_asks.entries_tell(now)
+        known = ColdKnown(settled, tuple(rows), entries_old)
+        self.datagrams.send(known, (address,))
 
     def _on_known(self, known: ColdKnown, now: float) -> None:
         self.cold_reports.apply(known.rows, now)
-        if known.settled:
+        if known.entries_old:
+            self.health_asks.distrust_entries()
+        elif known.settled:
             self.registry.prove_listed()
--- a/tests/test_gateway_start_doubts.py
+++ b/tests/test_gateway_start_doubts.py
@@ -9,6 +9,7 @@
 from sprucewinch.gateway.datagrams import Datagrams
 from sprucewinch.gateway.resources import BackendEntry, Member
 from sprucewinch.gateway.servers.cold_reports import MAX_ROWS, ColdReport, ColdReports
+from sprucewinch.gateway.servers.health_asks import HealthAsks
 from sprucewinch.gateway.servers.start_doubts import ColdKnown, StartDoubts
 from standins.virtual import VirtualLoop, pass_time, run_virtual
 
@@ -30,7 +31,12 @@
         self.registry = self.world.registry
         reports = ColdReports(self.registry, self.datagrams, None)  # type: ignore[arg-type]
         self.registry.cold_limit.started_at = loop.time()
-        self.doubts = StartDoubts(self.registry, reports, self.datagrams, started_at=loop.time())
+        self.asks = HealthAsks(
+            self.registry, self.world.outages, lambda _name, _now: True, loop.time
+        )
+        self.doubts = StartDoubts(
+            self.registry, reports, self.asks, self.datagrams, started_at=loop.time()
+        )
         self.world.configure(route())
         self.add(2)
 
@@ -68,6 +74,7 @@
             old = _Vm(loop)
             await pass_time(3.5)
             old.registry.servers["s1"].cold_until = loop.time() + 2.0
+            old.world.store_view.confirm(loop.time())
             young = _Vm(loop)
             old.doubts.answer("10.1.0.1:70", loop.time())
             young.add(1)
@@ -78,6 +85,24 @@
 
         run_virtual(main)
 
+    def test_a_vm_for_which_entries_say_nothing_of_now_proves_nothing(self) -> None:
+        """It vouched for servers that had turned cold and that it had not asked yet."""
+
+        async def main(loop: VirtualLoop) -> None:
+            old = _Vm(loop)
+            await pass_time(3.5)
+            old.world.store_view.confirm(loop.time())
+            old.asks.distrust_entries()
+            young = _Vm(loop)
+            young.world.store_view.confirm(loop.time())
+            self.assertTrue(young.asks.entries_tell(loop.time()))
+            old.doubts.answer("10.1.0.1:70", loop.time())
+            young.hear(old)
+            self.assertTrue(young.limited(0))
+            self.assertFalse(young.asks.entries_tell(loop.time() + 2.9))
+
+        run_virtual(main)
+
     def test_a_vm_that_has_just_started_itself_proves_nothing(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             first, second = _Vm(loop), _Vm(loop)
