--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -11,11 +11,14 @@
 import sys
 import time
 from pathlib import Path
+from typing import Optional
 
 import fire
 from rich.console import Console
 
+from .configuration import COLD_PER_S
 from .day import TROUBLED_S, Outcome, SoakError, run_day
+from .world import FleetSize
 
 LOGS = Path("out/soak")
 """Folder for the logs of days with a broken promise."""
@@ -39,7 +42,12 @@
         raise SoakError(f"seeds cannot be read from {text!r}", "write 7, 1:50 or 3,9,12") from None
 
 
-async def run_days(seeds: list[int], jobs: int, troubled_s: float = TROUBLED_S) -> list[Outcome]:
+async def run_days(
+    seeds: list[int],
+    jobs: int,
+    troubled_s: float = TROUBLED_S,
+    size: Optional[FleetSize] = None,
+) -> list[Outcome]:
     """Run several days, `jobs` of them at once, and print each as it ends."""
     console = Console()
     left = list(reversed(seeds))
@@ -47,7 +55,7 @@
 
     async def worker() -> None:
         while left:
-            outcome = await run_day(left.pop(), troubled_s=troubled_s)
+            outcome = await run_day(left.pop(), troubled_s=troubled_s, size=size)
             outcomes.append(outcome)
             print_outcome(console, outcome)
 
@@ -78,20 +86,29 @@
     return kept
 
 
-def main(seeds: str = "", jobs: int = 1, seconds: float = TROUBLED_S) -> None:
+def main(
+    seeds: str = "",
+    jobs: int = 1,
+    seconds: float = TROUBLED_S,
+    vms: int = 1,
+    cold_per_s: float = COLD_PER_S,
+) -> None:
     """Run days of the soak.
 
     Args:
         seeds: Seeds such as 7, 1:50 or 3,9,12; a fresh one when empty.
         jobs: Number of days at once, each with its own processes.
         seconds: Time in which troubles begin in a day.
+        vms: Entry VMs of each of three data halls.
+        cold_per_s: Requests a second that a cold backend server may get.
     """
+    size = FleetSize(vms, cold_per_s)
     try:
         chosen = parse_seeds(str(seeds).strip("()").replace(" ", "")) if seeds else [fresh_seed()]
     except SoakError as error:
         print(error, file=sys.stderr)
         sys.exit(error.exit_code)
-    outcomes = asyncio.run(run_days(chosen, max(1, min(jobs, _MAX_JOBS)), seconds))
+    outcomes = asyncio.run(run_days(chosen, max(1, min(jobs, _MAX_JOBS)), seconds, size))
     broken = sorted(outcome.seed for outcome in outcomes if outcome.broken)
     print(f"{len(outcomes)} days, {len(broken)} with a broken promise: {broken}")
     sys.exit(1 if broken else 0)
--- a/tools/soak/configuration.py
+++ b/tools/soak/configuration.py
@@ -42,7 +42,7 @@
 """Connections that a backend server accepts."""
 
 COLD_PER_S = 20.0
-"""Requests a second that a cold backend server may get."""
+"""Requests a second that a cold backend server may get, unless the day says otherwise."""
 
 KEY_START = "key-of-"
 """Prefix of every API key, by which a key is found where none may be shown."""
@@ -72,6 +72,7 @@
     Args:
         store: Store to which versions are written.
         ledger: Record of the day.
+        cold_per_s: Requests a second that a cold backend server may get.
 
     Attributes:
         services: Service of each route, by the route's name.
@@ -79,7 +80,8 @@
         rates_per_s: Limit of each workspace in requests a second.
     """
 
-    def __init__(self, store: StoreStandIn, ledger: Ledger) -> None:
+    def __init__(self, store: StoreStandIn, ledger: Ledger, cold_per_s: float = COLD_PER_S) -> None:
+        self.cold_per_s = cold_per_s
         self.services = {RATES: "rates", BOOK: "booking"}
         self.keys = {name: [first_key(name)] for name in WORKSPACES}
         self.rates_per_s = dict(RATES_PER_S)
@@ -104,7 +106,7 @@
                 "MaxConnections": _CONNECTIONS,
                 "HealthPath": HEALTH_PATH,
                 "Warmup": "1s",
-                "ColdPerS": COLD_PER_S,
+                "ColdPerS": self.cold_per_s,
             }
             for name in SERVICES
         ]
--- a/tools/soak/day.py
+++ b/tools/soak/day.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 from collections import Counter
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Optional
 
 from sprucewinch.errors import SprucewinchError
 
@@ -21,7 +21,7 @@
 from .troubles.kinds import kinds_of
 from .troubles.operators import Change
 from .troubles.trouble import Trouble
-from .world import World
+from .world import FleetSize, World
 
 TROUBLED_S = 9.0
 """Time in which troubles begin, in seconds, by default."""
@@ -122,17 +122,20 @@
     return (*sorted(rows, key=lambda row: row.at), last)
 
 
-async def run_day(seed: int, *, troubled_s: float = TROUBLED_S) -> Outcome:
+async def run_day(
+    seed: int, *, troubled_s: float = TROUBLED_S, size: Optional[FleetSize] = None
+) -> Outcome:
     """Run one day.
 
     Args:
         seed: Seed of the day.
         troubled_s: Time in which troubles begin, in seconds.
+        size: Number of entry VMs and the limit on cold servers; None for the usual ones.
 
     Raises:
         SoakError: When the entry VMs do not become ready at the start.
     """
-    world = World()
+    world = World(size or FleetSize())
     planned = plan(seed, troubled_s)
     try:
         await world.start()
@@ -146,7 +149,9 @@
         runs = gather_runs(world.backends.all_servers())
         servers = tuple(world.backends.all_servers())
         stand_ins = tuple(server.stand_in for server in servers)
-        evidence = Evidence(world.ledger, runs, world.loop.time(), stand_ins, servers)
+        evidence = Evidence(
+            world.ledger, runs, world.loop.time(), stand_ins, servers, world.size.cold_per_s
+        )
         broken = tuple(judge(evidence))
     finally:
         await world.stop()
--- a/tools/soak/promises/evidence.py
+++ b/tools/soak/promises/evidence.py
@@ -12,7 +12,7 @@
 from standins.scripted_server import ScriptedServer, Spoil
 
 from ..backend_servers import SoakServer
-from ..configuration import KEY_START
+from ..configuration import COLD_PER_S, KEY_START
 from ..ledger import Attempt, Ledger
 
 CONTACT_S = 3.0
@@ -73,6 +73,7 @@
         ended_at: End of the day, as monotonic time in seconds.
         stand_ins: All backend servers of the day, with their own records.
         servers: The same with their services.
+        cold_per_s: Requests a second that a cold backend server may get.
     """
 
     ledger: Ledger
@@ -80,6 +81,7 @@
     ended_at: float
     stand_ins: tuple[ScriptedServer, ...] = ()
     servers: tuple[SoakServer, ...] = ()
+    cold_per_s: float = COLD_PER_S
 
     def runs_of(self, attempt: Attempt) -> list[Seen]:
         """Return the runs of an attempt's request."""
--- a/tools/soak/promises/limits.py
+++ b/tools/soak/promises/limits.py
@@ -8,7 +8,6 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from ..configuration import COLD_PER_S
 from .evidence import Evidence
 
 HEALTH_S = 1.0
@@ -27,7 +26,7 @@
         for start, end in stand_in.cold_spans:
             times = [at for at, _ in stand_in.arrived if start + HEALTH_S <= at <= end]
             most = most_in_window(times, _COLD_WINDOW_S)
-            if most > COLD_PER_S:
+            if most > evidence.cold_per_s:
                 what = f"{stand_in.server_id}, cold since {start:.2f}, got {most} in a second"
                 evidence.ledger.record_broken("FAILBACK", what)
 
