--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -111,6 +111,8 @@
     """Its part of the fleet's limit."""
     START = "start"
     """Its part of what is left for processes that have just started."""
+    NO_BOUND = "no-bound"
+    """The configuration states no limit."""
 
 
 class ColdPart(NamedTuple):
@@ -161,32 +163,32 @@
             now: Monotonic time, in seconds.
             known_cold: False if it is only doubted or unproven.
         """
+        bound = self._bound(backend)
+        if bound is None:
+            return ColdPart(backend.capacity, ColdPartReason.NO_BOUND)
         if now >= max(self.started_at + _COLD_WINDOW_S, self.known_vms.known_since):
             return ColdPart(self.allowance(backend), ColdPartReason.PART)
-        if known_cold and self._bound(backend) is not None:
-            return ColdPart(0, ColdPartReason.START)
-        return ColdPart(self.first_allowance(backend), ColdPartReason.START)
+        requests = 0 if known_cold else self._start_allowance(backend, bound)
+        return ColdPart(requests, ColdPartReason.START)
 
     def allowance(self, backend: BackendEntry) -> int:
-        """Return how many requests this VM may send a cold server in `_COLD_WINDOW_S`."""
+        """Return how many requests this VM may send a cold server once this process has settled."""
         bound = self._bound(backend)
         if bound is None:
             return backend.capacity
         return self._own_part(backend, self._used(backend.service, bound))
 
-    def first_allowance(self, backend: BackendEntry) -> int:
-        """Return the same for a server that is only unproven, right after this process's start.
+    def _start_allowance(self, backend: BackendEntry, bound: float) -> int:
+        """Return how many requests this VM may send an unproven server right after its start.
 
         Without any other VM there is nobody to share with.
         """
-        bound = self._bound(backend)
-        if bound is None:
-            return backend.capacity
+        used = math.floor(_BOUND_USED_FRACTION * bound)
         if self.known_vms.count() == 1:
-            return math.floor(_BOUND_USED_FRACTION * bound)
+            return used
         if self.known_vms.known_since > float("-inf"):
             return 0
-        return self._own_part(backend, math.floor(bound) - math.floor(_BOUND_USED_FRACTION * bound))
+        return self._own_part(backend, math.floor(bound) - used)
 
     def tries_first(self, backend: BackendEntry) -> bool:
         """Return whether this VM tries a server before all others."""
