--- a/sprucewinch/gateway/servers/cold_reports.py
+++ b/sprucewinch/gateway/servers/cold_reports.py
@@ -25,7 +25,7 @@
 MAX_ROWS = 24
 """Largest number of rows in a message, so that it fits into one packet of common networks."""
 
-_SEND_INTERVAL_S = 0.05
+_SEND_INTERVAL_S = 0.1
 """Time between two messages, in seconds."""
 
 _SENDS = 2
--- a/sprucewinch/gateway/servers/health_asks.py
+++ b/sprucewinch/gateway/servers/health_asks.py
@@ -31,9 +31,15 @@
 from .backend_registry import BackendRegistry
 from .backend_server import BackendServer
 
-_TICK_S = 0.05
+_TICK_S = 0.1
 """Time between two looks for servers to ask, in seconds."""
 
+_START_TICK_S = 0.02
+"""The same for `_START_S` after the start, while requests wait for servers to be proven."""
+
+_START_S = 1.0
+"""Time after the start within which listed servers are proven, in seconds."""
+
 _ASK_INTERVAL_S = 0.6
 """Time between two questions of a VM to a server, in seconds. With the time for the answer and for
 telling the others, a server that turns cold is known to be so within a second."""
@@ -93,8 +99,10 @@
     async def run(self) -> None:
         """Ask servers when it is time, until cancelled."""
         while True:
-            self.ask_due(self.monotonic())
-            await asyncio.sleep(_TICK_S)
+            now = self.monotonic()
+            self.ask_due(now)
+            young = now - self.started_at < _START_S
+            await asyncio.sleep(_START_TICK_S if young else _TICK_S)
 
     def ask_due(self, now: float) -> None:
         """Ask the servers that are due.
