--- a/sprucewinch/gateway/servers/start_doubts.py
+++ b/sprucewinch/gateway/servers/start_doubts.py
@@ -36,7 +36,7 @@
     Args:
         settled: False if the sender has itself just started.
         rows: Servers that it counts as cold.
-        entries_old: True if the store's entries say nothing of now.
+        entries_old: True if the sender has settled, and the store's entries say nothing of now.
     """
 
     settled: bool
@@ -84,7 +84,7 @@
             self.datagrams.send(ColdReport(tuple(rows[:MAX_ROWS])), (address,))
             del rows[:MAX_ROWS]
         settled = now >= self.settled_from
-        entries_old = not self.health_asks.entries_tell(now)
+        entries_old = settled and not self.health_asks.entries_tell(now)
         known = ColdKnown(settled, tuple(rows), entries_old)
         self.datagrams.send(known, (address,))
 
--- a/tests/test_gateway_start_doubts.py
+++ b/tests/test_gateway_start_doubts.py
@@ -103,6 +103,21 @@
 
         run_virtual(main)
 
+    def test_a_vm_that_has_just_started_itself_does_not_call_entries_old(self) -> None:
+        """VMs that had loaded nothing yet made all others that started ask all servers."""
+
+        async def main(loop: VirtualLoop) -> None:
+            first, second = _Vm(loop), _Vm(loop)
+            second.world.store_view.confirm(loop.time())
+            first.world.store_view.confirmed_at = float("-inf")
+            self.assertFalse(first.asks.entries_tell(loop.time()))
+            first.doubts.answer("10.1.0.1:70", loop.time())
+            second.hear(first)
+            self.assertTrue(second.asks.entries_tell(loop.time()))
+            self.assertTrue(second.limited(0))
+
+        run_virtual(main)
+
     def test_a_vm_that_has_just_started_itself_proves_nothing(self) -> None:
         async def main(loop: VirtualLoop) -> None:
             first, second = _Vm(loop), _Vm(loop)
