Starting VMs send cold servers their part of the rest of the bound, and serve where nothing can be proven

Beside them, a known cold server got nothing from a process in its first 1.15 s, although the rest of the bound is as free for it as for an unproven one.

Servers without a health path now get a part by the VMs registered so far, or all requests of a VM that knows no other; a starting process may send known cold servers its part of the rest.

--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -186,7 +186,7 @@
         return self._cold_part(server, now).requests
 
     def _cold_part(self, server: BackendServer, now: float) -> ColdPart:
-        return self.cold_limit.part(server.backend, now, known_cold=server.cold(now))
+        return self.cold_limit.part(server.backend, now)
 
     def start_sending(
         self, server: BackendServer, started: float, now: float, request_id: str
--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -14,10 +14,9 @@
 has slots. While less than `_MIN_ANSWERED_FRACTION` of the requests to a service's cold servers are
 answered in time, the fleet sends each of them only `_COLD_TRIALS_PER_S`.
 
-A process that has just started does not know what its predecessor sent within the window. It sends
-nothing to a server that is known to be cold until the window has passed since its start, and until
-all others count this VM (`KnownVms.known_since`). At that time most servers are only unproven; to
-these it may send its part of the rest of the bound, which settled processes leave unused.
+A process that has just started does not know what its predecessor sent within the window. Until the
+window has passed since its start, and until all others count this VM (`KnownVms.known_since`), it
+sends its part of the rest of the bound, which settled processes leave unused.
 
 A request counts from its first byte on, and is checked again then: requests that waited for a
 connection would otherwise go out together in a later second than they were counted in.
@@ -155,21 +154,19 @@
         """Replace the fleet's bounds."""
         self.bounds = bounds
 
-    def part(self, backend: BackendEntry, now: float, *, known_cold: bool) -> ColdPart:
+    def part(self, backend: BackendEntry, now: float) -> ColdPart:
         """Return how many requests this VM may send a server that is limited as a cold one.
 
         Args:
             backend: The server's entry.
             now: Monotonic time, in seconds.
-            known_cold: False if it is only doubted or unproven.
         """
         bound = self._bound(backend)
         if bound is None:
             return ColdPart(backend.capacity, ColdPartReason.NO_BOUND)
         if now >= max(self.started_at + _COLD_WINDOW_S, self.known_vms.known_since):
             return ColdPart(self.allowance(backend), ColdPartReason.PART)
-        requests = 0 if known_cold else self._start_allowance(backend, bound)
-        return ColdPart(requests, ColdPartReason.START)
+        return ColdPart(self._start_allowance(backend, bound), ColdPartReason.START)
 
     def allowance(self, backend: BackendEntry) -> int:
         """Return how many requests this VM may send a cold server once this process has settled."""
@@ -179,16 +176,19 @@
         return self._own_part(backend, self._used(backend.service, bound))
 
     def _start_allowance(self, backend: BackendEntry, bound: float) -> int:
-        """Return how many requests this VM may send an unproven server right after its start.
+        """Return how many requests this VM may send a server right after its start.
 
-        Without any other VM there is nobody to share with.
+        A VM that others may not know yet leaves servers to them until these are proven. Servers
+        without a health path cannot be proven; to them it sends a part by the VMs that are
+        registered so far, or all requests if no other VM is known.
         """
-        used = math.floor(_BOUND_USED_FRACTION * bound)
-        if self.known_vms.count() == 1:
-            return used
-        if self.known_vms.known_since > float("-inf"):
+        rule = service_rule(self.store_view, backend.service)
+        provable = rule is not None and bool(rule.health_path)
+        if not provable and self.known_vms.count() == 1:
+            return _MAX_SEND_TIMES
+        if provable and self.known_vms.known_since > float("-inf"):
             return 0
-        return self._own_part(backend, math.floor(bound) - used)
+        return self._own_part(backend, math.floor(bound) - math.floor(_BOUND_USED_FRACTION * bound))
 
     def tries_first(self, backend: BackendEntry) -> bool:
         """Return whether this VM tries a server before all others."""
