A request of a starting VM waits for its own first server to be proven

Cause: a request took the first usable server of its order, however far down. The test failed before.

--- a/sprucewinch/gateway/requests/choice/server_choice.py
+++ b/sprucewinch/gateway/requests/choice/server_choice.py
@@ -139,10 +139,11 @@
             start again from the first step.
         """
         ranking = self._ranking(request, route, service, now)
+        if await self._wait_for_proof(request, ranking, now):
+            return None
         selection = self.selector.choose(request, ranking, service, now, route)
         if selection is RefusalReason.NO_SERVER:
-            waited = await self._wait_for_proof(request, ranking, now)
-            waited = waited or await self._wait_until_accepted(request, route, now)
+            waited = await self._wait_until_accepted(request, route, now)
             return None if waited else selection
         server = (
             selection.server
@@ -200,10 +201,11 @@
         return end.may_check_again
 
     async def _wait_for_proof(self, request: ClientRequest, ranking: Ranking, now: float) -> bool:
-        """Wait a moment if a server may soon be proven; False when there is none, or no time.
+        """Wait a moment if its first server may soon be proven; False if not, or without time.
 
-        After a start, servers are proven within a fraction of a second. A caller that is refused
-        may come back to another VM that has just started.
+        After a start, servers are proven within a fraction of a second. If requests went to the
+        next server instead, those that are proven first would get the requests of all others. A
+        caller that is refused may come back to another VM that has just started.
         """
         until = min(request.arrived_at + _MAX_PROOF_WAIT_S, request.deadline)
         if now >= until or not self.selector.awaits_proof(request, ranking, now):
--- a/sprucewinch/gateway/requests/choice/server_selection.py
+++ b/sprucewinch/gateway/requests/choice/server_selection.py
@@ -25,7 +25,7 @@
 from ...servers.backend_registry import BackendRegistry
 from ...servers.backend_server import BackendServer
 from ...servers.outliers import OutlierDetector
-from ...servers.usability import unusable_reason
+from ...servers.usability import UnusableReason, unusable_reason
 from ..client_request import (
     Blocked,
     BlockedReason,
@@ -192,7 +192,7 @@
         return next((s for s in others if self._is_usable(request, s, now)), None)
 
     def awaits_proof(self, request: ClientRequest, ranking: Ranking, now: float) -> bool:
-        """Return whether a server that this request has not tried is unproven.
+        """Return whether the first untried server is unproven and may get no request yet.
 
         Args:
             request: The request.
@@ -200,7 +200,14 @@
             now: Monotonic time, in seconds.
         """
         tried_servers = request.tried_servers()
-        return any(s.unproven(now) and s.backend.id not in tried_servers for s in ranking.servers)
+        untried = (s for s in ranking.servers if s.backend.id not in tried_servers)
+        first = next(untried, None)
+        return (
+            first is not None
+            and first.unproven(now)
+            and unusable_reason(first, now, self.ejected, self.cold_allowance)
+            is UnusableReason.COLD
+        )
 
     def _earliest_acceptance(
         self, request: ClientRequest, ranking: Ranking, now: float
--- a/tests/test_gateway_start_doubts.py
+++ b/tests/test_gateway_start_doubts.py
@@ -248,6 +248,24 @@
 
         run_virtual(main)
 
+    def test_requests_do_not_pile_up_at_the_server_that_is_proven_first(self) -> None:
+        async def main(loop: VirtualLoop) -> None:
+            path = PipelineFixture(loop, servers=4)
+            path.world.configure(route(timeout_s=5.0))
+            registry = path.world.registry
+            registry.known_vms.known_since = loop.time() + 3.0
+            for server in registry.servers.values():
+                server.unproven_until = loop.time() + 1.0
+            registry.servers["s0"].unproven_until = float("-inf")
+            loop.call_later(0.2, registry.prove_listed)
+            requests = [path.request(f"r{number}", key=f"k{number}") for number in range(12)]
+            replies = await asyncio.gather(*(path.pipeline.run(each) for each in requests))
+            self.assertEqual({reply.status for reply in replies}, {200})
+            counts = [len(server.arrivals) for server in path.servers.values()]
+            self.assertLess(max(counts), 7)
+
+        run_virtual(main)
+
 
 class AsksAfterAStart(unittest.TestCase):
     def test_a_vm_asks_others_until_one_answers_that_has_not_just_started(self) -> None:
