--- a/sprucewinch/gateway/membership/fleet_parts.py
+++ b/sprucewinch/gateway/membership/fleet_parts.py
@@ -5,7 +5,7 @@
 does not know of another one takes the same part or a larger one. So the parts of VMs whose lists
 differ add up to no more than is divided, as long as each VM that takes a part is in the lists of
 all others that do; a list may hold any number of VMs beyond these. `KnownVms` keeps VMs in the list
-for long after they are gone, and states since when the others know this one.
+for long after they are gone, and states from when all others know this one.
 
 A VM that was heard of but is not registered has no known region and counts in both groups.
 
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -183,10 +183,7 @@
             server: The server.
             now: Monotonic time, in seconds.
         """
-        return self._cold_part(server, now).requests
-
-    def _cold_part(self, server: BackendServer, now: float) -> ColdPart:
-        return self.cold_limit.part(server.backend, now)
+        return self.cold_limit.part(server.backend, now).requests
 
     def start_sending(
         self, server: BackendServer, started: float, now: float, request_id: str
@@ -207,7 +204,7 @@
         if not server.limited_as_cold(now):
             server.cold_sends.record(now)
             return True
-        part = self._cold_part(server, now)
+        part = self.cold_limit.part(server.backend, now)
         if not server.cold_allowed(now, part.requests):
             return False
         server.cold_sends.record(now)
--- a/sprucewinch/gateway/statements/start_asks.py
+++ b/sprucewinch/gateway/statements/start_asks.py
@@ -1,8 +1,8 @@
 """Asks other VMs after a start what servers have stated, and answers VMs that have just started.
 
 Owns the message `StatementsRequest` and when it is sent: as soon as other VMs are known, to
-`_ASKED_VMS` random VMs of the region every `_ASK_PAUSE_S`, until one has answered that knows more
-than this VM, or `_MAX_ASKING_S` have passed. Without it, a VM that starts would send
+`_ASKED_VMS` random VMs of the region every `_ASK_PAUSE_S`, until one has answered that has not
+just started itself, or `_MAX_ASKING_S` have passed. Without it, a VM that starts would send
 limited, paused and leaving servers one request each to learn their state. Relies on
 `process_statements` for the rows and on `follow_role` for the VMs. Tests:
 tests/test_gateway_statements.py.
@@ -53,7 +53,7 @@
     Args:
         table: The known statements of all processes.
         datagrams: The endpoint between VMs.
-        follow_role: Chooses the VMs to ask.
+        follow_role: Knows this VM's region and the registered VMs.
         timing: Sources of time and randomness.
         learnt: Returns whether a VM has answered that has not just started itself.
 
