A process that starts slowly serves before it is registered

Cause: the window since the start was over before the store's items came, and a VM without a registration then has no part. An unregistered VM is now treated as one that has just started, whatever its age.

--- a/sprucewinch/gateway/servers/cold_limit.py
+++ b/sprucewinch/gateway/servers/cold_limit.py
@@ -164,7 +164,8 @@
         bound = self._bound(backend)
         if bound is None:
             return ColdPart(backend.capacity, ColdPartReason.NO_BOUND)
-        if now >= max(self.started_at + _COLD_WINDOW_S, self.known_vms.known_since):
+        settled = now >= max(self.started_at + _COLD_WINDOW_S, self.known_vms.known_since)
+        if settled and self.known_vms.own_member() is not None:
             return ColdPart(self.allowance(backend), ColdPartReason.PART)
         return ColdPart(self._start_allowance(backend, bound), ColdPartReason.START)
 
--- a/tests/test_gateway_start_doubts.py
+++ b/tests/test_gateway_start_doubts.py
@@ -211,6 +211,18 @@
 
         run_virtual(main)
 
+    def test_a_process_that_starts_slowly_serves_before_it_is_registered(self) -> None:
+        """Beside a busy machine the only VM refused callers until its registration had come."""
+
+        async def main(loop: VirtualLoop) -> None:
+            vm = _Vm(loop, vms=0)
+            routes = RouteConfiguration(9, (route(),), {"rates": RULE._replace(health_path="")})
+            vm.world.put("configuration", routes, loop.time())
+            server = vm.registry.servers["s0"]
+            self.assertGreater(vm.registry.cold_allowance(server, loop.time() + 2.0), 0)
+
+        run_virtual(main)
+
 
 class ProofIsAwaited(unittest.TestCase):
     """Callers were refused while the servers of a VM that had just started were unproven."""
