--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,21 +1,24 @@
-"""An upload within the limits takes an entry VM over its memory, and the platform kills it."""
+"""Configurations that replace many routes let an entry VM grow until the platform kills it."""
 
 import asyncio
 import contextlib
 import sys
 from pathlib import Path
+from typing import Any
 
 sys.path.append(str(Path(__file__).resolve().parent.parent))
 
 from fleet_2 import (
-    OK,
     TROUBLE,
-    Answer,
     Backend,
+    CannotRunError,
+    Fleet,
     KeptConnection,
     Record,
     Vm,
+    ask_each,
     configuration,
+    enforce_memory,
     fleet,
     main,
     request_head,
@@ -25,96 +28,125 @@
 MEMORY_MB = 200
 """Memory of the smaller entry VMs of the site."""
 
-LARGE_BYTES = 50_000_000 if TROUBLE else 360_000
-"""A body well below `MaxBodyBytes`; without the disruption, the longest of a usual day."""
+MAX_VALUE_BYTES = 1_048_576
+"""Longest value that the store takes, as the settings of the pages state it."""
 
-SMALL_BYTES = 360_000
-"""The longest body of a usual day."""
+ROUTES = 1000
+"""Routes that each configuration adds; `big_config` of the site file adds 1,400."""
 
+KEPT = 2
+"""Configurations for which a route stays, until another one removes it."""
+
+CONFIGURATIONS = 9
 OTHERS = 6
-"""Clients with an upload of their own at the same VM."""
+"""Clients with a request at a server at any time, each on a kept connection."""
 
 MOST_CLOSED = 3
 """Kept connections that may be closed without an answer, by the rule."""
 
 CONTACT_S = 4.0
-"""Time without a disruption after which a machine is in touch, as the site states it."""
-
-DEADLINE_MS = 9771
-"""Deadline of uploads, as the site states it."""
-
-WORK_S = 2.0
-_POLL_S = 0.005
-
-
-async def enforce_memory(vm: Vm, record: Record) -> None:
-    """Kill the process once it is over its memory, as the platform does."""
-    while (used := vm.memory_mib()) <= MEMORY_MB:
-        await asyncio.sleep(_POLL_S)
-    record.note(f"platform: {vm.name} has used {used:.0f} MiB of {MEMORY_MB}: killed")
-    await vm.end()
-
-
-async def upload(
-    client: KeptConnection, request_id: str, size: int, record: Record
-) -> Answer | None:
-    """Upload a body; return the answer, None when the connection ends without one."""
-    record.note(f"client sends upload {request_id} of {size} bytes")
-    head = request_head("POST", "/manifest/7", request_id, DEADLINE_MS, size)
-    answer = await client.exchange(head + bytes(size), DEADLINE_MS / 1000)
-    told = "no answer: its connection ended" if answer is None else f"status {answer.status}"
-    record.note(f"client of {request_id} gets {told}")
-    return answer
-
-
-async def play(vm: Vm, servers: list[Backend], record: Record) -> bool:
-    """Let the others upload on kept connections and one client beside them; return the verdict."""
-    others = [KeptConnection(vm.addresses["Front"]) for _ in range(OTHERS)]
-    for number, client in enumerate(others):
-        answer = await upload(client, f"first-{number}", 1000, record)
-        if answer is None or answer.status != OK:
-            record.note("an upload of the lead was not served")
-    await asyncio.sleep(CONTACT_S)
-    names = [f"second-{number}" for number in range(OTHERS)]
-    tasks = [
-        asyncio.create_task(upload(client, name, SMALL_BYTES, record))
-        for client, name in zip(others, names, strict=True)
+APPLIED_S = 0.7
+"""Time for which the clients wait with a new route, which the VM has by then."""
+
+DEADLINE_MS = 8602
+WORK_S = 1.0
+
+
+def routes_of(number: int) -> list[dict[str, Any]]:
+    """Return the routes that a configuration adds; without the disruption, the first ones again."""
+    series = number if TROUBLE else (number - 1) % KEPT
+    return [
+        route(f"r{series}x{each}", "safe", "egyenleg", "2000ms", TargetLatency="1090ms")
+        for each in range(ROUTES)
     ]
-    await asyncio.sleep(WORK_S / 4)
-    large = KeptConnection(vm.addresses["Front"])
-    await upload(large, "large", LARGE_BYTES, record)
-    answers = await asyncio.gather(*tasks)
-    passed_on = {run.request_id for server in servers for run in server.runs}
-    lost = [
-        name
-        for name, answer in zip(names, answers, strict=True)
-        if answer is None and name in passed_on
+
+
+def put_configuration(deployment: Fleet, number: int, record: Record) -> None:
+    """Write a configuration, as the operator does."""
+    routes = [
+        route("posting", "unsafe", "befizetes", f"{DEADLINE_MS}ms"),
+        *(
+            each
+            for kept in range(max(1, number - KEPT + 1), number + 1)
+            for each in routes_of(kept)
+        ),
     ]
-    for client in (*others, large):
-        client.close()
+    value = configuration(f"r{7 + number}", ["egyenleg", "befizetes"], routes)
+    if len(value) > MAX_VALUE_BYTES:
+        raise CannotRunError(f"the configuration has {len(value)} bytes")
+    deployment.store.put("op/config", value)
+    record.note(f"operator: configuration r{7 + number}, {len(routes)} routes, {len(value)} bytes")
+
+
+class Poster:
+    """A client that posts one payment after another on a kept connection."""
+
+    def __init__(self, vm: Vm, number: int) -> None:
+        self.client = KeptConnection(vm.addresses["Front"])
+        self.number = number
+        self.served = 0
+        self.lost = ""
+
+    async def run(self) -> None:
+        """Post until a connection ends without an answer."""
+        while not self.lost:
+            name = f"post-{self.number}-{self.served}"
+            head = request_head("POST", "/posting/7", name, DEADLINE_MS, 4)
+            answer = await self.client.exchange(head + b"paid", DEADLINE_MS / 1000)
+            if answer is None:
+                self.lost = name
+            self.served += 1
+
+
+async def play(vm: Vm, deployment: Fleet, servers: list[Backend], record: Record) -> bool:
+    """Write the configurations and ask each route once; return the verdict."""
+    posters = [Poster(vm, number) for number in range(OTHERS)]
+    tasks = [asyncio.create_task(poster.run()) for poster in posters]
+    await asyncio.sleep(CONTACT_S)
+    for number in range(1, CONFIGURATIONS + 1):
+        put_configuration(deployment, number, record)
+        await asyncio.sleep(APPLIED_S)
+        paths = [f"/{each['Name']}/{number}" for each in routes_of(number)]
+        served = await ask_each(vm, paths, DEADLINE_MS)
+        record.note(
+            f"clients: {served} of {len(paths)} requests served, one on each route; "
+            f"memory of the process: {vm.memory_mib('VmRSS'):.0f} MiB"
+        )
+        if not vm.running:
+            break
+    await asyncio.sleep(WORK_S / 2)
+    passed_on = {run.request_id for server in servers for run in server.runs}
+    lost = [poster.lost for poster in posters if poster.lost in passed_on]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    record.note(f"payments served: {sum(poster.served for poster in posters) - len(lost)}")
     record.note(f"kept connections closed without an answer after a request was passed on: {lost}")
-    record.note(f"most memory of the process: {vm.memory_mib():.0f} MiB (0 for one that has ended)")
     return len(lost) <= MOST_CLOSED
 
 
 async def run(record: Record) -> bool:
     """Run the case; return whether the rule held."""
-    servers = [Backend(f"i-{each}", record, work_s=WORK_S) for each in range(3)]
+    quiet = Record(record.path.with_name("servers.tmp"))
+    lookups = [Backend(f"i-look-{each}", quiet, work_s=0.002) for each in range(4)]
+    postings = [Backend(f"i-post-{each}", quiet, work_s=WORK_S) for each in range(3)]
     async with contextlib.AsyncExitStack() as stack:
+        stack.callback(quiet.path.unlink)
         deployment = await stack.enter_async_context(fleet(1))
-        for server in servers:
+        for server in (*lookups, *postings):
             await stack.enter_async_context(server.listening())
         [vm] = deployment.vms
         vm.limit(MemoryMb=MEMORY_MB, CpuShare=0.43, LinkMbps=100.0)
-        routes = [route("manifest", "upload", "docintake", f"{DEADLINE_MS}ms")]
-        deployment.store.put("op/config", configuration("r7", ["docintake"], routes))
-        for server in servers:
-            deployment.store.put(f"servers/{server.server_id}", server.entry("docintake"))
+        put_configuration(deployment, 0, record)
+        for service, group in (("egyenleg", lookups), ("befizetes", postings)):
+            for server in group:
+                deployment.store.put(f"servers/{server.server_id}", server.entry(service))
         await vm.start()
         await vm.ready()
-        platform = asyncio.create_task(enforce_memory(vm, record))
+        record.note(f"memory of the process: {vm.memory_mib('VmRSS'):.0f} MiB")
+        platform = asyncio.create_task(enforce_memory(vm, MEMORY_MB, record))
         try:
-            return await play(vm, servers, record)
+            return await play(vm, deployment, postings, record)
         finally:
             platform.cancel()
             await asyncio.gather(platform, return_exceptions=True)
--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:. exec python3 review/6/case.py
--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -15,9 +15,9 @@
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from pathlib import Path
-from typing import Any, NamedTuple, Optional
+from typing import Any, NamedTuple, Optional, Union
 
 from standins.consortium_store import StoreStandIn
 from tools.entry_vm import EntryVm, own_address
@@ -35,6 +35,8 @@
 OK = 200
 HOST = "quotes.example"
 _READY_TIMEOUT_S = 20.0
+_MEMORY_POLL_S = 0.005
+_REQUESTERS = 16
 _DEPLOY_COMMAND = ("python3", "platform/main.py")
 
 
@@ -147,7 +149,7 @@
     Args:
         server_id: Its id.
         record: The record of the case.
-        work_s: Time of its work after the body was read.
+        work_s: Time of its work after the body was read, or what returns it by the request's id.
         pause_s: Returns the time for which it stops to read after the start of a body.
         window_bytes: Size of its receive buffers; None for the system's own.
     """
@@ -157,13 +159,13 @@
         server_id: str,
         record: Record,
         *,
-        work_s: float,
+        work_s: Union[float, Callable[[str], float]],
         pause_s: Callable[[int], float] = lambda _size: 0.0,
         window_bytes: Optional[int] = None,
     ) -> None:
         self.server_id = server_id
         self.record = record
-        self.work_s = work_s
+        self.work_s = work_s if callable(work_s) else lambda _id: work_s
         self.pause_s = pause_s
         self.window_bytes = window_bytes
         self.runs: list[Run] = []
@@ -221,7 +223,7 @@
             self.broken_off.append(request_id)
             self.record.note(f"server {self.server_id}: the sender broke {request_id} off")
             raise
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(self.work_s(request_id))
         self.record.note(f"server {self.server_id} answers {request_id}")
         signature = f"X-Request-Id: {request_id}\r\nX-Response-Signature: {self.server_id}.1\r\n"
         self._write(writer, signature, request_id.encode())
@@ -363,6 +365,34 @@
         return 0.0
 
 
+async def enforce_memory(vm: Vm, memory_mb: float, record: Record) -> None:
+    """Kill the process of an entry VM once it is over its memory, as the platform does."""
+    while (used := vm.memory_mib()) <= memory_mb:
+        await asyncio.sleep(_MEMORY_POLL_S)
+    record.note(f"platform: {vm.name} has used {used:.0f} MiB of {memory_mb}: killed")
+    await vm.end()
+
+
+async def ask_each(vm: Vm, paths: Iterable[str], deadline_ms: int) -> int:
+    """Send one request on each path, some at once; return how many were served."""
+    waiting = iter(paths)
+    served = 0
+
+    async def ask() -> None:
+        nonlocal served
+        client = KeptConnection(vm.addresses["Front"])
+        for path in waiting:
+            head = request_head("GET", path, path.strip("/").replace("/", "-"), deadline_ms)
+            answer = await client.exchange(head, deadline_ms / 1000)
+            if answer is None:
+                break
+            served += answer.status == OK
+        client.close()
+
+    await asyncio.gather(*(ask() for _ in range(_REQUESTERS)))
+    return served
+
+
 class Fleet:
     """The store and the entry VMs of one case.
 
