Metrics: rows kept by the names of routes and services, and peak memory

Change: gauges state_rows by table and memory_peak_bytes on /metrics. A part that keeps rows by the name of a route or service lists its tables.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -71,6 +71,7 @@
 from .servers.probe import Prober
 from .servers.start_doubts import StartDoubts
 from .settings import GatewaySettings
+from .state.named_state import NamedState
 from .state.outages import StoreOutages
 from .state.store_view import StoreView
 from .statements.server_quotas import FleetServerQuotas, ServerQuotas
@@ -111,6 +112,7 @@
         requests=requests,
         region_reporter=region_reporter,
         load_sharing=make_load_sharing(context, state, fleet, servers),
+        named_state=make_named_state(context, servers, regions, requests),
     )
 
 
@@ -411,12 +413,13 @@
     )
     process_end = ProcessEnd()
     relay_pool = ConnectionPool(context.adapter.names.request_id, context.monotonic)
+    relay = _relay(context, state, servers, gossip, relay_pool, process_end)
     pipeline = Pipeline(
         state.view,
         ServerChoice(ranker, selector, crashes.quarantine, server_quotas, admission),
         _sender(context, servers, crashes, server_quotas, process_end),
         workspaces.admission,
-        _relay(context, state, servers, gossip, relay_pool, process_end),
+        relay,
         bounds=settings.bounds,
         timing=context.timing,
     )
@@ -438,7 +441,8 @@
         monotonic=context.monotonic,
         requests_per_s=gossip.requests_per_s,
     )
-    return Requests(pipeline, app, relay_app, relay_pool)
+    owners = (pipeline, moves, admission, relay)
+    return Requests(pipeline, app, relay_app, relay_pool, owners)
 
 
 def _relay(
@@ -488,6 +492,29 @@
     )
 
 
+def make_named_state(
+    context: Context, servers: Servers, regions: Regions, requests: Requests
+) -> NamedState:
+    """Create the part that counts what is kept by the names of routes and services.
+
+    Args:
+        context: Common dependencies.
+        servers: The parts that track backend servers.
+        regions: The parts that steer between regions.
+        requests: The parts that process requests.
+    """
+    return NamedState(
+        (
+            context.events,
+            servers.registry,
+            servers.outliers,
+            servers.estimates,
+            regions.shares,
+            *requests.named_state_owners,
+        ),
+    )
+
+
 def make_region_reporter(
     context: Context, state: State, fleet: Fleet, regions: Regions, requests: Requests
 ) -> RegionReporter:
--- a/sprucewinch/gateway/decision_log.py
+++ b/sprucewinch/gateway/decision_log.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Optional
 
 import msgspec
@@ -17,6 +17,7 @@
 from .requests.outcome.process_end import ProcessEnd, StopOutcome
 from .requests.request_log import RequestLog
 from .resources import RouteConfiguration
+from .state.named_state import NamedStateOwner, NamedTable, NameKind
 from .state.store_view import Change
 from .telemetry.latency_histograms import LatencyHistograms
 from .telemetry.line_rate import LineRate
@@ -28,7 +29,7 @@
 """Decimal places of the wall-clock time in seconds, which give it to the millisecond."""
 
 
-class DecisionLog(EventLog, RequestLog):
+class DecisionLog(EventLog, RequestLog, NamedStateOwner):
     """Writes lines and keeps the counters.
 
     Lines beyond the rate limit are dropped and counted, plain answers first.
@@ -54,6 +55,10 @@
         self.configuration_version = 0
         self.line_rate = LineRate(monotonic())
 
+    def named_tables(self) -> Iterable[NamedTable]:
+        """Return the histograms by route; see `NamedStateOwner`."""
+        return (NamedTable("latency_by_route", NameKind.ROUTE, self.latency.by_route),)
+
     def state(self, event: str, **fields: Any) -> None:
         """Write a line about a change of the process's state."""
         self._write_line(event, fields, plain=False)
--- a/sprucewinch/gateway/parts.py
+++ b/sprucewinch/gateway/parts.py
@@ -44,6 +44,7 @@
 from .servers.pool import ConnectionPool
 from .servers.probe import Prober
 from .settings import GatewaySettings
+from .state.named_state import NamedState, NamedStateOwner
 from .state.outages import StoreOutages
 from .state.store import Store
 from .state.store_view import StoreView
@@ -148,12 +149,13 @@
 
 
 class Requests(NamedTuple):
-    """The parts that process requests."""
+    """The parts that process requests, and those of them that keep rows by name."""
 
     pipeline: Pipeline
     app: GatewayApp
     relay_app: RelayApp
     relay_pool: ConnectionPool
+    named_state_owners: tuple[NamedStateOwner, ...]
 
 
 class Parts(NamedTuple):
@@ -168,3 +170,4 @@
     requests: Requests
     region_reporter: RegionReporter
     load_sharing: LoadSharing
+    named_state: NamedState
--- a/sprucewinch/gateway/regions/shares.py
+++ b/sprucewinch/gateway/regions/shares.py
@@ -20,6 +20,7 @@
 `test_gateway_region_reports`.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from ...steering.guard import GuardLimits
@@ -27,6 +28,7 @@
 from ...steering.placement import Shares, make_shares
 from ...steering.shift import ShiftLimit, ShiftLimiter
 from ..servers.backend_registry import BackendRegistry
+from ..state.named_state import NamedStateOwner, NamedTable, NameKind
 from .policies import PolicyTable
 from .region_reports import RegionReports
 from .share_target import share_target
@@ -68,7 +70,7 @@
 """Differs from all inputs, as generations start at 0."""
 
 
-class RegionShares:
+class RegionShares(NamedStateOwner):
     """Shares of the callers of this VM's region, by service.
 
     Args:
@@ -104,6 +106,12 @@
         self.notes: dict[str, tuple[str, ...]] = {}
         self._target_inputs = _NO_INPUTS
 
+    def named_tables(self) -> Iterable[NamedTable]:
+        """Return the shares by service; see `NamedStateOwner`."""
+        yield NamedTable("share_limiters", NameKind.SERVICE, self.limiters)
+        yield NamedTable("share_targets", NameKind.SERVICE, self.targets)
+        yield NamedTable("share_notes", NameKind.SERVICE, self.notes)
+
     def shares(self, service: str, now: float) -> Shares:
         """Return the shares in force of a service; they add up to 1.
 
--- a/sprucewinch/gateway/requests/admission/gate.py
+++ b/sprucewinch/gateway/requests/admission/gate.py
@@ -16,7 +16,7 @@
 
 import math
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple, Optional, Union
 
 from ...estimates.admission_verdict import AdmissionVerdict
@@ -25,6 +25,7 @@
 from ...resources import Route, RouteConfiguration
 from ...servers.backend_registry import BackendRegistry
 from ...servers.backend_server import BackendServer
+from ...state.named_state import NamedStateOwner, NamedTable, NameKind
 from ...state.store_view import Change
 from ..client_request import CallerHistory, ClientRequest
 from ..outcome.return_times import RetryAfterTimes
@@ -95,7 +96,7 @@
         }
 
 
-class AdmissionGate:
+class AdmissionGate(NamedStateOwner):
     """Decides for each request with what this VM knows.
 
     Args:
@@ -124,6 +125,11 @@
         self._rates = ServiceRates(registry, caller_part)
         registry.store_view.listeners.append(self._on_change)
 
+    def named_tables(self) -> Iterable[NamedTable]:
+        """Return what is learned by route and service; see `NamedStateOwner`."""
+        yield NamedTable("usual_waits", NameKind.ROUTE, self._returning.by_route)
+        yield NamedTable("admission_demand", NameKind.SERVICE, self.services)
+
     def _on_change(self, change: Change) -> None:
         """Forget routes and services that a new configuration no longer has."""
         if not isinstance(change.after, RouteConfiguration):
--- a/sprucewinch/gateway/requests/choice/region_moves.py
+++ b/sprucewinch/gateway/requests/choice/region_moves.py
@@ -20,9 +20,11 @@
 """
 
 import math
+from collections.abc import Iterable
 
 from ...._hash import hash64
 from ...regions.shares import SHIFT_WINDOW_S, RegionShares
+from ...state.named_state import NamedStateOwner, NamedTable, NameKind
 
 _CAP_FRACTION = 0.4
 """Fraction of the shift cap by which the part that moves may change; the rest is for changes of the
@@ -83,7 +85,7 @@
         self.part = min(_MAX_PART, self.part + change)
 
 
-class RegionMoves:
+class RegionMoves(NamedStateOwner):
     """This VM's requests that move to another region, by service.
 
     Args:
@@ -99,6 +101,10 @@
         self.vm = vm
         self._services: dict[str, _ServiceMoves] = {}
 
+    def named_tables(self) -> Iterable[NamedTable]:
+        """Return the moves by service; see `NamedStateOwner`."""
+        return (NamedTable("region_moves", NameKind.SERVICE, self._services),)
+
     def may_move(self, service: str) -> bool:
         """Return whether a request of a service may move to another region if it wants to."""
         moves = self._services.get(service)
--- a/sprucewinch/gateway/requests/outcome/return_times.py
+++ b/sprucewinch/gateway/requests/outcome/return_times.py
@@ -54,7 +54,7 @@
         self.registry = registry
         self.rng = rng
         self.schedules: dict[str, RetryAfterSchedule] = {}
-        self._schedules_by_route: dict[str, RetryAfterSchedule] = {}
+        self.by_route: dict[str, RetryAfterSchedule] = {}
         self._schedules_by_kind: dict[Hashable, RetryAfterSchedule] = {}
         self._generation = -1
 
@@ -86,9 +86,9 @@
         Returns:
             Time from now, in seconds.
         """
-        schedule = self._schedules_by_route.get(route)
+        schedule = self.by_route.get(route)
         if schedule is None:
-            schedule = self._schedules_by_route[route] = self._new_schedule()
+            schedule = self.by_route[route] = self._new_schedule()
         wait_s = schedule.retry_after_ms(now, RECOVERY_RATE_PER_S) / MS_PER_S
         return max(until - now, 0.0) + wait_s
 
@@ -131,5 +131,5 @@
         if self._generation != self.registry.generation:
             self._generation = self.registry.generation
             held = self.registry.servers
-            self._schedules_by_route.clear()
+            self.by_route.clear()
             self.schedules = {name: s for name, s in self.schedules.items() if name in held}
--- a/sprucewinch/gateway/requests/pipeline.py
+++ b/sprucewinch/gateway/requests/pipeline.py
@@ -18,7 +18,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Optional, Union
 
 from ...net.body import CallerLeftError
@@ -26,6 +26,7 @@
 from ..quotas.quotas import QuotaEnd
 from ..resources import Route
 from ..settings import Bounds
+from ..state.named_state import NamedStateOwner, NamedTable, NameKind
 from ..state.store_view import StoreView
 from ..timing import Timing
 from ..workspaces.admission import CallerRequest, WorkspaceAdmission
@@ -64,7 +65,7 @@
 """Refusal for each reason why a workspace may not send another request."""
 
 
-class Pipeline:
+class Pipeline(NamedStateOwner):
     """Runs requests.
 
     Args:
@@ -113,6 +114,14 @@
         self.fair_orders: dict[str, FairOrder] = {}
         self.routes = RoutesInForce(store_view, admission)
 
+    def named_tables(self) -> Iterable[NamedTable]:
+        """Return what the steps share by route or service; see `NamedStateOwner`."""
+        yield NamedTable("split_shares", NameKind.ROUTE, self.splits.by_route)
+        yield NamedTable("recovery_schedules", NameKind.ROUTE, self.return_times.by_route)
+        yield NamedTable("demand", NameKind.SERVICE, self.demand)
+        yield NamedTable("fair_orders", NameKind.SERVICE, self.fair_orders)
+        yield from self.budgets.named_tables()
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Apply new limits of the fleet; counted retries and requests are kept."""
         self.admission.set_bounds(bounds)
--- a/sprucewinch/gateway/requests/relay/relay.py
+++ b/sprucewinch/gateway/requests/relay/relay.py
@@ -22,7 +22,7 @@
 
 import abc
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple, Optional
 
 import msgspec
@@ -33,6 +33,7 @@
 from ...resources import Member, Route
 from ...servers.links.server_links import ServerLinks
 from ...servers.pool import ConnectionPool
+from ...state.named_state import NamedStateOwner, NamedTable, NameKind
 from ...timing import Timing
 from ..client_request import (
     STOPPING,
@@ -133,7 +134,7 @@
     answer: Optional[Answer] = None
 
 
-class PeerRelay(Relay):
+class PeerRelay(Relay, NamedStateOwner):
     """Passes requests to other VMs over pooled connections.
 
     Args:
@@ -167,6 +168,10 @@
         self._seen_version = 0
         self._unserved_until: dict[str, float] = {}
 
+    def named_tables(self) -> Iterable[NamedTable]:
+        """Return the pauses by service; see `NamedStateOwner`."""
+        return (NamedTable("relay_pauses", NameKind.SERVICE, self._unserved_until),)
+
     async def serve(
         self, request: ClientRequest, route: Route, take_retry: TakeRetry
     ) -> Optional[Reply]:
--- a/sprucewinch/gateway/requests/retry_budget.py
+++ b/sprucewinch/gateway/requests/retry_budget.py
@@ -19,10 +19,11 @@
 `test_gateway_fleet_limits`, `test_gateway_pipeline.Repeats`, `test_gateway_pipeline.OwnFailures`.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 from ..events import EventLog
 from ..settings import Bounds
+from ..state.named_state import NamedStateOwner, NamedTable, NameKind
 from .expiring_tokens import ExpiringTokens
 from .sliding_count import SlidingCount
 
@@ -121,7 +122,7 @@
             self._added_until += _STEP_S
 
 
-class RetryBudgets:
+class RetryBudgets(NamedStateOwner):
     """The retry budgets of all services at this VM.
 
     Args:
@@ -161,6 +162,11 @@
         self._counted_at = float("-inf")
         self._logged_at: dict[str, float] = {}
 
+    def named_tables(self) -> Iterable[NamedTable]:
+        """Return the budgets by service; see `NamedStateOwner`."""
+        yield NamedTable("retry_budgets", NameKind.SERVICE, self._by_service)
+        yield NamedTable("retry_budget_lines", NameKind.SERVICE, self._logged_at)
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Apply new limits; see `WindowRetryBudget.set_bounds`."""
         self.bounds = bounds
--- a/sprucewinch/gateway/requests/split.py
+++ b/sprucewinch/gateway/requests/split.py
@@ -73,13 +73,13 @@
     """The running shares of all split routes."""
 
     def __init__(self) -> None:
-        self._shares: dict[str, RunningShares] = {}
+        self.by_route: dict[str, RunningShares] = {}
 
     def service(self, route: Route, key: str) -> str:
         """Return the service that handles a request on a route."""
         if len(route.parts) == 1:
             return route.parts[0].service
-        shares = self._shares.get(route.name)
+        shares = self.by_route.get(route.name)
         if shares is None or shares.parts != route.parts:
-            shares = self._shares[route.name] = RunningShares(route.parts)
+            shares = self.by_route[route.name] = RunningShares(route.parts)
         return shares.choose(key)
--- a/sprucewinch/gateway/servers/backend_registry.py
+++ b/sprucewinch/gateway/servers/backend_registry.py
@@ -12,6 +12,7 @@
 from ..membership.known_vms import KnownVms
 from ..resources import BackendEntry, Evacuation, RouteConfiguration
 from ..settings import Bounds
+from ..state.named_state import NamedStateOwner, NamedTable, NameKind
 from ..state.outages import StoreOutages
 from ..state.store_view import Change, StoreView
 from ..statements.load_report import LoadReport
@@ -55,7 +56,7 @@
     since: float
 
 
-class BackendRegistry:
+class BackendRegistry(NamedStateOwner):
     """All backend servers, updated with the store's items as this VM holds them.
 
     Args:
@@ -107,6 +108,17 @@
         self.doubts_listed = False
         store_view.listeners.append(self._on_change)
 
+    def named_tables(self) -> Iterable[NamedTable]:
+        """Return what is learned by route and service; see `NamedStateOwner`."""
+        yield NamedTable("work_times_by_route", NameKind.ROUTE, self.work_times.by_route)
+        yield NamedTable("work_times", NameKind.SERVICE, self.work_times.by_service)
+        yield NamedTable("usual_loads", NameKind.SERVICE, self.usual_loads)
+        yield NamedTable("typical_times", NameKind.SERVICE, self.times.typical_s)
+        yield NamedTable("low_quantiles", NameKind.SERVICE, self.times.low_quantiles_s)
+        yield NamedTable("answer_counts", NameKind.SERVICE, self.times.answer_counts)
+        answered = self.cold_limit.answered_fraction
+        yield NamedTable("cold_answers", NameKind.SERVICE, answered)
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Replace the fleet's bounds."""
         self.cold_limit.set_bounds(bounds)
--- a/sprucewinch/gateway/servers/capacity/live_estimates.py
+++ b/sprucewinch/gateway/servers/capacity/live_estimates.py
@@ -18,11 +18,13 @@
 """
 
 import math
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from ...estimates.server_estimate import ServerEstimate, ServerEstimates
 from ...estimates.service_room import ServiceRoom, sum_room
 from ...resources import BackendEntry
+from ...state.named_state import NamedStateOwner, NamedTable, NameKind
 from ..backend_registry import BackendRegistry
 from ..backend_server import BackendServer
 from ..outliers import OutlierDetector
@@ -45,7 +47,7 @@
     at: float
 
 
-class LiveEstimates(ServerEstimates):
+class LiveEstimates(ServerEstimates, NamedStateOwner):
     """Estimates from what this VM knows of the servers in its registry.
 
     Args:
@@ -60,6 +62,10 @@
         self.warm_objects = WarmObjects(registry, outliers.sent_objects)
         self._rooms: dict[tuple[str, str], _CachedRoom] = {}
 
+    def named_tables(self) -> Iterable[NamedTable]:
+        """Return the rooms by service and region; see `NamedStateOwner`."""
+        return (NamedTable("service_rooms", NameKind.SERVICE, self._rooms),)
+
     def estimate(self, backend: BackendEntry, route: str, key: str, now: float) -> ServerEstimate:
         """Return what is expected of a server for one request; see `ServerEstimates`."""
         server = self.registry.servers.get(backend.id) or BackendServer(backend)
--- a/sprucewinch/gateway/servers/capacity/service_times.py
+++ b/sprucewinch/gateway/servers/capacity/service_times.py
@@ -52,8 +52,8 @@
     def __init__(self) -> None:
         self.typical_s: dict[str, float] = {}
         self.latency_target_s: dict[str, float] = {}
-        self._low_quantile_s: dict[str, float] = {}
-        self._answers: dict[str, int] = {}
+        self.low_quantiles_s: dict[str, float] = {}
+        self.answer_counts: dict[str, int] = {}
 
     def set_latency_targets(self, configuration: RouteConfiguration) -> None:
         """Take each service's shortest latency target from a configuration's routes."""
@@ -68,16 +68,16 @@
         """Record an answer and the time it took, in seconds, waiting included."""
         held = self.typical_s.get(service, seconds)
         self.typical_s[service] = held + _LATENCY_WEIGHT * (seconds - held)
-        low_s = self._low_quantile_s.get(service, seconds)
-        self._low_quantile_s[service] = low_s * (
+        low_s = self.low_quantiles_s.get(service, seconds)
+        self.low_quantiles_s[service] = low_s * (
             _LOW_QUANTILE_INCREASE_FACTOR if seconds >= low_s else _LOW_QUANTILE_DECREASE_FACTOR
         )
-        self._answers[service] = self._answers.get(service, 0) + 1
+        self.answer_counts[service] = self.answer_counts.get(service, 0) + 1
 
     def low_quantile_s(self, service: str) -> float:
         """Return the time that nearly all answers of a service exceed, in seconds; 0 if unknown."""
-        known = self._answers.get(service, 0) >= _MIN_SAMPLES
-        return self._low_quantile_s[service] if known else 0.0
+        known = self.answer_counts.get(service, 0) >= _MIN_SAMPLES
+        return self.low_quantiles_s[service] if known else 0.0
 
     def overload_queue_ratio(self, service: str) -> float:
         """Return how many requests may wait for each slot before a server is overloaded."""
--- a/sprucewinch/gateway/servers/outliers.py
+++ b/sprucewinch/gateway/servers/outliers.py
@@ -32,10 +32,11 @@
 """
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple, Optional
 
 from ..events import EventLog, NoEvents
+from ..state.named_state import NamedStateOwner, NamedTable, NameKind
 from .backend_registry import BackendRegistry
 from .backend_server import BackendServer
 from .capacity.work_times import work_without_queue_s
@@ -149,15 +150,15 @@
 class TypicalWork:
     """The usual work of each service: a running median of times without queueing."""
 
-    __slots__ = ("_counts", "_seconds")
+    __slots__ = ("sample_counts", "typical_s")
 
     def __init__(self) -> None:
-        self._seconds: dict[str, float] = {}
-        self._counts: dict[str, int] = {}
+        self.typical_s: dict[str, float] = {}
+        self.sample_counts: dict[str, int] = {}
 
     def seconds(self, service: str) -> float:
         """Return the usual work of a service, in seconds; 0 if not known."""
-        return self._seconds.get(service, 0.0)
+        return self.typical_s.get(service, 0.0)
 
     def is_slow(self, service: str, work_s: float, factor: float = _SLOW_FACTOR) -> bool:
         """Return whether a request took far longer than usual, and update the usual work with it.
@@ -167,16 +168,16 @@
             work_s: Work of the request, in seconds.
             factor: Multiple of the usual work beyond which it is slow.
         """
-        typical_s = self._seconds.get(service, work_s)
-        count = self._counts.get(service, 0)
-        self._counts[service] = count + 1
-        self._seconds[service] = typical_s * (
+        typical_s = self.typical_s.get(service, work_s)
+        count = self.sample_counts.get(service, 0)
+        self.sample_counts[service] = count + 1
+        self.typical_s[service] = typical_s * (
             1 + _MEDIAN_STEP if work_s > typical_s else 1 - _MEDIAN_STEP
         )
         return count >= _MIN_SAMPLES and work_s > factor * typical_s
 
 
-class OutlierDetector:
+class OutlierDetector(NamedStateOwner):
     """Decides which servers of the registry are ejected.
 
     Args:
@@ -262,6 +263,12 @@
             return not self.registry.cold_limit.tries_first(server.backend)
         return now < history.ejected_until
 
+    def named_tables(self) -> Iterable[NamedTable]:
+        """Return the usual work by service; see `NamedStateOwner`."""
+        work = self.typical_work
+        yield NamedTable("typical_work", NameKind.SERVICE, work.typical_s)
+        yield NamedTable("typical_work_samples", NameKind.SERVICE, work.sample_counts)
+
     def drop_removed(self) -> None:
         """Drop the histories of servers that are no longer in the registry."""
         servers = self.registry.servers
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -5,6 +5,7 @@
 change.
 """
 
+import resource
 from collections.abc import Iterable
 
 from ..net.connection_counts import ListenerConnection
@@ -12,6 +13,9 @@
 from .parts import Context, Parts
 from .servers.capacity.live_estimates import MAX_REPORT_AGE_S
 
+_BYTES_PER_KIB = 1024
+"""Bytes in a kibibyte, the unit in which the system states a process's memory."""
+
 
 def vm_metrics(
     context: Context, parts: Parts, connections: Iterable[ListenerConnection] = ()
@@ -55,11 +59,22 @@
         **_statement_gauges(parts, now),
         **_load_gauges(parts, now),
         **connection_gauges(connections),
+        **_memory_gauges(parts),
         "neighbour_deltas": parts.fleet.peer_follower.deltas_applied,
     }
     return context.events.report(gauges)
 
 
+def _memory_gauges(parts: Parts) -> dict[str, float]:
+    """Return the peak memory of this process, and the rows that it keeps by name."""
+    peak_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    rows = parts.named_state.row_counts().items()
+    return {
+        "memory_peak_bytes": peak_kib * _BYTES_PER_KIB,
+        **{f'state_rows{{table="{title}"}}': count for title, count in rows},
+    }
+
+
 def _statement_gauges(parts: Parts, now: float) -> dict[str, float]:
     """Return the numbers of backend servers that are leaving, limited or resting.
 
