What is kept by the name of a route or service ends with the name

Cause: nothing ended what is kept by a name. Histograms of 25 KB stayed for each route that ever answered, running shares for each split route, and rows in some fifteen tables for each service. Change: state/named_state is told of each configuration and deletes the rows of removed names in all tables that the parts list. A histogram allocates the buckets that it uses, with the same values as before.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -112,7 +112,7 @@
         requests=requests,
         region_reporter=region_reporter,
         load_sharing=make_load_sharing(context, state, fleet, servers),
-        named_state=make_named_state(context, servers, regions, requests),
+        named_state=make_named_state(context, state, servers, regions, requests),
     )
 
 
@@ -493,17 +493,19 @@
 
 
 def make_named_state(
-    context: Context, servers: Servers, regions: Regions, requests: Requests
+    context: Context, state: State, servers: Servers, regions: Regions, requests: Requests
 ) -> NamedState:
-    """Create the part that counts what is kept by the names of routes and services.
+    """Create the part that drops what is kept by names that the configuration no longer has.
 
     Args:
         context: Common dependencies.
+        state: The parts that keep a copy of the store's items.
         servers: The parts that track backend servers.
         regions: The parts that steer between regions.
         requests: The parts that process requests.
     """
     return NamedState(
+        state.view,
         (
             context.events,
             servers.registry,
--- a/sprucewinch/gateway/lifecycle/upkeep.py
+++ b/sprucewinch/gateway/lifecycle/upkeep.py
@@ -37,6 +37,7 @@
         self.workspaces = parts.workspaces
         self.regions = parts.regions
         self.requests = parts.requests
+        self.named_state = parts.named_state
         self.reload_if_changed = reload_if_changed
         self.monotonic = monotonic
         self.tick_s = tick_s
@@ -65,13 +66,14 @@
         self.workspaces.quotas.sweep()
 
     def _sweep(self) -> None:
-        """Close old connections, forget removed servers and reload changed settings."""
+        """Close old connections, forget what is removed and reload changed settings."""
         self.servers.pool.sweep()
         self.requests.relay_pool.sweep()
         self.servers.outliers.drop_removed()
         registry = self.servers.registry
         registry.forget_old(self.monotonic())
         forget_unstated(self.workspaces.quotas, registry.statement_table)
+        self.named_state.sweep(self.monotonic())
         self._limit_connections()
         self.reload_if_changed()
 
--- a/sprucewinch/gateway/requests/retry_budget.py
+++ b/sprucewinch/gateway/requests/retry_budget.py
@@ -111,6 +111,10 @@
         self._add_slack(now, vm_count)
         return self.tokens.has_one(now)
 
+    def has_counts(self, now: float) -> bool:
+        """Return whether requests or retries of the current window are counted."""
+        return self.requests.count(now) > 0 or self.retries.count(now) > 0
+
     def _add_slack(self, now: float, vm_count: int) -> None:
         """Add this VM's share of the slack for the time since the last call."""
         per_s = (
@@ -164,7 +168,9 @@
 
     def named_tables(self) -> Iterable[NamedTable]:
         """Return the budgets by service; see `NamedStateOwner`."""
-        yield NamedTable("retry_budgets", NameKind.SERVICE, self._by_service)
+        yield NamedTable(
+            "retry_budgets", NameKind.SERVICE, self._by_service, needs=self._has_counts
+        )
         yield NamedTable("retry_budget_lines", NameKind.SERVICE, self._logged_at)
 
     def set_bounds(self, bounds: Bounds) -> None:
@@ -216,6 +222,10 @@
             self._vm_count, self._counted_at = self.vm_count(), now
         return self._vm_count
 
+    def _has_counts(self, service: str, now: float) -> bool:
+        """Return whether a new budget of a service would grant more than the one that is held."""
+        return self._by_service[service].has_counts(now)
+
     def _log_spent(self, service: str, now: float, vm_count: int) -> None:
         if now - self._logged_at.get(service, float("-inf")) < _LOG_PAUSE_S:
             return
--- a/sprucewinch/gateway/servers/capacity/live_estimates.py
+++ b/sprucewinch/gateway/servers/capacity/live_estimates.py
@@ -19,6 +19,7 @@
 
 import math
 from collections.abc import Iterable
+from operator import itemgetter
 from typing import NamedTuple
 
 from ...estimates.server_estimate import ServerEstimate, ServerEstimates
@@ -64,7 +65,7 @@
 
     def named_tables(self) -> Iterable[NamedTable]:
         """Return the rooms by service and region; see `NamedStateOwner`."""
-        return (NamedTable("service_rooms", NameKind.SERVICE, self._rooms),)
+        return (NamedTable("service_rooms", NameKind.SERVICE, self._rooms, name_of=itemgetter(0)),)
 
     def estimate(self, backend: BackendEntry, route: str, key: str, now: float) -> ServerEstimate:
         """Return what is expected of a server for one request; see `ServerEstimates`."""
--- a/sprucewinch/gateway/telemetry/latency_histograms.py
+++ b/sprucewinch/gateway/telemetry/latency_histograms.py
@@ -1,9 +1,11 @@
 """Histograms of the time from a request's arrival to its answer, one for each route.
 
-Owns the histograms and their lines on `/metrics`. Relies on `hdrh`.
+Owns the histograms and their lines on `/metrics`. A route's histogram is dropped when the
+configuration no longer has the route (`state.named_state`); one that returns begins anew. Relies on
+`sparse_histogram`. Tests: `test_gateway_latency_histograms`.
 """
 
-from hdrh.histogram import HdrHistogram
+from .sparse_histogram import SparseHistogram
 
 _US_PER_S = 1e6
 """Microseconds in a second; the histograms count in microseconds."""
@@ -11,16 +13,6 @@
 _US_PER_MS = 1000
 """Microseconds in a millisecond; the lines on `/metrics` are in milliseconds."""
 
-_MAX_LATENCY_US = 600_000_000
-"""Largest latency that a histogram can record: ten minutes, in microseconds.
-
-It is twice the longest wait that a caller may ask for (`MAX_WAIT_S` in
-`requests.outcome.hold_time`).
-"""
-
-_SIGNIFICANT_DIGITS = 2
-"""Decimal digits of precision of a histogram."""
-
 _PERCENTILES = (50, 90, 99)
 """Percentiles on `/metrics`; monitoring reads them by these numbers."""
 
@@ -29,7 +21,7 @@
     """Latency histograms of all routes that have answered a request."""
 
     def __init__(self) -> None:
-        self.by_route: dict[str, HdrHistogram] = {}
+        self.by_route: dict[str, SparseHistogram] = {}
 
     def observe(self, route: str, seconds: float) -> None:
         """Record the latency of one answer.
@@ -40,14 +32,15 @@
         """
         histogram = self.by_route.get(route)
         if histogram is None:
-            histogram = self.by_route[route] = HdrHistogram(1, _MAX_LATENCY_US, _SIGNIFICANT_DIGITS)
-        histogram.record_value(max(1, int(seconds * _US_PER_S)))
+            histogram = self.by_route[route] = SparseHistogram()
+        histogram.record(max(1, int(seconds * _US_PER_S)))
 
     def lines(self) -> list[str]:
         """Return the percentiles of all routes as lines of name and value, in milliseconds."""
         lines = []
         for route, histogram in sorted(self.by_route.items()):
-            for percentile in _PERCENTILES:
-                value = histogram.get_value_at_percentile(percentile) / _US_PER_MS
-                lines.append(f'latency_ms{{route="{route}",quantile="{percentile}"}} {value:g}')
+            values_us = histogram.percentiles(_PERCENTILES)
+            for percentile, value_us in zip(_PERCENTILES, values_us, strict=True):
+                value_ms = value_us / _US_PER_MS
+                lines.append(f'latency_ms{{route="{route}",quantile="{percentile}"}} {value_ms:g}')
         return lines
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -13,8 +13,8 @@
 from .parts import Context, Parts
 from .servers.capacity.live_estimates import MAX_REPORT_AGE_S
 
-_BYTES_PER_KIB = 1024
-"""Bytes in a kibibyte, the unit in which the system states a process's memory."""
+_KIB_PER_MIB = 1024
+"""Kibibytes in a mebibyte; the system states a process's peak memory in kibibytes."""
 
 
 def vm_metrics(
@@ -70,7 +70,7 @@
     peak_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     rows = parts.named_state.row_counts().items()
     return {
-        "memory_peak_bytes": peak_kib * _BYTES_PER_KIB,
+        "memory_peak_mib": peak_kib / _KIB_PER_MIB,
         **{f'state_rows{{table="{title}"}}': count for title, count in rows},
     }
 
