Metrics are rendered in slices, once for fetches that overlap

Cause: the percentiles of all routes were computed in one step of the event loop, 0.6 ms a route, for each fetch anew. Change: SharedText renders part by part in slices of 2 ms; requests that overlap share one rendering. Steps whose work grows with configuration, servers or VMs are measured: loop_hold_max_ms, loop_holds_long, loop_late_ms, event loop-hold.

--- a/sprucewinch/gateway/composition.py
+++ b/sprucewinch/gateway/composition.py
@@ -124,7 +124,7 @@
         on_unreadable: Called with the key of an item that cannot be read and the cause.
     """
     settings, adapter = context.settings, context.adapter
-    view = StoreView(adapter.decoder, on_unreadable)
+    view = StoreView(adapter.decoder, on_unreadable, events=context.events)
     view.on_era.append(
         lambda era: context.events.state("store-era", era=era, after=view.replica.complete_revision)
     )
--- a/sprucewinch/gateway/daemon.py
+++ b/sprucewinch/gateway/daemon.py
@@ -10,7 +10,7 @@
 import gc
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Optional
 
 from .. import log
@@ -30,6 +30,7 @@
 from .platform_adapter import PlatformAdapter
 from .requests.relay.relay_message import RELAY_PREFIX
 from .settings import GatewaySettings
+from .shared_text import SharedText
 from .vm_metrics import vm_metrics
 from .vm_state import vm_state
 
@@ -115,6 +116,7 @@
             reload_if_changed=self.reloader.reload_if_changed,
             monotonic=self.clock.monotonic,
             tick_s=_TICK_INTERVAL_S,
+            events=self.events,
         )
 
     def _make_shutdown(self) -> Shutdown:
@@ -180,11 +182,13 @@
         monotonic = self.clock.monotonic
         callers = self.requests.app
         await self.listeners.serve(settings.caller_address, callers, callers.answers)
-        peers = PeerApp(RELAY_PREFIX, self.requests.relay_app, DeltaApp(self.state.view))
+        peers = PeerApp(
+            RELAY_PREFIX, self.requests.relay_app, DeltaApp(self.state.view, self.events)
+        )
         await self.listeners.serve(settings.peer_address, peers, callers.answers)
         apps: dict[str, AsgiApp] = {
             settings.ready_address: self.adapter.ready_app(self.ready),
-            settings.metrics_address: TextApp({"/metrics": self._report, "/state": self._state}),
+            settings.metrics_address: self._text_app(),
         }
         if settings.directory_address:
             apps[settings.directory_address] = self.adapter.directory_app(
@@ -226,8 +230,17 @@
         self.events.count("loop_faults")
         self.events.state("fault", loop=loop.__qualname__, error=repr(error))
 
-    def _state(self) -> str:
-        return vm_state(self.context, self.parts).to_json()
+    def _state(self) -> Iterator[str]:
+        yield vm_state(self.context, self.parts).to_json()
 
-    def _report(self) -> str:
+    def _report(self) -> Iterator[str]:
         return vm_metrics(self.context, self.parts, self.listeners.connections())
+
+    def _text_app(self) -> TextApp:
+        texts = {"/metrics": ("metrics", self._report), "/state": ("state", self._state)}
+        return TextApp(
+            {
+                path: SharedText(step, parts, monotonic=self.clock.monotonic, events=self.events)
+                for path, (step, parts) in texts.items()
+            }
+        )
--- a/sprucewinch/gateway/decision_log.py
+++ b/sprucewinch/gateway/decision_log.py
@@ -6,8 +6,9 @@
 change.
 """
 
+import contextlib
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Optional
 
 import msgspec
@@ -21,6 +22,7 @@
 from .state.store_view import Change
 from .telemetry.latency_histograms import LatencyHistograms
 from .telemetry.line_rate import LineRate
+from .telemetry.loop_holds import LoopHolds
 
 _MS_PER_S = 1000
 """Milliseconds in a second; durations in lines are in milliseconds."""
@@ -52,6 +54,7 @@
         self.wall = wall
         self.counters: Counter[str] = Counter()
         self.latency = LatencyHistograms()
+        self.loop_holds = LoopHolds()
         self.configuration_version = 0
         self.line_rate = LineRate(monotonic())
 
@@ -67,6 +70,17 @@
         """Increment a counter by one."""
         self.counters[counter] += 1
 
+    @contextlib.contextmanager
+    def loop_step(self, step: str) -> Iterator[None]:
+        """Measure how long a step holds the event loop, and log a long hold."""
+        started = self.monotonic()
+        try:
+            yield
+        finally:
+            seconds = self.monotonic() - started
+            if self.loop_holds.record(step, seconds):
+                self.state("loop-hold", step=step, ms=round(seconds * _MS_PER_S, 1))
+
     def learned(self, change: Change) -> None:
         """Write a line about a change in this VM's copy of the store."""
         after = change.after
@@ -161,7 +175,15 @@
         Args:
             gauges: Gauge values by name.
         """
-        lines = [f"{name} {count}" for name, count in sorted(self.counters.items())]
-        lines += [f"{name} {value:g}" for name, value in sorted((gauges or {}).items())]
-        lines += self.latency.lines()
-        return "\n".join(lines) + "\n"
+        return "".join(self.report_parts(gauges or {}))
+
+    def report_parts(self, gauges: dict[str, float]) -> Iterator[str]:
+        """Yield the lines of `report` in parts, of which none grows with the number of routes.
+
+        Args:
+            gauges: Gauge values by name.
+        """
+        lines = [f"{name} {count}\n" for name, count in sorted(self.counters.items())]
+        lines += [f"{name} {value:g}\n" for name, value in sorted(gauges.items())]
+        yield "".join(lines)
+        yield from self.latency.parts()
--- a/sprucewinch/gateway/events.py
+++ b/sprucewinch/gateway/events.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import contextlib
 from typing import Any
 
 
@@ -28,6 +29,14 @@
             counter: Name of the metric; operators and tools read it, so it must not change.
         """
 
+    def loop_step(self, _step: str) -> contextlib.AbstractContextManager[None]:
+        """Measure how long a step holds the event loop; see `telemetry.loop_holds`.
+
+        Args:
+            _step: Name of the step; operators read it, so it must not change.
+        """
+        return contextlib.nullcontext()
+
 
 class NoEvents(EventLog):
     """Discards all events and counts; for parts that are used without a log."""
--- a/sprucewinch/gateway/internal_apps.py
+++ b/sprucewinch/gateway/internal_apps.py
@@ -5,14 +5,16 @@
 for texts. The applications of a platform's adapter also use `send_bytes`.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Any, Optional
 from urllib.parse import parse_qsl
 
 from ..net.asgi import Receive, Send
 from ..net.http_server import AsgiApp
+from .events import EventLog, NoEvents
 from .following.deltas import DELTA_PATH, ITEM_PATH, encode_delta, encode_item
+from .shared_text import SharedText
 from .state.replica import Item
 from .state.store_view import StoreView
 
@@ -66,16 +68,19 @@
 
     Args:
         store_view: This VM's copy of the store.
+        events: Measures how long an answer holds the event loop; None to measure none.
     """
 
-    def __init__(self, store_view: StoreView) -> None:
+    def __init__(self, store_view: StoreView, events: Optional[EventLog] = None) -> None:
         self.store_view = store_view
+        self.events = events or NoEvents()
         self.encoded = EncodedItems()
 
     async def __call__(self, scope: dict[str, Any], _receive: Receive, send: Send) -> None:
         """Serve one request."""
         query = dict(parse_qsl(scope["query_string"].decode("latin-1")))
-        body = self._answer(scope["path"], query)
+        with self.events.loop_step("delta"):
+            body = self._answer(scope["path"], query)
         if body is None:
             await send_bytes(send, HTTPStatus.NOT_FOUND, b"")
             return
@@ -135,13 +140,13 @@
 
 
 class TextApp:
-    """Serves texts that are generated for each request.
+    """Serves texts that are rendered when they are requested.
 
     Args:
-        texts: Functions that generate the text of each path.
+        texts: The text of each path.
     """
 
-    def __init__(self, texts: Mapping[str, Callable[[], str]]) -> None:
+    def __init__(self, texts: Mapping[str, SharedText]) -> None:
         self.texts = texts
 
     async def __call__(self, scope: dict[str, Any], _receive: Receive, send: Send) -> None:
@@ -150,4 +155,4 @@
         if text is None:
             await send_bytes(send, HTTPStatus.NOT_FOUND, b"")
             return
-        await send_bytes(send, HTTPStatus.OK, text().encode())
+        await send_bytes(send, HTTPStatus.OK, await text.render())
--- a/sprucewinch/gateway/lifecycle/upkeep.py
+++ b/sprucewinch/gateway/lifecycle/upkeep.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
+from ..decision_log import DecisionLog
 from ..parts import Parts
 from ..statements.server_quotas import forget_unstated
 
@@ -22,6 +23,7 @@
         reload_if_changed: Reloads the settings if they have changed.
         monotonic: Source of time, in seconds.
         tick_s: Time between two ticks, in seconds.
+        events: Measures how late ticks are, and how long they take.
     """
 
     def __init__(
@@ -31,6 +33,7 @@
         reload_if_changed: Callable[[], bool],
         monotonic: Callable[[], float],
         tick_s: float,
+        events: DecisionLog,
     ) -> None:
         self.state = parts.state
         self.servers = parts.servers
@@ -41,17 +44,26 @@
         self.reload_if_changed = reload_if_changed
         self.monotonic = monotonic
         self.tick_s = tick_s
+        self.events = events
 
     async def run(self) -> None:
         """Tick until cancelled, and sweep after each `_SWEEP_INTERVAL_S`."""
         swept_at = self.monotonic()
         while True:
             now = self.monotonic()
-            self._tick(now)
+            with self.events.loop_step("tick"):
+                self._tick(now)
             if now - swept_at > _SWEEP_INTERVAL_S:
                 swept_at = now
-                self._sweep()
-            await asyncio.sleep(self.tick_s)
+                with self.events.loop_step("sweep"):
+                    self._sweep()
+            await self._wait_for_tick()
+
+    async def _wait_for_tick(self) -> None:
+        """Wait for the next tick, and record by how much the loop is late with it."""
+        due = self.monotonic() + self.tick_s
+        await asyncio.sleep(self.tick_s)
+        self.events.loop_holds.record_late(self.monotonic() - due)
 
     def _tick(self, now: float) -> None:
         if self.state.view.has_configuration:
--- a/sprucewinch/gateway/state/store_view.py
+++ b/sprucewinch/gateway/state/store_view.py
@@ -18,6 +18,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, Optional
 
+from ..events import EventLog, NoEvents
 from ..resources import (
     BackendEntry,
     Evacuation,
@@ -37,6 +38,9 @@
 """Time for which evacuations and VMs are kept that the store has lost, in seconds; below the time
 that the platform gives an evacuation to be in force."""
 
+_APPLY_STEP = "store-changes"
+"""Name of this step among those that hold the event loop."""
+
 
 class MalformedItemError(Exception):
     """An item of the store cannot be decoded; the message gives the reason."""
@@ -85,13 +89,17 @@
     Args:
         decoder: Decodes items.
         on_unreadable: Called with the key of an item that cannot be decoded, and the cause.
+        events: Measures how long changes hold the event loop; None to measure none.
     """
 
     def __init__(
         self,
         decoder: Decoder,
         on_unreadable: Callable[[str, str], None] = lambda _key, _cause: None,
+        *,
+        events: Optional[EventLog] = None,
     ) -> None:
+        self.events = events or NoEvents()
         self.replica = Replica()
         self.decoder = decoder
         self.on_unreadable = on_unreadable
@@ -137,6 +145,10 @@
             delta: The delta.
             now: Monotonic time, in seconds.
         """
+        with self.events.loop_step(_APPLY_STEP):
+            self._apply(delta, now)
+
+    def _apply(self, delta: Delta, now: float) -> None:
         era = era_of(delta.complete_revision)
         if self.replica.complete_revision and era > self.era:
             # Other VMs have to learn of the era before the first change in it.
@@ -155,7 +167,8 @@
             item: The item.
             now: Monotonic time, in seconds.
         """
-        self._decode_changed(self.replica.apply(Delta((item,), (), 0)), now)
+        with self.events.loop_step(_APPLY_STEP):
+            self._decode_changed(self.replica.apply(Delta((item,), (), 0)), now)
 
     def confirm(self, at: float) -> None:
         """Record that a store follower holds no newer revision than this VM.
--- a/sprucewinch/gateway/telemetry/latency_histograms.py
+++ b/sprucewinch/gateway/telemetry/latency_histograms.py
@@ -5,6 +5,8 @@
 `sparse_histogram`. Tests: `test_gateway_latency_histograms`.
 """
 
+from collections.abc import Iterator
+
 from .sparse_histogram import SparseHistogram
 
 _US_PER_S = 1e6
@@ -35,12 +37,11 @@
             histogram = self.by_route[route] = SparseHistogram()
         histogram.record(max(1, int(seconds * _US_PER_S)))
 
-    def lines(self) -> list[str]:
-        """Return the percentiles of all routes as lines of name and value, in milliseconds."""
-        lines = []
+    def parts(self) -> Iterator[str]:
+        """Yield the lines of one route after the other: name and value, in milliseconds."""
         for route, histogram in sorted(self.by_route.items()):
             values_us = histogram.percentiles(_PERCENTILES)
-            for percentile, value_us in zip(_PERCENTILES, values_us, strict=True):
-                value_ms = value_us / _US_PER_MS
-                lines.append(f'latency_ms{{route="{route}",quantile="{percentile}"}} {value_ms:g}')
-        return lines
+            yield "".join(
+                f'latency_ms{{route="{route}",quantile="{percentile}"}} {value_us / _US_PER_MS:g}\n'
+                for percentile, value_us in zip(_PERCENTILES, values_us, strict=True)
+            )
--- a/sprucewinch/gateway/vm_metrics.py
+++ b/sprucewinch/gateway/vm_metrics.py
@@ -6,7 +6,7 @@
 """
 
 import resource
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from ..net.connection_counts import ListenerConnection
 from .connection_metrics import connection_gauges
@@ -19,8 +19,8 @@
 
 def vm_metrics(
     context: Context, parts: Parts, connections: Iterable[ListenerConnection] = ()
-) -> str:
-    """Return the metrics of a VM as lines of name and value.
+) -> Iterator[str]:
+    """Yield the metrics of a VM as lines of name and value, in parts.
 
     Args:
         context: Common dependencies.
@@ -60,9 +60,10 @@
         **_load_gauges(parts, now),
         **connection_gauges(connections),
         **_memory_gauges(parts),
+        **context.events.loop_holds.gauges(),
         "neighbour_deltas": parts.fleet.peer_follower.deltas_applied,
     }
-    return context.events.report(gauges)
+    yield from context.events.report_parts(gauges)
 
 
 def _memory_gauges(parts: Parts) -> dict[str, float]:
--- a/tests/formats_gateway.py
+++ b/tests/formats_gateway.py
@@ -177,11 +177,11 @@
 
     def metrics(self) -> str:
         """Return what `/metrics` shows."""
-        return self.gateway._report()
+        return "".join(self.gateway._report())
 
     def state(self) -> str:
         """Return what `/state` shows."""
-        return self.gateway._state()
+        return "".join(self.gateway._state())
 
     def rows(self, event: str) -> list[dict[str, Any]]:
         """Return the log lines of an event."""
--- a/tests/formats_own.py
+++ b/tests/formats_own.py
@@ -11,6 +11,7 @@
 import socket
 import sys
 import threading
+import time
 from collections.abc import Iterator
 from typing import Any
 from unittest import mock
@@ -21,6 +22,7 @@
 from sprucewinch.clock import Clock
 from sprucewinch.errors import WriteUnknownError
 from sprucewinch.gateway.internal_apps import TextApp
+from sprucewinch.gateway.shared_text import SharedText
 from sprucewinch.hall.node import Node
 from sprucewinch.hall.requests.backend import Attempt
 from sprucewinch.hall.requests.callers import CallerApp
@@ -142,7 +144,8 @@
 
 def state_app(state: str) -> Any:
     """Return the listener on which a VM of the routed request path shows its state."""
-    return TextApp({"/state": lambda: state})
+    text = SharedText("state", lambda: [state], monotonic=time.monotonic)
+    return TextApp({"/state": text})
 
 
 def command(words: list[str], vm: str) -> tuple[int, str, str]:
--- a/tests/test_formats_gateway.py
+++ b/tests/test_formats_gateway.py
@@ -240,6 +240,15 @@
 load_rows_used 0
 load_summaries_received 0
 load_summaries_sent 0
+loop_hold_max_ms{step="store-changes"} 0
+loop_hold_max_ms{step="sweep"} 0
+loop_hold_max_ms{step="tick"} 0
+loop_holds_long{step="store-changes"} 0
+loop_holds_long{step="sweep"} 0
+loop_holds_long{step="tick"} 0
+loop_late_ms{quantile="100"} 0
+loop_late_ms{quantile="50"} 0
+loop_late_ms{quantile="99"} 0
 members 1
 members_open 1
 memory_peak_mib N
--- a/tests/test_gateway_statements.py
+++ b/tests/test_gateway_statements.py
@@ -139,7 +139,7 @@
     """Return the statements that all VMs know: server and limit, None for a leaving server."""
     rows = []
     for vm in fleet.vms:
-        state = json.loads(vm.gateway._state())
+        state = json.loads("".join(vm.gateway._state()))
         rows.append({(row["server"], row["limit_per_s"]) for row in state["statements"]})
     return set.intersection(*rows)
 
