A body is held once while it is sent

Cause: a byte was counted once and held up to four times: the collected body and its copy, the encoded request, the rest that the kernel had not taken, and the transport's buffer. Change: a connection takes head and body apart and hands a long body over in slices, views of the one copy, while the transport takes more. Retries and requests to other VMs use the same way.

--- a/sprucewinch/gateway/crashes/fingerprint.py
+++ b/sprucewinch/gateway/crashes/fingerprint.py
@@ -10,7 +10,7 @@
 
 import hashlib
 from collections.abc import Iterable
-from typing import Optional, Protocol
+from typing import Optional, Protocol, Union
 
 from ..._hash import hash64
 
@@ -43,7 +43,7 @@
     host: str,
     target: str,
     headers: Iterable[tuple[str, str]],
-    body: bytes,
+    body: Union[bytes, bytearray],
     *,
     id_header: str,
 ) -> bytes:
@@ -74,7 +74,7 @@
     path: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: Union[bytes, bytearray]
     target_hash: Optional[int]
     fingerprint: Optional[bytes]
     on_trial: bool
--- a/sprucewinch/gateway/requests/callers/body_reader.py
+++ b/sprucewinch/gateway/requests/callers/body_reader.py
@@ -75,7 +75,8 @@
             if not self.memory.grow(arriving, len(chunk), self.monotonic()):
                 return BodyAdmission.NO_MEMORY
             whole += chunk
-        body.first, body.complete = bytes(whole), True
+        # Not copied to `bytes`: that would hold a long body twice for a moment.
+        body.first, body.complete = whole, True
         return BodyAdmission.ADMITTED
 
 
--- a/sprucewinch/gateway/requests/client_request.py
+++ b/sprucewinch/gateway/requests/client_request.py
@@ -129,7 +129,7 @@
     path: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: Union[bytes, bytearray]
     arrived_at: float
     deadline: float
     key: str = ""
--- a/sprucewinch/gateway/requests/relay/relay.py
+++ b/sprucewinch/gateway/requests/relay/relay.py
@@ -257,9 +257,7 @@
         head = encode_request(request, name, version, self.names.deadline_ms, left_ms)
         request.begin_sending(peer.name, self.timing.monotonic())
         try:
-            answer = await connection.exchange(
-                head + request.body, request_id=request.id, body_length=len(request.body)
-            )
+            answer = await connection.exchange(head, request.body, request_id=request.id)
         except ExchangeFailedError:
             attempt = Attempt(peer.name, Verdict.UNKNOWN, True, LOST)
             return _Passed(attempt, RelayOutcome.UNKNOWN)
--- a/sprucewinch/gateway/requests/sender.py
+++ b/sprucewinch/gateway/requests/sender.py
@@ -170,10 +170,10 @@
             self.pool.give_back(backend.address, connection)
             return Attempt(backend.id, Verdict.NOT_RUN, False, QUARANTINED)
         left_ms = max(MIN_DEADLINE_MS, int((until - self.monotonic()) * MS_PER_S))
-        data = self._encode(request, backend.id, backend.address, left_ms)
+        head = self._encode_head(request, backend.id, backend.address, left_ms)
         request.begin_sending(backend.id, self.monotonic())
         try:
-            answer = await self._answer(selection.server, connection, request, data)
+            answer = await self._answer(selection.server, connection, request, head)
         except ExchangeFailedError as error:
             cause = ENDED if error.ended else str(error)
             return Attempt(backend.id, Verdict.UNKNOWN, True, cause)
@@ -246,15 +246,13 @@
         self.quarantine.record_crash(request, server, started, started + attempt.seconds)
 
     async def _answer(
-        self, server: BackendServer, connection: Connection, request: ClientRequest, data: bytes
+        self, server: BackendServer, connection: Connection, request: ClientRequest, head: bytes
     ) -> Answer:
         """Return the server's answer, unless `_end_attempts` fails the connection first."""
         connections = self._connections_in_use.setdefault(server, set())
         connections.add(connection)
         try:
-            return await connection.exchange(
-                data, request_id=request.id, body_length=len(request.body)
-            )
+            return await connection.exchange(head, request.body, request_id=request.id)
         finally:
             connections.discard(connection)
             if not connections:
@@ -274,11 +272,13 @@
         for connection in connections:
             connection.fail(RESTARTED)
 
-    def _encode(self, request: ClientRequest, server_id: str, address: str, left_ms: int) -> bytes:
+    def _encode_head(
+        self, request: ClientRequest, server_id: str, address: str, left_ms: int
+    ) -> bytes:
         lines = [f"{request.method} {request.target} HTTP/1.1", f"host: {request.host or address}"]
         lines += [f"{name}: {value}" for name, value in request.headers]
         lines.append(f"{self.names.expected}: {server_id}")
         lines.append(f"{self.names.deadline_ms}: {left_ms}")
         if request.body or request.method not in _BODYLESS_METHODS:
             lines.append(f"content-length: {len(request.body)}")
-        return "\r\n".join([*lines, "", ""]).encode("latin-1") + request.body
+        return "\r\n".join([*lines, "", ""]).encode("latin-1")
--- a/sprucewinch/net/body.py
+++ b/sprucewinch/net/body.py
@@ -7,7 +7,7 @@
 
 import abc
 from collections.abc import AsyncIterator
-from typing import Optional
+from typing import Optional, Union
 
 
 class CallerLeftError(Exception):
@@ -21,7 +21,7 @@
     may be sent more than once.
     """
 
-    first: bytes
+    first: Union[bytes, bytearray]
     """Start of the body, as far as it is buffered in memory."""
 
     complete: bool
--- a/sprucewinch/net/connection.py
+++ b/sprucewinch/net/connection.py
@@ -1,7 +1,8 @@
 """Client connection over HTTP/1.1 with strict framing.
 
 Owns the connection, the one request in flight on it, and the check that an answer belongs to that
-request. Never retries a request: its callers decide that. Relies on `_answer_reader` to parse
+request. A long body is sent in slices as the peer reads them, so that it is not held twice. Never
+retries a request: its callers decide that. Relies on `_answer_reader` to parse
 answers, on `_progress_timeout` and `_stall_timeout` for timeouts. Used by the routed path, by the
 store's client and by VMs that fetch from each other. The HTTP client library (aiohttp) is not used
 here, because it reports an answer without a length as complete when the connection is reset
@@ -41,6 +42,14 @@
 request for the rest of that body.
 """
 
+_SLICE_BYTES = 262_144
+"""Bytes of a body that are handed to the transport at a time, which copies what it cannot send at
+once. A request whose body is no longer is handed over in one piece."""
+
+_MAX_SLICES_IN_A_ROW = 16
+"""Slices that are handed over before other work of the event loop goes on: 4 MB, which take about a
+millisecond where the peer reads as fast."""
+
 _TCP_USER_TIMEOUT_MS = 3000
 """Time without an acknowledgement of sent bytes after which the kernel closes a connection."""
 
@@ -124,15 +133,20 @@
         self._pending: Optional[asyncio.Future[Answer]] = None
         self._request_id = ""
         self._body_length = 0
+        self._unsent_bytes = 0
+        self._write_paused = False
+        self._writer: Optional[asyncio.Future[None]] = None
         self._clean_end = False
 
-    async def exchange(self, data: bytes, *, request_id: str = "", body_length: int = 0) -> Answer:
+    async def exchange(
+        self, head: bytes, body: Union[bytes, bytearray] = b"", *, request_id: str = ""
+    ) -> Answer:
         """Send a request and return its whole answer.
 
         Args:
-            data: The request's bytes.
+            head: Its head, or the whole request.
+            body: Its body, which must not change meanwhile.
             request_id: Its id, which an answer with `id_header` must repeat.
-            body_length: Length of its body, in bytes.
 
         Raises:
             ExchangeFailedError: When no whole answer arrived; the request may have run.
@@ -141,13 +155,17 @@
             raise ExchangeFailedError("closed before the request was sent")
         assert self.transport is not None
         self._request_id = request_id
-        self._body_length = body_length
+        self._body_length = self._unsent_bytes = len(body)
         self.last_byte_at = None
         self.received_bytes = 0
         self._reader.begin()
         self._pending = self.loop.create_future()
         try:
-            self.transport.write(data)
+            if len(body) <= _SLICE_BYTES:
+                self.transport.write(head + body if body else head)
+                self._unsent_bytes = 0
+            else:
+                await self._send_slices(head, body)
             return await self._pending
         except BaseException:
             self.close()
@@ -155,6 +173,38 @@
         finally:
             self._pending = None
 
+    async def _send_slices(self, head: bytes, body: Union[bytes, bytearray]) -> None:
+        """Send a long body slice by slice, as far as the peer reads it before it answers."""
+        assert self._pending is not None and self.transport is not None
+        self.transport.write(head)
+        rest = memoryview(body)
+        sent_in_a_row = 0
+        while rest and not self._pending.done():
+            self.transport.write(rest[:_SLICE_BYTES])
+            rest = rest[_SLICE_BYTES:]
+            self._unsent_bytes = len(rest)
+            sent_in_a_row += 1
+            if self._write_paused:
+                self._writer = self.loop.create_future()
+                await self._writer
+                sent_in_a_row = 0
+            elif sent_in_a_row == _MAX_SLICES_IN_A_ROW:
+                await asyncio.sleep(0)
+                sent_in_a_row = 0
+
+    def pause_writing(self) -> None:
+        """Hand over no further slice, as the transport holds enough."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Hand over the next slice."""
+        self._write_paused = False
+        self._wake_writer()
+
+    def _wake_writer(self) -> None:
+        if self._writer is not None and not self._writer.done():
+            self._writer.set_result(None)
+
     @property
     def alive(self) -> bool:
         """True while another request may be sent."""
@@ -190,6 +240,7 @@
     def connection_lost(self, exc: Optional[Exception]) -> None:
         """Complete an answer that ends with the connection, or fail the pending one."""
         self.usable = False
+        self._wake_writer()
         if self._pending is None or self._pending.done():
             return
         if exc is None and self._clean_end and self._reader.ends_with_connection:
@@ -218,12 +269,14 @@
     def _complete(self, answer: Answer) -> None:
         assert self._pending is not None and self.transport is not None
         long_body = self._body_length > _MAX_UNREAD_BODY_BYTES
-        answered_early = long_body and self.transport.get_write_buffer_size()
+        unsent_bytes = self._unsent_bytes + self.transport.get_write_buffer_size()
+        answered_early = long_body and unsent_bytes > 0
         if answered_early or not self._reader.keeps_connection:
             self.usable = False
         self.received_bytes = 0
         self._reader.finish()
         self._pending.set_result(answer)
+        self._wake_writer()
 
     def fail(self, problem: str) -> None:
         """Close at once, and fail the pending answer.
@@ -233,6 +286,7 @@
         """
         if self._pending is not None and not self._pending.done():
             self._pending.set_exception(ExchangeFailedError(problem))
+        self._wake_writer()
         self.close()
 
 
