A status outside of 100 to 599 is no answer

Callers saw: a server that answered 000 to 099 let them wait for the route's timeout, then 504; 600 and above closed their connection without an answer; no other server was asked. 000 was not handed on by the routed path, but by the client of the own interface. Cause: the parser takes any three digits; below 200 counted as interim, and the listener cannot write 600. Change: the answer reader decides at the head what a status is. Outside of 100 to 599, or interim with a body, is a malformed answer; the attempt fails at once. The client sessions of the own interface do the same.

--- a/sprucewinch/net/_answer_reader.py
+++ b/sprucewinch/net/_answer_reader.py
@@ -1,8 +1,9 @@
 """Parses the answers that arrive on one connection to a server.
 
 Owns what is held of the answer that is arriving, and the rules of HTTP framing that the parser
-leaves open: an answer with both `content-length` and `transfer-encoding` is malformed, and one with
-neither lasts until the orderly end of its connection. Relies on httptools for the grammar, on
+leaves open: a status outside of 100 to 599, an interim answer with a body, and an answer with both
+`content-length` and `transfer-encoding` are malformed, and an answer with neither header lasts
+until the orderly end of its connection. Relies on httptools for the grammar, on
 `_inbound_answer` for when there are too many bytes of what, and on `arriving_answers` for whether
 there is memory. `connection` decides to which request an answer belongs. Tests:
 tests/test_inbound_answer.py, tests/test_answer_chunks.py.
@@ -25,6 +26,10 @@
 _PIECE_BYTES = 65_536
 """Most bytes outside a body that are parsed before they are checked against the bounds."""
 
+MIN_STATUS = 100
+MAX_STATUS = 599
+"""Statuses that an answer may have (RFC 9110, 15); with any other one it is no answer."""
+
 FIRST_FINAL_STATUS = 200
 """Lowest status of a final answer: 100 to 199 announce that another one follows (RFC 9110)."""
 
@@ -192,7 +197,13 @@
         self._headers_complete = True
         self._max_headers = len(self._headers) + MAX_LINES
         lengths = self._length_headers()
-        if lengths.keys() == _LENGTH_HEADERS:
+        status = self._parser.get_status_code()
+        if not is_status(status):
+            self._fail(f"status {status:03}: expected {MIN_STATUS} to {MAX_STATUS}")
+        elif status < FIRST_FINAL_STATUS and _states_body(lengths):
+            # It was meant to be the answer, so that no other one follows.
+            self._fail(f"status {status} with a body: expected none for an interim answer")
+        elif lengths.keys() == _LENGTH_HEADERS:
             self._fail("the answer has both content-length and transfer-encoding")
         elif self._has_body:
             self.inbound.end_head(chunked="transfer-encoding" in lengths)
@@ -251,3 +262,12 @@
 
     def _length_headers(self) -> dict[str, str]:
         return {name: value for name, value in self._headers if name in _LENGTH_HEADERS}
+
+
+def is_status(status: int) -> bool:
+    """Return whether a number is the status of an answer, interim or final."""
+    return MIN_STATUS <= status <= MAX_STATUS
+
+
+def _states_body(lengths: dict[str, str]) -> bool:
+    return "transfer-encoding" in lengths or lengths.get("content-length", "0").strip("0") != ""
--- a/sprucewinch/net/http_client.py
+++ b/sprucewinch/net/http_client.py
@@ -1,9 +1,10 @@
-"""HTTP client sessions without automatic retries, and with limits on the size of an answer.
+"""HTTP client sessions without automatic retries, and with limits on status and size of an answer.
 
 Owns how sessions to backend servers, to the store and to operators' ports are made for
-Sprucewinch's own interface, and the limits on what one answer may have in bytes. aiohttp limits the
-status line, the length of a header and the number of headers and trailers. It limits neither the
-number of interim answers nor empty lines, chunk sizes, chunk extensions and bodies.
+Sprucewinch's own interface, and the limits on what one answer may have in bytes. aiohttp hands on
+answers with any three digits as their status; those outside of 100 to 599 fail here. It limits the
+status line, the length of a header and the number of headers and trailers, but neither the number
+of interim answers nor empty lines, chunk sizes, chunk extensions and bodies.
 
 Relies on aiohttp and on its private attributes `_retry_connection` and `_factory`, as it has no
 public options. Tests: `tests/test_endless_answers_clients.py`.
@@ -17,13 +18,12 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from ._answer_reader import FIRST_FINAL_STATUS, MAX_STATUS, MIN_STATUS, is_status
+
 _MAX_HEAD_BYTES = 262_144
 """Maximum size of all that comes before the body of an answer, interim answers included, in bytes.
 It is counted as read from the connection, so that some of the body may be part of it."""
 
-_FIRST_FINAL_STATUS = 200
-"""Lowest status of a final answer: 100 to 199 announce that another one follows (RFC 9110)."""
-
 
 class AnswerTooLongError(aiohttp.ClientPayloadError):
     """A server sent more bytes than an answer may have; the connection was closed.
@@ -36,6 +36,17 @@
         super().__init__(f"the answer is longer than {limit_bytes:.0f} bytes")
 
 
+class InvalidStatusError(aiohttp.ClientPayloadError):
+    """A server sent an answer whose status is none of HTTP; the connection was closed.
+
+    Args:
+        status: The number.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"status {status:03}: expected {MIN_STATUS} to {MAX_STATUS}")
+
+
 def make_session(*, max_answer_bytes: Optional[int], **options: Any) -> aiohttp.ClientSession:
     """Return a client session that never retries a request by itself.
 
@@ -43,7 +54,8 @@
     a request that must not run twice, might then run twice; a compare-and-swap that took effect
     would appear to have been overtaken by another writer.
 
-    Answers that exceed a limit fail with `AnswerTooLongError`.
+    Answers that exceed a limit fail with `AnswerTooLongError`, those without a status of HTTP with
+    `InvalidStatusError`.
 
     Args:
         max_answer_bytes: Maximum size of an answer, in bytes; such answers are not decompressed,
@@ -85,7 +97,11 @@
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Take a parsed head; that of a final answer lifts the limit on heads."""
-        if data[0].code >= _FIRST_FINAL_STATUS:
+        status = data[0].code
+        if not is_status(status):
+            self._end(InvalidStatusError(status))
+            return
+        if status >= FIRST_FINAL_STATUS:
             self._limit_bytes = self._max_bytes
         super().feed_data(data, size)
 
@@ -94,10 +110,9 @@
         super().data_received(data)
         self._received_bytes += len(data)
         if self._received_bytes > self._limit_bytes and self.transport is not None:
-            self._end()
+            self._end(AnswerTooLongError(self._limit_bytes))
 
-    def _end(self) -> None:
-        error = AnswerTooLongError(self._limit_bytes)
+    def _end(self, error: aiohttp.ClientPayloadError) -> None:
         self.set_exception(error)
         if self._payload is not None:
             self._payload.set_exception(error)
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -8,7 +8,7 @@
 import asyncio
 import enum
 from collections.abc import Callable
-from typing import NamedTuple, Optional
+from typing import NamedTuple, Optional, Union
 
 import httptools
 
@@ -105,6 +105,9 @@
         probe_wait_s: Time for which a probe waits for its answer, in seconds.
         probe_body: Body of the answers to probes.
         rest: Value of `Retry-After` in those refusals; empty for none.
+        status_of: Returns the status of a run's answer as it stands in the status line, which may
+            be none of HTTP.
+        signs: False to leave the signature out of the answers to runs.
     """
 
     def __init__(
@@ -148,6 +151,8 @@
         self.reset_at: list[float] = []
         self.turns_away: Callable[[], bool] = _refuse_none
         self.rest = ""
+        self.status_of: Callable[[Run], str] = _status_ok
+        self.signs = True
         self.open: set[asyncio.Transport] = set()
 
     def accept(self) -> asyncio.Protocol:
@@ -214,6 +219,11 @@
     return False
 
 
+def _status_ok(_run: Run) -> str:
+    """Answer with success."""
+    return "200"
+
+
 def _spoil_none(_run: Run) -> Spoil:
     """Spoil no answer."""
     return Spoil.NONE
@@ -332,7 +342,8 @@
     def _answer(self, run: Run, spoil: Spoil) -> None:
         assert self.transport is not None
         body = self.server.answer_to(run)
-        whole = self._encode(200, run.request_id, body)
+        status = self.server.status_of(run)
+        whole = self._encode(status, run.request_id, body, signed=self.server.signs)
         delayed_answer, self.delayed_answer = self.delayed_answer, b""
         if spoil is Spoil.NONE:
             self.transport.write(delayed_answer + whole)
@@ -374,7 +385,7 @@
 
     def _encode(
         self,
-        status: int,
+        status: Union[int, str],
         request_id: str,
         body: bytes,
         *,
@@ -382,7 +393,8 @@
         framed: bool = True,
         extra: str = "",
     ) -> bytes:
-        self.server.note_answer(request_id, status, rests="Retry-After" in extra)
+        number = int(status) if str(status).isdecimal() else 0
+        self.server.note_answer(request_id, number, rests="Retry-After" in extra)
         head = f"HTTP/1.1 {status} X\r\nX-Request-Id: {request_id}\r\n{extra}"
         head += "".join(f"{name}: {value}\r\n" for name, value in self.server.says.items())
         if self.server.states_load is not None:
