--- a/tools/soak/ledger.py
+++ b/tools/soak/ledger.py
@@ -233,7 +233,8 @@
         ends: Time and exit status of each end of a process, by entry VM.
         signalled: Time and number of each signal sent, by entry VM.
         waits: Long waits of entry VMs for a processor.
-        memory: Memory of entry VMs while callers did not read.
+        memory: Memory of entry VMs beside callers that could make it grow.
+        invalid_statuses: Ids of the requests whose server answered with a status that is none.
         link_cuts: Losses of links to backend servers, by entry VM.
         unreadable_settings: Settings files in which nothing could be read, by entry VM.
         quiet_from: Time from which no trouble is left and everything has to work.
@@ -251,6 +252,7 @@
         self.signalled: dict[str, list[tuple[float, int]]] = defaultdict(list)
         self.waits: list[ProcessorWait] = []
         self.memory: list[MemoryUse] = []
+        self.invalid_statuses: set[str] = set()
         self.link_cuts: list[LinkCut] = []
         self.unreadable_settings: list[UnreadableSettings] = []
         self.quiet_from = float("inf")
--- a/tools/soak/promises/judge.py
+++ b/tools/soak/promises/judge.py
@@ -16,6 +16,7 @@
 from .recovery import recovers
 from .runs import at_most_once, refused_never_ran, right_service
 from .statements import follows_statements
+from .status_lines import invalid_statuses_fail_at_once
 from .stops import (
     breaks_off_no_work,
     closes_no_connection,
@@ -47,6 +48,7 @@
     follows_statements,
     lost_ones_come_back,
     memory_is_bounded,
+    invalid_statuses_fail_at_once,
     served_without_links,
     cold_servers_are_spared,
     retries_within_budget,
--- a/tools/soak/troubles/kinds.py
+++ b/tools/soak/troubles/kinds.py
@@ -28,6 +28,7 @@
     StopTwice,
     Suspend,
 )
+from .scale import FetchMetrics, LongUploads, OddStatusLines, ReplaceRoutes
 from .server_links import LoseLinks
 from .servers import (
     Crash,
@@ -159,6 +160,18 @@
 FIRST_SEED_OF_STOP_KINDS = 1_200_000
 """First seed that draws from `STOP_KINDS` too."""
 
+SCALE_KINDS: tuple[type[Trouble], ...] = (
+    ReplaceRoutes,
+    ReplaceRoutes,
+    FetchMetrics,
+    LongUploads,
+    OddStatusLines,
+) * 40
+"""Many routes that come and go, fetches of metrics, long bodies and invalid status lines."""
+
+FIRST_SEED_OF_SCALE_KINDS = 1_500_000
+"""First seed that draws from `SCALE_KINDS` too."""
+
 _ADDED = (
     (FIRST_SEED_OF_ADDED_KINDS, ADDED_KINDS),
     (FIRST_SEED_OF_CRASH_KINDS, CRASH_KINDS),
@@ -170,6 +183,7 @@
     (FIRST_SEED_OF_LIMIT_KINDS, LIMIT_KINDS),
     (FIRST_SEED_OF_UPLOAD_KINDS, UPLOAD_KINDS),
     (FIRST_SEED_OF_STOP_KINDS, STOP_KINDS),
+    (FIRST_SEED_OF_SCALE_KINDS, SCALE_KINDS),
 )
 """Kinds beside `KINDS`, each with the first seed that draws from them, in this order."""
 
--- a/tools/soak/troubles/uploads.py
+++ b/tools/soak/troubles/uploads.py
@@ -118,7 +118,7 @@
     async def _use(self, connection: CallerConnection, vm: str) -> bool:
         upload = self.new_attempt(vm, _GONE)
         headers, body = headers_of(upload, self.rng), b"x" * self.rng.choice(_UPLOAD_BYTES)
-        data = _upload(upload, headers, body, chunked=self.rng.choice((True, False)))
+        data = upload_bytes(upload, headers, body, chunked=self.rng.choice((True, False)))
         cut = self.rng.choice((len(data), self.rng.randrange(len(data))))
         connection.send(data[:cut])
         received = await self._receive(connection, _ignore) if cut == len(data) else None
@@ -155,7 +155,7 @@
         body = self.request_of(attempt).split(b"\r\n")[0] + b"\r\n" + _lines(inner) + b"\r\n"
         self.bodies[attempt.request_id] = body
         chunked = self.rng.choice((True, False))
-        data = _upload(attempt, {**headers, **_OFFER}, body, chunked=chunked)
+        data = upload_bytes(attempt, {**headers, **_OFFER}, body, chunked=chunked)
         return await self._ask(connection, attempt, data)
 
 
@@ -179,7 +179,7 @@
         except OSError:
             return  # The VM is down, so nobody fills its memory.
         headers = headers_of(attempt, self.rng)
-        whole = _upload(attempt, headers, b"x" * (_STALLED_BYTES + 1), chunked=False)
+        whole = upload_bytes(attempt, headers, b"x" * (_STALLED_BYTES + 1), chunked=False)
         try:
             connection.send(whole[:-1])
             await asyncio.sleep(max(0.0, end - self.world.loop.time()))
@@ -187,7 +187,7 @@
             connection.close()
 
 
-def _upload(attempt: Attempt, headers: dict[str, str], body: bytes, *, chunked: bool) -> bytes:
+def upload_bytes(attempt: Attempt, headers: dict[str, str], body: bytes, *, chunked: bool) -> bytes:
     """Return the bytes of a POST request, with a length or in chunks."""
     framing = {"Transfer-Encoding": "chunked"} if chunked else {"Content-Length": str(len(body))}
     first = f"POST /{attempt.route}/{attempt.request_id} HTTP/1.1\r\n".encode()
