A long upload waits for a server that pauses while it reads

Cause: TCP_USER_TIMEOUT of 3 s; Linux also counts the time for which the peer's window is closed, though the peer acknowledges. Change: 60 s while a body of more than 64 kB is on its way, then 3 s again. Such requests are uploads, which must not run twice, so a cut noticed sooner would not have sent them elsewhere. Evidence: a test with a pause of 4 s failed before (ExchangeFailedError).

--- a/sprucewinch/net/connection.py
+++ b/sprucewinch/net/connection.py
@@ -53,6 +53,13 @@
 _TCP_USER_TIMEOUT_MS = 3000
 """Time without an acknowledgement of sent bytes after which the kernel closes a connection."""
 
+_LONG_BODY_USER_TIMEOUT_MS = 60_000
+"""The same while a long body is on its way, in milliseconds: longer than any request is held.
+
+The kernel also counts the time for which a peer acknowledges but reads nothing. A server may pause
+while it reads a long body, and is at work on the request.
+"""
+
 
 class NoAnswer(NamedTuple):
     """Result of `get` when no whole answer came.
@@ -161,6 +168,8 @@
         self._reader.begin()
         self._pending = self.loop.create_future()
         try:
+            if len(body) > _MAX_UNREAD_BODY_BYTES:
+                self._set_user_timeout(_LONG_BODY_USER_TIMEOUT_MS)
             if len(body) <= _SLICE_BYTES:
                 self.transport.write(head + body if body else head)
                 self._unsent_bytes = 0
@@ -172,6 +181,8 @@
             raise
         finally:
             self._pending = None
+            if len(body) > _MAX_UNREAD_BODY_BYTES and self.alive:
+                self._set_user_timeout(_TCP_USER_TIMEOUT_MS)
 
     async def _send_slices(self, head: bytes, body: Union[bytes, bytearray]) -> None:
         """Send a long body slice by slice, as far as the peer reads it before it answers."""
@@ -221,6 +232,18 @@
         """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self._set_user_timeout(_TCP_USER_TIMEOUT_MS)
+
+    def _set_user_timeout(self, milliseconds: int) -> None:
+        """Let the kernel close the connection when its peer acknowledges nothing for a while."""
+        assert self.transport is not None
+        raw = self.transport.get_extra_info("socket")
+        if raw is None:
+            return
+        # The error is ignored: without the option, a server that does not answer costs its caller
+        # no more than the caller's own timeout, and a closed socket fails the exchange.
+        with contextlib.suppress(OSError):
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection when no answer is pending."""
@@ -322,22 +345,9 @@
     except (OSError, TimeoutError) as error:
         refused = isinstance(error, ConnectionRefusedError)
         raise ConnectFailedError(f"{address}: {type(error).__name__}", refused=refused) from None
-    _set_tcp_user_timeout(connection)
     return connection
 
 
-def _set_tcp_user_timeout(connection: Connection) -> None:
-    """Let the kernel close a connection whose server acknowledges nothing."""
-    assert connection.transport is not None
-    raw = connection.transport.get_extra_info("socket")
-    if raw is None:
-        return
-    # The error is ignored: without the option, a server that does not answer costs its caller no
-    # more than the caller's own timeout, and a socket that is already closed fails the exchange.
-    with contextlib.suppress(OSError):
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS)
-
-
 async def get(
     address: str,
     target: str,
--- a/tests/test_connection_long_bodies.py
+++ b/tests/test_connection_long_bodies.py
@@ -20,6 +20,9 @@
 _MAX_MORE_BYTES = 2_000_000
 """Bound on what sending takes beside the body: some slices, whatever the length of the body."""
 
+_PAUSE_S = 4.0
+"""Pause of a server while it reads, in seconds: longer than the kernel waits for silent peers."""
+
 _SLICE = 262_144
 _SIZES = [0, 1, 65_536, 65_537, _SLICE - 1, _SLICE, _SLICE + 1, 3 * _SLICE, 1_000_000]
 
@@ -33,6 +36,7 @@
         self.pause_s = 0.0
         self.answers_at: Optional[int] = None
         self.resets_at: Optional[int] = None
+        self.pauses_at: Optional[int] = None
         self.ended = asyncio.Event()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -53,6 +57,9 @@
                 self.answers_at = None
             if self.resets_at is not None and len(body) >= self.resets_at:
                 reset(writer.transport)
+            if self.pauses_at is not None and len(body) >= self.pauses_at:
+                self.pauses_at = None
+                await asyncio.sleep(_PAUSE_S)
             piece = await reader.read(min(self.read_at_once, size - len(body)))
             if not piece:
                 raise EOFError
@@ -116,6 +123,15 @@
             with self.assertRaises(ExchangeFailedError):
                 await connection.exchange(_head(_LONG), bytes(_LONG))
 
+    async def test_a_server_that_pauses_while_it_reads_is_waited_for(self) -> None:
+        # Guards against the kernel's time-out, which also counts a window that the server has
+        # closed: an upload whose server paused for over 3 s was broken off.
+        self.server.pauses_at = 100_000
+        connection = await self._connect()
+        async with asyncio.timeout(_PAUSE_S + 5.0):
+            answer = await connection.exchange(_head(_LONG), bytes(_LONG))
+        self.assertEqual((answer.status, connection.alive), (200, True))
+
     async def test_an_exchange_that_is_given_up_sends_no_more(self) -> None:
         self.server.pause_s = 60.0
         connection = await self._connect()
