A request that is given up is reset, and sent no more

Cause: abort() closes the socket, and the kernel goes on sending what it holds. Change: a connection with a request in flight is reset when it closes; an idle one closes in order. Evidence: tests.test_connection_long_bodies, a server met the orderly end of a request that was given up, now a reset (failed before).

--- a/sprucewinch/net/connection.py
+++ b/sprucewinch/net/connection.py
@@ -13,6 +13,7 @@
 import contextlib
 import functools
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Optional, Union
 
@@ -53,6 +54,9 @@
 _TCP_USER_TIMEOUT_MS = 3000
 """Time without an acknowledgement of sent bytes after which the kernel closes a connection."""
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""`SO_LINGER` with a time of 0 s: closing drops what the kernel holds, and sends a reset."""
+
 _LONG_BODY_USER_TIMEOUT_MS = 60_000
 """The same while a long body is on its way, in milliseconds: longer than any request is held.
 
@@ -222,11 +226,19 @@
         return self.usable and self.transport is not None and not self.transport.is_closing()
 
     def close(self) -> None:
-        """Close at once; bytes that have not been sent are lost."""
+        """Close at once; bytes that have not been sent are lost.
+
+        A connection with a request in flight is reset. The kernel would otherwise go on sending
+        what it holds of the request, after a partition for instance, and the server would run a
+        request that was given up.
+        """
         self.usable = False
         self._reader.drop()
-        if self.transport is not None:
-            self.transport.abort()
+        if self.transport is None:
+            return
+        if self._pending is not None:
+            self._set_option(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -236,14 +248,17 @@
 
     def _set_user_timeout(self, milliseconds: int) -> None:
         """Let the kernel close the connection when its peer acknowledges nothing for a while."""
+        self._set_option(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+    def _set_option(self, level: int, option: int, value: Union[int, bytes]) -> None:
         assert self.transport is not None
         raw = self.transport.get_extra_info("socket")
         if raw is None:
             return
-        # The error is ignored: without the option, a server that does not answer costs its caller
+        # The error is ignored: without the options, a server that does not answer costs its caller
         # no more than the caller's own timeout, and a closed socket fails the exchange.
         with contextlib.suppress(OSError):
-            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+            raw.setsockopt(level, option, value)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection when no answer is pending."""
--- a/tests/test_connection_long_bodies.py
+++ b/tests/test_connection_long_bodies.py
@@ -38,12 +38,14 @@
         self.resets_at: Optional[int] = None
         self.pauses_at: Optional[int] = None
         self.ended = asyncio.Event()
+        self.was_reset = False
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while True:
                 await self._serve_one(reader, writer)
-        except (OSError, EOFError):
+        except (OSError, EOFError) as error:
+            self.was_reset = isinstance(error, ConnectionResetError)
             self.ended.set()
             writer.close()
 
@@ -140,6 +142,26 @@
                 await connection.exchange(_head(_LONG), bytes(_LONG))
         self.assertFalse(connection.alive)
 
+    async def test_a_server_reads_nothing_more_of_a_request_that_was_given_up(self) -> None:
+        # Guards against a kernel that goes on sending what it holds, so that a server runs a
+        # request that was given up, long after its caller had an answer.
+        self.server.pauses_at = 0
+        connection = await self._connect()
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await connection.exchange(_head(_LONG), bytes(_LONG))
+        async with asyncio.timeout(_PAUSE_S + 5.0):
+            await self.server.ended.wait()
+        self.assertEqual((self.server.received, self.server.was_reset), ([], True))
+
+    async def test_an_idle_connection_is_closed_in_order(self) -> None:
+        connection = await self._connect()
+        await connection.exchange(_head(1), b"x")
+        connection.close()
+        async with asyncio.timeout(5.0):
+            await self.server.ended.wait()
+        self.assertFalse(self.server.was_reset)
+
 
 def _head(size: int) -> bytes:
     return f"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {size}\r\n\r\n".encode()
