--- a/sprucewinch/gateway/telemetry/sparse_histogram.py
+++ b/sprucewinch/gateway/telemetry/sparse_histogram.py
@@ -19,10 +19,11 @@
 """Bits of a value that tell buckets apart: 256 sub-buckets are exact to two decimal digits."""
 
 _HALF_BITS = _SUB_BUCKET_BITS - 1
-_HALF_COUNT = 1 << _HALF_BITS
-"""Buckets for each doubling of the value."""
+"""Bits of a bucket's number within one doubling of the value."""
 
 _BLOCK_BITS = 5
+"""Bits of a bucket's number within its block."""
+
 _BLOCK_SIZE = 1 << _BLOCK_BITS
 """Buckets that are allocated together: 128 bytes of counts."""
 
--- a/sprucewinch/net/_answer_reader.py
+++ b/sprucewinch/net/_answer_reader.py
@@ -27,8 +27,10 @@
 """Most bytes outside a body that are parsed before they are checked against the bounds."""
 
 MIN_STATUS = 100
+"""Lowest status that an answer may have (RFC 9110, 15)."""
+
 MAX_STATUS = 599
-"""Statuses that an answer may have (RFC 9110, 15); with any other one it is no answer."""
+"""Highest status that an answer may have; with any other one it is no answer."""
 
 FIRST_FINAL_STATUS = 200
 """Lowest status of a final answer: 100 to 199 announce that another one follows (RFC 9110)."""
--- a/sprucewinch/net/connection.py
+++ b/sprucewinch/net/connection.py
@@ -2,10 +2,10 @@
 
 Owns the connection, the one request in flight on it, and the check that an answer belongs to that
 request. A long body is sent in slices as the peer reads them, so that it is not held twice. Never
-retries a request: its callers decide that. Relies on `_answer_reader` to parse
-answers, on `_progress_timeout` and `_stall_timeout` for timeouts. Used by the routed path, by the
-store's client and by VMs that fetch from each other. The HTTP client library (aiohttp) is not used
-here, because it reports an answer without a length as complete when the connection is reset
+retries a request: its callers decide that. Relies on `_answer_reader` to parse answers, on
+`_progress_timeout` and `_stall_timeout` for timeouts. Used by the routed path, by the store's
+client and by VMs that fetch from each other. The HTTP client library (aiohttp) is not used here,
+because it reports an answer without a length as complete when the connection is reset
 (`tests/test_gateway_connection.py` shows both).
 """
 
@@ -172,13 +172,7 @@
         self._reader.begin()
         self._pending = self.loop.create_future()
         try:
-            if len(body) > _MAX_UNREAD_BODY_BYTES:
-                self._set_user_timeout(_LONG_BODY_USER_TIMEOUT_MS)
-            if len(body) <= _SLICE_BYTES:
-                self.transport.write(head + body if body else head)
-                self._unsent_bytes = 0
-            else:
-                await self._send_slices(head, body)
+            await self._send(head, body)
             return await self._pending
         except BaseException:
             self.close()
@@ -188,8 +182,19 @@
             if len(body) > _MAX_UNREAD_BODY_BYTES and self.alive:
                 self._set_user_timeout(_TCP_USER_TIMEOUT_MS)
 
+    async def _send(self, head: bytes, body: Union[bytes, bytearray]) -> None:
+        """Send a request, as far as the peer reads it before it answers."""
+        assert self.transport is not None
+        if len(body) > _MAX_UNREAD_BODY_BYTES:
+            self._set_user_timeout(_LONG_BODY_USER_TIMEOUT_MS)
+        if len(body) > _SLICE_BYTES:
+            await self._send_slices(head, body)
+            return
+        self.transport.write(head + body if body else head)
+        self._unsent_bytes = 0
+
     async def _send_slices(self, head: bytes, body: Union[bytes, bytearray]) -> None:
-        """Send a long body slice by slice, as far as the peer reads it before it answers."""
+        """Send a request with a long body slice by slice; see `_send`."""
         assert self._pending is not None and self.transport is not None
         self.transport.write(head)
         rest = memoryview(body)
