--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -284,6 +284,10 @@
             "RefusedUploads SpoilEntry Change FailAnswers Change",
             1200003: "StopsInSeries RefusedUploads FailAnswers StopTwice Evacuate "
             "StopsOverlapping Change",
+            1500006: "StateLoad LongUploads LongUploads StoreReturns FetchMetrics "
+            "ColdWithoutStore Change",
+            1500008: "OddStatusLines UpgradeOffers FetchMetrics ReplaceRoutes ColdWithoutStore "
+            "ReplaceRoutes Change",
         }
         for seed, names in kept.items():
             planned = [row.kind.__name__ for row in plan(seed)]
