--- a/tests/test_soak_scale.py
+++ b/tests/test_soak_scale.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tools.soak.ledger import End, TroubleSpan
+from tools.soak.ledger import End, LinkCut, TroubleSpan
 from tools.soak.troubles.kinds import FIRST_SEED_OF_SCALE_KINDS, kinds_of
 from tools.soak.troubles.scale import FetchMetrics, LongUploads, OddStatusLines, ReplaceRoutes
 
@@ -30,6 +30,15 @@
         day.ledger.troubles.append(TroubleSpan("Kill", "vm1", 99.9, 100.2))
         self.assertNotIn("STATUS", day.rules())
 
+    def test_a_vm_that_lost_its_links_meanwhile_is_excused_and_no_other(self) -> None:
+        # The attempt fails at once, and the server that is asked next is silent.
+        for vm, expected in (("vm1", set()), ("vm2", {"STATUS"})):
+            day = Judged()
+            day.attempt(status=504)
+            day.ledger.invalid_statuses.add("q1")
+            day.ledger.link_cuts.append(LinkCut(vm, 100.05, 104.0))
+            self.assertEqual(day.rules() & {"STATUS"}, expected)
+
     def test_other_timeouts_are_not_judged(self) -> None:
         day = Judged()
         day.attempt(status=504)
